Read the daemon's settings from flags and variables, all checked at start

Cause: the daemon needs its settings, and an operator who restarts it once per mistake loses time during an incident.

Ruled out: the help formatter of Commons CLI (it knows neither variables nor allowed ranges); a map of settings (untyped); stopping at the first unknown word as Commons CLI does (hides the other mistakes; the parser is started again behind the word).

Change: SettingsReader turns flags (Commons CLI) and HICKORY_ variables into the immutable DaemonSettings, reports all problems together with name, value and allowed range, and prints help and the values with their sources. Secrets are masked in errors, in printed settings and in text forms; a mistyped flag's value and stray words are never echoed, as they may be one.

Conclusion: the lead can start the daemon from SettingsReader.read.

--- /dev/null
+++ b/daemon/src/main/java/org/hickorypier/daemon/settings/HostAndPort.java
@@ -0,0 +1,17 @@
+package org.hickorypier.daemon.settings;
+
+/**
+ * The address of a service.
+ *
+ * <p>Immutable.
+ *
+ * @param host the host, an IP number or a name
+ * @param port the port
+ */
+public record HostAndPort(String host, int port) {
+
+  @Override
+  public String toString() {
+    return host.indexOf(':') < 0 ? host + ":" + port : "[" + host + "]:" + port;
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorypier/daemon/settings/ResolvedSettings.java
@@ -0,0 +1,57 @@
+package org.hickorypier.daemon.settings;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The values found for the settings, with their sources and every problem met.
+ *
+ * <p>Not thread safe: filled and read while the daemon starts.
+ */
+final class ResolvedSettings {
+
+  /** One value as given, with its source. */
+  record Entry(Setting<?> setting, String text, SettingSource source) {}
+
+  private final Map<Setting<?>, Object> values = new LinkedHashMap<>();
+  private final List<Entry> entries = new ArrayList<>();
+  private final List<SettingProblem> problems = new ArrayList<>();
+
+  void take(Setting<?> setting, String text, SettingSource source) {
+    entries.add(new Entry(setting, text, source));
+    try {
+      values.put(setting, setting.parser().parse(text));
+    } catch (UnusableValueException error) {
+      String name = source == SettingSource.ENVIRONMENT ? setting.variable() : setting.flag();
+      addProblem(name, setting.shown(text), setting.allowed());
+    }
+  }
+
+  void addProblem(String name, String value, String allowed) {
+    problems.add(new SettingProblem(name, value, allowed));
+  }
+
+  boolean has(Setting<?> setting) {
+    return values.containsKey(setting);
+  }
+
+  /** Returns a value that was read; the parser of the setting made it, so the cast is safe. */
+  @SuppressWarnings("unchecked")
+  <T> T get(Setting<T> setting) {
+    return (T) values.get(setting);
+  }
+
+  int getInt(Setting<Long> setting) {
+    return Math.toIntExact(get(setting));
+  }
+
+  List<Entry> entries() {
+    return List.copyOf(entries);
+  }
+
+  List<SettingProblem> problems() {
+    return List.copyOf(problems);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorypier/daemon/settings/SettingsReader.java
@@ -0,0 +1,149 @@
+package org.hickorypier.daemon.settings;
+
+import java.util.List;
+import java.util.Map;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+
+/**
+ * Reads the daemon's settings from flags and environment variables.
+ *
+ * <p>A flag goes before its variable, the variable before the default. All problems are reported
+ * together, because an operator who restarts a daemon once per mistake loses time during an
+ * incident. Stateless, so thread safe.
+ */
+public final class SettingsReader {
+
+  static final String HELP = "help";
+  static final String PRINT_SETTINGS = "print-settings";
+
+  private static final int LEAST_RENEWALS_PER_LEASE = 2;
+  private static final int LEAST_HEARTBEATS_PER_TIMEOUT = 3;
+
+  /**
+   * Reads the settings.
+   *
+   * @param arguments the command line
+   * @param environment the environment variables
+   * @return the settings to use, or the text to print
+   * @throws SettingsException if any setting cannot be used; it names all of them
+   */
+  public SettingsResult read(List<String> arguments, Map<String, String> environment)
+      throws SettingsException {
+    ResolvedSettings resolved = new ResolvedSettings();
+    FlagValues flags = FlagValues.parse(options(), arguments, resolved);
+    if (flags.has(HELP)) {
+      return new SettingsResult.Print(SettingsText.help());
+    }
+    for (Setting<?> setting : SettingCatalogue.ALL) {
+      resolve(setting, flags, environment, resolved);
+    }
+    checkRenewals(resolved);
+    checkHeartbeats(resolved);
+    if (!resolved.problems().isEmpty()) {
+      throw new SettingsException(resolved.problems());
+    }
+    return flags.has(PRINT_SETTINGS)
+        ? new SettingsResult.Print(SettingsText.values(resolved))
+        : new SettingsResult.Use(build(resolved));
+  }
+
+  private static Options options() {
+    Options options = new Options();
+    options.addOption(Option.builder().longOpt(HELP).get());
+    options.addOption(Option.builder().longOpt(PRINT_SETTINGS).get());
+    for (Setting<?> setting : SettingCatalogue.ALL) {
+      options.addOption(Option.builder().longOpt(setting.name()).hasArg().optionalArg(true).get());
+    }
+    return options;
+  }
+
+  private static void resolve(
+      Setting<?> setting,
+      FlagValues flags,
+      Map<String, String> environment,
+      ResolvedSettings resolved) {
+    String variable = environment.get(setting.variable());
+    if (flags.has(setting.name())) {
+      resolveFlag(setting, flags.values(setting.name()), resolved);
+    } else if (variable != null) {
+      resolved.take(setting, variable, SettingSource.ENVIRONMENT);
+    } else if (setting.defaultText() != null) {
+      resolved.take(setting, setting.defaultText(), SettingSource.DEFAULT);
+    } else {
+      resolved.addProblem(setting.flag(), "", setting.allowed());
+    }
+  }
+
+  private static void resolveFlag(
+      Setting<?> setting, List<String> values, ResolvedSettings resolved) {
+    if (values.size() > 1) {
+      String shown = String.join(" ", values.stream().map(setting::shown).toList());
+      resolved.addProblem(setting.flag(), shown, "one value, given once");
+    } else if (values.isEmpty() || values.get(0).isEmpty()) {
+      resolved.addProblem(setting.flag(), "", setting.allowed());
+    } else {
+      resolved.take(setting, values.get(0), SettingSource.FLAG);
+    }
+  }
+
+  // With fewer than two renewals in a lease, one lost answer lets the lease lapse and the worker
+  // stops a task that nobody wanted stopped. Half the lease leaves time for one repetition.
+  private static void checkRenewals(ResolvedSettings resolved) {
+    if (!resolved.has(SettingCatalogue.LEASE_MILLIS)
+        || !resolved.has(SettingCatalogue.RENEWAL_MILLIS)) {
+      return;
+    }
+    long most = resolved.get(SettingCatalogue.LEASE_MILLIS) / LEAST_RENEWALS_PER_LEASE;
+    long renewal = resolved.get(SettingCatalogue.RENEWAL_MILLIS);
+    if (renewal > most) {
+      resolved.addProblem(
+          SettingCatalogue.RENEWAL_MILLIS.flag(),
+          Long.toString(renewal),
+          "at most half of --lease-millis, here " + most);
+    }
+  }
+
+  // With fewer than three heartbeats in the timeout, one delayed packet closes a link that works,
+  // and all peers see this instance come and go. Three leave room for two that are lost.
+  private static void checkHeartbeats(ResolvedSettings resolved) {
+    if (!resolved.has(SettingCatalogue.HEARTBEAT_MILLIS)
+        || !resolved.has(SettingCatalogue.PEER_TIMEOUT_MILLIS)) {
+      return;
+    }
+    long least = resolved.get(SettingCatalogue.HEARTBEAT_MILLIS) * LEAST_HEARTBEATS_PER_TIMEOUT;
+    long timeout = resolved.get(SettingCatalogue.PEER_TIMEOUT_MILLIS);
+    if (timeout < least) {
+      resolved.addProblem(
+          SettingCatalogue.PEER_TIMEOUT_MILLIS.flag(),
+          Long.toString(timeout),
+          "at least 3 times --heartbeat-millis, here " + least);
+    }
+  }
+
+  private static DaemonSettings build(ResolvedSettings resolved) {
+    return new DaemonSettings(
+        resolved.get(SettingCatalogue.NAME_OF_INSTANCE),
+        resolved.get(SettingCatalogue.DATA_CENTRE),
+        resolved.get(SettingCatalogue.HOST),
+        resolved.getInt(SettingCatalogue.HTTP_PORT),
+        resolved.getInt(SettingCatalogue.PEER_PORT),
+        resolved.get(SettingCatalogue.LOG_SERVICE),
+        resolved.get(SettingCatalogue.INSTANCE_LIST),
+        resolved.get(SettingCatalogue.PEER_SECRET),
+        resolved.get(SettingCatalogue.OPERATOR_KEY),
+        resolved.get(SettingCatalogue.LOG_LEVEL),
+        resolved.get(SettingCatalogue.LEASE_MILLIS),
+        resolved.get(SettingCatalogue.RENEWAL_MILLIS),
+        resolved.get(SettingCatalogue.HEARTBEAT_MILLIS),
+        resolved.get(SettingCatalogue.PEER_TIMEOUT_MILLIS),
+        resolved.get(SettingCatalogue.DIGEST_MILLIS),
+        resolved.get(SettingCatalogue.FRESHNESS_MILLIS),
+        resolved.getInt(SettingCatalogue.QUEUE_LIMIT),
+        resolved.getInt(SettingCatalogue.REQUEST_BYTES_LIMIT),
+        resolved.get(SettingCatalogue.DEADLINE_DEFAULT_MILLIS),
+        resolved.getInt(SettingCatalogue.EVENT_LOOPS),
+        resolved.get(SettingCatalogue.SHUTDOWN_MILLIS),
+        resolved.getInt(SettingCatalogue.CONNECTIONS_PER_WORKER));
+  }
+}
