Add the caller interface, the work service, the dispatcher and the control of workers

Cause: the path from a caller's request to a worker and back has to run in the daemon. Ruled out: counting an order with an unknown effect as not started; its room stays taken until the worker has said what became of it. Change: CallerApi with checked fields, WorkService (deduplicate to answer), Dispatcher (start, settle, await), WorkerFleet (claim, renew, give up by token and lease).

--- /dev/null
+++ b/daemon/src/main/java/org/hickorypier/daemon/caller/CallerApi.java
@@ -0,0 +1,195 @@
+package org.hickorypier.daemon.caller;
+
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.json.JsonObject;
+import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
+import io.vertx.ext.web.handler.BodyHandler;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.Function;
+import org.hickorypier.core.model.Outcome;
+import org.hickorypier.core.model.Refusal;
+import org.hickorypier.core.model.WorkClass;
+import org.hickorypier.daemon.caller.CallerGateway.JobView;
+import org.hickorypier.daemon.work.WorkResult;
+
+/**
+ * The HTTP interface for callers.
+ *
+ * <p>Thread safe: it holds no state and runs on the event loops.
+ */
+public final class CallerApi {
+
+  /** The header that names the outcome of every answer. */
+  public static final String OUTCOME_HEADER = "Hickory-Outcome";
+
+  private static final List<WorkClass> REQUEST_CLASSES =
+      List.of(WorkClass.REQUEST, WorkClass.URGENT);
+  private static final List<WorkClass> JOB_CLASSES =
+      List.of(WorkClass.BATCH, WorkClass.GANG, WorkClass.SERVICE);
+  private static final String BEARER = "Bearer ";
+  private static final int STATUS_FAILED = 502;
+  private static final int STATUS_UNKNOWN = 504;
+
+  private final CallerGateway gateway;
+  private final CallerRequestParser parser;
+  private final long bodyLimit;
+  private final long senderMillis;
+
+  /**
+   * Creates the interface.
+   *
+   * @param gateway the rest of the daemon
+   * @param parser reads the bodies
+   * @param bodyLimit the largest body in bytes
+   * @param senderMillis how long a caller may take to send its body
+   */
+  public CallerApi(
+      CallerGateway gateway, CallerRequestParser parser, long bodyLimit, long senderMillis) {
+    this.gateway = gateway;
+    this.parser = parser;
+    this.bodyLimit = bodyLimit;
+    this.senderMillis = senderMillis;
+  }
+
+  /**
+   * Adds the routes.
+   *
+   * @param router the router to add to
+   */
+  public void mount(Router router) {
+    router.route("/v1/requests").handler(new SlowSenderGuard(senderMillis));
+    router.route("/v1/jobs").handler(new SlowSenderGuard(senderMillis));
+    router.post("/v1/requests").handler(body()).handler(this::run);
+    router.post("/v1/jobs").handler(body()).handler(this::accept);
+    router.get("/v1/jobs/:requestId").handler(context -> job(context, gateway::find));
+    router.delete("/v1/jobs/:requestId").handler(context -> job(context, gateway::cancel));
+    router.errorHandler(
+        413,
+        context ->
+            error(context.response(), 413, "the body is larger than " + bodyLimit + " bytes", 0));
+  }
+
+  private BodyHandler body() {
+    return BodyHandler.create(false).setBodyLimit(bodyLimit);
+  }
+
+  private void run(RoutingContext context) {
+    parsed(
+        context,
+        REQUEST_CLASSES,
+        request -> gateway.run(key(context), request),
+        result -> answer(context.response(), result));
+  }
+
+  private void accept(RoutingContext context) {
+    parsed(
+        context,
+        JOB_CLASSES,
+        request -> gateway.accept(key(context), request),
+        view -> writeJob(context.response(), 202, view));
+  }
+
+  private <T> void parsed(
+      RoutingContext context,
+      List<WorkClass> classes,
+      Function<CallerRequest, Uni<T>> call,
+      java.util.function.Consumer<T> answered) {
+    Buffer body = context.body().buffer();
+    try {
+      CallerRequest request = parser.parse(body == null ? new byte[0] : body.getBytes(), classes);
+      call.apply(request).subscribe().with(answered, failure -> failed(context, failure));
+    } catch (BadRequestException error) {
+      error(context.response(), 400, error.getMessage(), 0);
+    }
+  }
+
+  private void job(RoutingContext context, JobCall call) {
+    call.apply(key(context), context.pathParam("requestId"))
+        .subscribe()
+        .with(view -> writeJob(context.response(), 200, view), failure -> failed(context, failure));
+  }
+
+  private void failed(RoutingContext context, Throwable failure) {
+    if (failure instanceof DeniedException denied) {
+      error(
+          context.response(),
+          denied.kind().status(),
+          denied.getMessage(),
+          denied.retryAfterMillis());
+    } else {
+      outcome(context.response(), Outcome.UNKNOWN);
+      end(context.response(), STATUS_UNKNOWN, message("internal error: " + failure.getMessage()));
+    }
+  }
+
+  private void answer(HttpServerResponse response, WorkResult result) {
+    if (result instanceof WorkResult.Refused refused) {
+      Refusal refusal = refused.refusal();
+      DeniedException denied = DeniedException.of(refusal);
+      response.putHeader("Hickory-Reason", refusal.reason().name().toLowerCase(Locale.ROOT));
+      error(response, denied.kind().status(), refusal.detail(), refusal.retryAfterMillis());
+      return;
+    }
+    WorkResult.Answered answered = (WorkResult.Answered) result;
+    outcome(response, answered.outcome());
+    if (answered.outcome() == Outcome.COMPLETED) {
+      end(response, 200, Buffer.buffer(answered.body()));
+    } else {
+      int status = answered.outcome() == Outcome.FAILED ? STATUS_FAILED : STATUS_UNKNOWN;
+      boolean hasBody = answered.body().length > 0;
+      end(response, status, hasBody ? Buffer.buffer(answered.body()) : message(answered.detail()));
+    }
+  }
+
+  private static void writeJob(HttpServerResponse response, int status, JobView view) {
+    response.putHeader("Content-Type", "application/json");
+    JsonObject body =
+        new JsonObject()
+            .put("team", view.key().team())
+            .put("requestId", view.key().requestId())
+            .put("state", view.state())
+            .put("detail", view.detail())
+            .put("acceptedAtOffset", view.offset());
+    end(response, status, body.toBuffer().appendString("\n"));
+  }
+
+  private static void error(
+      HttpServerResponse response, int status, String message, long retryAfterMillis) {
+    outcome(response, Outcome.NOT_RUN);
+    if (retryAfterMillis > 0) {
+      long seconds = Math.max(1, (retryAfterMillis + 999) / 1_000);
+      response.putHeader("Retry-After", Long.toString(seconds));
+    }
+    end(response, status, message(message));
+  }
+
+  private static Buffer message(String text) {
+    return new JsonObject().put("error", text).toBuffer().appendString("\n");
+  }
+
+  private static void outcome(HttpServerResponse response, Outcome outcome) {
+    if (!response.ended() && !response.closed()) {
+      response.putHeader(OUTCOME_HEADER, outcome.text());
+    }
+  }
+
+  private static void end(HttpServerResponse response, int status, Buffer body) {
+    if (!response.ended() && !response.closed()) {
+      response.setStatusCode(status).end(body);
+    }
+  }
+
+  private static String key(RoutingContext context) {
+    String header = context.request().getHeader("Authorization");
+    return header != null && header.startsWith(BEARER) ? header.substring(BEARER.length()) : "";
+  }
+
+  @FunctionalInterface
+  private interface JobCall {
+    Uni<JobView> apply(String presentedKey, String requestId);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorypier/daemon/caller/CallerRequestParser.java
@@ -0,0 +1,191 @@
+package org.hickorypier.daemon.caller;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.regex.Pattern;
+import org.hickorypier.core.model.Resources;
+import org.hickorypier.core.model.WorkClass;
+
+/** Reads and checks the JSON body of a caller's request. Thread safe. */
+public final class CallerRequestParser {
+
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final Pattern REQUEST_ID = Pattern.compile("[A-Za-z0-9._:-]{1,80}");
+  private static final String REQUEST_ID_RANGE =
+      "1 to 80 letters, digits, points, colons, hyphens and underscores";
+  private static final Set<String> FIELDS =
+      Set.of(
+          "team",
+          "requestId",
+          "class",
+          "name",
+          "idempotent",
+          "processors",
+          "memoryMebibytes",
+          "accelerators",
+          "tasks",
+          "deadlineMillis",
+          "runMillis",
+          "payload");
+  private static final double MAX_PROCESSORS = 1_024;
+  private static final long MAX_MEMORY_MEBIBYTES = 16L * 1_024 * 1_024;
+  private static final int MAX_ACCELERATORS = 64;
+  private static final int MAX_TASKS = 1_000;
+  private static final long MAX_MILLIS = 7L * 24 * 60 * 60 * 1_000;
+  private static final long DEFAULT_RUN_MILLIS = 1_000;
+  private static final long DEFAULT_JOB_DEADLINE_MILLIS = 24L * 60 * 60 * 1_000;
+
+  private final long defaultDeadlineMillis;
+
+  /**
+   * Creates a parser.
+   *
+   * @param defaultDeadlineMillis the deadline of synchronous requests that name none
+   */
+  public CallerRequestParser(long defaultDeadlineMillis) {
+    this.defaultDeadlineMillis = defaultDeadlineMillis;
+  }
+
+  /**
+   * Reads a request.
+   *
+   * @param body the JSON body
+   * @param classes the classes allowed on this path
+   * @return the request
+   * @throws BadRequestException if a field is missing, unknown or out of its range
+   */
+  public CallerRequest parse(byte[] body, List<WorkClass> classes) throws BadRequestException {
+    JsonNode root = readObject(body);
+    checkNames(root);
+    WorkClass workClass = workClass(root, classes);
+    long defaultDeadline =
+        workClass.isSynchronous() ? defaultDeadlineMillis : DEFAULT_JOB_DEADLINE_MILLIS;
+    double processors = decimal(root, "processors", 0.1, 0.001, MAX_PROCESSORS);
+    Resources resources =
+        new Resources(
+            Math.round(processors * 1_000),
+            whole(root, "memoryMebibytes", 64, 1, MAX_MEMORY_MEBIBYTES),
+            (int) whole(root, "accelerators", 0, 0, MAX_ACCELERATORS));
+    return new CallerRequest(
+        text(root, "team", ""),
+        requestId(root),
+        workClass,
+        text(root, "name", workClass.name().toLowerCase(Locale.ROOT)),
+        flag(root, "idempotent"),
+        resources,
+        (int) whole(root, "tasks", 1, 1, workClass.isSynchronous() ? 1 : MAX_TASKS),
+        whole(root, "deadlineMillis", defaultDeadline, 1, MAX_MILLIS),
+        whole(root, "runMillis", DEFAULT_RUN_MILLIS, 1, MAX_MILLIS),
+        payload(root));
+  }
+
+  private static JsonNode readObject(byte[] body) throws BadRequestException {
+    try {
+      JsonNode root = MAPPER.readTree(body);
+      if (root == null || !root.isObject()) {
+        throw new BadRequestException("body", "no object", "one JSON object");
+      }
+      return root;
+    } catch (IOException error) {
+      throw new BadRequestException("body", "unreadable text", "one JSON object");
+    }
+  }
+
+  private static void checkNames(JsonNode root) throws BadRequestException {
+    var names = root.fieldNames();
+    while (names.hasNext()) {
+      String name = names.next();
+      if (!FIELDS.contains(name)) {
+        String known = String.join(", ", FIELDS.stream().sorted().toList());
+        throw new BadRequestException(name, root.get(name), "no such field; known: " + known);
+      }
+    }
+  }
+
+  private static WorkClass workClass(JsonNode root, List<WorkClass> classes)
+      throws BadRequestException {
+    String name = text(root, "class", classes.get(0).name());
+    for (WorkClass candidate : classes) {
+      if (candidate.name().equalsIgnoreCase(name)) {
+        return candidate;
+      }
+    }
+    String allowed = classes.toString().toLowerCase(Locale.ROOT);
+    throw new BadRequestException("class", name, "one of " + allowed);
+  }
+
+  private static String requestId(JsonNode root) throws BadRequestException {
+    String id = text(root, "requestId", "");
+    if (!REQUEST_ID.matcher(id).matches()) {
+      throw new BadRequestException("requestId", "'" + id + "'", REQUEST_ID_RANGE);
+    }
+    return id;
+  }
+
+  private static String text(JsonNode root, String field, String fallback)
+      throws BadRequestException {
+    JsonNode node = root.get(field);
+    if (node == null) {
+      return fallback;
+    }
+    if (!node.isTextual()) {
+      throw new BadRequestException(field, node, "a string");
+    }
+    return node.textValue();
+  }
+
+  private static boolean flag(JsonNode root, String field) throws BadRequestException {
+    JsonNode node = root.get(field);
+    if (node == null) {
+      return false;
+    }
+    if (!node.isBoolean()) {
+      throw new BadRequestException(field, node, "true or false");
+    }
+    return node.booleanValue();
+  }
+
+  private static long whole(JsonNode root, String field, long fallback, long least, long most)
+      throws BadRequestException {
+    JsonNode node = root.get(field);
+    if (node == null) {
+      return fallback;
+    }
+    boolean fits = node.canConvertToLong() && node.canConvertToExactIntegral();
+    if (!node.isNumber() || !fits || node.longValue() < least || node.longValue() > most) {
+      throw new BadRequestException(field, node, "a whole number from " + least + " to " + most);
+    }
+    return node.longValue();
+  }
+
+  private static double decimal(
+      JsonNode root, String field, double fallback, double least, double most)
+      throws BadRequestException {
+    JsonNode node = root.get(field);
+    if (node == null) {
+      return fallback;
+    }
+    if (!node.isNumber() || !(node.doubleValue() >= least) || !(node.doubleValue() <= most)) {
+      throw new BadRequestException(field, node, "a number from " + least + " to " + most);
+    }
+    return node.doubleValue();
+  }
+
+  private static byte[] payload(JsonNode root) throws BadRequestException {
+    JsonNode node = root.get("payload");
+    if (node == null) {
+      return new byte[0];
+    }
+    try {
+      return MAPPER.writeValueAsBytes(node);
+    } catch (JsonProcessingException error) {
+      throw new BadRequestException("payload", Arrays.asList(node), "any JSON value");
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorypier/daemon/work/Dispatcher.java
@@ -0,0 +1,374 @@
+package org.hickorypier.daemon.work;
+
+import io.smallrye.mutiny.Uni;
+import java.io.ByteArrayOutputStream;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import org.hickorypier.core.model.TaskId;
+import org.hickorypier.core.scheduling.PlacedTask;
+import org.hickorypier.core.scheduling.TaskEnd;
+import org.hickorypier.daemon.time.TimerService;
+import org.hickorypier.daemon.worker.WorkerFleet;
+import org.hickorypier.daemon.worker.WorkerHold;
+import org.hickorypier.platform.worker.StartOrder;
+import org.hickorypier.platform.worker.TaskState;
+import org.hickorypier.platform.worker.TaskStatus;
+import org.hickorypier.platform.worker.WorkerErrorKind;
+import org.hickorypier.platform.worker.WorkerException;
+import org.hickorypier.platform.worker.WorkerService;
+import org.hickorypier.platform.worker.WorkerStatus;
+
+/**
+ * Orders placed tasks from their workers and finds out what became of each.
+ *
+ * <p>Belongs to the control thread. Invariant: a task is reported {@code NOT_STARTED} only if no
+ * byte of an order left, the worker refused every order sent, or the worker does not know the task
+ * under a token higher than every order carried. In every other case its room stays taken.
+ */
+public final class Dispatcher {
+
+  private static final Logger LOGGER = System.getLogger(Dispatcher.class.getName());
+
+  private final DispatchSettings settings;
+  private final WorkerFleet fleet;
+  private final TimerService timers;
+  private final Executor control;
+  private final String self;
+  private final TaskListener listener;
+  private final Map<TaskId, TaskRun> runs = new LinkedHashMap<>();
+
+  /**
+   * Creates a dispatcher without tasks.
+   *
+   * @param settings its limits
+   * @param fleet the workers
+   * @param timers the time
+   * @param control the control thread
+   * @param self this instance's name and incarnation
+   * @param listener hears how the tasks go
+   */
+  public Dispatcher(
+      DispatchSettings settings,
+      WorkerFleet fleet,
+      TimerService timers,
+      Executor control,
+      String self,
+      TaskListener listener) {
+    this.settings = settings;
+    this.fleet = fleet;
+    this.timers = timers;
+    this.control = control;
+    this.self = self;
+    this.listener = listener;
+  }
+
+  /** Starts the regular questions after tasks on workers that others control. */
+  public void start() {
+    timers.every(Duration.ofMillis(settings.pollMillis()), this::pollForeign);
+  }
+
+  /**
+   * Orders the start of a task.
+   *
+   * @param task the task and its worker
+   * @param payload what the task is given
+   */
+  public void start(PlacedTask task, byte[] payload) {
+    TaskRun run = new TaskRun(task, payload);
+    runs.put(task.taskId(), run);
+    sendStart(run);
+  }
+
+  /**
+   * Follows a task that already runs, found after a takeover.
+   *
+   * @param task the task and its worker
+   */
+  public void adopt(PlacedTask task) {
+    if (!runs.containsKey(task.taskId())) {
+      TaskRun run = new TaskRun(task, TaskReport.NO_BODY);
+      run.setStarted();
+      runs.put(task.taskId(), run);
+    }
+  }
+
+  /**
+   * Tells whether a task is being followed.
+   *
+   * @param taskId the task
+   * @return true until its end has been reported
+   */
+  public boolean isFollowed(TaskId taskId) {
+    return runs.containsKey(taskId);
+  }
+
+  /**
+   * Returns how many tasks are being followed.
+   *
+   * @return the number of tasks whose fate is open
+   */
+  public int followed() {
+    return runs.size();
+  }
+
+  /**
+   * Orders a running task to stop. Its end is reported as usual.
+   *
+   * @param taskId the task
+   * @param checkpoint whether to keep a checkpoint
+   */
+  public void stop(TaskId taskId, boolean checkpoint) {
+    TaskRun run = runs.get(taskId);
+    if (run == null) {
+      return;
+    }
+    Optional<WorkerHold> hold = fleet.hold(run.task().worker());
+    if (hold.isEmpty()) {
+      retryLater(run, () -> stop(taskId, checkpoint));
+      return;
+    }
+    ask(
+        run,
+        hold.get().service().stop(taskId.text(), hold.get().token(), checkpoint),
+        status -> learn(run, status),
+        error -> retryLater(run, () -> stop(taskId, checkpoint)));
+  }
+
+  /**
+   * Learns the ends of tasks from a worker's status.
+   *
+   * @param status what the worker says
+   */
+  public void onStatus(WorkerStatus status) {
+    for (TaskStatus task : status.tasks()) {
+      TaskRun run = task.state().isEnded() ? runs.get(parse(task.taskId())) : null;
+      if (run != null && !run.wantsAnswer()) {
+        learn(run, task);
+      }
+    }
+  }
+
+  /**
+   * Settles every task on a worker whose leases have run out.
+   *
+   * @param worker the worker's name
+   */
+  public void onLost(String worker) {
+    for (TaskRun run : on(worker)) {
+      finish(run, TaskReport.without(TaskEnd.LOST, "the worker was lost"));
+    }
+  }
+
+  private List<TaskRun> on(String worker) {
+    return select(run -> run.task().worker().equals(worker));
+  }
+
+  private List<TaskRun> select(Predicate<TaskRun> wanted) {
+    return new ArrayList<>(runs.values().stream().filter(wanted).toList());
+  }
+
+  private void sendStart(TaskRun run) {
+    Optional<WorkerHold> found = fleet.hold(run.task().worker());
+    if (found.isEmpty()) {
+      withoutHold(run);
+      return;
+    }
+    WorkerHold hold = found.get();
+    run.sentWith(hold.token());
+    fleet.ordered(run.task().worker());
+    PlacedTask task = run.task();
+    StartOrder order =
+        new StartOrder(
+            task.taskId().text(),
+            hold.token(),
+            self,
+            task.workClass().name(),
+            task.reserved().milliProcessors(),
+            task.reserved().memoryMebibytes(),
+            task.reserved().accelerators(),
+            settings.leaseMillis(),
+            run.payload());
+    ask(run, hold.service().start(order), status -> learn(run, status), e -> startFailed(run, e));
+  }
+
+  private void withoutHold(TaskRun run) {
+    if (run.isOrderUncertain()) {
+      retryLater(run, () -> settle(run));
+    } else {
+      finish(run, TaskReport.without(TaskEnd.NOT_STARTED, "the worker has another controller"));
+    }
+  }
+
+  private void startFailed(TaskRun run, Throwable error) {
+    boolean noEffect = error instanceof WorkerException known && known.kind().hadNoEffect();
+    if (isStale(error)) {
+      fleet.refusedToken(run.task().worker());
+    }
+    if (noEffect && !run.isOrderUncertain()) {
+      finish(run, TaskReport.without(TaskEnd.NOT_STARTED, error.getMessage()));
+      return;
+    }
+    // The order may have started the task although no answer came. If its room were given away
+    // now, the worker could be overfull; if it were ordered elsewhere, it could run twice. The
+    // room stays taken until the worker itself has said what became of the order.
+    run.setOrderUncertain(true);
+    LOGGER.log(
+        Level.INFO,
+        "dispatch: start of {0} on {1} is uncertain, asking",
+        run.task().taskId().text(),
+        run.task().worker());
+    retryLater(run, () -> settle(run));
+  }
+
+  private void settle(TaskRun run) {
+    WorkerService service = fleet.service(run.task().worker()).orElse(null);
+    if (service == null) {
+      finish(run, TaskReport.without(TaskEnd.LOST, "the worker was lost"));
+      return;
+    }
+    ask(
+        run,
+        service.task(run.task().taskId().text()),
+        status -> settled(run, status),
+        error -> retryLater(run, () -> settle(run)));
+  }
+
+  private void settled(TaskRun run, TaskStatus status) {
+    if (status.state() != TaskState.UNKNOWN) {
+      learn(run, status);
+    } else if (run.isStarted()) {
+      finish(run, TaskReport.without(TaskEnd.LOST, "the worker no longer knows the task"));
+    } else if (status.token() > run.highestToken()) {
+      // The worker refuses every order that we sent, even one that is still under way.
+      finish(run, TaskReport.without(TaskEnd.NOT_STARTED, "the start was superseded"));
+    } else {
+      // The order may still be under way. The same order again, with the same task id, starts it
+      // at most once and brings an answer.
+      sendStart(run);
+    }
+  }
+
+  private void learn(TaskRun run, TaskStatus status) {
+    if (run.isEnded()) {
+      return;
+    }
+    if (!run.isStarted() && status.state() != TaskState.UNKNOWN) {
+      run.setStarted();
+      listener.onStarted(run.task().taskId());
+    }
+    switch (status.state()) {
+      case RUNNING -> awaitIfWanted(run);
+      case COMPLETED -> collectOrFinish(run, TaskEnd.COMPLETED, "");
+      case FAILED -> collectOrFinish(run, TaskEnd.FAILED, "the task failed");
+      case STOPPED -> finish(run, TaskReport.without(TaskEnd.STOPPED, "the task was stopped"));
+      case LAPSED -> finish(run, TaskReport.without(TaskEnd.LOST, "the task's lease ran out"));
+      case UNKNOWN -> settled(run, status);
+      default -> throw new IllegalStateException("task state " + status.state());
+    }
+  }
+
+  private void awaitIfWanted(TaskRun run) {
+    if (run.wantsAnswer()) {
+      collect(run);
+    }
+  }
+
+  private void collectOrFinish(TaskRun run, TaskEnd end, String detail) {
+    if (run.wantsAnswer()) {
+      collect(run);
+    } else {
+      finish(run, TaskReport.without(end, detail));
+    }
+  }
+
+  private void collect(TaskRun run) {
+    WorkerService service = fleet.service(run.task().worker()).orElse(null);
+    if (service == null || run.isAsking()) {
+      return;
+    }
+    Uni<byte[]> whole =
+        service
+            .answer(run.task().taskId().text())
+            .collect()
+            .in(ByteArrayOutputStream::new, ByteArrayOutputStream::writeBytes)
+            .map(ByteArrayOutputStream::toByteArray);
+    Uni<TaskReport> report =
+        whole.flatMap(
+            body -> service.task(run.task().taskId().text()).map(status -> reported(status, body)));
+    ask(run, report, end -> finish(run, end), error -> retryLater(run, () -> settle(run)));
+  }
+
+  private static TaskReport reported(TaskStatus status, byte[] body) {
+    return switch (status.state()) {
+      case COMPLETED -> new TaskReport(TaskEnd.COMPLETED, "", body);
+      case FAILED -> new TaskReport(TaskEnd.FAILED, "the task failed", body);
+      case STOPPED -> TaskReport.without(TaskEnd.STOPPED, "the task was stopped");
+      case LAPSED -> TaskReport.without(TaskEnd.LOST, "the task's lease ran out");
+      default -> TaskReport.without(TaskEnd.LOST, "the worker no longer knows the task");
+    };
+  }
+
+  private void pollForeign() {
+    for (TaskRun run : select(run -> !run.wantsAnswer() && run.isStarted() && !run.isAsking())) {
+      if (fleet.hold(run.task().worker()).isEmpty()) {
+        settle(run);
+      }
+    }
+  }
+
+  private void retryLater(TaskRun run, Runnable step) {
+    int doublings = Math.min(run.nextTry(), settings.retryDoublings());
+    timers.after(
+        Duration.ofMillis(settings.retryMillis() << doublings),
+        () -> {
+          if (!run.isEnded()) {
+            step.run();
+          }
+        });
+  }
+
+  private void finish(TaskRun run, TaskReport report) {
+    if (run.isEnded()) {
+      return;
+    }
+    run.setEnded();
+    runs.remove(run.task().taskId());
+    listener.onEnded(run.task().taskId(), report);
+  }
+
+  private <T> void ask(TaskRun run, Uni<T> call, Consumer<T> answered, Consumer<Throwable> failed) {
+    run.setAsking(true);
+    call.subscribe()
+        .with(
+            value -> control.execute(() -> answered(run, () -> answered.accept(value))),
+            error -> control.execute(() -> answered(run, () -> failed.accept(error))));
+  }
+
+  private static void answered(TaskRun run, Runnable next) {
+    run.setAsking(false);
+    if (!run.isEnded()) {
+      next.run();
+    }
+  }
+
+  private static boolean isStale(Throwable error) {
+    return error instanceof WorkerException known && known.kind() == WorkerErrorKind.STALE_TOKEN;
+  }
+
+  private static TaskId parse(String text) {
+    try {
+      return TaskId.parse(text);
+    } catch (IllegalArgumentException error) {
+      return null;
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorypier/daemon/work/Submission.java
@@ -0,0 +1,11 @@
+package org.hickorypier.daemon.work;
+
+import org.hickorypier.core.model.WorkItem;
+
+/**
+ * A piece of work with what its tasks are given. The bytes must not be changed.
+ *
+ * @param item the work as the decisions see it
+ * @param payload what the caller sent for the tasks
+ */
+public record Submission(WorkItem item, byte[] payload) {}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorypier/daemon/work/TaskRun.java
@@ -0,0 +1,84 @@
+package org.hickorypier.daemon.work;
+
+import org.hickorypier.core.scheduling.PlacedTask;
+
+/**
+ * One task between its placement and the moment its fate is settled.
+ *
+ * <p>Belongs to the control thread. Invariant: {@code orderUncertain} stays true from the first
+ * order whose effect is unknown until the worker has said what became of it.
+ */
+final class TaskRun {
+
+  private final PlacedTask task;
+  private final byte[] payload;
+  private boolean orderUncertain;
+  private boolean started;
+  private boolean ended;
+  private boolean asking;
+  private long highestToken;
+  private int tries;
+
+  TaskRun(PlacedTask task, byte[] payload) {
+    this.task = task;
+    this.payload = payload;
+  }
+
+  PlacedTask task() {
+    return task;
+  }
+
+  byte[] payload() {
+    return payload;
+  }
+
+  boolean isOrderUncertain() {
+    return orderUncertain;
+  }
+
+  void setOrderUncertain(boolean uncertain) {
+    orderUncertain = uncertain;
+  }
+
+  boolean isStarted() {
+    return started;
+  }
+
+  void setStarted() {
+    started = true;
+    orderUncertain = false;
+    tries = 0;
+  }
+
+  boolean isEnded() {
+    return ended;
+  }
+
+  void setEnded() {
+    ended = true;
+  }
+
+  boolean isAsking() {
+    return asking;
+  }
+
+  void setAsking(boolean open) {
+    asking = open;
+  }
+
+  long highestToken() {
+    return highestToken;
+  }
+
+  void sentWith(long token) {
+    highestToken = Math.max(highestToken, token);
+  }
+
+  int nextTry() {
+    return tries++;
+  }
+
+  boolean wantsAnswer() {
+    return task.workClass().isSynchronous();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorypier/daemon/work/WorkEntry.java
@@ -0,0 +1,129 @@
+package org.hickorypier.daemon.work;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.hickorypier.core.model.TaskId;
+import org.hickorypier.core.model.WorkItem;
+import org.hickorypier.core.scheduling.PlacedTask;
+
+/**
+ * One piece of work at this instance, from its submission until its answer is forgotten.
+ *
+ * <p>Belongs to the control thread. Invariant: once {@code result} is set it never changes, and
+ * every waiter has been told of it exactly once.
+ */
+final class WorkEntry {
+
+  private final Submission submission;
+  private final List<Consumer<WorkResult>> waiters = new ArrayList<>();
+  private final Map<TaskId, PlacedTask> live = new HashMap<>();
+  private final List<TaskReport> reports = new ArrayList<>();
+  private WorkResult result;
+  private boolean cancelled;
+  private boolean queued;
+  private int retries;
+  private int startedTasks;
+  private long placedMillis;
+
+  WorkEntry(Submission submission) {
+    this.submission = submission;
+  }
+
+  WorkItem item() {
+    return submission.item();
+  }
+
+  Submission submission() {
+    return submission;
+  }
+
+  void addWaiter(Consumer<WorkResult> waiter) {
+    if (result != null) {
+      waiter.accept(result);
+    } else {
+      waiters.add(waiter);
+    }
+  }
+
+  void finish(WorkResult finalResult) {
+    if (result != null) {
+      return;
+    }
+    result = finalResult;
+    List<Consumer<WorkResult>> toTell = List.copyOf(waiters);
+    waiters.clear();
+    toTell.forEach(waiter -> waiter.accept(finalResult));
+  }
+
+  boolean isFinished() {
+    return result != null;
+  }
+
+  WorkResult result() {
+    return result;
+  }
+
+  boolean isQueued() {
+    return queued;
+  }
+
+  void setQueued(boolean inQueue) {
+    queued = inQueue;
+  }
+
+  void placed(List<PlacedTask> tasks, long now) {
+    queued = false;
+    placedMillis = now;
+    startedTasks = 0;
+    reports.clear();
+    tasks.forEach(task -> live.put(task.taskId(), task));
+  }
+
+  long placedMillis() {
+    return placedMillis;
+  }
+
+  void started() {
+    startedTasks++;
+  }
+
+  boolean hasStarted() {
+    return startedTasks > 0;
+  }
+
+  List<PlacedTask> live() {
+    return List.copyOf(live.values());
+  }
+
+  /** Returns true if the task was one of the live ones and none is left. */
+  boolean taskEnded(TaskId taskId, TaskReport report) {
+    if (live.remove(taskId) == null) {
+      return false;
+    }
+    reports.add(report);
+    return live.isEmpty();
+  }
+
+  List<TaskReport> reports() {
+    return List.copyOf(reports);
+  }
+
+  boolean isCancelled() {
+    return cancelled;
+  }
+
+  void cancel() {
+    cancelled = true;
+  }
+
+  int retries() {
+    return retries;
+  }
+
+  void countRetry() {
+    retries++;
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorypier/daemon/work/WorkObserver.java
@@ -0,0 +1,24 @@
+package org.hickorypier.daemon.work;
+
+import org.hickorypier.core.model.WorkItem;
+
+/** Hears of the steps of work, for metrics and the operators' record of refusals. */
+public interface WorkObserver {
+
+  /**
+   * A task of the work was confirmed by its worker for the first time.
+   *
+   * @param item the work
+   * @param waitedMillis the time since it was submitted
+   */
+  void onStarted(WorkItem item, long waitedMillis);
+
+  /**
+   * The work has its final answer.
+   *
+   * @param item the work
+   * @param result the answer
+   * @param totalMillis the time since it was submitted
+   */
+  void onFinished(WorkItem item, WorkResult result, long totalMillis);
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorypier/daemon/work/WorkService.java
@@ -0,0 +1,327 @@
+package org.hickorypier.daemon.work;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.hickorypier.core.model.Outcome;
+import org.hickorypier.core.model.Refusal;
+import org.hickorypier.core.model.RefusalReason;
+import org.hickorypier.core.model.TaskId;
+import org.hickorypier.core.model.WorkClass;
+import org.hickorypier.core.model.WorkItem;
+import org.hickorypier.core.model.WorkKey;
+import org.hickorypier.core.scheduling.GivenUp;
+import org.hickorypier.core.scheduling.PlacedTask;
+import org.hickorypier.core.scheduling.Placement;
+import org.hickorypier.core.scheduling.Scheduler;
+import org.hickorypier.core.scheduling.TaskEnd;
+import org.hickorypier.daemon.time.TimerService;
+
+/**
+ * The filters from deduplication to the answer, for work that is decided at this instance.
+ *
+ * <p>Belongs to the control thread. Invariants: a key is either unknown, waiting, running or
+ * answered here; a second submission of a key joins the first; every submission gets exactly one
+ * final answer.
+ */
+public final class WorkService implements TaskListener {
+
+  private static final long RETRY_AFTER_MILLIS = 1_000;
+
+  private final WorkSettings settings;
+  private final Scheduler scheduler;
+  private final TimerService timers;
+  private final AttemptGate gate;
+  private final WorkObserver observer;
+  private final AnswerCache answers;
+  private final Map<WorkKey, WorkEntry> entries = new HashMap<>();
+  private Dispatcher dispatcher;
+  private boolean pumping;
+
+  /**
+   * Creates a service without work.
+   *
+   * @param settings its limits
+   * @param scheduler the decisions
+   * @param timers the time
+   * @param gate says when a placement may be ordered
+   * @param observer hears of the steps
+   */
+  public WorkService(
+      WorkSettings settings,
+      Scheduler scheduler,
+      TimerService timers,
+      AttemptGate gate,
+      WorkObserver observer) {
+    this.settings = settings;
+    this.scheduler = scheduler;
+    this.timers = timers;
+    this.gate = gate;
+    this.observer = observer;
+    this.answers = new AnswerCache(settings.answerKeepMillis(), settings.answerKeepBytes());
+  }
+
+  /**
+   * Starts the regular look at waiting work.
+   *
+   * @param taskDispatcher orders the tasks; it reports to this service
+   */
+  public void start(Dispatcher taskDispatcher) {
+    dispatcher = taskDispatcher;
+    timers.every(Duration.ofMillis(settings.tickMillis()), this::tick);
+  }
+
+  /**
+   * Takes work in, or joins it to the same work taken in before.
+   *
+   * @param submission the work
+   * @param answer is given the final answer, on the control thread
+   */
+  public void submit(Submission submission, Consumer<WorkResult> answer) {
+    WorkKey key = submission.item().key();
+    Optional<WorkResult> known = answers.find(key, timers.nowMillis());
+    if (known.isPresent()) {
+      answer.accept(known.get());
+      return;
+    }
+    WorkEntry entry = entries.get(key);
+    if (entry != null) {
+      entry.addWaiter(answer);
+      return;
+    }
+    entry = new WorkEntry(submission);
+    entries.put(key, entry);
+    entry.addWaiter(answer);
+    enqueue(entry);
+    pump();
+  }
+
+  /**
+   * Follows a task that was found running on a worker after a takeover.
+   *
+   * @param task the task
+   * @param item the work it belongs to, as far as it is known
+   */
+  public void adopt(PlacedTask task, WorkItem item) {
+    if (dispatcher.isFollowed(task.taskId())) {
+      return;
+    }
+    long now = timers.nowMillis();
+    scheduler.adopt(task.taskId(), task.worker(), task.workClass(), task.reserved(), now);
+    WorkEntry entry =
+        entries.computeIfAbsent(
+            item.key(), key -> new WorkEntry(new Submission(item, TaskReport.NO_BODY)));
+    List<PlacedTask> live = new ArrayList<>(entry.live());
+    live.add(task);
+    entry.placed(live, now);
+    entry.started();
+    dispatcher.adopt(task);
+  }
+
+  /**
+   * Cancels work, waiting or running. Idempotent.
+   *
+   * @param key the work
+   * @param detail a sentence for the caller
+   * @return false if the work is not known here or has its answer already
+   */
+  public boolean cancel(WorkKey key, String detail) {
+    WorkEntry entry = entries.get(key);
+    if (entry == null || entry.isFinished()) {
+      return false;
+    }
+    entry.cancel();
+    if (scheduler.cancelQueued(key)) {
+      refuse(entry, new Refusal(RefusalReason.CANCELLED, detail, 0));
+    } else {
+      entry.live().forEach(task -> dispatcher.stop(task.taskId(), false));
+    }
+    return true;
+  }
+
+  /**
+   * Gives up every waiting piece of work that a rule picks out.
+   *
+   * @param rule the refusal for an item, or empty to let it wait
+   */
+  public void refuseQueued(java.util.function.Function<WorkItem, Optional<Refusal>> rule) {
+    for (WorkItem item : scheduler.queued()) {
+      Optional<Refusal> refusal = rule.apply(item);
+      if (refusal.isPresent() && scheduler.cancelQueued(item.key())) {
+        refuse(entries.get(item.key()), refusal.get());
+      }
+    }
+  }
+
+  /**
+   * Returns the number of pieces of work without a final answer.
+   *
+   * @return waiting and running work
+   */
+  public int open() {
+    return entries.size();
+  }
+
+  /**
+   * Tells whether work waits or runs here.
+   *
+   * @param key the work
+   * @return false if it is unknown or answered
+   */
+  public boolean isOpen(WorkKey key) {
+    return entries.containsKey(key);
+  }
+
+  /** Places what can be placed now. Called whenever room, permits or work have come. */
+  public void pump() {
+    if (pumping || dispatcher == null) {
+      return;
+    }
+    pumping = true;
+    try {
+      List<Placement> placements = scheduler.place(timers.nowMillis());
+      placements.forEach(this::begin);
+    } finally {
+      pumping = false;
+    }
+  }
+
+  private void tick() {
+    for (GivenUp givenUp : scheduler.expire(timers.nowMillis())) {
+      WorkEntry entry = entries.get(givenUp.item().key());
+      if (entry != null) {
+        refuse(entry, givenUp.refusal());
+      }
+    }
+    pump();
+  }
+
+  private void enqueue(WorkEntry entry) {
+    Optional<Refusal> refusal = scheduler.submit(entry.item(), timers.nowMillis());
+    entry.setQueued(refusal.isEmpty());
+    refusal.ifPresent(reason -> refuse(entry, reason));
+  }
+
+  private void begin(Placement placement) {
+    WorkEntry entry = entries.get(placement.item().key());
+    entry.placed(placement.tasks(), timers.nowMillis());
+    gate.request(placement, taken -> opened(entry, placement, taken));
+  }
+
+  private void opened(WorkEntry entry, Placement placement, boolean taken) {
+    if (taken && !entry.isCancelled()) {
+      placement.tasks().forEach(task -> dispatcher.start(task, entry.submission().payload()));
+      return;
+    }
+    String detail = taken ? "cancelled before it started" : "the attempt was not taken";
+    for (PlacedTask task : placement.tasks()) {
+      onEnded(task.taskId(), TaskReport.without(TaskEnd.NOT_STARTED, detail));
+    }
+  }
+
+  @Override
+  public void onStarted(TaskId taskId) {
+    WorkEntry entry = entries.get(taskId.key());
+    if (entry == null) {
+      return;
+    }
+    if (!entry.hasStarted()) {
+      observer.onStarted(entry.item(), timers.nowMillis() - entry.item().submittedMillis());
+    }
+    entry.started();
+  }
+
+  @Override
+  public void onEnded(TaskId taskId, TaskReport report) {
+    scheduler.ended(taskId, report.end(), timers.nowMillis());
+    WorkEntry entry = entries.get(taskId.key());
+    if (entry != null) {
+      boolean allEnded = entry.taskEnded(taskId, report);
+      if (allEnded) {
+        conclude(entry);
+      } else if (report.end() != TaskEnd.COMPLETED && entry.item().workClass() == WorkClass.GANG) {
+        stopRest(entry);
+      }
+    }
+    pump();
+  }
+
+  // A gang's tasks wait for each other. If one is gone the others would hold their room for ever.
+  private void stopRest(WorkEntry entry) {
+    entry.live().forEach(task -> dispatcher.stop(task.taskId(), false));
+  }
+
+  private void conclude(WorkEntry entry) {
+    List<TaskReport> reports = entry.reports();
+    if (all(reports, TaskEnd.COMPLETED)) {
+      answer(entry, Outcome.COMPLETED, "", reports.get(0).body());
+    } else if (has(reports, TaskEnd.FAILED)) {
+      TaskReport failed = first(reports, TaskEnd.FAILED);
+      answer(entry, Outcome.FAILED, failed.detail(), failed.body());
+    } else if (all(reports, TaskEnd.NOT_STARTED)) {
+      retryOrRefuse(entry, reports.get(0).detail());
+    } else if (entry.isCancelled()) {
+      answer(entry, Outcome.FAILED, "cancelled while it ran", TaskReport.NO_BODY);
+    } else if (entry.item().idempotent() && canRetry(entry)) {
+      retry(entry);
+    } else {
+      answer(entry, Outcome.UNKNOWN, reports.get(0).detail(), TaskReport.NO_BODY);
+    }
+  }
+
+  private void retryOrRefuse(WorkEntry entry, String detail) {
+    if (entry.isCancelled()) {
+      refuse(entry, new Refusal(RefusalReason.CANCELLED, detail, 0));
+    } else if (canRetry(entry)) {
+      retry(entry);
+    } else {
+      refuse(entry, new Refusal(RefusalReason.DEADLINE_PASSED, detail, RETRY_AFTER_MILLIS));
+    }
+  }
+
+  private boolean canRetry(WorkEntry entry) {
+    return entry.retries() < settings.retryLimit()
+        && !entry.isCancelled()
+        && timers.nowMillis() < entry.item().deadlineMillis();
+  }
+
+  private void retry(WorkEntry entry) {
+    entry.countRetry();
+    enqueue(entry);
+  }
+
+  private static boolean all(List<TaskReport> reports, TaskEnd end) {
+    return reports.stream().allMatch(report -> report.end() == end);
+  }
+
+  private static boolean has(List<TaskReport> reports, TaskEnd end) {
+    return reports.stream().anyMatch(report -> report.end() == end);
+  }
+
+  private static TaskReport first(List<TaskReport> reports, TaskEnd end) {
+    return reports.stream().filter(report -> report.end() == end).findFirst().orElseThrow();
+  }
+
+  private void answer(WorkEntry entry, Outcome outcome, String detail, byte[] body) {
+    finish(entry, new WorkResult.Answered(outcome, detail, body));
+  }
+
+  private void refuse(WorkEntry entry, Refusal refusal) {
+    finish(entry, new WorkResult.Refused(refusal));
+  }
+
+  private void finish(WorkEntry entry, WorkResult result) {
+    long now = timers.nowMillis();
+    entries.remove(entry.item().key());
+    // A refusal is not kept: the caller may come back under the same id, and the work has not run.
+    if (result instanceof WorkResult.Answered) {
+      answers.put(entry.item().key(), result, now);
+    }
+    observer.onFinished(entry.item(), result, now - entry.item().submittedMillis());
+    entry.finish(result);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorypier/daemon/work/WorkSettings.java
@@ -0,0 +1,15 @@
+package org.hickorypier.daemon.work;
+
+/**
+ * The limits of the work service, times in milliseconds.
+ *
+ * <p>Immutable.
+ *
+ * @param retryLimit how often one piece of work is placed again after an attempt that did not start
+ *     or was lost
+ * @param answerKeepMillis how long a final answer is kept for a repeated request
+ * @param answerKeepBytes how many bytes of final answers are kept at the most
+ * @param tickMillis how often waiting work is looked at when nothing else happens
+ */
+public record WorkSettings(
+    int retryLimit, long answerKeepMillis, long answerKeepBytes, long tickMillis) {}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorypier/daemon/worker/WorkerFleet.java
@@ -0,0 +1,359 @@
+package org.hickorypier.daemon.worker;
+
+import io.smallrye.mutiny.Uni;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.hickorypier.daemon.time.TimerService;
+import org.hickorypier.platform.instance.InstanceKind;
+import org.hickorypier.platform.instance.InstanceState;
+import org.hickorypier.platform.instance.ListedInstance;
+import org.hickorypier.platform.worker.WorkerErrorKind;
+import org.hickorypier.platform.worker.WorkerException;
+import org.hickorypier.platform.worker.WorkerService;
+import org.hickorypier.platform.worker.WorkerStatus;
+
+/**
+ * Takes, keeps and gives up the control of workers.
+ *
+ * <p>Belongs to the control thread. Invariants: a worker is claimed only with the token last seen,
+ * and only if its controller is gone from our view; a worker is reported lost only after every
+ * lease that we can have renewed there has run out.
+ */
+public final class WorkerFleet {
+
+  private static final Logger LOGGER = System.getLogger(WorkerFleet.class.getName());
+
+  // One lost packet must not close a worker, and a dead one must not draw starts for long. Two
+  // missed renewals are seen within a few seconds, well inside a lease.
+  private static final int FAILURES_BEFORE_CLOSED = 2;
+
+  private final WorkerLeaseSettings settings;
+  private final TimerService timers;
+  private final Executor control;
+  private final Function<String, WorkerService> connector;
+  private final ControlView view;
+  private final String self;
+  private final WorkerFleetListener listener;
+  private final Map<String, ControlledWorker> workers = new HashMap<>();
+
+  /**
+   * Creates a fleet without workers.
+   *
+   * @param settings the times
+   * @param timers the time
+   * @param control the control thread
+   * @param connector makes a worker service from an address
+   * @param view the view of the other instances
+   * @param self this instance's name and incarnation
+   * @param listener hears what becomes of the workers
+   */
+  public WorkerFleet(
+      WorkerLeaseSettings settings,
+      TimerService timers,
+      Executor control,
+      Function<String, WorkerService> connector,
+      ControlView view,
+      String self,
+      WorkerFleetListener listener) {
+    this.settings = settings;
+    this.timers = timers;
+    this.control = control;
+    this.connector = connector;
+    this.view = view;
+    this.self = self;
+    this.listener = listener;
+  }
+
+  /** Starts the regular renewals. */
+  public void start() {
+    timers.every(Duration.ofMillis(settings.renewalMillis()), this::tick);
+  }
+
+  /**
+   * Takes in the platform's list. A worker that is no longer listed gets no new work; it is
+   * forgotten once its leases have run out.
+   *
+   * @param instances the whole list
+   */
+  public void onInstanceList(List<ListedInstance> instances) {
+    Set<String> listed = new HashSet<>();
+    boolean isNew = false;
+    for (ListedInstance instance : instances) {
+      if (instance.kind() == InstanceKind.WORKER) {
+        listed.add(instance.name());
+        isNew |= putListed(instance);
+      }
+    }
+    for (ControlledWorker worker : workers.values()) {
+      if (!listed.contains(worker.name()) && worker.isListed()) {
+        worker.setListed(false, true);
+        close(worker, "no longer listed");
+      }
+    }
+    if (isNew) {
+      tick();
+    }
+  }
+
+  private boolean putListed(ListedInstance instance) {
+    ControlledWorker known = workers.get(instance.name());
+    boolean isNew = known == null || !known.address().equals(instance.address());
+    if (isNew) {
+      known =
+          new ControlledWorker(
+              instance.name(), instance.address(), connector.apply(instance.address()));
+      workers.put(instance.name(), known);
+    }
+    boolean leaving = instance.state() == InstanceState.LEAVING;
+    boolean wasLeaving = known.isLeaving();
+    known.setListed(true, leaving);
+    if (leaving && !wasLeaving) {
+      close(known, "listed as leaving");
+    }
+    return isNew;
+  }
+
+  /**
+   * Returns our control of a worker.
+   *
+   * @param worker the worker's name
+   * @return the control, or empty if we do not hold it
+   */
+  public Optional<WorkerHold> hold(String worker) {
+    ControlledWorker known = workers.get(worker);
+    if (known == null || !known.isHeld()) {
+      return Optional.empty();
+    }
+    return Optional.of(new WorkerHold(known.service(), known.token()));
+  }
+
+  /**
+   * Returns the worker itself, held or not, to ask after tasks.
+   *
+   * @param worker the worker's name
+   * @return the worker, or empty if it was never listed
+   */
+  public Optional<WorkerService> service(String worker) {
+    return Optional.ofNullable(workers.get(worker)).map(ControlledWorker::service);
+  }
+
+  /**
+   * Returns the names of the workers that we hold.
+   *
+   * @return a copy
+   */
+  public List<String> held() {
+    return workers.values().stream()
+        .filter(ControlledWorker::isHeld)
+        .map(ControlledWorker::name)
+        .toList();
+  }
+
+  /**
+   * Notes that an order which may have taken effect was sent, so its lease counts from now.
+   *
+   * @param worker the worker's name
+   */
+  public void ordered(String worker) {
+    ControlledWorker known = workers.get(worker);
+    if (known != null) {
+      known.ordered(timers.nowMillis());
+    }
+  }
+
+  /**
+   * Notes that the worker refused our token.
+   *
+   * @param worker the worker's name
+   */
+  public void refusedToken(String worker) {
+    ControlledWorker known = workers.get(worker);
+    if (known != null) {
+      superseded(known);
+    }
+  }
+
+  /**
+   * Takes a worker whose controller offers it to us.
+   *
+   * @param worker the worker's name
+   */
+  public void offered(String worker) {
+    ControlledWorker known = workers.get(worker);
+    if (known != null && !known.isHeld() && !known.isCallOpen()) {
+      observe(known, true);
+    }
+  }
+
+  /** Looks after every worker once: renew, claim, offer or give up. */
+  public void tick() {
+    for (ControlledWorker worker : new ArrayList<>(workers.values())) {
+      if (!worker.isCallOpen()) {
+        visit(worker);
+      }
+    }
+  }
+
+  private void visit(ControlledWorker worker) {
+    if (giveUpIfSilent(worker)) {
+      return;
+    }
+    if (worker.isHeld()) {
+      visitHeld(worker);
+    } else if (worker.isListed() && view.isWanted(worker.name())) {
+      observe(worker, false);
+    }
+  }
+
+  private void visitHeld(ControlledWorker worker) {
+    if (!view.isWanted(worker.name()) && !worker.isLeaving()) {
+      close(worker, "offered to its wanted controller");
+      view.offer(worker.name());
+    }
+    if (worker.failures() >= FAILURES_BEFORE_CLOSED) {
+      // A renewal to a worker that does not answer may still take effect there and lengthen the
+      // leases, so we could never say when its tasks have ended. Asking changes nothing.
+      observe(worker, false);
+    } else {
+      renew(worker);
+    }
+  }
+
+  private boolean giveUpIfSilent(ControlledWorker worker) {
+    boolean silent = worker.failures() >= FAILURES_BEFORE_CLOSED || !worker.isListed();
+    long leasesEnd = worker.lastOrderMillis() + settings.leaseMillis() + settings.marginMillis();
+    boolean heardLately =
+        worker.failures() == 0
+            && timers.nowMillis() - worker.lastHeardMillis() < settings.leaseMillis();
+    if (!silent || heardLately || timers.nowMillis() < leasesEnd) {
+      return false;
+    }
+    if (worker.isHeld()) {
+      LOGGER.log(Level.WARNING, "worker: {0} lost, its leases have run out", worker.name());
+      worker.release();
+      listener.onLost(worker.name());
+    }
+    if (!worker.isListed()) {
+      workers.remove(worker.name());
+      return true;
+    }
+    return false;
+  }
+
+  private void renew(ControlledWorker worker) {
+    worker.ordered(timers.nowMillis());
+    long token = worker.token();
+    call(
+        worker,
+        worker.service().renew(token, settings.leaseMillis()),
+        status -> {
+          if (worker.token() == token) {
+            report(worker, status);
+          }
+        });
+  }
+
+  private void observe(ControlledWorker worker, boolean isOffered) {
+    call(worker, worker.service().status(), status -> decideClaim(worker, status, isOffered));
+  }
+
+  private void decideClaim(ControlledWorker worker, WorkerStatus status, boolean isOffered) {
+    if (worker.isHeld() && status.token() == worker.token()) {
+      renew(worker);
+      return;
+    }
+    if (worker.isHeld()) {
+      superseded(worker);
+    }
+    boolean isFree =
+        status.controller().isEmpty()
+            || isOffered
+            || status.controller().equals(self)
+            || !view.isLive(status.controller());
+    if (isFree && !status.leaving()) {
+      claim(worker, status.token());
+    }
+  }
+
+  private void claim(ControlledWorker worker, long observedToken) {
+    worker.ordered(timers.nowMillis());
+    call(
+        worker,
+        worker.service().claim(self, observedToken),
+        status -> {
+          if (!status.controller().equals(self)) {
+            return;
+          }
+          worker.granted(status.token());
+          LOGGER.log(Level.INFO, "worker: {0} taken with token {1}", worker.name(), status.token());
+          report(worker, status);
+          renew(worker);
+        });
+  }
+
+  private void report(ControlledWorker worker, WorkerStatus status) {
+    boolean open =
+        !worker.isLeaving()
+            && !view.isDrained(worker.name())
+            && view.isWanted(worker.name())
+            && worker.isHeld();
+    worker.description().ifPresent(text -> listener.onStatus(text, status, open));
+  }
+
+  private void superseded(ControlledWorker worker) {
+    if (worker.isHeld()) {
+      LOGGER.log(Level.INFO, "worker: {0} has another controller", worker.name());
+      worker.release();
+      close(worker, "has another controller");
+    }
+  }
+
+  private void close(ControlledWorker worker, String reason) {
+    listener.onClosed(worker.name(), reason);
+  }
+
+  private void call(
+      ControlledWorker worker, Uni<WorkerStatus> call, Consumer<WorkerStatus> answered) {
+    worker.setCallOpen(true);
+    call.subscribe()
+        .with(
+            status ->
+                control.execute(
+                    () -> {
+                      worker.setCallOpen(false);
+                      worker.heard(status, timers.nowMillis());
+                      answered.accept(status);
+                    }),
+            error ->
+                control.execute(
+                    () -> {
+                      worker.setCallOpen(false);
+                      failed(worker, error);
+                    }));
+  }
+
+  private void failed(ControlledWorker worker, Throwable error) {
+    if (error instanceof WorkerException workerError
+        && workerError.kind() == WorkerErrorKind.STALE_TOKEN) {
+      superseded(worker);
+      return;
+    }
+    worker.failed();
+    LOGGER.log(Level.DEBUG, "worker: {0} did not answer: {1}", worker.name(), error.getMessage());
+    if (worker.failures() == FAILURES_BEFORE_CLOSED && worker.isHeld()) {
+      LOGGER.log(Level.WARNING, "worker: {0} does not answer", worker.name());
+      close(worker, "does not answer");
+    }
+  }
+}
