--- /dev/null
+++ b/core/src/test/java/org/hickorypier/core/routing/BackOffTest.java
@@ -0,0 +1,45 @@
+package org.hickorypier.core.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.SplittableRandom;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class BackOffTest {
+
+  @ParameterizedTest
+  @CsvSource({"0, 50, 100", "1, 100, 200", "2, 200, 400", "6, 2500, 5000", "200, 2500, 5000"})
+  void stepDoublesUpToTheLimit(int failuresBefore, long least, long most) {
+    for (int seed = 0; seed < 50; seed++) {
+      BackOff backOff = new BackOff(100, 5_000, new SplittableRandom(seed));
+      LongStream.range(0, failuresBefore).forEach(ignored -> backOff.afterFailure());
+
+      assertThat(backOff.afterFailure()).isBetween(least, most);
+    }
+  }
+
+  // 100 peers lose the same instance in the same moment. If they all came back after the same
+  // wait, the returning instance would meet 100 handshakes at once.
+  @Test
+  void waitsAreSpread() {
+    long different =
+        LongStream.range(0, 100)
+            .map(seed -> new BackOff(1_000, 8_000, new SplittableRandom(seed)).afterFailure())
+            .distinct()
+            .count();
+
+    assertThat(different).isGreaterThan(70);
+  }
+
+  @Test
+  void successStartsOver() {
+    BackOff backOff = new BackOff(100, 5_000, new SplittableRandom(1));
+    LongStream.range(0, 5).forEach(ignored -> backOff.afterFailure());
+    backOff.afterSuccess();
+
+    assertThat(backOff.afterFailure()).isLessThanOrEqualTo(100);
+  }
+}
