--- /dev/null
+++ b/core/src/main/java/org/hickorypier/core/scheduling/Explanation.java
@@ -0,0 +1,59 @@
+package org.hickorypier.core.scheduling;
+
+import org.hickorypier.core.model.WorkClass;
+
+/**
+ * Says why an item waits, for the operators.
+ *
+ * <p>Holds no state, so safe to use from any thread.
+ */
+final class Explanation {
+
+  private Explanation() {}
+
+  static String of(QueuedItem queued, TeamState team, Fleet fleet, long now) {
+    String waited = "Waits since " + (now - queued.item().submittedMillis()) + " ms: ";
+    return waited + reason(queued, team, fleet);
+  }
+
+  private static String reason(QueuedItem queued, TeamState team, Fleet fleet) {
+    boolean gang = queued.item().workClass() == WorkClass.GANG;
+    int permitsNeeded = gang ? queued.waitingTasks() : 1;
+    if (fleet.size() == 0) {
+      return "no worker is known here.";
+    }
+    if (team.freePermits() < permitsNeeded) {
+      return "the team uses "
+          + team.placedTasks()
+          + " of its "
+          + team.permits()
+          + " permits here and needs "
+          + permitsNeeded
+          + " more.";
+    }
+    if (fleet.workers().stream().noneMatch(WorkerState::takesTasks)) {
+      return "no worker that takes new tasks has a free slot.";
+    }
+    if (queued.shape().isBlocked()) {
+      return "no worker has the room for one of its tasks.";
+    }
+    if (gang) {
+      return "there is no room for all " + queued.waitingTasks() + " tasks of the gang at once.";
+    }
+    int ahead = itemsAhead(queued, team);
+    return ahead > 0
+        ? ahead + " items of the team and class are ahead of it."
+        : "other teams come first in the fair order.";
+  }
+
+  private static int itemsAhead(QueuedItem queued, TeamState team) {
+    int ahead = 0;
+    for (QueuedItem other : team.queue(queued.item().workClass())) {
+      if (other == queued) {
+        return ahead;
+      }
+      ahead++;
+    }
+    return ahead;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/hickorypier/core/scheduling/FairOrder.java
@@ -0,0 +1,80 @@
+package org.hickorypier.core.scheduling;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeSet;
+import org.hickorypier.core.model.Resources;
+import org.hickorypier.core.model.WorkClass;
+
+/**
+ * The teams in the order of weighted dominant-resource fairness: the team with the least dominant
+ * share for its weight goes first.
+ *
+ * <p>Made for a full fleet, where teams ask for unlike amounts of unlike resources. It prevents
+ * that a team gets more by sending more, or by asking for what others do not. The use at other
+ * instances counts as well, because the callers of a team tend to stick to one instance, and an
+ * order of this instance alone would then be fair at each and unfair over the fleet. Teams without
+ * waiting work are passed over, so room is never left idle for them.
+ *
+ * <p>Invariant: the set is sorted by the teams' present weighted shares. Not thread safe.
+ */
+final class FairOrder {
+
+  private final Map<String, TeamState> teams = new HashMap<>();
+  private final TreeSet<TeamState> waiting =
+      new TreeSet<>(
+          Comparator.comparingDouble(TeamState::weightedShare).thenComparing(TeamState::name));
+  private Resources total = Resources.NONE;
+
+  TeamState team(String name) {
+    return teams.computeIfAbsent(name, TeamState::new);
+  }
+
+  Iterable<TeamState> teams() {
+    return teams.values();
+  }
+
+  /** Returns the teams with waiting work, in order; no team may be changed while it is read. */
+  Iterable<TeamState> waiting() {
+    return waiting;
+  }
+
+  /** Changes a team and puts it where it now belongs. */
+  void update(TeamState team, Runnable change) {
+    waiting.remove(team);
+    change.run();
+    team.refreshWeightedShare(total);
+    if (team.hasWaiting()) {
+      waiting.add(team);
+    }
+  }
+
+  void setTotal(Resources newTotal) {
+    if (newTotal.equals(total)) {
+      return;
+    }
+    total = newTotal;
+    waiting.clear();
+    for (TeamState team : teams.values()) {
+      team.refreshWeightedShare(total);
+      if (team.hasWaiting()) {
+        waiting.add(team);
+      }
+    }
+  }
+
+  /** Has all teams tried again. */
+  void tryAll() {
+    waiting.forEach(TeamState::markWorthTrying);
+  }
+
+  /** Has the teams with a waiting gang tried again, which any freed room may help. */
+  void tryGangs() {
+    for (TeamState team : waiting) {
+      if (!team.queue(WorkClass.GANG).isEmpty()) {
+        team.markWorthTrying();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/hickorypier/core/scheduling/IncrementalScheduler.java
@@ -0,0 +1,210 @@
+package org.hickorypier.core.scheduling;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.hickorypier.core.model.Refusal;
+import org.hickorypier.core.model.RefusalReason;
+import org.hickorypier.core.model.Resources;
+import org.hickorypier.core.model.TaskId;
+import org.hickorypier.core.model.WorkClass;
+import org.hickorypier.core.model.WorkItem;
+import org.hickorypier.core.model.WorkKey;
+import org.hickorypier.core.model.WorkerDescription;
+
+/**
+ * The decisions over indexes that each call changes a little, so that no call goes through all
+ * workers or all queued items, but for the operators' queries.
+ *
+ * <p>Invariants: those of {@link Scheduler}. Not thread safe.
+ */
+final class IncrementalScheduler implements Scheduler {
+
+  private final SchedulerSettings settings;
+  private final FairOrder order = new FairOrder();
+  private final ShapeTable shapes = new ShapeTable();
+  private final Fleet fleet = new Fleet();
+  private final Capacities capacities = new Capacities();
+  private final WorkHistory history;
+  private final ItemQueue queue;
+  private final Reservations reservations;
+  private final PlacementLoop placementLoop;
+  private final Admission admission;
+  private long latestMillis;
+
+  IncrementalScheduler(SchedulerSettings settings, long seed) {
+    this.settings = settings;
+    history = new WorkHistory(settings.historyMillis());
+    queue = new ItemQueue(order, shapes, history);
+    reservations = new Reservations(fleet, order, history);
+    admission = new Admission(settings, capacities, history);
+    placementLoop =
+        new PlacementLoop(
+            settings,
+            fleet,
+            order,
+            queue,
+            shapes,
+            history,
+            reservations,
+            new PlacementPolicies(fleet, new SplittableRandom(seed)));
+  }
+
+  @Override
+  public Optional<Refusal> submit(WorkItem item, long now) {
+    latestMillis = now;
+    if (queue.get(item.key()) != null || history.wouldDouble(item.key(), item.tasks())) {
+      return Optional.empty();
+    }
+    Optional<Refusal> refusal = admission.refuse(item, order.team(item.key().team()), now);
+    if (refusal.isEmpty()) {
+      queue.add(item, item.resources());
+    }
+    return refusal;
+  }
+
+  @Override
+  public List<Placement> place(long now) {
+    latestMillis = now;
+    return placementLoop.run(now);
+  }
+
+  @Override
+  public List<GivenUp> expire(long now) {
+    latestMillis = now;
+    history.forgetOld(now);
+    List<GivenUp> givenUp = new ArrayList<>();
+    for (QueuedItem queued : queue.removeExpired(now)) {
+      String detail = "No place came free before the deadline.";
+      givenUp.add(
+          new GivenUp(queued.item(), new Refusal(RefusalReason.DEADLINE_PASSED, detail, 0)));
+    }
+    return givenUp;
+  }
+
+  @Override
+  public boolean cancelQueued(WorkKey key) {
+    QueuedItem queued = queue.get(key);
+    if (queued == null) {
+      return false;
+    }
+    queue.remove(queued, latestMillis);
+    return true;
+  }
+
+  @Override
+  public void ended(TaskId taskId, TaskEnd end, long now) {
+    latestMillis = now;
+    Reservation reservation = reservations.free(taskId, end, now);
+    if (reservation != null) {
+      roomFreed(fleet.worker(reservation.task().worker()));
+    }
+  }
+
+  @Override
+  public void adopt(
+      TaskId taskId, String worker, WorkClass workClass, Resources reserved, long now) {
+    latestMillis = now;
+    WorkerState state = fleet.worker(worker);
+    if (state == null || reservations.get(taskId) != null) {
+      return;
+    }
+    history.taskAdopted(taskId.key(), taskId.attempt());
+    PlacedTask task = new PlacedTask(taskId, worker, workClass, reserved);
+    reservations.take(state, new Reservation(task, "", now, 0));
+  }
+
+  @Override
+  public void putWorker(WorkerDescription worker, boolean open) {
+    WorkerState state = fleet.worker(worker.name());
+    if (state == null) {
+      state = new WorkerState(worker, open);
+    } else {
+      fleet.remove(state);
+      capacities.remove(state.description().capacity());
+      state.describe(worker, open);
+    }
+    fleet.add(state);
+    capacities.add(worker.capacity());
+    order.setTotal(fleet.total());
+    roomFreed(state);
+  }
+
+  @Override
+  public List<TaskId> removeWorker(String name) {
+    WorkerState state = fleet.worker(name);
+    if (state == null) {
+      return List.of();
+    }
+    final List<TaskId> taskIds = reservations.freeAll(state, latestMillis);
+    fleet.remove(state);
+    capacities.remove(state.description().capacity());
+    order.setTotal(fleet.total());
+    return taskIds;
+  }
+
+  @Override
+  public void putShare(String team, double share) {
+    if (!(share > 0)) {
+      throw new IllegalArgumentException("share is " + share + ", must be more than 0");
+    }
+    TeamState state = order.team(team);
+    order.update(state, () -> state.setShare(share));
+  }
+
+  @Override
+  public void putPermits(String team, int permits) {
+    order.team(team).setPermits(permits);
+  }
+
+  @Override
+  public void putUseElsewhere(String team, Resources resources) {
+    TeamState state = order.team(team);
+    order.update(state, () -> state.setUsedElsewhere(resources));
+  }
+
+  @Override
+  public void reportUsage(TaskId taskId, Resources used, long now) {
+    latestMillis = now;
+  }
+
+  @Override
+  public int waitingTasks(String team) {
+    return order.team(team).waitingTasks();
+  }
+
+  @Override
+  public List<WorkItem> queued() {
+    return queue.all().stream().map(QueuedItem::item).toList();
+  }
+
+  @Override
+  public List<PlacedTask> placed() {
+    return reservations.all().stream().map(Reservation::task).toList();
+  }
+
+  @Override
+  public List<WorkerRoom> workers() {
+    return fleet.workers().stream().map(WorkerState::room).toList();
+  }
+
+  @Override
+  public Optional<String> explain(WorkKey key, long now) {
+    QueuedItem queued = queue.get(key);
+    return queued == null
+        ? Optional.empty()
+        : Optional.of(Explanation.of(queued, order.team(key.team()), fleet, now));
+  }
+
+  private void roomFreed(WorkerState worker) {
+    if (!worker.takesTasks()) {
+      return;
+    }
+    if (shapes.unblock(worker)) {
+      order.tryAll();
+    } else {
+      order.tryGangs();
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/hickorypier/core/scheduling/ItemQueue.java
@@ -0,0 +1,92 @@
+package org.hickorypier.core.scheduling;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import org.hickorypier.core.model.Resources;
+import org.hickorypier.core.model.WorkClass;
+import org.hickorypier.core.model.WorkItem;
+import org.hickorypier.core.model.WorkKey;
+
+/**
+ * All queued items, found by key and by deadline.
+ *
+ * <p>Made for waves of cancellations: taking an item out is a removal from two hash maps, and its
+ * entry among the deadlines is dropped later, when it comes up or when half of the entries are of
+ * items that are gone.
+ *
+ * <p>Invariant: an item is in its team's queue exactly if it is here. Not thread safe.
+ */
+final class ItemQueue {
+
+  private static final int LEAST_COMPACTION = 1_024;
+
+  private final Map<WorkKey, QueuedItem> items = new LinkedHashMap<>();
+  private final PriorityQueue<QueuedItem> byDeadline =
+      new PriorityQueue<>(
+          Comparator.comparingLong((QueuedItem queued) -> queued.item().deadlineMillis()));
+  private final FairOrder order;
+  private final ShapeTable shapes;
+  private final WorkHistory history;
+  private int urgentItems;
+
+  ItemQueue(FairOrder order, ShapeTable shapes, WorkHistory history) {
+    this.order = order;
+    this.shapes = shapes;
+    this.history = history;
+  }
+
+  QueuedItem get(WorkKey key) {
+    return items.get(key);
+  }
+
+  boolean hasUrgent() {
+    return urgentItems > 0;
+  }
+
+  Collection<QueuedItem> all() {
+    return items.values();
+  }
+
+  void add(WorkItem item, Resources need) {
+    int attempt = history.newAttempt(item.key(), item.tasks());
+    QueuedItem queued = new QueuedItem(item, shapes.intern(need), attempt);
+    items.put(item.key(), queued);
+    byDeadline.add(queued);
+    urgentItems += item.workClass() == WorkClass.URGENT ? 1 : 0;
+    TeamState team = order.team(item.key().team());
+    order.update(team, () -> team.enqueue(queued));
+  }
+
+  void remove(QueuedItem queued, long now) {
+    items.remove(queued.item().key());
+    urgentItems -= queued.item().workClass() == WorkClass.URGENT ? 1 : 0;
+    TeamState team = order.team(queued.item().key().team());
+    order.update(team, () -> team.dequeue(queued));
+    history.leftQueue(queued.item().key(), queued.hasStarted(), now);
+    compact();
+  }
+
+  /** Takes out the items that have not started and whose deadline is before the time. */
+  List<QueuedItem> removeExpired(long now) {
+    List<QueuedItem> expired = new ArrayList<>();
+    while (!byDeadline.isEmpty() && byDeadline.peek().item().deadlineMillis() < now) {
+      QueuedItem queued = byDeadline.poll();
+      if (!queued.isGone() && !queued.hasStarted()) {
+        remove(queued, now);
+        expired.add(queued);
+      }
+    }
+    return expired;
+  }
+
+  private void compact() {
+    if (byDeadline.size() > LEAST_COMPACTION && byDeadline.size() > 2 * items.size()) {
+      byDeadline.removeIf(QueuedItem::isGone);
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/hickorypier/core/scheduling/PlacementLoop.java
@@ -0,0 +1,202 @@
+package org.hickorypier.core.scheduling;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.hickorypier.core.model.TaskId;
+import org.hickorypier.core.model.WorkClass;
+import org.hickorypier.core.model.WorkItem;
+
+/**
+ * Takes queued work in order and puts it on workers until no more fits.
+ *
+ * <p>Each round starts one task, or one whole gang, of the team that comes first in the fair order,
+ * so a job of a thousand tasks does not run past the other teams. Not thread safe.
+ */
+final class PlacementLoop {
+
+  private static final WorkClass[] URGENT = {WorkClass.URGENT};
+  private static final WorkClass[] OTHERS = {
+    WorkClass.REQUEST, WorkClass.SERVICE, WorkClass.GANG, WorkClass.BATCH
+  };
+
+  private final SchedulerSettings settings;
+  private final Fleet fleet;
+  private final FairOrder order;
+  private final ItemQueue queue;
+  private final ShapeTable shapes;
+  private final WorkHistory history;
+  private final Reservations reservations;
+  private final PlacementPolicies policies;
+  private final UrgentTurns urgentTurns;
+  private final Map<QueuedItem, List<PlacedTask>> placed = new LinkedHashMap<>();
+  private boolean triesLater;
+
+  PlacementLoop(
+      SchedulerSettings settings,
+      Fleet fleet,
+      FairOrder order,
+      ItemQueue queue,
+      ShapeTable shapes,
+      WorkHistory history,
+      Reservations reservations,
+      PlacementPolicies policies) {
+    this.settings = settings;
+    this.fleet = fleet;
+    this.order = order;
+    this.queue = queue;
+    this.shapes = shapes;
+    this.history = history;
+    this.reservations = reservations;
+    this.policies = policies;
+    this.urgentTurns = new UrgentTurns(settings.urgentHoldMillis(), settings.urgentTurn());
+  }
+
+  List<Placement> run(long now) {
+    boolean more = true;
+    while (more) {
+      boolean othersFirst = urgentTurns.isTurnOfOthers(now);
+      more = placeOne(!othersFirst, now) || placeOne(othersFirst, now);
+    }
+    List<Placement> placements = new ArrayList<>(placed.size());
+    placed.forEach((queued, tasks) -> placements.add(new Placement(queued.item(), tasks)));
+    placed.clear();
+    return placements;
+  }
+
+  private boolean placeOne(boolean urgent, long now) {
+    for (TeamState team : order.waiting()) {
+      if (team.isExhausted(urgent)) {
+        continue;
+      }
+      QueuedItem queued = firstThatStarts(team, urgent ? URGENT : OTHERS, now);
+      if (queued != null) {
+        urgentTurns.started(urgent);
+        return true;
+      }
+      if (!triesLater) {
+        team.markExhausted(urgent);
+      }
+    }
+    if (urgent && !queue.hasUrgent()) {
+      urgentTurns.noneWaits();
+    }
+    return false;
+  }
+
+  private QueuedItem firstThatStarts(TeamState team, WorkClass[] classes, long now) {
+    triesLater = false;
+    if (team.freePermits() <= 0) {
+      return null;
+    }
+    for (WorkClass workClass : classes) {
+      Iterator<QueuedItem> heads = team.queue(workClass).iterator();
+      for (int tried = 0; tried < settings.backfillDepth() && heads.hasNext(); ) {
+        QueuedItem queued = heads.next();
+        if (queued.isTooLate(now)) {
+          continue;
+        }
+        tried++;
+        if (starts(team, queued, now)) {
+          return queued;
+        }
+      }
+    }
+    return null;
+  }
+
+  private boolean starts(TeamState team, QueuedItem queued, long now) {
+    if (queued.item().workClass() == WorkClass.GANG) {
+      return startsGang(team, queued, now);
+    }
+    WorkerState worker = chooseFor(queued);
+    if (worker == null) {
+      return false;
+    }
+    reserve(queued, worker, now);
+    finishIfWhole(queued, now);
+    return true;
+  }
+
+  private WorkerState chooseFor(QueuedItem queued) {
+    if (queued.shape().isBlocked()) {
+      return null;
+    }
+    PlacementPolicy policy = policies.of(queued.item().workClass());
+    Set<String> failedOn = history.failedOn(queued.item().key());
+    if (!failedOn.isEmpty()) {
+      WorkerState other = policy.choose(queued, worker -> !failedOn.contains(worker.name()));
+      if (other != null) {
+        return other;
+      }
+    }
+    WorkerState worker = policy.choose(queued, WorkerFilter.ANY);
+    if (worker == null) {
+      shapes.block(queued.shape());
+    }
+    return worker;
+  }
+
+  private boolean startsGang(TeamState team, QueuedItem queued, long now) {
+    int tasks = queued.waitingTasks();
+    if (team.freePermits() < tasks || queued.shape().isBlocked()) {
+      return false;
+    }
+    if (queued.nextTryMillis() > now) {
+      triesLater = true;
+      return false;
+    }
+    List<Reservation> taken = new ArrayList<>(tasks);
+    for (int i = 0; i < tasks; i++) {
+      WorkerState worker = chooseFor(queued);
+      if (worker == null) {
+        giveBack(taken);
+        queued.tryAgainAt(now + settings.gangRetryMillis());
+        return false;
+      }
+      Reservation reservation = reservation(queued, i, worker, now);
+      fleet.reserve(worker, reservation);
+      taken.add(reservation);
+    }
+    giveBack(taken);
+    for (Reservation reservation : taken) {
+      reserve(queued, fleet.worker(reservation.task().worker()), now);
+    }
+    finishIfWhole(queued, now);
+    return true;
+  }
+
+  private void giveBack(List<Reservation> taken) {
+    for (Reservation reservation : taken) {
+      WorkerState worker = fleet.worker(reservation.task().worker());
+      fleet.release(worker, reservation);
+      shapes.unblock(worker);
+    }
+  }
+
+  private void reserve(QueuedItem queued, WorkerState worker, long now) {
+    Reservation reservation = reservation(queued, queued.takeIndex(), worker, now);
+    history.taskPlaced(queued.item().key());
+    TeamState team = order.team(queued.item().key().team());
+    team.taskLeftQueue();
+    reservations.take(worker, reservation);
+    placed.computeIfAbsent(queued, unused -> new ArrayList<>()).add(reservation.task());
+  }
+
+  private static Reservation reservation(
+      QueuedItem queued, int index, WorkerState worker, long now) {
+    WorkItem item = queued.item();
+    TaskId taskId = new TaskId(item.key(), queued.attempt(), index);
+    PlacedTask task = new PlacedTask(taskId, worker.name(), item.workClass(), queued.need());
+    return new Reservation(task, item.name(), now, item.expectedRunMillis());
+  }
+
+  private void finishIfWhole(QueuedItem queued, long now) {
+    if (queued.waitingTasks() == 0) {
+      queue.remove(queued, now);
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/hickorypier/core/scheduling/PlacementPolicies.java
@@ -0,0 +1,123 @@
+package org.hickorypier.core.scheduling;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+import org.hickorypier.core.model.Resources;
+import org.hickorypier.core.model.WorkClass;
+import org.hickorypier.core.model.WorkKey;
+
+/**
+ * The ways to choose a worker, one for each class of work.
+ *
+ * <p>Not thread safe.
+ */
+final class PlacementPolicies {
+
+  private static final int CHOICES = 2;
+
+  private final Fleet fleet;
+  private final RandomGenerator random;
+
+  PlacementPolicies(Fleet fleet, RandomGenerator random) {
+    this.fleet = fleet;
+    this.random = random;
+  }
+
+  PlacementPolicy of(WorkClass workClass) {
+    return switch (workClass) {
+      case URGENT, REQUEST -> this::lessLoadedOfTwo;
+      case SERVICE -> this::spread;
+      case GANG, BATCH -> this::tightest;
+    };
+  }
+
+  /**
+   * Chooses the worker with the least room of the dominant resource that is enough. Made for long
+   * queues of unlike tasks: large gaps stay whole for large tasks, which scattered small ones would
+   * otherwise keep out.
+   */
+  private WorkerState tightest(QueuedItem queued, WorkerFilter allowed) {
+    Resources need = queued.need();
+    Resources total = fleet.total();
+    boolean byMemory =
+        need.memoryMebibytes() * Math.max(1, total.milliProcessors())
+            > need.milliProcessors() * Math.max(1, total.memoryMebibytes());
+    return fleet.index().tightest(need, byMemory, allowed);
+  }
+
+  /**
+   * Chooses the less loaded of two workers taken at random. Made for short requests at a high rate:
+   * it levels the load nearly as well as the least loaded of all, without the herding onto a worker
+   * that has just become idle. When both are full, the index finds any gap there is, so room is
+   * never missed by bad luck.
+   */
+  private WorkerState lessLoadedOfTwo(QueuedItem queued, WorkerFilter allowed) {
+    WorkerState best = null;
+    for (int i = 0; i < CHOICES && fleet.size() > 0; i++) {
+      WorkerState worker = fleet.at(random.nextInt(fleet.size()));
+      if (worker.takesTasks()
+          && worker.hasRoomFor(queued.need())
+          && allowed.test(worker)
+          && (best == null || worker.load() < best.load())) {
+        best = worker;
+      }
+    }
+    return best == null ? tightest(queued, allowed) : best;
+  }
+
+  /**
+   * Chooses a worker in the data centre, and in it the rack, with the fewest tasks of the same
+   * service. Made for services that must outlive the loss of a rack or a data centre. Racks are
+   * gone through one by one: services start a few times an hour, and the shape of a task that fits
+   * nowhere is blocked before this is asked.
+   */
+  private WorkerState spread(QueuedItem queued, WorkerFilter allowed) {
+    WorkKey key = queued.item().key();
+    List<List<List<WorkerState>>> dataCentres = new ArrayList<>();
+    for (Map<String, List<WorkerState>> racks : fleet.places().values()) {
+      dataCentres.add(new ArrayList<>(racks.values()));
+    }
+    dataCentres.sort(
+        Comparator.comparingLong(
+            racks -> racks.stream().mapToLong(rack -> tasksOf(key, rack)).sum()));
+    for (List<List<WorkerState>> racks : dataCentres) {
+      racks.sort(Comparator.comparingLong(rack -> tasksOf(key, rack)));
+      for (List<WorkerState> rack : racks) {
+        WorkerState found = leastLoaded(rack, queued.need(), allowed);
+        if (found != null) {
+          return found;
+        }
+      }
+    }
+    return null;
+  }
+
+  private static WorkerState leastLoaded(
+      List<WorkerState> rack, Resources need, WorkerFilter allowed) {
+    WorkerState best = null;
+    for (WorkerState worker : rack) {
+      if (worker.takesTasks()
+          && worker.hasRoomFor(need)
+          && allowed.test(worker)
+          && (best == null || worker.load() < best.load())) {
+        best = worker;
+      }
+    }
+    return best;
+  }
+
+  private static long tasksOf(WorkKey key, List<WorkerState> rack) {
+    long count = 0;
+    for (WorkerState worker : rack) {
+      for (Reservation reservation : worker.reservations()) {
+        if (reservation.task().taskId().key().equals(key)) {
+          count++;
+        }
+      }
+    }
+    return count;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/hickorypier/core/scheduling/QueuedItem.java
@@ -0,0 +1,74 @@
+package org.hickorypier.core.scheduling;
+
+import org.hickorypier.core.model.Resources;
+import org.hickorypier.core.model.WorkItem;
+
+/**
+ * An item in its team's queue, with the tasks that still wait.
+ *
+ * <p>Not thread safe.
+ */
+final class QueuedItem {
+
+  private final WorkItem item;
+  private final Shape shape;
+  private final int attempt;
+  private int nextIndex;
+  private long nextTryMillis = Long.MIN_VALUE;
+  private boolean gone;
+
+  QueuedItem(WorkItem item, Shape shape, int attempt) {
+    this.item = item;
+    this.shape = shape;
+    this.attempt = attempt;
+  }
+
+  WorkItem item() {
+    return item;
+  }
+
+  Shape shape() {
+    return shape;
+  }
+
+  Resources need() {
+    return shape.resources();
+  }
+
+  int attempt() {
+    return attempt;
+  }
+
+  int waitingTasks() {
+    return item.tasks() - nextIndex;
+  }
+
+  boolean hasStarted() {
+    return nextIndex > 0;
+  }
+
+  /** Tells whether the deadline has passed before any task started. */
+  boolean isTooLate(long now) {
+    return item.deadlineMillis() < now && !hasStarted();
+  }
+
+  int takeIndex() {
+    return nextIndex++;
+  }
+
+  long nextTryMillis() {
+    return nextTryMillis;
+  }
+
+  void tryAgainAt(long millis) {
+    nextTryMillis = millis;
+  }
+
+  boolean isGone() {
+    return gone;
+  }
+
+  void markGone() {
+    gone = true;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/hickorypier/core/scheduling/Reservation.java
@@ -0,0 +1,18 @@
+package org.hickorypier.core.scheduling;
+
+/**
+ * A placed task with what the decisions keep about its run.
+ *
+ * <p>Immutable.
+ *
+ * @param task the task and its room
+ * @param name the name under which sizes are learned, empty for adopted tasks
+ * @param startedMillis when it was placed or adopted
+ * @param expectedRunMillis the declared run time, 0 if not known
+ */
+record Reservation(PlacedTask task, String name, long startedMillis, long expectedRunMillis) {
+
+  long expectedEndMillis() {
+    return startedMillis + expectedRunMillis;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/hickorypier/core/scheduling/RoomIndex.java
@@ -0,0 +1,211 @@
+package org.hickorypier.core.scheduling;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Predicate;
+import org.hickorypier.core.model.Resources;
+
+/**
+ * The open workers sorted by their free room, in cells of equal free accelerators, processors and
+ * memory.
+ *
+ * <p>Made for thousands of starts a second over thousands of workers. A look-up visits rows of
+ * cells, whose number is fixed, and not workers; a change moves one worker between two cells. So
+ * the cost of a decision hardly depends on the number of workers. Only in the lowest cells of a
+ * look-up, where some members have a little less room than needed, are members tried one by one.
+ *
+ * <p>Invariant: every indexed worker stands in the cell of its present free room. Not thread safe.
+ */
+final class RoomIndex {
+
+  /** Memory levels, one for each bit of a row's mask. */
+  private static final int MEMORY_LEVELS = Long.SIZE;
+
+  /** Processor levels; with 250 milli-processors each, exact for workers of up to 16 processors. */
+  private static final int PROCESSOR_LEVELS = 65;
+
+  /** Accelerator levels; no worker of the target has more than 8, those above share the last. */
+  private static final int ACCELERATOR_LEVELS = 17;
+
+  private static final long LEAST_MILLI_PROCESSORS = 250;
+  private static final long LEAST_MEMORY_MEBIBYTES = 256;
+
+  private final Row[] rows = new Row[ACCELERATOR_LEVELS * PROCESSOR_LEVELS];
+  private final int[] workersByAccelerators = new int[ACCELERATOR_LEVELS];
+  private long milliProcessorsPerLevel = LEAST_MILLI_PROCESSORS;
+  private long memoryPerLevel = LEAST_MEMORY_MEBIBYTES;
+
+  /** Where a worker stands: its row, its cell and its place in the cell. */
+  static final class Position {
+    private final int row;
+    private final int cell;
+    private int place;
+
+    private Position(int row, int cell, int place) {
+      this.row = row;
+      this.cell = cell;
+      this.place = place;
+    }
+  }
+
+  private static final class Row {
+    private long mask;
+    private final List<List<WorkerState>> cells = new ArrayList<>();
+
+    private Row() {
+      for (int i = 0; i < MEMORY_LEVELS; i++) {
+        cells.add(null);
+      }
+    }
+  }
+
+  /**
+   * Widens the levels so that a capacity spans no more of them than there are.
+   *
+   * @param capacity a worker's capacity
+   * @return true if the levels changed; all workers must then be removed before the call and added
+   *     after it
+   */
+  boolean needsWiderLevels(Resources capacity) {
+    return capacity.milliProcessors() > milliProcessorsPerLevel * (PROCESSOR_LEVELS - 1)
+        || capacity.memoryMebibytes() > memoryPerLevel * MEMORY_LEVELS;
+  }
+
+  void widenLevels(Resources capacity) {
+    while (capacity.milliProcessors() > milliProcessorsPerLevel * (PROCESSOR_LEVELS - 1)) {
+      milliProcessorsPerLevel *= 2;
+    }
+    while (capacity.memoryMebibytes() > memoryPerLevel * MEMORY_LEVELS) {
+      memoryPerLevel *= 2;
+    }
+  }
+
+  void add(WorkerState worker) {
+    int accelerators = acceleratorLevel(worker.freeAccelerators());
+    int row = row(accelerators, processorLevel(worker.freeMilliProcessors()));
+    int cell = memoryLevel(worker.freeMemoryMebibytes());
+    if (rows[row] == null) {
+      rows[row] = new Row();
+    }
+    List<WorkerState> members = rows[row].cells.get(cell);
+    if (members == null) {
+      members = new ArrayList<>();
+      rows[row].cells.set(cell, members);
+    }
+    worker.moveTo(new Position(row, cell, members.size()));
+    members.add(worker);
+    rows[row].mask |= 1L << cell;
+    workersByAccelerators[accelerators]++;
+  }
+
+  void remove(WorkerState worker) {
+    Position position = worker.position();
+    if (position == null) {
+      return;
+    }
+    Row row = rows[position.row];
+    List<WorkerState> members = row.cells.get(position.cell);
+    WorkerState last = members.remove(members.size() - 1);
+    if (last != worker) {
+      members.set(position.place, last);
+      last.position().place = position.place;
+    }
+    if (members.isEmpty()) {
+      row.mask &= ~(1L << position.cell);
+    }
+    workersByAccelerators[position.row / PROCESSOR_LEVELS]--;
+    worker.moveTo(null);
+  }
+
+  /**
+   * Finds the worker with the least room that is enough: fewest free accelerators, then least of
+   * the dominant resource, then least of the other.
+   *
+   * @param need the room needed
+   * @param byMemory whether memory is the dominant resource, else processors
+   * @param allowed what else must hold for the worker
+   * @return the worker, or null if there is none
+   */
+  WorkerState tightest(Resources need, boolean byMemory, Predicate<WorkerState> allowed) {
+    for (int level = acceleratorLevel(need.accelerators()); level < ACCELERATOR_LEVELS; level++) {
+      if (workersByAccelerators[level] == 0) {
+        continue;
+      }
+      WorkerState found =
+          byMemory ? leastMemory(level, need, allowed) : leastProcessors(level, need, allowed);
+      if (found != null) {
+        return found;
+      }
+    }
+    return null;
+  }
+
+  private WorkerState leastProcessors(int level, Resources need, Predicate<WorkerState> allowed) {
+    long enoughMemory = -1L << memoryLevel(need.memoryMebibytes());
+    for (int i = processorLevel(need.milliProcessors()); i < PROCESSOR_LEVELS; i++) {
+      Row row = rows[row(level, i)];
+      if (row == null) {
+        continue;
+      }
+      for (long bits = row.mask & enoughMemory; bits != 0; bits &= bits - 1) {
+        WorkerState found = member(row, Long.numberOfTrailingZeros(bits), need, allowed);
+        if (found != null) {
+          return found;
+        }
+      }
+    }
+    return null;
+  }
+
+  private WorkerState leastMemory(int level, Resources need, Predicate<WorkerState> allowed) {
+    int first = processorLevel(need.milliProcessors());
+    long bits = 0;
+    for (int i = first; i < PROCESSOR_LEVELS; i++) {
+      Row row = rows[row(level, i)];
+      bits |= row == null ? 0 : row.mask;
+    }
+    bits &= -1L << memoryLevel(need.memoryMebibytes());
+    for (; bits != 0; bits &= bits - 1) {
+      int cell = Long.numberOfTrailingZeros(bits);
+      for (int i = first; i < PROCESSOR_LEVELS; i++) {
+        Row row = rows[row(level, i)];
+        if (row != null && (row.mask & 1L << cell) != 0) {
+          WorkerState found = member(row, cell, need, allowed);
+          if (found != null) {
+            return found;
+          }
+        }
+      }
+    }
+    return null;
+  }
+
+  private static WorkerState member(
+      Row row, int cell, Resources need, Predicate<WorkerState> allowed) {
+    List<WorkerState> members = row.cells.get(cell);
+    for (int i = members.size() - 1; i >= 0; i--) {
+      WorkerState worker = members.get(i);
+      if (worker.hasRoomFor(need) && allowed.test(worker)) {
+        return worker;
+      }
+    }
+    return null;
+  }
+
+  private static int row(int acceleratorLevel, int processorLevel) {
+    return acceleratorLevel * PROCESSOR_LEVELS + processorLevel;
+  }
+
+  private static int acceleratorLevel(int accelerators) {
+    return Math.max(0, Math.min(ACCELERATOR_LEVELS - 1, accelerators));
+  }
+
+  private int processorLevel(long milliProcessors) {
+    long level = milliProcessors / milliProcessorsPerLevel;
+    return (int) Math.max(0, Math.min(PROCESSOR_LEVELS - 1, level));
+  }
+
+  private int memoryLevel(long memoryMebibytes) {
+    return (int) Math.max(0, Math.min(MEMORY_LEVELS - 1, memoryMebibytes / memoryPerLevel));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/hickorypier/core/scheduling/WorkHistory.java
@@ -0,0 +1,117 @@
+package org.hickorypier.core.scheduling;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import org.hickorypier.core.model.WorkKey;
+
+/**
+ * What is known of work beyond one attempt: how often it was tried, how many of its tasks live, and
+ * on which workers it failed.
+ *
+ * <p>Work that completed without a failure is forgotten at once, since nobody submits it again
+ * except as new work; other work is kept a while after its last task ended. So the memory is
+ * bounded by the failures of that time. Not thread safe.
+ */
+final class WorkHistory {
+
+  private final long keepMillis;
+  private final Map<WorkKey, Entry> entries = new HashMap<>();
+  private final LinkedHashMap<WorkKey, Long> endedAt = new LinkedHashMap<>();
+
+  WorkHistory(long keepMillis) {
+    this.keepMillis = keepMillis;
+  }
+
+  private static final class Entry {
+    private int attempts;
+    private int liveTasks;
+    private int tasks;
+    private boolean queued;
+    private boolean troubled;
+    private Set<String> failedOn = Set.of();
+  }
+
+  /** Counts a new attempt and returns its number, from 1. */
+  int newAttempt(WorkKey key, int tasks) {
+    Entry entry = entries.computeIfAbsent(key, unused -> new Entry());
+    entry.attempts++;
+    entry.tasks = Math.max(entry.tasks, tasks);
+    entry.queued = true;
+    endedAt.remove(key);
+    return entry.attempts;
+  }
+
+  /** Notes that no task of the work waits any more; an attempt without a placed task is undone. */
+  void leftQueue(WorkKey key, boolean started, long now) {
+    Entry entry = entries.get(key);
+    entry.queued = false;
+    if (!started) {
+      entry.attempts--;
+    }
+    settle(key, entry, now);
+  }
+
+  void taskAdopted(WorkKey key, int attempt) {
+    Entry entry = entries.computeIfAbsent(key, unused -> new Entry());
+    entry.attempts = Math.max(entry.attempts, attempt);
+    entry.tasks = Math.max(entry.tasks, entry.liveTasks + 1);
+    entry.liveTasks++;
+    endedAt.remove(key);
+  }
+
+  void taskPlaced(WorkKey key) {
+    entries.get(key).liveTasks++;
+  }
+
+  void taskEnded(WorkKey key, String worker, TaskEnd end, long now) {
+    Entry entry = entries.get(key);
+    entry.liveTasks--;
+    entry.troubled |= end != TaskEnd.COMPLETED;
+    if (end == TaskEnd.FAILED) {
+      if (entry.failedOn.isEmpty()) {
+        entry.failedOn = new HashSet<>();
+      }
+      entry.failedOn.add(worker);
+    }
+    settle(key, entry, now);
+  }
+
+  /** Tells whether so many tasks more would be above the number that the work has. */
+  boolean wouldDouble(WorkKey key, int tasks) {
+    Entry entry = entries.get(key);
+    return entry != null && entry.liveTasks > 0 && entry.liveTasks + tasks > entry.tasks;
+  }
+
+  Set<String> failedOn(WorkKey key) {
+    Entry entry = entries.get(key);
+    return entry == null ? Set.of() : entry.failedOn;
+  }
+
+  void forgetOld(long now) {
+    Iterator<Map.Entry<WorkKey, Long>> oldest = endedAt.entrySet().iterator();
+    while (oldest.hasNext()) {
+      Map.Entry<WorkKey, Long> next = oldest.next();
+      if (next.getValue() + keepMillis > now) {
+        return;
+      }
+      entries.remove(next.getKey());
+      oldest.remove();
+    }
+  }
+
+  private void settle(WorkKey key, Entry entry, long now) {
+    if (entry.liveTasks > 0 || entry.queued) {
+      return;
+    }
+    if (entry.troubled) {
+      endedAt.remove(key);
+      endedAt.put(key, now);
+    } else {
+      entries.remove(key);
+    }
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/hickorypier/core/scheduling/CheckedScheduler.java
@@ -0,0 +1,165 @@
+package org.hickorypier.core.scheduling;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.hickorypier.core.model.Resources;
+import org.hickorypier.core.model.TaskId;
+import org.hickorypier.core.model.WorkItem;
+import org.hickorypier.core.model.WorkKey;
+import org.hickorypier.core.model.WorkerDescription;
+
+/** Keeps a plain account beside a scheduler and compares both. Not thread safe. */
+final class CheckedScheduler {
+
+  private final Scheduler scheduler;
+  private final Map<WorkKey, Integer> waiting = new LinkedHashMap<>();
+  private final Map<TaskId, PlacedTask> live = new LinkedHashMap<>();
+  private final Map<WorkKey, WorkItem> resubmittable = new LinkedHashMap<>();
+  private final Map<WorkKey, Integer> tasksOf = new HashMap<>();
+  private final Set<TaskId> everPlaced = new HashSet<>();
+  private final Map<String, WorkerDescription> workers = new LinkedHashMap<>();
+  private final Map<String, Integer> permits = new HashMap<>();
+
+  CheckedScheduler(Scheduler scheduler) {
+    this.scheduler = scheduler;
+  }
+
+  List<PlacedTask> live() {
+    return new ArrayList<>(live.values());
+  }
+
+  List<WorkItem> resubmittable() {
+    return new ArrayList<>(resubmittable.values());
+  }
+
+  List<String> workerNames() {
+    return new ArrayList<>(workers.keySet());
+  }
+
+  void submit(WorkItem item, long now) {
+    boolean before = waiting.containsKey(item.key());
+    long alive = live.keySet().stream().filter(id -> id.key().equals(item.key())).count();
+    if (scheduler.submit(item, now).isPresent() || before) {
+      return;
+    }
+    boolean queued = scheduler.queued().stream().anyMatch(q -> q.key().equals(item.key()));
+    assertThat(queued || alive > 0).as("queued or joined to what runs").isTrue();
+    if (queued) {
+      waiting.put(item.key(), item.tasks());
+      resubmittable.put(item.key(), item);
+      tasksOf.put(item.key(), item.tasks());
+    }
+  }
+
+  void place(long now) {
+    for (Placement placement : scheduler.place(now)) {
+      WorkItem item = placement.item();
+      assertThat(item.deadlineMillis()).isGreaterThanOrEqualTo(item.tasks() > 1 ? 0 : now);
+      for (PlacedTask task : placement.tasks()) {
+        assertThat(everPlaced.add(task.taskId())).as("placed once: " + task).isTrue();
+        live.put(task.taskId(), task);
+      }
+      waiting.merge(item.key(), -placement.tasks().size(), Integer::sum);
+      waiting.remove(item.key(), 0);
+      checkPermits(item.key().team());
+      checkTasksOf(item.key());
+    }
+  }
+
+  void end(TaskId taskId, TaskEnd end, long now) {
+    scheduler.ended(taskId, end, now);
+    live.remove(taskId);
+    if (end == TaskEnd.COMPLETED) {
+      resubmittable.remove(taskId.key());
+    }
+  }
+
+  void expire(long now) {
+    for (GivenUp givenUp : scheduler.expire(now)) {
+      assertThat(waiting.remove(givenUp.item().key())).as("given up once").isNotNull();
+    }
+  }
+
+  void cancel(WorkKey key) {
+    boolean cancelled = scheduler.cancelQueued(key);
+    assertThat(cancelled).isEqualTo(waiting.remove(key) != null);
+  }
+
+  void putWorker(WorkerDescription worker, boolean open) {
+    workers.put(worker.name(), worker);
+    scheduler.putWorker(worker, open);
+  }
+
+  void removeWorker(String name) {
+    Set<TaskId> gone =
+        live.values().stream()
+            .filter(task -> task.worker().equals(name))
+            .map(PlacedTask::taskId)
+            .collect(Collectors.toSet());
+    assertThat(new HashSet<>(scheduler.removeWorker(name))).isEqualTo(gone);
+    gone.forEach(live::remove);
+    workers.remove(name);
+  }
+
+  void putPermits(String team, int number) {
+    permits.put(team, number);
+    scheduler.putPermits(team, number);
+  }
+
+  void reportUsage(TaskId taskId, Resources used, long now) {
+    scheduler.reportUsage(taskId, used, now);
+  }
+
+  /** Compares the scheduler with the account and checks what must hold on each worker. */
+  void check() {
+    assertThat(scheduler.queued().stream().map(WorkItem::key))
+        .containsExactlyInAnyOrderElementsOf(waiting.keySet());
+    Map<TaskId, PlacedTask> placed = new HashMap<>();
+    scheduler.placed().forEach(task -> placed.put(task.taskId(), task));
+    assertThat(placed.keySet()).isEqualTo(live.keySet());
+    Map<String, Integer> waitingOfTeam = new HashMap<>();
+    waiting.forEach((key, tasks) -> waitingOfTeam.merge(key.team(), tasks, Integer::sum));
+    permits
+        .keySet()
+        .forEach(
+            team ->
+                assertThat(scheduler.waitingTasks(team))
+                    .isEqualTo(waitingOfTeam.getOrDefault(team, 0)));
+    for (WorkerRoom room : scheduler.workers()) {
+      checkRoom(room, placed);
+    }
+  }
+
+  private void checkRoom(WorkerRoom room, Map<TaskId, PlacedTask> placed) {
+    Resources used = Resources.NONE;
+    int slots = 0;
+    for (PlacedTask task : placed.values()) {
+      if (task.worker().equals(room.worker().name())) {
+        used = used.plus(task.reserved());
+        slots++;
+      }
+    }
+    Resources capacity = room.worker().capacity();
+    assertThat(used.fitsInto(capacity)).as("%s within %s", used, capacity).isTrue();
+    assertThat(room.free()).isEqualTo(capacity.minus(used));
+    assertThat(room.freeSlots()).isEqualTo(room.worker().slots() - slots).isNotNegative();
+  }
+
+  private void checkPermits(String team) {
+    long placed = live.keySet().stream().filter(id -> id.key().team().equals(team)).count();
+    assertThat(placed).isLessThanOrEqualTo(permits.getOrDefault(team, 0));
+  }
+
+  private void checkTasksOf(WorkKey key) {
+    long tasks = live.keySet().stream().filter(id -> id.key().equals(key)).count();
+    assertThat(tasks).as("no doubles of " + key).isLessThanOrEqualTo(tasksOf.get(key));
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/hickorypier/core/scheduling/SchedulerTest.java
@@ -0,0 +1,188 @@
+package org.hickorypier.core.scheduling;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.hickorypier.core.model.Refusal;
+import org.hickorypier.core.model.RefusalReason;
+import org.hickorypier.core.model.Resources;
+import org.hickorypier.core.model.TaskId;
+import org.hickorypier.core.model.WorkClass;
+import org.hickorypier.core.model.WorkItem;
+import org.hickorypier.core.model.WorkKey;
+import org.junit.jupiter.api.Test;
+
+class SchedulerTest {
+
+  private static List<PlacedTask> tasks(List<Placement> placements) {
+    return placements.stream().flatMap(placement -> placement.tasks().stream()).toList();
+  }
+
+  @Test
+  void requestIsPlacedOnceWithItsFirstAttempt() {
+    Scheduler scheduler = Work.scheduler(1, "north");
+    scheduler.submit(Work.request("north", "a"), 0);
+
+    assertThat(tasks(scheduler.place(0)))
+        .extracting(PlacedTask::taskId)
+        .containsExactly(new TaskId(new WorkKey("north", "a"), 1, 0));
+    assertThat(scheduler.place(1)).isEmpty();
+  }
+
+  @Test
+  void newSubmissionAfterTroubleIsOneAttemptHigher() {
+    Scheduler scheduler = Work.scheduler(1, "north");
+    int attempt = 1;
+    for (TaskEnd end : List.of(TaskEnd.NOT_STARTED, TaskEnd.LOST, TaskEnd.FAILED)) {
+      scheduler.submit(Work.request("north", "a"), 0);
+      TaskId placed = tasks(scheduler.place(0)).get(0).taskId();
+      assertThat(placed.attempt()).isEqualTo(attempt++);
+      scheduler.ended(placed, end, 0);
+    }
+  }
+
+  @Test
+  void attemptThatWasOnlyQueuedIsNotCounted() {
+    Scheduler scheduler = Work.scheduler(1, "north");
+    scheduler.submit(Work.request("north", "a"), 0);
+    scheduler.cancelQueued(new WorkKey("north", "a"));
+    scheduler.submit(Work.request("north", "a"), 0);
+
+    assertThat(tasks(scheduler.place(0)).get(0).taskId().attempt()).isEqualTo(1);
+  }
+
+  @Test
+  void teamWithoutPermitsWaitsAndIsToldSo() {
+    Scheduler scheduler = Work.scheduler(1);
+    scheduler.submit(Work.request("north", "a"), 0);
+
+    assertThat(scheduler.place(0)).isEmpty();
+    assertThat(scheduler.waitingTasks("north")).isEqualTo(1);
+    assertThat(scheduler.explain(new WorkKey("north", "a"), 7)).get().asString().contains("permit");
+    scheduler.putPermits("north", 1);
+    assertThat(scheduler.place(1)).hasSize(1);
+  }
+
+  @Test
+  void workThatNeverFitsIsRefusedAtOnceWithTheResource() {
+    Scheduler scheduler = Work.scheduler(2, "north");
+    Resources huge = new Resources(1_000, 70_000, 0);
+    WorkItem item = Work.item("north", "a", WorkClass.BATCH, huge, 1);
+
+    assertThat(scheduler.submit(item, 0))
+        .get()
+        .satisfies(refusal -> assertThat(refusal.reason()).isEqualTo(RefusalReason.NEVER_FITS))
+        .satisfies(refusal -> assertThat(refusal.detail()).contains("memory", "70000", "65536"));
+  }
+
+  @Test
+  void burstOfOneTeamFillsOnlyItsOwnQueue() {
+    Scheduler scheduler = Work.scheduler(1);
+    int limit = SchedulerSettings.defaults().queueLimit();
+    for (int i = 0; i < limit; i++) {
+      assertThat(scheduler.submit(Work.request("north", "a" + i), 0)).isEmpty();
+    }
+
+    assertThat(scheduler.submit(Work.request("north", "more"), 0))
+        .map(Refusal::reason)
+        .contains(RefusalReason.QUEUE_FULL);
+    assertThat(scheduler.submit(Work.request("south", "a"), 0)).isEmpty();
+  }
+
+  @Test
+  void fullFleetIsDividedByShare() {
+    Scheduler scheduler = Work.scheduler(12, "north", "south");
+    scheduler.putShare("north", 3);
+    scheduler.submit(Work.item("north", "a", WorkClass.BATCH, Work.SMALL, 200), 0);
+    scheduler.submit(Work.item("south", "a", WorkClass.BATCH, Work.SMALL, 200), 0);
+
+    List<PlacedTask> placed = tasks(scheduler.place(0));
+
+    assertThat(placed).hasSize(96);
+    assertThat(placed.stream().filter(task -> task.taskId().key().team().equals("north")).count())
+        .isEqualTo(72);
+  }
+
+  @Test
+  void useElsewhereCountsInTheFairOrder() {
+    Scheduler scheduler = Work.scheduler(1, "north", "south");
+    scheduler.putUseElsewhere("north", new Resources(16_000, 0, 0));
+    scheduler.submit(Work.item("north", "a", WorkClass.BATCH, Work.SMALL, 8), 0);
+    scheduler.submit(Work.item("south", "a", WorkClass.BATCH, Work.SMALL, 8), 0);
+
+    assertThat(tasks(scheduler.place(0)))
+        .allMatch(task -> task.taskId().key().team().equals("south"));
+  }
+
+  @Test
+  void gangStartsWholeOrNotAtAll() {
+    Scheduler scheduler = Work.scheduler(2, "north");
+    scheduler.submit(Work.item("north", "gang", WorkClass.GANG, Work.SMALL, 17), 0);
+    assertThat(scheduler.place(0)).isEmpty();
+    assertThat(scheduler.workers()).allMatch(room -> room.freeSlots() == 8);
+
+    scheduler.putWorker(Work.worker(9), true);
+    assertThat(tasks(scheduler.place(100))).hasSize(17);
+  }
+
+  @Test
+  void serviceSpreadsOverDataCentresAndRacks() {
+    Scheduler scheduler = Work.scheduler(48, "north");
+    scheduler.submit(Work.item("north", "web", WorkClass.SERVICE, Work.SMALL, 4), 0);
+
+    Set<String> racks = new HashSet<>();
+    tasks(scheduler.place(0)).forEach(task -> racks.add(task.worker().replace("worker-", "")));
+    assertThat(racks.stream().map(Integer::parseInt).map(number -> number / 24).distinct())
+        .hasSize(2);
+    assertThat(racks.stream().map(Integer::parseInt).map(number -> number / 6).distinct())
+        .hasSize(4);
+  }
+
+  @Test
+  void adoptedTaskCountsAndItsEndFreesTheRoom() {
+    Scheduler scheduler = Work.scheduler(1, "north");
+    TaskId adopted = new TaskId(new WorkKey("north", "old"), 4, 0);
+    scheduler.adopt(adopted, "worker-0", WorkClass.REQUEST, Work.CAPACITY, 0);
+    scheduler.submit(Work.request("north", "a"), 0);
+    assertThat(scheduler.place(0)).isEmpty();
+
+    scheduler.ended(adopted, TaskEnd.LOST, 1);
+    assertThat(scheduler.place(1)).hasSize(1);
+    scheduler.submit(Work.request("north", "old"), 1);
+    assertThat(tasks(scheduler.place(1)).get(0).taskId().attempt()).isEqualTo(5);
+  }
+
+  @Test
+  void workThatFailedOnThreeWorkersIsRefused() {
+    Scheduler scheduler = Work.scheduler(30, "north");
+    for (int i = 0; i < 3; i++) {
+      assertThat(scheduler.submit(Work.request("north", "bad"), i)).isEmpty();
+      scheduler.ended(tasks(scheduler.place(i)).get(0).taskId(), TaskEnd.FAILED, i);
+    }
+
+    assertThat(scheduler.submit(Work.request("north", "bad"), 4))
+        .map(Refusal::reason)
+        .contains(RefusalReason.FAILS_EVERYWHERE);
+  }
+
+  @Test
+  void closedWorkerGetsNothingAndKeepsItsTasks() {
+    Scheduler scheduler = Work.scheduler(1, "north");
+    scheduler.submit(Work.request("north", "a"), 0);
+    scheduler.place(0);
+    scheduler.putWorker(Work.worker(0), false);
+    scheduler.submit(Work.request("north", "b"), 0);
+
+    assertThat(scheduler.place(1)).isEmpty();
+    assertThat(scheduler.placed()).hasSize(1);
+  }
+
+  @Test
+  void settingOutsideItsRangeNamesValueAndRange() {
+    assertThatThrownBy(() -> new SchedulerSettings(0, 4, 2_000, 4, 10_000, 50, 120_000, 3))
+        .hasMessage("queueLimit is 0, allowed is 1 to 1000000");
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/hickorypier/core/scheduling/Work.java
@@ -0,0 +1,61 @@
+package org.hickorypier.core.scheduling;
+
+import org.hickorypier.core.model.Resources;
+import org.hickorypier.core.model.WorkClass;
+import org.hickorypier.core.model.WorkItem;
+import org.hickorypier.core.model.WorkKey;
+import org.hickorypier.core.model.WorkerDescription;
+
+/** Makes the work and workers of the tests. Holds no state. */
+final class Work {
+
+  static final long RUN_MILLIS = 1_000;
+  static final long FAR = 1_000_000_000;
+  static final Resources SMALL = new Resources(1_000, 1_024, 0);
+  static final Resources CAPACITY = new Resources(16_000, 65_536, 0);
+
+  private Work() {}
+
+  static WorkItem item(String team, String id, WorkClass workClass, Resources each, int tasks) {
+    return new WorkItem(
+        new WorkKey(team, id), workClass, "check", each, tasks, true, 0, FAR, RUN_MILLIS);
+  }
+
+  static WorkItem request(String team, String id) {
+    return item(team, id, WorkClass.REQUEST, SMALL, 1);
+  }
+
+  static WorkItem request(String team, String id, long submitted, long deadline) {
+    return new WorkItem(
+        new WorkKey(team, id),
+        WorkClass.REQUEST,
+        "check",
+        SMALL,
+        1,
+        true,
+        submitted,
+        deadline,
+        RUN_MILLIS);
+  }
+
+  /** Returns a worker of six to a rack and four racks to a data centre. */
+  static WorkerDescription worker(int number) {
+    return worker(number, CAPACITY, 8);
+  }
+
+  static WorkerDescription worker(int number, Resources capacity, int slots) {
+    return new WorkerDescription(
+        "worker-" + number, "centre-" + number / 24, "rack-" + number / 6, capacity, slots);
+  }
+
+  static Scheduler scheduler(int workers, String... teams) {
+    Scheduler scheduler = SchedulerFactory.create(SchedulerSettings.defaults(), 1);
+    for (int i = 0; i < workers; i++) {
+      scheduler.putWorker(worker(i), true);
+    }
+    for (String team : teams) {
+      scheduler.putPermits(team, 1_000);
+    }
+    return scheduler;
+  }
+}
