Add the operators' language: grammar, typed statements, results, queries

Cause: operators drive hickorypier through a small query and command language; its errors must point at the column.

Ruled out: a parser generator (the grammar is small, and generated code would have to be committed); validating columns at the daemon only (the command line finds all errors of syntax before it sends anything); silently accepting an unknown class in a condition (it would give an empty table that looks like an answer).

Change: module language holds the lexer, the recursive-descent parser into the sealed Statement, the printer that the parser reads back, the help of each statement, the results with their JSON, and the evaluation of queries over rows.

Conclusion: cli and daemon.operator can be built on it.

--- /dev/null
+++ b/language/src/main/java/org/hickorypier/language/TokenKind.java
@@ -0,0 +1,9 @@
+package org.hickorypier.language;
+
+/** The kinds of tokens. */
+enum TokenKind {
+  WORD,
+  QUOTED,
+  SYMBOL,
+  END
+}
