--- /dev/null
+++ b/core/src/main/java/org/hickorypier/core/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** The configuration as folded from its stream. */
+package org.hickorypier.core.configuration;
--- /dev/null
+++ b/core/src/main/java/org/hickorypier/core/keys/package-info.java
@@ -0,0 +1,2 @@
+/** Making and checking the keys that callers and operators present. */
+package org.hickorypier.core.keys;
--- /dev/null
+++ b/daemon/src/test/java/org/hickorypier/daemon/log/LogTestBench.java
@@ -0,0 +1,63 @@
+package org.hickorypier.daemon.log;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.hickorypier.daemon.time.ManualTimerService;
+import org.hickorypier.wire.MessagePackCodec;
+import org.hickorypier.wire.UndecodableException;
+import org.hickorypier.wire.record.ConfigurationRecord;
+import org.hickorypier.wire.record.ConfigurationRecord.PutDrain;
+
+/** A follower and an appender of one instance over the fake log. Not thread safe. */
+final class LogTestBench {
+
+  static final String STREAM = "configuration";
+  static final MessagePackCodec<ConfigurationRecord> CODEC =
+      new MessagePackCodec<>(ConfigurationRecord.class);
+
+  final ManualTimerService timers = new ManualTimerService();
+  final FakeLogService log = new FakeLogService(timers);
+  final LogFollower<ConfigurationRecord> follower =
+      new LogFollower<>(log, STREAM, CODEC, timers, timers, new Random(7), FollowSettings.DEFAULT);
+  final LogAppender<ConfigurationRecord> appender =
+      new LogAppender<>(
+          log,
+          STREAM,
+          CODEC,
+          ConfigurationRecord::id,
+          timers,
+          timers,
+          new Random(8),
+          AppendSettings.DEFAULT);
+  final List<String> seen = new ArrayList<>();
+
+  LogTestBench() {
+    follower.subscribe(
+        new LogConsumer<>() {
+          @Override
+          public void onRecord(long offset, ConfigurationRecord change) {
+            seen.add(offset + " " + change.id());
+          }
+
+          @Override
+          public void onUnreadable(long offset, byte[] data, UndecodableException reason) {
+            seen.add(offset + " unreadable");
+          }
+
+          @Override
+          public void onExpired(long wantedOffset, long oldestOffset) {
+            seen.add("expired " + wantedOffset + " to " + oldestOffset);
+          }
+        });
+    follower.subscribe(appender);
+  }
+
+  static ConfigurationRecord change(String id) {
+    return new PutDrain(id, ConfigurationRecord.ANY_REVISION, "worker-1", true);
+  }
+
+  void put(String id) {
+    log.put(STREAM, CODEC.encode(change(id)));
+  }
+}
--- a/wire/src/main/java/org/hickorypier/wire/record/ConfigurationRecord.java
+++ b/wire/src/main/java/org/hickorypier/wire/record/ConfigurationRecord.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.annotation.JsonFormat;
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import java.util.List;
 
 /**
  * A record of the configuration stream.
@@ -16,6 +17,7 @@
   @JsonSubTypes.Type(value = ConfigurationRecord.GiveKey.class, name = "key"),
   @JsonSubTypes.Type(value = ConfigurationRecord.WithdrawKey.class, name = "unkey"),
   @JsonSubTypes.Type(value = ConfigurationRecord.PutDrain.class, name = "drain"),
+  @JsonSubTypes.Type(value = ConfigurationRecord.Snapshot.class, name = "snapshot"),
 })
 public sealed interface ConfigurationRecord {
 
@@ -84,4 +86,67 @@
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
   record PutDrain(String id, long basis, String name, boolean draining)
       implements ConfigurationRecord {}
+
+  /**
+   * The whole configuration as folded up to an offset, for instances that start after the records
+   * before it have expired.
+   *
+   * @param id the id of the record
+   * @param upTo the last offset that went into it
+   * @param teams all teams
+   * @param keys all keys, the withdrawn ones too
+   * @param drains all drains
+   * @param ids the ids folded of late, oldest first
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record Snapshot(
+      String id,
+      long upTo,
+      List<TeamEntry> teams,
+      List<KeyEntry> keys,
+      List<DrainEntry> drains,
+      List<FoldedIdEntry> ids)
+      implements ConfigurationRecord {
+
+    @Override
+    public long basis() {
+      return ANY_REVISION;
+    }
+  }
+
+  /**
+   * In a snapshot: a team.
+   *
+   * @param name its name
+   * @param revision its revision
+   * @param share its weight
+   * @param upperLimit its upper limit
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record TeamEntry(String name, long revision, double share, int upperLimit) {}
+
+  /**
+   * In a snapshot: a key.
+   *
+   * @param keyId its public part
+   * @param revision its revision
+   * @param team the team's name, empty for an operator's key
+   * @param salt the salt, empty once withdrawn
+   * @param hash the salted hash, empty once withdrawn
+   * @param withdrawn whether it was withdrawn
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record KeyEntry(
+      String keyId, long revision, String team, byte[] salt, byte[] hash, boolean withdrawn) {}
+
+  /**
+   * In a snapshot: a drain.
+   *
+   * @param name the name of the instance or worker
+   * @param revision its revision
+   * @param draining whether it takes no new work
+   * @param offset the offset of its last change
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record DrainEntry(String name, long revision, boolean draining, long offset) {}
 }
