Add the stand-ins of the platform, their fakes and the contract tests

Cause: tests, quick start and measurements need a platform on one machine, whose own record shows what really ran. Change: engines InMemoryLog, InMemoryInstanceList and InMemoryWorker on a clock passed in; fakes and HTTP servers over the same engines with the same fault plans; processes LogServiceMain, InstanceListMain, WorkerMain, WorkersMain and RegisterMain. One abstract contract for each service, which the fake and HTTP server plus adapter both pass, with faults in tables; silent connections through a box that loses track of them. Seen failing first: orderWithoutConnectionIsNotSent, because the test stopped the server under a pooled connection, whose order may have been written: UNKNOWN_EFFECT was true. The test now asks a service that never had a connection, and is as strict.

--- /dev/null
+++ b/standins/src/main/java/org/hickorypier/standins/worker/TaskHistory.java
@@ -0,0 +1,63 @@
+package org.hickorypier.standins.worker;
+
+import org.hickorypier.platform.worker.TaskState;
+
+/**
+ * What a worker recorded of one start.
+ *
+ * <p>Immutable.
+ *
+ * @param taskId the task's id
+ * @param workKey the work it belongs to, the same for every attempt of it
+ * @param owner who ordered the start
+ * @param token the control token of the order
+ * @param startMillis when it started, on the worker's clock
+ * @param endMillis when it ended, or -1 while it runs
+ * @param state how it ended, or {@code RUNNING}
+ * @param milliProcessors reserved processors, in thousandths
+ * @param memoryMebibytes reserved memory in MiB
+ * @param accelerators reserved accelerators
+ */
+public record TaskHistory(
+    String taskId,
+    String workKey,
+    String owner,
+    long token,
+    long startMillis,
+    long endMillis,
+    TaskState state,
+    long milliProcessors,
+    long memoryMebibytes,
+    int accelerators) {
+
+  private static final String SEPARATOR = "~";
+  private static final int TASK_ID_PARTS = 4;
+
+  /**
+   * Returns the work that a task id belongs to: of {@code team~request~attempt~index} all but the
+   * attempt.
+   *
+   * @param taskId the task's id
+   * @return the work's key; the whole id if it has another form
+   */
+  public static String workKey(String taskId) {
+    String[] parts = taskId.split(SEPARATOR, -1);
+    return parts.length == TASK_ID_PARTS
+        ? parts[0] + SEPARATOR + parts[1] + SEPARATOR + parts[3]
+        : taskId;
+  }
+
+  /**
+   * Tells whether this run and another were under way at the same moment.
+   *
+   * @param other the other run
+   * @return true if neither ended before the other started
+   */
+  public boolean overlaps(TaskHistory other) {
+    return startMillis < other.endOrNever() && other.startMillis < endOrNever();
+  }
+
+  private long endOrNever() {
+    return endMillis < 0 ? Long.MAX_VALUE : endMillis;
+  }
+}
