--- a/cli/src/main/java/org/hickorypier/cli/ScriptRunner.java
+++ b/cli/src/main/java/org/hickorypier/cli/ScriptRunner.java
@@ -33,7 +33,7 @@
     }
     boolean wellFormed = true;
     for (Line line : lines) {
-      wellFormed &= keepGoing || runner.check(line.text(), line.origin());
+      wellFormed &= keepGoing || runner.parse(line.text(), line.origin()).isPresent();
     }
     return wellFormed ? runLines(lines) : ExitCode.USAGE;
   }
--- a/cli/src/main/java/org/hickorypier/cli/StatementRunner.java
+++ b/cli/src/main/java/org/hickorypier/cli/StatementRunner.java
@@ -2,12 +2,14 @@
 
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.CompletionException;
 import java.util.function.Supplier;
 import org.hickorypier.cli.client.NoServerException;
 import org.hickorypier.cli.client.OperatorClient;
 import org.hickorypier.language.Statement;
 import org.hickorypier.language.StatementParser;
+import org.hickorypier.language.StatementPrinter;
 import org.hickorypier.language.StatementSyntaxException;
 import org.hickorypier.language.result.StatementResult;
 import org.hickorypier.language.result.StatementResult.Accepted;
@@ -30,6 +32,7 @@
   private final Pause pause;
   private final boolean waiting;
   private final StatementParser parser = new StatementParser();
+  private final StatementPrinter statementPrinter = new StatementPrinter();
 
   StatementRunner(
       OperatorClient client,
@@ -44,28 +47,29 @@
     this.waiting = waiting;
   }
 
-  /** Tells whether a text is a statement, and prints what is wrong with it if not. */
-  boolean check(String text, String origin) {
+  /** Parses a text, and prints what is wrong with it if it is no statement. */
+  Optional<Statement> parse(String text, String origin) {
     try {
-      parser.parse(text);
-      return true;
+      return Optional.of(parser.parse(text));
     } catch (StatementSyntaxException error) {
       printer.printSyntaxError(text, error.column(), error.getMessage(), origin);
-      return false;
+      return Optional.empty();
     }
   }
 
   ExitCode run(String text, String origin) throws InterruptedException {
-    if (!check(text, origin)) {
-      return ExitCode.USAGE;
-    }
+    Optional<Statement> statement = parse(text, origin);
+    return statement.isPresent() ? run(statement.get(), origin) : ExitCode.USAGE;
+  }
+
+  private ExitCode run(Statement statement, String origin) throws InterruptedException {
+    String text = statementPrinter.print(statement);
     String changeId = changeIds.get();
     try {
-      StatementResult result = await(client.submit(text, changeId));
-      return finish(text, result, origin);
+      return finish(text, await(client.submit(text, changeId)), origin);
     } catch (NoServerException error) {
       printer.printError(error.getMessage(), origin);
-      if (error.mayHaveTakenEffect() && isChange(text)) {
+      if (error.mayHaveTakenEffect() && statement instanceof Statement.Change) {
         printer.printError(
             "it may have taken effect; --change-id " + changeId + " repeats it safely", origin);
       }
@@ -73,14 +77,6 @@
     }
   }
 
-  private boolean isChange(String text) {
-    try {
-      return parser.parse(text) instanceof Statement.Change;
-    } catch (StatementSyntaxException error) {
-      return false;
-    }
-  }
-
   private ExitCode finish(String text, StatementResult result, String origin)
       throws InterruptedException {
     if (result instanceof Accepted accepted) {
