--- a/wire/src/main/java/org/hickorypier/wire/message/PeerMessage.java
+++ b/wire/src/main/java/org/hickorypier/wire/message/PeerMessage.java
@@ -18,6 +18,8 @@
   @JsonSubTypes.Type(value = PeerMessage.Hello.class, name = "hi"),
   @JsonSubTypes.Type(value = PeerMessage.Proof.class, name = "pr"),
   @JsonSubTypes.Type(value = PeerMessage.Heartbeat.class, name = "hb"),
+  @JsonSubTypes.Type(value = PeerMessage.OpenRequests.class, name = "o"),
+  @JsonSubTypes.Type(value = PeerMessage.Settled.class, name = "s"),
   @JsonSubTypes.Type(value = PeerMessage.Digest.class, name = "d"),
   @JsonSubTypes.Type(value = PeerMessage.ConfigurationPush.class, name = "c"),
   @JsonSubTypes.Type(value = PeerMessage.Part.class, name = "p"),
@@ -105,11 +107,39 @@
    * A sign of life, sent when nothing else was.
    *
    * @param sequence counts the heartbeats of the link, from 1
-   * @param lowestOpen every request of the sender with a lower correlation is settled, so the
-   *     receiver may forget its answer
    */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-  record Heartbeat(long sequence, long lowestOpen) implements PeerMessage {}
+  record Heartbeat(long sequence) implements PeerMessage {}
+
+  /**
+   * The first message of a replaced link: which of the sender's earlier requests are still open.
+   * They are sent again; the answers to all others may be forgotten.
+   *
+   * @param below the lowest correlation not used yet
+   * @param correlations the open requests below that
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record OpenRequests(long below, List<Long> correlations) implements PeerMessage {
+
+    /** Copies the list. */
+    public OpenRequests {
+      correlations = List.copyOf(correlations);
+    }
+  }
+
+  /**
+   * Requests of the sender that are settled, so that their answers may be forgotten.
+   *
+   * @param correlations the requests
+   */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  record Settled(List<Long> correlations) implements PeerMessage {
+
+    /** Copies the list. */
+    public Settled {
+      correlations = List.copyOf(correlations);
+    }
+  }
 
   /**
    * What the others need to know of an instance to route work and to count fair shares.
