--- /dev/null
+++ b/daemon/src/main/java/org/hickorypier/daemon/DaemonConstants.java
@@ -0,0 +1,45 @@
+package org.hickorypier.daemon;
+
+import java.time.Duration;
+
+/** Limits of the daemon that are not settings, each with its reason. */
+final class DaemonConstants {
+
+  /** The stream of teams, keys and drains. */
+  static final String CONFIGURATION_STREAM = "configuration";
+
+  /** The platform's list lags by seconds; asking more often brings nothing new. */
+  static final Duration LIST_PERIOD = Duration.ofSeconds(1);
+
+  /** A caller on the slowest usual line sends a body of 1 MiB in less. */
+  static final long SENDER_MILLIS = 10_000;
+
+  /**
+   * Added to a lease before its tasks count as ended: room for two clocks that differ by a tenth
+   * over the longest usual lease, and for an order that was under way.
+   */
+  static final long LEASE_MARGIN_MILLIS = 5_000;
+
+  /** Three tries see a request past a rack that fails; more would add load to a failing cell. */
+  static final int RETRY_LIMIT = 3;
+
+  /** A caller who has lost the connection asks again within a minute. */
+  static final long ANSWER_KEEP_MILLIS = 60_000;
+
+  /** An eighth of the heap; older answers go first. */
+  static final long ANSWER_KEEP_BYTES = 8L * 1_024 * 1_024;
+
+  /** Waiting work is looked at on every event; the tick only finds passed deadlines. */
+  static final long TICK_MILLIS = 50;
+
+  /** The first question after an uncertain order goes out soon, since its room stays taken. */
+  static final long SETTLE_MILLIS = 100;
+
+  /** With five doublings the questions to a silent worker settle at one in 3.2 s. */
+  static final int SETTLE_DOUBLINGS = 5;
+
+  /** Ends of tasks on workers that others control are noticed within this time. */
+  static final long POLL_MILLIS = 2_000;
+
+  private DaemonConstants() {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
@@ -0,0 +1,360 @@
+package org.hickorypier.daemon;
+
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.ext.web.Router;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.nio.charset.StandardCharsets;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.hickorypier.core.keys.KeyIssuer;
+import org.hickorypier.core.membership.MembershipView;
+import org.hickorypier.core.model.WorkKey;
+import org.hickorypier.core.scheduling.Scheduler;
+import org.hickorypier.core.scheduling.SchedulerFactory;
+import org.hickorypier.core.scheduling.SchedulerSettings;
+import org.hickorypier.daemon.LogStreams.LogStream;
+import org.hickorypier.daemon.caller.CallerApi;
+import org.hickorypier.daemon.caller.CallerRequestParser;
+import org.hickorypier.daemon.cluster.Cluster;
+import org.hickorypier.daemon.cluster.DigestBoard;
+import org.hickorypier.daemon.cluster.FleetQueries;
+import org.hickorypier.daemon.cluster.LocalRows;
+import org.hickorypier.daemon.cluster.PeerRequests;
+import org.hickorypier.daemon.cluster.QuestionKind;
+import org.hickorypier.daemon.configuration.ConfigurationService;
+import org.hickorypier.daemon.entry.EntryService;
+import org.hickorypier.daemon.entry.ReadinessCheck;
+import org.hickorypier.daemon.instance.InstanceListPoller;
+import org.hickorypier.daemon.job.JobService;
+import org.hickorypier.daemon.metrics.WorkMetrics;
+import org.hickorypier.daemon.operator.CancelOutcome;
+import org.hickorypier.daemon.operator.ConfiguredOperators;
+import org.hickorypier.daemon.operator.OperatorApi;
+import org.hickorypier.daemon.operator.StatementExecutor;
+import org.hickorypier.daemon.peer.MeterPeerCounters;
+import org.hickorypier.daemon.peer.PeerIdentity;
+import org.hickorypier.daemon.peer.PeerNetwork;
+import org.hickorypier.daemon.peer.PeerSettings;
+import org.hickorypier.daemon.settings.DaemonSettings;
+import org.hickorypier.daemon.settings.HostAndPort;
+import org.hickorypier.daemon.time.ControlThread;
+import org.hickorypier.daemon.work.AttemptGate;
+import org.hickorypier.daemon.work.DispatchSettings;
+import org.hickorypier.daemon.work.Dispatcher;
+import org.hickorypier.daemon.work.TaskAdopter;
+import org.hickorypier.daemon.work.WorkService;
+import org.hickorypier.daemon.work.WorkSettings;
+import org.hickorypier.daemon.worker.WorkerFleet;
+import org.hickorypier.daemon.worker.WorkerLeaseSettings;
+import org.hickorypier.platform.http.ServiceAddress;
+import org.hickorypier.platform.instance.HttpInstanceList;
+import org.hickorypier.platform.instance.ListedInstance;
+import org.hickorypier.platform.log.HttpLogService;
+import org.hickorypier.platform.log.LogService;
+import org.hickorypier.platform.worker.HttpWorkerService;
+import org.hickorypier.wire.record.ConfigurationRecord;
+
+/**
+ * One daemon: all its parts, wired.
+ *
+ * <p>Thread safe. Everything that decides runs on one control thread; the event loops carry
+ * traffic.
+ */
+public final class Hickoryd implements AutoCloseable {
+
+  private static final Logger LOGGER = System.getLogger(Hickoryd.class.getName());
+
+  private static final Duration START_TIMEOUT = Duration.ofSeconds(10);
+
+  private final DaemonSettings settings;
+  private final String self;
+  private final ControlThread control = new ControlThread();
+  private final PrometheusMeterRegistry registry =
+      new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+  private final ConfigurationService configuration = new ConfigurationService();
+  private final Vertx vertx;
+  private final Scheduler scheduler;
+  private final WorkService work;
+  private final Dispatcher dispatcher;
+  private final WorkerFleet fleet;
+  private final LogStream<ConfigurationRecord> configurationStream;
+  private final ReadinessCheck readiness;
+  private final Cluster cluster;
+  private final PeerNetwork network;
+  private final LocalRows rows;
+  private final DigestBoard digests;
+  private final PeerRequests requests;
+
+  /**
+   * Wires a daemon; nothing runs until {@link #start}.
+   *
+   * @param settings the checked settings
+   */
+  public Hickoryd(DaemonSettings settings) {
+    this.settings = settings;
+    SplittableRandom random = new SplittableRandom();
+    PeerIdentity own = new PeerIdentity(settings.name(), System.currentTimeMillis());
+    self = own.toString();
+    cluster =
+        new Cluster(own, new MembershipView(own.name(), settings.peerTimeoutMillis()), control);
+    vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(settings.eventLoops()));
+    LogService log = new HttpLogService(vertx, address(settings.logService()));
+    LogStreams streams = new LogStreams(log, control, control, random);
+    configurationStream =
+        streams.open(
+            DaemonConstants.CONFIGURATION_STREAM,
+            ConfigurationRecord.class,
+            ConfigurationRecord::id,
+            configuration);
+    configuration.appendTo(configurationStream.appender());
+    readiness =
+        new ReadinessCheck(
+            configurationStream.follower()::isCaughtUp,
+            configurationStream.follower()::millisSinceHeard,
+            settings.freshnessMillis());
+    scheduler = SchedulerFactory.create(SchedulerSettings.defaults(), random.nextLong());
+    rows = new LocalRows(settings.name(), settings.dataCentre(), scheduler, control);
+    digests = new DigestBoard(scheduler, control);
+    work =
+        new WorkService(
+            new WorkSettings(
+                DaemonConstants.RETRY_LIMIT,
+                DaemonConstants.ANSWER_KEEP_MILLIS,
+                DaemonConstants.ANSWER_KEEP_BYTES,
+                DaemonConstants.TICK_MILLIS),
+            scheduler,
+            control,
+            AttemptGate.OPEN,
+            new WorkMetrics(registry).andThen(rows));
+    fleet =
+        new WorkerFleet(
+            new WorkerLeaseSettings(
+                settings.leaseMillis(),
+                settings.renewalMillis(),
+                DaemonConstants.LEASE_MARGIN_MILLIS),
+            control,
+            control,
+            address ->
+                new HttpWorkerService(
+                    vertx, ServiceAddress.parse(address), settings.connectionsPerWorker()),
+            cluster,
+            self);
+    dispatcher =
+        new Dispatcher(
+            new DispatchSettings(
+                settings.leaseMillis(),
+                DaemonConstants.SETTLE_MILLIS,
+                DaemonConstants.SETTLE_DOUBLINGS,
+                DaemonConstants.POLL_MILLIS),
+            fleet,
+            control,
+            control,
+            self,
+            work);
+    requests = new PeerRequests(control, readiness, work);
+    requests.answer(
+        QuestionKind.OFFER,
+        worker -> {
+          fleet.offered(worker);
+          return Uni.createFrom().item(new byte[0]);
+        });
+    network =
+        new PeerNetwork(
+            vertx,
+            new PeerSettings(
+                own,
+                settings.host(),
+                settings.peerPort(),
+                settings.peerSecret().reveal().getBytes(StandardCharsets.UTF_8),
+                Duration.ofMillis(settings.heartbeatMillis()),
+                Duration.ofMillis(settings.peerTimeoutMillis())),
+            control,
+            control,
+            new MeterPeerCounters(registry),
+            requests);
+    cluster.connect(network);
+    network.listen(digests);
+  }
+
+  /**
+   * Starts everything.
+   *
+   * @return the address of the HTTP interface
+   * @throws DaemonStartException if a port cannot be opened
+   */
+  public String start() throws DaemonStartException {
+    Router router = Router.router(vertx);
+    EntryService entry =
+        new EntryService(
+            control, control, configuration, readiness, cluster, work, new JobService());
+    new CallerApi(
+            entry,
+            new CallerRequestParser(settings.deadlineDefaultMillis()),
+            settings.requestBytesLimit(),
+            DaemonConstants.SENDER_MILLIS)
+        .mount(router);
+    operators().mount(router);
+    router.get("/health/live").handler(context -> context.end("live\n"));
+    router.get("/health/ready").handler(context -> control.execute(() -> ready(context)));
+    router.get("/metrics").handler(context -> context.end(registry.scrape()));
+    int peerPort = network.start().await().atMost(START_TIMEOUT);
+    control.execute(this::startControl);
+    HttpServer server = listen(router);
+    String text =
+        String.format(
+            "%s http %s:%d peer %s:%d",
+            settings.name(), settings.host(), server.actualPort(), settings.host(), peerPort);
+    LOGGER.log(Level.INFO, "daemon: {0} listens, {1}", self, text);
+    return text;
+  }
+
+  private OperatorApi operators() {
+    FleetQueries queries =
+        new FleetQueries(
+            cluster,
+            requests,
+            rows::running,
+            rows::waiting,
+            rows::refused,
+            () -> rows.workers(fleet),
+            () -> List.of(rows.instance(this::state, configuration.current().offset(), fleet)));
+    StatementExecutor executor =
+        new StatementExecutor(
+            configuration::current,
+            queries,
+            key -> Uni.createFrom().item(scheduler.explain(key, control.nowMillis())),
+            this::cancel,
+            configuration,
+            this::behind,
+            new KeyIssuer(new SecureRandom()),
+            control);
+    return new OperatorApi(
+        executor,
+        new ConfiguredOperators(configuration::current, settings.operatorKey()),
+        readiness::obstacle,
+        control,
+        DaemonConstants.SENDER_MILLIS);
+  }
+
+  private Uni<CancelOutcome> cancel(WorkKey key) {
+    boolean found = work.cancel(key, "cancelled by an operator");
+    return Uni.createFrom().item(found ? CancelOutcome.CANCELLED : CancelOutcome.NOT_FOUND);
+  }
+
+  private List<String> behind(long offset) {
+    Set<String> others = new HashSet<>(cluster.live());
+    others.remove(settings.name());
+    return digests.behind(others, offset);
+  }
+
+  private String state() {
+    return readiness.obstacle().isEmpty() ? "ready" : "not ready";
+  }
+
+  private void sendDigest() {
+    network.broadcast(
+        digests.own(
+            configuration.current().offset(),
+            configurationStream.follower().millisSinceHeard(),
+            readiness.obstacle().isEmpty()));
+  }
+
+  private void startControl() {
+    configuration.subscribe(cluster::onConfiguration);
+    configuration.subscribe(
+        state ->
+            state
+                .teams()
+                .values()
+                .forEach(
+                    team -> {
+                      scheduler.putShare(team.name(), team.share());
+                      scheduler.putPermits(team.name(), team.upperLimit());
+                    }));
+    configurationStream.follower().start(0);
+    control.every(Duration.ofMillis(settings.digestMillis()), this::sendDigest);
+    dispatcher.start();
+    fleet.start(new TaskAdopter(scheduler, work, dispatcher, control));
+    work.start(dispatcher);
+    new InstanceListPoller(
+            new HttpInstanceList(vertx, address(settings.instanceList())),
+            control,
+            control,
+            this::onInstanceList)
+        .start(DaemonConstants.LIST_PERIOD);
+  }
+
+  private void onInstanceList(List<ListedInstance> instances) {
+    cluster.onInstanceList(instances);
+    fleet.onInstanceList(instances);
+  }
+
+  private void ready(io.vertx.ext.web.RoutingContext context) {
+    Optional<String> obstacle = readiness.obstacle();
+    context
+        .response()
+        .setStatusCode(obstacle.isEmpty() ? 200 : 503)
+        .end(obstacle.orElse("ready") + "\n");
+  }
+
+  private HttpServer listen(Router router) throws DaemonStartException {
+    try {
+      return vertx
+          .createHttpServer(new HttpServerOptions().setHost(settings.host()))
+          .requestHandler(router)
+          .listen(settings.httpPort(), settings.host())
+          .toCompletionStage()
+          .toCompletableFuture()
+          .get();
+    } catch (ExecutionException | InterruptedException error) {
+      throw new DaemonStartException(
+          "cannot listen on " + settings.host() + ":" + settings.httpPort(), error);
+    }
+  }
+
+  /** Takes no new work, waits for work in progress, then stops. Idempotent. */
+  @Override
+  public void close() {
+    LOGGER.log(Level.INFO, "daemon: shutting down");
+    CountDownLatch idle = new CountDownLatch(1);
+    control.execute(
+        () -> {
+          readiness.shutDown();
+          control.every(
+              Duration.ofMillis(DaemonConstants.TICK_MILLIS),
+              () -> {
+                if (work.open() == 0) {
+                  idle.countDown();
+                }
+              });
+        });
+    try {
+      if (!idle.await(settings.shutdownMillis(), TimeUnit.MILLISECONDS)) {
+        LOGGER.log(Level.WARNING, "daemon: work was still open at the end of the shutdown time");
+      }
+    } catch (InterruptedException error) {
+      Thread.currentThread().interrupt();
+    }
+    vertx.close().toCompletionStage().toCompletableFuture().orTimeout(5, TimeUnit.SECONDS);
+    control.close();
+  }
+
+  private static ServiceAddress address(HostAndPort from) {
+    return new ServiceAddress(from.host(), from.port());
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorypier/daemon/HickorydMain.java
@@ -0,0 +1,51 @@
+package org.hickorypier.daemon;
+
+import java.util.List;
+import org.hickorypier.daemon.settings.DaemonSettings;
+import org.hickorypier.daemon.settings.SettingsException;
+import org.hickorypier.daemon.settings.SettingsReader;
+import org.hickorypier.daemon.settings.SettingsResult;
+
+/**
+ * The daemon's command line.
+ *
+ * <p>Exit codes: 0 after a graceful shutdown or after printing help or settings; 1 if the daemon
+ * could not start; 2 if a setting is missing or wrong.
+ */
+public final class HickorydMain {
+
+  private static final int EXIT_NOT_STARTED = 1;
+  private static final int EXIT_BAD_SETTINGS = 2;
+
+  private HickorydMain() {}
+
+  /**
+   * Starts a daemon and leaves it running until SIGTERM.
+   *
+   * @param arguments the flags
+   */
+  public static void main(String[] arguments) {
+    try {
+      SettingsResult result = new SettingsReader().read(List.of(arguments), System.getenv());
+      if (result instanceof SettingsResult.Print print) {
+        System.out.print(print.text());
+        return;
+      }
+      run(((SettingsResult.Use) result).settings());
+    } catch (SettingsException error) {
+      System.err.println(error.getMessage());
+      System.exit(EXIT_BAD_SETTINGS);
+    }
+  }
+
+  private static void run(DaemonSettings settings) {
+    Hickoryd daemon = new Hickoryd(settings);
+    Runtime.getRuntime().addShutdownHook(new Thread(daemon::close, "shutdown"));
+    try {
+      System.out.println("listening " + daemon.start());
+    } catch (DaemonStartException error) {
+      System.err.println("hickoryd: " + error.getMessage());
+      System.exit(EXIT_NOT_STARTED);
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorypier/daemon/cluster/Cluster.java
@@ -0,0 +1,247 @@
+package org.hickorypier.daemon.cluster;
+
+import io.smallrye.mutiny.Uni;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.hickorypier.core.configuration.Configuration;
+import org.hickorypier.core.configuration.Drain;
+import org.hickorypier.core.membership.ListedMember;
+import org.hickorypier.core.membership.MembershipView;
+import org.hickorypier.core.model.Outcome;
+import org.hickorypier.core.model.Refusal;
+import org.hickorypier.core.model.RefusalReason;
+import org.hickorypier.core.model.WorkKey;
+import org.hickorypier.daemon.entry.HomeDirectory;
+import org.hickorypier.daemon.peer.PeerException;
+import org.hickorypier.daemon.peer.PeerIdentity;
+import org.hickorypier.daemon.peer.PeerListener;
+import org.hickorypier.daemon.peer.PeerNetwork;
+import org.hickorypier.daemon.time.TimerService;
+import org.hickorypier.daemon.work.Submission;
+import org.hickorypier.daemon.work.WorkResult;
+import org.hickorypier.daemon.worker.ControlView;
+import org.hickorypier.platform.instance.InstanceKind;
+import org.hickorypier.platform.instance.InstanceState;
+import org.hickorypier.platform.instance.ListedInstance;
+import org.hickorypier.wire.message.PeerMessage.Answer;
+import org.hickorypier.wire.message.PeerMessage.ForwardedAnswer;
+import org.hickorypier.wire.message.PeerMessage.Question;
+import org.hickorypier.wire.message.PeerMessage.Reply;
+
+/**
+ * The other instances as this one sees them: who is live, who is wanted for what, and how to ask.
+ *
+ * <p>Belongs to the control thread. The view may be wrong at any time, and two instances may
+ * differ: it decides where work goes, never whether work may run.
+ */
+public final class Cluster implements ControlView, HomeDirectory, PeerListener {
+
+  private static final Logger LOGGER = System.getLogger(Cluster.class.getName());
+  private static final char IDENTITY_SEPARATOR = '#';
+  private static final long RETRY_AFTER_MILLIS = 1_000;
+
+  /** The home may wait for a place until the deadline, and then the task runs. */
+  private static final long RUN_ALLOWANCE_MILLIS = 10 * 60 * 1_000;
+
+  private static final Duration QUESTION_TIMEOUT = Duration.ofSeconds(5);
+
+  private final PeerIdentity own;
+  private final MembershipView members;
+  private final TimerService timers;
+  private Configuration configuration = Configuration.EMPTY;
+  private PeerNetwork network;
+  private boolean shuttingDown;
+
+  /**
+   * Creates the view of a lone instance.
+   *
+   * @param own this instance
+   * @param members what is known of the others
+   * @param timers the time
+   */
+  public Cluster(PeerIdentity own, MembershipView members, TimerService timers) {
+    this.own = own;
+    this.members = members;
+    this.timers = timers;
+  }
+
+  /**
+   * Sets the links to the others.
+   *
+   * @param peers the links
+   */
+  public void connect(PeerNetwork peers) {
+    network = peers;
+    peers.listen(this);
+  }
+
+  /**
+   * Takes in the platform's list.
+   *
+   * @param instances the whole list
+   */
+  public void onInstanceList(List<ListedInstance> instances) {
+    List<ListedMember> entries =
+        instances.stream()
+            .filter(instance -> instance.kind() == InstanceKind.ENTRY)
+            .map(
+                instance ->
+                    new ListedMember(instance.name(), instance.state() == InstanceState.LEAVING))
+            .toList();
+    members.listed(entries, timers.nowMillis());
+    network.instances(instances);
+  }
+
+  /**
+   * Takes in a new configuration.
+   *
+   * @param state the configuration
+   */
+  public void onConfiguration(Configuration state) {
+    configuration = state;
+    members.drained(
+        state.drains().values().stream()
+            .filter(Drain::draining)
+            .map(Drain::name)
+            .collect(java.util.stream.Collectors.toUnmodifiableSet()));
+  }
+
+  /** Wants no worker and no work any more, so that the others take them. */
+  public void shutDown() {
+    shuttingDown = true;
+  }
+
+  /**
+   * Returns the instances that look live, this one among them.
+   *
+   * @return their names
+   */
+  public Set<String> live() {
+    return members.live(timers.nowMillis());
+  }
+
+  /**
+   * Returns this instance.
+   *
+   * @return name and incarnation
+   */
+  public PeerIdentity own() {
+    return own;
+  }
+
+  /**
+   * Asks another instance a question.
+   *
+   * @param instance the other's name
+   * @param kind what is asked
+   * @param text what it is asked about
+   * @return the answer's bytes, or a {@link PeerException}
+   */
+  public Uni<byte[]> ask(String instance, QuestionKind kind, String text) {
+    Question question = new Question(0, kind.wireName(), text);
+    return network.request(instance, question, QUESTION_TIMEOUT).map(Cluster::data);
+  }
+
+  private static byte[] data(Answer answer) {
+    return answer instanceof Reply reply ? reply.data() : new byte[0];
+  }
+
+  @Override
+  public void up(PeerIdentity peer) {
+    members.up(peer.name(), peer.incarnation(), timers.nowMillis());
+  }
+
+  @Override
+  public void down(PeerIdentity peer) {
+    members.down(peer.name(), timers.nowMillis());
+  }
+
+  @Override
+  public boolean isWanted(String worker) {
+    return !shuttingDown && wanted(worker).equals(own.name());
+  }
+
+  private String wanted(String key) {
+    return members.wanted(key, timers.nowMillis());
+  }
+
+  @Override
+  public boolean isLive(String controller) {
+    int separator = controller.lastIndexOf(IDENTITY_SEPARATOR);
+    if (separator < 0) {
+      return false;
+    }
+    try {
+      long incarnation = Long.parseLong(controller.substring(separator + 1));
+      return members.isLive(controller.substring(0, separator), incarnation, timers.nowMillis());
+    } catch (NumberFormatException error) {
+      return false;
+    }
+  }
+
+  @Override
+  public boolean isDrained(String name) {
+    return configuration.isDraining(name);
+  }
+
+  @Override
+  public void offer(String worker) {
+    String wanted = wanted(worker);
+    if (wanted.equals(own.name())) {
+      return;
+    }
+    ask(wanted, QuestionKind.OFFER, worker)
+        .subscribe()
+        .with(
+            done -> LOGGER.log(Level.DEBUG, "cluster: {0} offered to {1}", worker, wanted),
+            error ->
+                LOGGER.log(
+                    Level.DEBUG, "cluster: {0} not offered: {1}", worker, error.getMessage()));
+  }
+
+  @Override
+  public Optional<String> remoteHome(WorkKey key) {
+    String home = wanted(key.toString());
+    return home.equals(own.name()) ? Optional.empty() : Optional.of(home);
+  }
+
+  @Override
+  public Uni<WorkResult> forward(String home, Submission submission) {
+    long now = timers.nowMillis();
+    long remaining = Math.max(0, submission.item().deadlineMillis() - now);
+    return network
+        .request(
+            home,
+            ForwardCodec.work(submission, 1, now),
+            Duration.ofMillis(remaining + RUN_ALLOWANCE_MILLIS))
+        .map(answer -> ForwardCodec.result((ForwardedAnswer) answer))
+        .onFailure()
+        .recoverWithItem(Cluster::unanswered);
+  }
+
+  // A home that was lost after it took the work may have run it. Only a refusal by the link itself,
+  // before anything was written, is proof that it has not.
+  private static WorkResult unanswered(Throwable error) {
+    if (error instanceof PeerException known && !known.mayHaveBeenTaken()) {
+      return new WorkResult.Refused(
+          new Refusal(RefusalReason.NOT_READY, known.getMessage(), RETRY_AFTER_MILLIS));
+    }
+    return new WorkResult.Answered(
+        Outcome.UNKNOWN, "the instance that had the work was lost", new byte[0]);
+  }
+
+  /**
+   * Returns text as the bytes of a reply.
+   *
+   * @param text the text
+   * @return its bytes
+   */
+  public static byte[] bytes(String text) {
+    return text.getBytes(StandardCharsets.UTF_8);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorypier/daemon/cluster/DigestBoard.java
@@ -0,0 +1,192 @@
+package org.hickorypier.daemon.cluster;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.hickorypier.core.model.Resources;
+import org.hickorypier.core.model.WorkClass;
+import org.hickorypier.core.model.WorkItem;
+import org.hickorypier.core.scheduling.PlacedTask;
+import org.hickorypier.core.scheduling.Scheduler;
+import org.hickorypier.core.scheduling.WorkerRoom;
+import org.hickorypier.daemon.peer.PeerIdentity;
+import org.hickorypier.daemon.peer.PeerListener;
+import org.hickorypier.daemon.time.TimerService;
+import org.hickorypier.wire.message.PeerMessage;
+import org.hickorypier.wire.message.PeerMessage.Digest;
+import org.hickorypier.wire.message.TeamUse;
+
+/**
+ * The last digest of every other instance, and this instance's own.
+ *
+ * <p>Belongs to the control thread. Digests guide the fair order and the routing; they are old by
+ * up to a second and no promise rests on them.
+ */
+public final class DigestBoard implements PeerListener {
+
+  private static final String OPEN = "open";
+
+  private final Scheduler scheduler;
+  private final TimerService timers;
+  private final Map<String, Received> received = new TreeMap<>();
+  private final Set<String> told = new HashSet<>();
+
+  /**
+   * Creates a board without digests.
+   *
+   * @param scheduler the decisions, which are told what the teams use elsewhere
+   * @param timers the time
+   */
+  public DigestBoard(Scheduler scheduler, TimerService timers) {
+    this.scheduler = scheduler;
+    this.timers = timers;
+  }
+
+  @Override
+  public void message(PeerIdentity peer, PeerMessage message) {
+    if (message instanceof Digest digest) {
+      received.put(peer.name(), new Received(digest, timers.nowMillis()));
+      tellScheduler();
+    }
+  }
+
+  @Override
+  public void down(PeerIdentity peer) {
+    received.remove(peer.name());
+    tellScheduler();
+  }
+
+  /**
+   * Returns the last digest of an instance.
+   *
+   * @param instance its name
+   * @return the digest, or empty if it is not linked or has sent none
+   */
+  public Optional<Digest> of(String instance) {
+    return Optional.ofNullable(received.get(instance)).map(Received::digest);
+  }
+
+  /**
+   * Returns how many tasks of a team run elsewhere, and how many wait elsewhere.
+   *
+   * @param team the team
+   * @return the sums over the digests
+   */
+  public TeamUse elsewhere(String team) {
+    return sum(team);
+  }
+
+  /**
+   * Returns the instances of a set that have not folded an offset, as far as is known.
+   *
+   * @param instances the instances to look at
+   * @param offset the offset
+   * @return the names of those behind
+   */
+  public List<String> behind(Set<String> instances, long offset) {
+    return instances.stream()
+        .filter(name -> of(name).map(digest -> digest.configurationOffset() < offset).orElse(true))
+        .sorted()
+        .toList();
+  }
+
+  /**
+   * Makes this instance's digest.
+   *
+   * @param offset the configuration's offset
+   * @param logAgeMillis for how long changes may have been missed
+   * @param taking whether new work is taken
+   * @return the digest
+   */
+  public Digest own(long offset, long logAgeMillis, boolean taking) {
+    Resources free = Resources.NONE;
+    int slots = 0;
+    for (WorkerRoom room : scheduler.workers()) {
+      if (OPEN.equals(room.state())) {
+        free = free.plus(room.free());
+        slots += room.freeSlots();
+      }
+    }
+    Map<String, Use> uses = new TreeMap<>();
+    for (PlacedTask task : scheduler.placed()) {
+      use(uses, task.taskId().key().team()).place(task.reserved());
+    }
+    int[] waiting = new int[WorkClass.values().length];
+    for (WorkItem item : scheduler.queued()) {
+      waiting[item.workClass().ordinal()] += item.tasks();
+      use(uses, item.key().team()).waiting += item.tasks();
+    }
+    List<TeamUse> teams = new ArrayList<>();
+    uses.forEach((team, use) -> teams.add(use.toTeamUse(team)));
+    return new Digest(
+        offset,
+        logAgeMillis,
+        taking,
+        free.milliProcessors(),
+        free.memoryMebibytes(),
+        free.accelerators(),
+        slots,
+        java.util.Arrays.stream(waiting).boxed().toList(),
+        true,
+        teams);
+  }
+
+  private static Use use(Map<String, Use> uses, String team) {
+    return uses.computeIfAbsent(team, name -> new Use());
+  }
+
+  private void tellScheduler() {
+    Map<String, Resources> sums = new HashMap<>();
+    for (Received from : received.values()) {
+      for (TeamUse use : from.digest().teams()) {
+        Resources used =
+            new Resources(use.milliProcessors(), use.memoryMebibytes(), use.accelerators());
+        sums.merge(use.team(), used, Resources::plus);
+      }
+    }
+    told.forEach(team -> sums.putIfAbsent(team, Resources.NONE));
+    told.addAll(sums.keySet());
+    sums.forEach(scheduler::putUseElsewhere);
+  }
+
+  private TeamUse sum(String team) {
+    Use total = new Use();
+    for (Received from : received.values()) {
+      for (TeamUse use : from.digest().teams()) {
+        if (use.team().equals(team)) {
+          total.running += use.running();
+          total.waiting += use.waiting();
+        }
+      }
+    }
+    return total.toTeamUse(team);
+  }
+
+  private record Received(Digest digest, long whenMillis) {}
+
+  private static final class Use {
+    private int running;
+    private int waiting;
+    private Resources reserved = Resources.NONE;
+
+    void place(Resources amount) {
+      running++;
+      reserved = reserved.plus(amount);
+    }
+
+    TeamUse toTeamUse(String team) {
+      return new TeamUse(
+          team,
+          running,
+          waiting,
+          reserved.milliProcessors(),
+          reserved.memoryMebibytes(),
+          reserved.accelerators());
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorypier/daemon/cluster/FleetQueries.java
@@ -0,0 +1,135 @@
+package org.hickorypier.daemon.cluster;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.smallrye.mutiny.Uni;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.hickorypier.daemon.operator.FleetRows;
+import org.hickorypier.daemon.operator.FleetView;
+import org.hickorypier.daemon.operator.InstanceRow;
+import org.hickorypier.daemon.operator.RefusedRow;
+import org.hickorypier.daemon.operator.RunningRow;
+import org.hickorypier.daemon.operator.TableRow;
+import org.hickorypier.daemon.operator.WaitingRow;
+import org.hickorypier.daemon.operator.WorkerRow;
+
+/**
+ * Answers operators' queries with the rows of all instances.
+ *
+ * <p>Belongs to the control thread. An instance that does not answer is named as missing; the query
+ * is answered all the same.
+ */
+public final class FleetQueries implements FleetView {
+
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  private final Cluster cluster;
+  private final Map<String, Supplier<? extends List<?>>> local = new HashMap<>();
+
+  /**
+   * Creates the queries and answers those of the other instances.
+   *
+   * @param cluster the other instances
+   * @param requests answers the other instances
+   * @param running this instance's running tasks
+   * @param waiting this instance's waiting work
+   * @param refused this instance's refusals
+   * @param workers this instance's workers
+   * @param instances this instance's own row
+   */
+  public FleetQueries(
+      Cluster cluster,
+      PeerRequests requests,
+      Supplier<List<RunningRow>> running,
+      Supplier<List<WaitingRow>> waiting,
+      Supplier<List<RefusedRow>> refused,
+      Supplier<List<WorkerRow>> workers,
+      Supplier<List<InstanceRow>> instances) {
+    this.cluster = cluster;
+    local.put("running", running);
+    local.put("waiting", waiting);
+    local.put("refused", refused);
+    local.put("workers", workers);
+    local.put("instances", instances);
+    requests.answer(QuestionKind.QUERY, this::answer);
+  }
+
+  @Override
+  public Uni<FleetRows<RunningRow>> running() {
+    return gather("running", RunningRow.class);
+  }
+
+  @Override
+  public Uni<FleetRows<WaitingRow>> waiting() {
+    return gather("waiting", WaitingRow.class);
+  }
+
+  @Override
+  public Uni<FleetRows<RefusedRow>> refused() {
+    return gather("refused", RefusedRow.class);
+  }
+
+  @Override
+  public Uni<FleetRows<WorkerRow>> workers() {
+    return gather("workers", WorkerRow.class);
+  }
+
+  @Override
+  public Uni<FleetRows<InstanceRow>> instances() {
+    return gather("instances", InstanceRow.class);
+  }
+
+  private Uni<byte[]> answer(String subject) {
+    Supplier<? extends List<?>> rows = local.get(subject);
+    if (rows == null) {
+      return Uni.createFrom().failure(new IllegalArgumentException("no rows of " + subject));
+    }
+    try {
+      return Uni.createFrom().item(MAPPER.writeValueAsBytes(rows.get()));
+    } catch (JsonProcessingException error) {
+      return Uni.createFrom().failure(error);
+    }
+  }
+
+  private <T extends TableRow> Uni<FleetRows<T>> gather(String subject, Class<T> type) {
+    List<Uni<Part<T>>> parts = new ArrayList<>();
+    for (String instance : cluster.live()) {
+      Uni<byte[]> rows =
+          instance.equals(cluster.own().name())
+              ? answer(subject)
+              : cluster.ask(instance, QuestionKind.QUERY, subject);
+      parts.add(
+          rows.map(data -> decode(instance, data, type))
+              .onFailure()
+              .recoverWithItem(new Part<T>(List.of(), List.of(instance))));
+    }
+    return Uni.join().all(parts).andCollectFailures().map(FleetQueries::merge);
+  }
+
+  private static <T> Part<T> decode(String instance, byte[] data, Class<T> type) {
+    try {
+      List<T> rows =
+          MAPPER.readValue(data, MAPPER.getTypeFactory().constructCollectionType(List.class, type));
+      return new Part<>(rows, List.of());
+    } catch (IOException error) {
+      return new Part<>(List.of(), List.of(instance));
+    }
+  }
+
+  private static <T extends TableRow> FleetRows<T> merge(List<Part<T>> parts) {
+    List<T> rows = new ArrayList<>();
+    List<String> missing = new ArrayList<>();
+    for (Part<T> part : parts) {
+      rows.addAll(part.rows());
+      missing.addAll(part.missing());
+    }
+    return new FleetRows<>(rows, missing);
+  }
+
+  private record Part<T>(List<T> rows, List<String> missing) {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorypier/daemon/cluster/ForwardCodec.java
@@ -0,0 +1,86 @@
+package org.hickorypier.daemon.cluster;
+
+import java.util.Locale;
+import org.hickorypier.core.model.Outcome;
+import org.hickorypier.core.model.Refusal;
+import org.hickorypier.core.model.RefusalReason;
+import org.hickorypier.core.model.Resources;
+import org.hickorypier.core.model.WorkClass;
+import org.hickorypier.core.model.WorkItem;
+import org.hickorypier.core.model.WorkKey;
+import org.hickorypier.daemon.work.Submission;
+import org.hickorypier.daemon.work.WorkResult;
+import org.hickorypier.wire.message.PeerMessage.ForwardedAnswer;
+import org.hickorypier.wire.message.PeerMessage.ForwardedWork;
+
+/**
+ * Turns work and its answers into peer messages and back. Thread safe.
+ *
+ * <p>Deadlines travel as the time that remains, since two instances' clocks have nothing in common.
+ */
+final class ForwardCodec {
+
+  private ForwardCodec() {}
+
+  static ForwardedWork work(Submission submission, int hops, long now) {
+    WorkItem item = submission.item();
+    return new ForwardedWork(
+        0,
+        item.key().team(),
+        item.key().requestId(),
+        item.workClass().name(),
+        item.resources().milliProcessors(),
+        item.resources().memoryMebibytes(),
+        item.resources().accelerators(),
+        item.tasks(),
+        item.idempotent(),
+        Math.max(0, item.deadlineMillis() - now),
+        item.expectedRunMillis(),
+        item.name(),
+        submission.payload(),
+        hops);
+  }
+
+  static Submission submission(ForwardedWork work, long now) {
+    WorkItem item =
+        new WorkItem(
+            new WorkKey(work.team(), work.requestId()),
+            WorkClass.valueOf(work.workClass()),
+            work.name(),
+            new Resources(work.milliProcessors(), work.memoryMebibytes(), work.accelerators()),
+            work.tasks(),
+            work.idempotent(),
+            now,
+            now + work.remainingMillis(),
+            work.expectedRunMillis());
+    return new Submission(item, work.payload());
+  }
+
+  static ForwardedAnswer answer(WorkResult result) {
+    if (result instanceof WorkResult.Refused refused) {
+      Refusal refusal = refused.refusal();
+      return new ForwardedAnswer(
+          0,
+          Outcome.NOT_RUN.name(),
+          refusal.reason().name(),
+          refusal.detail(),
+          refusal.retryAfterMillis(),
+          new byte[0]);
+    }
+    WorkResult.Answered answered = (WorkResult.Answered) result;
+    return new ForwardedAnswer(
+        0, answered.outcome().name(), "", answered.detail(), 0, answered.body());
+  }
+
+  static WorkResult result(ForwardedAnswer answer) {
+    Outcome outcome = Outcome.valueOf(answer.outcome().toUpperCase(Locale.ROOT));
+    if (outcome == Outcome.NOT_RUN) {
+      return new WorkResult.Refused(
+          new Refusal(
+              RefusalReason.valueOf(answer.refusalReason()),
+              answer.detail(),
+              answer.retryAfterMillis()));
+    }
+    return new WorkResult.Answered(outcome, answer.detail(), answer.body());
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorypier/daemon/cluster/LocalRows.java
@@ -0,0 +1,181 @@
+package org.hickorypier.daemon.cluster;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.hickorypier.core.model.WorkItem;
+import org.hickorypier.core.model.WorkerDescription;
+import org.hickorypier.core.scheduling.Scheduler;
+import org.hickorypier.core.scheduling.WorkerRoom;
+import org.hickorypier.daemon.operator.InstanceRow;
+import org.hickorypier.daemon.operator.RefusedRow;
+import org.hickorypier.daemon.operator.RunningRow;
+import org.hickorypier.daemon.operator.WaitingRow;
+import org.hickorypier.daemon.operator.WorkerRow;
+import org.hickorypier.daemon.time.TimerService;
+import org.hickorypier.daemon.work.WorkObserver;
+import org.hickorypier.daemon.work.WorkResult;
+import org.hickorypier.daemon.worker.WorkerFleet;
+
+/**
+ * This instance's rows for the operators' queries.
+ *
+ * <p>Belongs to the control thread. Of refusals the last few hundred are kept, so that a wave of
+ * them costs a bounded amount of memory.
+ */
+public final class LocalRows implements WorkObserver {
+
+  private static final int REFUSALS_KEPT = 500;
+  private static final long MILLIS_PER_SECOND = 1_000;
+
+  private final String name;
+  private final String dataCentre;
+  private final Scheduler scheduler;
+  private final TimerService timers;
+  private final Deque<KeptRefusal> refusals = new ArrayDeque<>();
+
+  /**
+   * Creates the rows.
+   *
+   * @param name this instance's name
+   * @param dataCentre its data centre
+   * @param scheduler the decisions
+   * @param timers the time
+   */
+  public LocalRows(String name, String dataCentre, Scheduler scheduler, TimerService timers) {
+    this.name = name;
+    this.dataCentre = dataCentre;
+    this.scheduler = scheduler;
+    this.timers = timers;
+  }
+
+  /**
+   * Returns the tasks that are placed by this instance.
+   *
+   * @return a row for each
+   */
+  public List<RunningRow> running() {
+    Map<String, WorkerDescription> workers = new HashMap<>();
+    scheduler.workers().forEach(room -> workers.put(room.worker().name(), room.worker()));
+    return scheduler.placed().stream()
+        .map(
+            task -> {
+              WorkerDescription worker = workers.get(task.worker());
+              return new RunningRow(
+                  task.taskId().key(),
+                  task.workClass(),
+                  name,
+                  task.worker(),
+                  worker == null ? "" : worker.dataCentre(),
+                  worker == null ? "" : worker.rack(),
+                  task.reserved());
+            })
+        .toList();
+  }
+
+  /**
+   * Returns the work that waits here.
+   *
+   * @return a row for each item
+   */
+  public List<WaitingRow> waiting() {
+    return scheduler.queued().stream().map(this::waitingRow).toList();
+  }
+
+  private WaitingRow waitingRow(WorkItem item) {
+    return new WaitingRow(
+        item.key(),
+        item.workClass(),
+        name,
+        dataCentre,
+        item.tasks(),
+        item.resources(),
+        secondsSince(item.submittedMillis()));
+  }
+
+  /**
+   * Returns the last refusals.
+   *
+   * @return a row for each, the newest first
+   */
+  public List<RefusedRow> refused() {
+    return refusals.stream()
+        .map(
+            kept ->
+                new RefusedRow(
+                    kept.item().key(),
+                    kept.item().workClass(),
+                    name,
+                    dataCentre,
+                    kept.result().refusal().reason(),
+                    secondsSince(kept.whenMillis())))
+        .toList();
+  }
+
+  /**
+   * Returns the workers that this instance controls.
+   *
+   * @param fleet the control of workers
+   * @return a row for each
+   */
+  public List<WorkerRow> workers(WorkerFleet fleet) {
+    return scheduler.workers().stream()
+        .filter(room -> fleet.hold(room.worker().name()).isPresent())
+        .map(this::workerRow)
+        .toList();
+  }
+
+  private WorkerRow workerRow(WorkerRoom room) {
+    WorkerDescription worker = room.worker();
+    return new WorkerRow(
+        worker.name(),
+        name,
+        worker.dataCentre(),
+        worker.rack(),
+        room.state(),
+        worker.slots(),
+        room.freeSlots(),
+        room.free());
+  }
+
+  /**
+   * Returns this instance's own row.
+   *
+   * @param state one word
+   * @param offset the configuration's offset
+   * @param fleet the control of workers
+   * @return the row
+   */
+  public InstanceRow instance(Supplier<String> state, long offset, WorkerFleet fleet) {
+    return new InstanceRow(
+        name,
+        dataCentre,
+        state.get(),
+        offset,
+        fleet.held().size(),
+        scheduler.placed().size(),
+        scheduler.queued().size());
+  }
+
+  @Override
+  public void onStarted(WorkItem item, long waitedMillis) {}
+
+  @Override
+  public void onFinished(WorkItem item, WorkResult result, long totalMillis) {
+    if (result instanceof WorkResult.Refused refused) {
+      refusals.addFirst(new KeptRefusal(item, refused, timers.nowMillis()));
+      if (refusals.size() > REFUSALS_KEPT) {
+        refusals.removeLast();
+      }
+    }
+  }
+
+  private long secondsSince(long millis) {
+    return (timers.nowMillis() - millis) / MILLIS_PER_SECOND;
+  }
+
+  private record KeptRefusal(WorkItem item, WorkResult.Refused result, long whenMillis) {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorypier/daemon/entry/EntryService.java
@@ -0,0 +1,165 @@
+package org.hickorypier.daemon.entry;
+
+import io.smallrye.mutiny.Uni;
+import io.smallrye.mutiny.subscription.UniEmitter;
+import java.util.Optional;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import org.hickorypier.core.keys.KeyCheck;
+import org.hickorypier.core.keys.KeyVerifier;
+import org.hickorypier.core.model.WorkItem;
+import org.hickorypier.core.model.WorkKey;
+import org.hickorypier.daemon.caller.CallerGateway;
+import org.hickorypier.daemon.caller.CallerRequest;
+import org.hickorypier.daemon.caller.DenialKind;
+import org.hickorypier.daemon.caller.DeniedException;
+import org.hickorypier.daemon.configuration.ConfigurationService;
+import org.hickorypier.daemon.job.JobService;
+import org.hickorypier.daemon.time.TimerService;
+import org.hickorypier.daemon.work.Submission;
+import org.hickorypier.daemon.work.WorkResult;
+import org.hickorypier.daemon.work.WorkService;
+
+/**
+ * The first filters of every call: authenticate, check readiness, find the home.
+ *
+ * <p>Safe to call from any thread; the work is done on the control thread.
+ */
+public final class EntryService implements CallerGateway {
+
+  private static final long RETRY_AFTER_MILLIS = 1_000;
+
+  private final Executor control;
+  private final TimerService timers;
+  private final ConfigurationService configuration;
+  private final Readiness readiness;
+  private final HomeDirectory homes;
+  private final WorkService work;
+  private final JobService jobs;
+
+  /**
+   * Creates the service.
+   *
+   * @param control the control thread
+   * @param timers the time
+   * @param configuration teams and keys
+   * @param readiness whether new work is taken
+   * @param homes where work is decided
+   * @param work the work decided here
+   * @param jobs the jobs
+   */
+  public EntryService(
+      Executor control,
+      TimerService timers,
+      ConfigurationService configuration,
+      Readiness readiness,
+      HomeDirectory homes,
+      WorkService work,
+      JobService jobs) {
+    this.control = control;
+    this.timers = timers;
+    this.configuration = configuration;
+    this.readiness = readiness;
+    this.homes = homes;
+    this.work = work;
+    this.jobs = jobs;
+  }
+
+  @Override
+  public Uni<WorkResult> run(String presentedKey, CallerRequest request) {
+    return onControl(
+        emitter -> {
+          Submission submission = admitted(presentedKey, request);
+          Optional<String> home = homes.remoteHome(submission.item().key());
+          if (home.isEmpty()) {
+            work.submit(submission, emitter::complete);
+          } else {
+            homes
+                .forward(home.get(), submission)
+                .subscribe()
+                .with(emitter::complete, emitter::fail);
+          }
+        });
+  }
+
+  @Override
+  public Uni<JobView> accept(String presentedKey, CallerRequest request) {
+    return onControl(
+        emitter ->
+            jobs.accept(admitted(presentedKey, request))
+                .subscribe()
+                .with(emitter::complete, emitter::fail));
+  }
+
+  @Override
+  public Uni<JobView> find(String presentedKey, String requestId) {
+    return onControl(
+        emitter -> emitter.complete(jobs.find(new WorkKey(team(presentedKey), requestId))));
+  }
+
+  @Override
+  public Uni<JobView> cancel(String presentedKey, String requestId) {
+    return onControl(
+        emitter ->
+            jobs.cancel(new WorkKey(team(presentedKey), requestId))
+                .subscribe()
+                .with(emitter::complete, emitter::fail));
+  }
+
+  private Submission admitted(String presentedKey, CallerRequest request) throws DeniedException {
+    Optional<String> obstacle = readiness.obstacle();
+    if (obstacle.isPresent()) {
+      throw new DeniedException(DenialKind.UNAVAILABLE, obstacle.get(), RETRY_AFTER_MILLIS);
+    }
+    String team = team(presentedKey);
+    if (!request.team().isEmpty() && !request.team().equals(team)) {
+      throw new DeniedException(
+          DenialKind.FOREIGN_TEAM, "the key does not belong to team " + request.team(), 0);
+    }
+    long now = timers.nowMillis();
+    WorkItem item =
+        new WorkItem(
+            new WorkKey(team, request.requestId()),
+            request.workClass(),
+            request.name(),
+            request.resources(),
+            request.tasks(),
+            request.idempotent(),
+            now,
+            now + request.deadlineMillis(),
+            request.runMillis());
+    return new Submission(item, request.payload());
+  }
+
+  private String team(String presentedKey) throws DeniedException {
+    KeyCheck check = KeyVerifier.check(configuration.current(), presentedKey);
+    if (!check.isValid()) {
+      throw new DeniedException(DenialKind.BAD_KEY, "the key is not valid", 0);
+    }
+    if (check.isOperator()) {
+      throw new DeniedException(
+          DenialKind.FOREIGN_TEAM, "an operator's key runs no work for a team", 0);
+    }
+    return check.team();
+  }
+
+  private <T> Uni<T> onControl(ControlStep<T> step) {
+    return Uni.createFrom()
+        .emitter(
+            (Consumer<UniEmitter<? super T>>)
+                emitter ->
+                    control.execute(
+                        () -> {
+                          try {
+                            step.run(emitter);
+                          } catch (DeniedException denied) {
+                            emitter.fail(denied);
+                          }
+                        }));
+  }
+
+  @FunctionalInterface
+  private interface ControlStep<T> {
+    void run(UniEmitter<? super T> emitter) throws DeniedException;
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorypier/daemon/instance/InstanceListPoller.java
@@ -0,0 +1,87 @@
+package org.hickorypier.daemon.instance;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import org.hickorypier.daemon.time.TimerService;
+import org.hickorypier.platform.instance.InstanceList;
+import org.hickorypier.platform.instance.ListedInstance;
+
+/**
+ * Reads the platform's instance list again and again.
+ *
+ * <p>Belongs to the control thread. While the list cannot be read the last one stays in force:
+ * workers and peers are still judged by whether they answer.
+ */
+public final class InstanceListPoller {
+
+  private static final Logger LOGGER = System.getLogger(InstanceListPoller.class.getName());
+
+  private final InstanceList list;
+  private final TimerService timers;
+  private final Executor control;
+  private final Consumer<List<ListedInstance>> listener;
+  private boolean callOpen;
+  private boolean failing;
+
+  /**
+   * Creates a poller; it does nothing until started.
+   *
+   * @param list the platform's list
+   * @param timers the time
+   * @param control the control thread
+   * @param listener is given each list that was read
+   */
+  public InstanceListPoller(
+      InstanceList list,
+      TimerService timers,
+      Executor control,
+      Consumer<List<ListedInstance>> listener) {
+    this.list = list;
+    this.timers = timers;
+    this.control = control;
+    this.listener = listener;
+  }
+
+  /**
+   * Starts to read.
+   *
+   * @param period the time between two reads
+   */
+  public void start(Duration period) {
+    timers.every(period, this::poll);
+    poll();
+  }
+
+  private void poll() {
+    if (callOpen) {
+      return;
+    }
+    callOpen = true;
+    list.read()
+        .subscribe()
+        .with(
+            instances -> control.execute(() -> answered(instances)),
+            error -> control.execute(() -> failed(error)));
+  }
+
+  private void answered(List<ListedInstance> instances) {
+    callOpen = false;
+    if (failing) {
+      LOGGER.log(Level.INFO, "instances: list can be read again");
+    }
+    failing = false;
+    listener.accept(instances);
+  }
+
+  private void failed(Throwable error) {
+    callOpen = false;
+    if (!failing) {
+      LOGGER.log(Level.WARNING, "instances: list cannot be read: {0}", error.getMessage());
+    }
+    failing = true;
+  }
+}
--- a/daemon/src/main/java/org/hickorypier/daemon/log/LogFollower.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/log/LogFollower.java
@@ -3,6 +3,7 @@
 import io.smallrye.mutiny.subscription.Cancellable;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Executor;
@@ -187,7 +188,11 @@
             settings.longPoll().plus(settings.answerMargin()),
             () -> onFailure(read, "no answer", null));
     call =
-        log.read(stream, nextOffset, settings.pageRecords(), settings.longPoll())
+        log.read(
+                stream,
+                nextOffset,
+                settings.pageRecords(),
+                caughtUp ? settings.longPoll() : Duration.ZERO)
             .subscribe()
             .with(
                 page -> control.execute(() -> onPage(read, sentMillis, page)),
--- /dev/null
+++ b/daemon/src/main/java/org/hickorypier/daemon/metrics/WorkMetrics.java
@@ -0,0 +1,82 @@
+package org.hickorypier.daemon.metrics;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Timer;
+import java.time.Duration;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+import org.hickorypier.core.model.WorkItem;
+import org.hickorypier.daemon.work.WorkObserver;
+import org.hickorypier.daemon.work.WorkResult;
+
+/**
+ * Counts and times work, with a histogram for each team and class.
+ *
+ * <p>Thread safe. The number of series is bounded by the teams of the configuration times the five
+ * classes and four outcomes, since only work with a valid key comes this far.
+ */
+public final class WorkMetrics implements WorkObserver {
+
+  // Urgent work must start within 4.6 s, so the buckets go from 1 ms to well past that.
+  private static final Duration[] BUCKETS = {
+    Duration.ofMillis(1),
+    Duration.ofMillis(5),
+    Duration.ofMillis(20),
+    Duration.ofMillis(100),
+    Duration.ofMillis(500),
+    Duration.ofSeconds(1),
+    Duration.ofMillis(4_600),
+    Duration.ofSeconds(30),
+    Duration.ofMinutes(5),
+  };
+
+  private final MeterRegistry registry;
+
+  /**
+   * Creates the metrics.
+   *
+   * @param registry where they are kept
+   */
+  public WorkMetrics(MeterRegistry registry) {
+    this.registry = registry;
+  }
+
+  @Override
+  public void onStarted(WorkItem item, long waitedMillis) {
+    timer("hickory.waiting", "time from submission to the confirmed start", item)
+        .record(waitedMillis, TimeUnit.MILLISECONDS);
+  }
+
+  @Override
+  public void onFinished(WorkItem item, WorkResult result, long totalMillis) {
+    timer("hickory.total", "time from submission to the final answer", item)
+        .record(totalMillis, TimeUnit.MILLISECONDS);
+    registry
+        .counter(
+            "hickory.outcomes",
+            "team",
+            item.key().team(),
+            "class",
+            className(item),
+            "outcome",
+            result.outcome().text(),
+            "reason",
+            result instanceof WorkResult.Refused refused
+                ? refused.refusal().reason().name().toLowerCase(Locale.ROOT)
+                : "")
+        .increment();
+  }
+
+  private Timer timer(String name, String description, WorkItem item) {
+    return Timer.builder(name)
+        .description(description)
+        .tag("team", item.key().team())
+        .tag("class", className(item))
+        .serviceLevelObjectives(BUCKETS)
+        .register(registry);
+  }
+
+  private static String className(WorkItem item) {
+    return item.workClass().name().toLowerCase(Locale.ROOT);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorypier/daemon/work/TaskAdopter.java
@@ -0,0 +1,103 @@
+package org.hickorypier.daemon.work;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import org.hickorypier.core.model.Resources;
+import org.hickorypier.core.model.TaskId;
+import org.hickorypier.core.model.WorkClass;
+import org.hickorypier.core.model.WorkItem;
+import org.hickorypier.core.model.WorkerDescription;
+import org.hickorypier.core.scheduling.PlacedTask;
+import org.hickorypier.core.scheduling.Scheduler;
+import org.hickorypier.daemon.time.TimerService;
+import org.hickorypier.daemon.worker.WorkerFleetListener;
+import org.hickorypier.platform.worker.TaskState;
+import org.hickorypier.platform.worker.TaskStatus;
+import org.hickorypier.platform.worker.WorkerStatus;
+
+/**
+ * Carries what is learned of workers into the decisions, and counts tasks found running there.
+ *
+ * <p>Belongs to the control thread. A task that another instance started still fills the worker; if
+ * it were not counted, the worker would be given more than it holds.
+ */
+public final class TaskAdopter implements WorkerFleetListener {
+
+  private static final Logger LOGGER = System.getLogger(TaskAdopter.class.getName());
+
+  private final Scheduler scheduler;
+  private final WorkService work;
+  private final Dispatcher dispatcher;
+  private final TimerService timers;
+  private final java.util.Map<String, WorkerDescription> known = new java.util.HashMap<>();
+
+  /**
+   * Creates the adopter.
+   *
+   * @param scheduler the decisions
+   * @param work the work decided here
+   * @param dispatcher follows tasks
+   * @param timers the time
+   */
+  public TaskAdopter(
+      Scheduler scheduler, WorkService work, Dispatcher dispatcher, TimerService timers) {
+    this.scheduler = scheduler;
+    this.work = work;
+    this.dispatcher = dispatcher;
+    this.timers = timers;
+  }
+
+  @Override
+  public void onStatus(WorkerDescription worker, WorkerStatus status, boolean open) {
+    known.put(worker.name(), worker);
+    scheduler.putWorker(worker, open);
+    for (TaskStatus task : status.tasks()) {
+      if (task.state() == TaskState.RUNNING) {
+        running(worker.name(), task);
+      }
+    }
+    dispatcher.onStatus(status);
+    work.pump();
+  }
+
+  @Override
+  public void onClosed(String worker, String reason) {
+    WorkerDescription description = known.get(worker);
+    if (description != null) {
+      LOGGER.log(Level.INFO, "work: worker {0} closed, {1}", worker, reason);
+      scheduler.putWorker(description, false);
+    }
+  }
+
+  @Override
+  public void onLost(String worker) {
+    dispatcher.onLost(worker);
+    scheduler.removeWorker(worker);
+    known.remove(worker);
+  }
+
+  private void running(String worker, TaskStatus task) {
+    try {
+      TaskId taskId = TaskId.parse(task.taskId());
+      if (dispatcher.isFollowed(taskId)) {
+        Resources used = new Resources(task.usedMilliProcessors(), task.usedMemoryMebibytes(), 0);
+        scheduler.reportUsage(taskId, used, timers.nowMillis());
+      } else {
+        adopt(worker, taskId, task);
+      }
+    } catch (IllegalArgumentException error) {
+      LOGGER.log(
+          Level.WARNING, "work: worker {0} runs {1}, not one of ours", worker, task.taskId());
+    }
+  }
+
+  private void adopt(String worker, TaskId taskId, TaskStatus task) {
+    WorkClass workClass = WorkClass.valueOf(task.workClass());
+    Resources reserved =
+        new Resources(task.milliProcessors(), task.memoryMebibytes(), task.accelerators());
+    long now = timers.nowMillis();
+    WorkItem item = new WorkItem(taskId.key(), workClass, "", reserved, 1, false, now, now, 0);
+    LOGGER.log(Level.INFO, "work: adopted {0} on {1}", task.taskId(), worker);
+    work.adopt(new PlacedTask(taskId, worker, workClass, reserved), item);
+  }
+}
--- a/daemon/src/main/java/org/hickorypier/daemon/work/WorkObserver.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/work/WorkObserver.java
@@ -21,4 +21,27 @@
    * @param totalMillis the time since it was submitted
    */
   void onFinished(WorkItem item, WorkResult result, long totalMillis);
+
+  /**
+   * Returns an observer that tells this one and then another.
+   *
+   * @param next the other
+   * @return both in one
+   */
+  default WorkObserver andThen(WorkObserver next) {
+    WorkObserver first = this;
+    return new WorkObserver() {
+      @Override
+      public void onStarted(WorkItem item, long waitedMillis) {
+        first.onStarted(item, waitedMillis);
+        next.onStarted(item, waitedMillis);
+      }
+
+      @Override
+      public void onFinished(WorkItem item, WorkResult result, long totalMillis) {
+        first.onFinished(item, result, totalMillis);
+        next.onFinished(item, result, totalMillis);
+      }
+    };
+  }
 }
--- a/daemon/src/main/java/org/hickorypier/daemon/worker/WorkerFleet.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/worker/WorkerFleet.java
@@ -44,8 +44,8 @@
   private final Function<String, WorkerService> connector;
   private final ControlView view;
   private final String self;
-  private final WorkerFleetListener listener;
   private final Map<String, ControlledWorker> workers = new HashMap<>();
+  private WorkerFleetListener listener;
 
   /**
    * Creates a fleet without workers.
@@ -56,7 +56,6 @@
    * @param connector makes a worker service from an address
    * @param view the view of the other instances
    * @param self this instance's name and incarnation
-   * @param listener hears what becomes of the workers
    */
   public WorkerFleet(
       WorkerLeaseSettings settings,
@@ -64,19 +63,22 @@
       Executor control,
       Function<String, WorkerService> connector,
       ControlView view,
-      String self,
-      WorkerFleetListener listener) {
+      String self) {
     this.settings = settings;
     this.timers = timers;
     this.control = control;
     this.connector = connector;
     this.view = view;
     this.self = self;
-    this.listener = listener;
   }
 
-  /** Starts the regular renewals. */
-  public void start() {
+  /**
+   * Starts the regular renewals.
+   *
+   * @param fleetListener hears what becomes of the workers
+   */
+  public void start(WorkerFleetListener fleetListener) {
+    listener = fleetListener;
     timers.every(Duration.ofMillis(settings.renewalMillis()), this::tick);
   }
 
