--- a/daemon/src/main/java/org/hickorypier/daemon/caller/SlowSenderGuard.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/caller/SlowSenderGuard.java
@@ -10,13 +10,18 @@
  * memory. With a bound on the body and on the time, what they can hold is bounded too. Only the
  * sending is timed: a caller may wait for its answer as long as it likes. Thread safe.
  */
-final class SlowSenderGuard implements Handler<RoutingContext> {
+public final class SlowSenderGuard implements Handler<RoutingContext> {
 
   private static final int STATUS_REQUEST_TIMEOUT = 408;
 
   private final long senderMillis;
 
-  SlowSenderGuard(long senderMillis) {
+  /**
+   * Creates a guard.
+   *
+   * @param senderMillis how long a caller may take to send its body
+   */
+  public SlowSenderGuard(long senderMillis) {
     this.senderMillis = senderMillis;
   }
 
