--- /dev/null
+++ b/core/src/test/java/org/hickorypier/core/membership/MembershipViewTest.java
@@ -0,0 +1,102 @@
+package org.hickorypier.core.membership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class MembershipViewTest {
+
+  private static final long TIMEOUT = 3_000;
+
+  private final MembershipView view = new MembershipView("a", TIMEOUT);
+
+  @ParameterizedTest
+  @CsvSource({
+    // listed, linked until, now, live
+    "true, -1, 3000, true", // listed at 0, never linked, still in its first timeout
+    "true, -1, 3001, false", // never linked, timeout over
+    "true, 99999, 90000, true", // linked
+    "false, 99999, 90000, true", // linked, the list lags
+    "true, 5000, 8000, true", // link down, within the timeout
+    "true, 5000, 8001, false", // link down, timeout over
+    "false, 5000, 5000, false", // link down and no longer listed
+  })
+  void peerLooksLive(boolean listed, long linkedUntil, long now, boolean live) {
+    view.listed(list("a", "b"), 0);
+    if (linkedUntil >= 0) {
+      view.up("b", 1, 0);
+    }
+    if (!listed) {
+      view.listed(list("a"), 4_000);
+    }
+    if (linkedUntil >= 0 && linkedUntil <= now) {
+      view.down("b", linkedUntil);
+    }
+
+    assertThat(view.live(now)).isEqualTo(live ? Set.of("a", "b") : Set.of("a"));
+    assertThat(view.isLive("b", 1, now)).isEqualTo(live);
+  }
+
+  // An instance is killed and restarted under its name before anyone missed it. Its tasks belong to
+  // the old incarnation, which has to look dead at once, or nobody would adopt them.
+  @Test
+  void restartedPeerIsLiveAndItsOldIncarnationDead() {
+    view.listed(list("a", "b"), 0);
+    view.up("b", 1, 0);
+    view.down("b", 100);
+    view.up("b", 2, 200);
+
+    assertThat(view.isLive("b", 1, 300)).isFalse();
+    assertThat(view.isLive("b", 2, 300)).isTrue();
+  }
+
+  @Test
+  void leavingAndDrainedPeersAreLiveButGetNothingNew() {
+    view.listed(
+        List.of(
+            new ListedMember("a", false),
+            new ListedMember("b", true),
+            new ListedMember("c", false)),
+        0);
+    view.drained(Set.of("c", "worker-7"));
+
+    assertThat(view.live(0)).containsExactly("a", "b", "c");
+    assertThat(view.candidates(0)).containsExactly("a");
+    view.drained(Set.of("a", "c"));
+    assertThat(view.candidates(0)).containsExactlyInAnyOrder("a", "b", "c");
+  }
+
+  // All instances start together. Without the first timeout each would take itself for the only
+  // one, claim every worker, and hand most of them over again seconds later.
+  @Test
+  void startingInstanceDoesNotWantEverything() {
+    view.listed(list("a", "b", "c", "d"), 0);
+
+    long wanted =
+        java.util.stream.IntStream.range(0, 100)
+            .filter(index -> view.wanted("worker-" + index, 10).equals("a"))
+            .count();
+
+    assertThat(wanted).isBetween(10L, 40L);
+  }
+
+  @Test
+  void goneMembersAreForgotten() {
+    for (int index = 0; index < 1_000; index++) {
+      view.up("x" + index, 1, index);
+      view.down("x" + index, index);
+      view.listed(list("a"), index);
+    }
+
+    assertThat(view.live(1_000)).containsExactly("a");
+  }
+
+  private static List<ListedMember> list(String... names) {
+    return Arrays.stream(names).map(name -> new ListedMember(name, false)).toList();
+  }
+}
