Add waits, holds, quarantine and learned sizes to the decisions

Cause: the first scheduler queued what could not start in time, starved gangs, and gave all work to a worker that fails everything.

Change: refusal by estimated wait with when to come back; workers kept free for one starving gang or large task, with backfill that ends in time; quarantine with probes, and one task at a time on slow workers; reserved sizes from lagging reports; raised reservations of running tasks.

Ruled out: refusing by a fleet-wide failure ratio, because the worker that fails everything in an instant dominates that ratio; a part of the workers bounds the quarantine instead.

--- a/core/src/main/java/org/hickorypier/core/scheduling/Admission.java
+++ b/core/src/main/java/org/hickorypier/core/scheduling/Admission.java
@@ -8,21 +8,34 @@
 /**
  * Refuses at once what cannot start in time, so that its caller can act on it.
  *
+ * <p>Made for bursts of one team, and for a demand above the capacity. The queue limit keeps a
+ * burst inside its own team and class; the estimate keeps the accepted work within its deadlines,
+ * so no place is spent on work that nobody waits for any more.
+ *
  * <p>Not thread safe.
  */
 final class Admission {
 
-  /** A guess for a full queue whose drain rate is not known yet. */
-  private static final long UNKNOWN_WAIT_MILLIS = 1_000;
+  /** Below it, a caller that comes back costs more than it gains. */
+  private static final long LEAST_RETRY_MILLIS = 200;
+
+  /** Above it, an estimate says nothing any more, and a caller should look again. */
+  private static final long MOST_RETRY_MILLIS = 60_000;
 
   private final SchedulerSettings settings;
   private final Capacities capacities;
   private final WorkHistory history;
+  private final WaitEstimate waitEstimate;
 
-  Admission(SchedulerSettings settings, Capacities capacities, WorkHistory history) {
+  Admission(
+      SchedulerSettings settings,
+      Capacities capacities,
+      WorkHistory history,
+      WaitEstimate waitEstimate) {
     this.settings = settings;
     this.capacities = capacities;
     this.history = history;
+    this.waitEstimate = waitEstimate;
   }
 
   /** Returns why the item is refused, or empty if it may be queued. */
@@ -36,16 +49,27 @@
       String detail = "Its tasks failed on " + failedOn + " different workers.";
       return refusal(RefusalReason.FAILS_EVERYWHERE, detail, 0);
     }
-    if (item.deadlineMillis() < now) {
+    long remaining = item.deadlineMillis() - now;
+    if (remaining < 0) {
       return refusal(RefusalReason.DEADLINE_PASSED, "The deadline has passed already.", 0);
     }
+    long wait = waitEstimate.millis(item, team, now);
     if (team.queue(item.workClass()).size() >= settings.queueLimit()) {
       String detail = "The team has " + settings.queueLimit() + " items waiting in this class.";
-      return refusal(RefusalReason.QUEUE_FULL, detail, UNKNOWN_WAIT_MILLIS);
+      return refusal(RefusalReason.QUEUE_FULL, detail, retryAfter(wait / 2));
+    }
+    if (wait * settings.waitMargin() > remaining) {
+      String detail =
+          "The estimated wait is " + wait + " ms, the deadline in " + remaining + " ms.";
+      return refusal(RefusalReason.DEADLINE_TOO_NEAR, detail, retryAfter(wait - remaining));
     }
     return Optional.empty();
   }
 
+  private static long retryAfter(long millis) {
+    return Math.max(LEAST_RETRY_MILLIS, Math.min(MOST_RETRY_MILLIS, millis));
+  }
+
   private static Optional<Refusal> refusal(RefusalReason reason, String detail, long retryAfter) {
     return Optional.of(new Refusal(reason, detail, retryAfter));
   }
--- a/core/src/main/java/org/hickorypier/core/scheduling/Capacities.java
+++ b/core/src/main/java/org/hickorypier/core/scheduling/Capacities.java
@@ -25,6 +25,12 @@
     workersOfSort.merge(capacity, -1, Integer::sum);
   }
 
+  /** Tells whether a worker that is here now could hold a task of this size. */
+  boolean fitsWorkerHere(Resources need) {
+    return workersOfSort.entrySet().stream()
+        .anyMatch(sort -> sort.getValue() > 0 && need.fitsInto(sort.getKey()));
+  }
+
   /**
    * Says why a task can never fit.
    *
--- /dev/null
+++ b/core/src/main/java/org/hickorypier/core/scheduling/ClassQueue.java
@@ -0,0 +1,83 @@
+package org.hickorypier.core.scheduling;
+
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.hickorypier.core.model.WorkKey;
+
+/**
+ * The queue of one team and class, in order of arrival, and how fast it drains.
+ *
+ * <p>Invariant: the waiting tasks are the sum over the items. Not thread safe.
+ */
+final class ClassQueue {
+
+  /** Long enough to hold tens of starts of a busy team, short enough to follow a shift of load. */
+  private static final double RATE_WINDOW_MILLIS = 5_000;
+
+  /** The weight of a new run time; some ten tasks until a change of the work shows. */
+  private static final double RUN_WEIGHT = 0.1;
+
+  private static final double MILLIS_PER_SECOND = 1_000;
+
+  private final Map<WorkKey, QueuedItem> items = new LinkedHashMap<>();
+  private final DecayedRate starts = new DecayedRate(RATE_WINDOW_MILLIS);
+  private int waitingTasks;
+  private int runningTasks;
+  private double meanRunMillis;
+
+  Collection<QueuedItem> items() {
+    return items.values();
+  }
+
+  QueuedItem head() {
+    return items.isEmpty() ? null : items.values().iterator().next();
+  }
+
+  int size() {
+    return items.size();
+  }
+
+  int waitingTasks() {
+    return waitingTasks;
+  }
+
+  void add(QueuedItem queued) {
+    items.put(queued.item().key(), queued);
+    waitingTasks += queued.waitingTasks();
+    if (meanRunMillis == 0) {
+      meanRunMillis = queued.item().expectedRunMillis();
+    }
+  }
+
+  void remove(QueuedItem queued) {
+    items.remove(queued.item().key());
+    waitingTasks -= queued.waitingTasks();
+  }
+
+  void taskStarted(long now) {
+    waitingTasks--;
+    starts.count(now);
+  }
+
+  void taskRuns() {
+    runningTasks++;
+  }
+
+  void taskEnded() {
+    runningTasks--;
+  }
+
+  void taskCompleted(long runMillis) {
+    meanRunMillis += RUN_WEIGHT * (runMillis - meanRunMillis);
+  }
+
+  /**
+   * Returns the tasks a second that this queue gets started: what it got lately, or what its
+   * running tasks will free, if that is more.
+   */
+  double drainPerSecond(long now) {
+    double freed = runningTasks / Math.max(1, meanRunMillis) * MILLIS_PER_SECOND;
+    return Math.max(starts.perSecond(now), freed);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/hickorypier/core/scheduling/DecayedRate.java
@@ -0,0 +1,50 @@
+package org.hickorypier.core.scheduling;
+
+/**
+ * Events a second, with older events counting less and less.
+ *
+ * <p>Not thread safe.
+ */
+final class DecayedRate {
+
+  private static final double MILLIS_PER_SECOND = 1_000;
+
+  private final double windowMillis;
+  private double weight;
+  private long firstMillis;
+  private long latestMillis;
+  private boolean any;
+
+  /**
+   * Creates a rate without events.
+   *
+   * @param windowMillis the time after which an event counts a third
+   */
+  DecayedRate(double windowMillis) {
+    this.windowMillis = windowMillis;
+  }
+
+  void count(long now) {
+    if (!any) {
+      any = true;
+      firstMillis = now;
+      latestMillis = now;
+    }
+    weight = decayed(now) + 1;
+    latestMillis = now;
+  }
+
+  /** Returns the events a second; while young, over the time since the first event. */
+  double perSecond(long now) {
+    if (!any) {
+      return 0;
+    }
+    double seen = Math.max(1, now - firstMillis);
+    double window = windowMillis * (1 - Math.exp(-seen / windowMillis));
+    return decayed(now) / window * MILLIS_PER_SECOND;
+  }
+
+  private double decayed(long now) {
+    return weight * Math.exp(-(now - latestMillis) / windowMillis);
+  }
+}
--- a/core/src/main/java/org/hickorypier/core/scheduling/Explanation.java
+++ b/core/src/main/java/org/hickorypier/core/scheduling/Explanation.java
@@ -48,7 +48,7 @@
 
   private static int itemsAhead(QueuedItem queued, TeamState team) {
     int ahead = 0;
-    for (QueuedItem other : team.queue(queued.item().workClass())) {
+    for (QueuedItem other : team.queue(queued.item().workClass()).items()) {
       if (other == queued) {
         return ahead;
       }
--- a/core/src/main/java/org/hickorypier/core/scheduling/FairOrder.java
+++ b/core/src/main/java/org/hickorypier/core/scheduling/FairOrder.java
@@ -40,6 +40,10 @@
     return waiting;
   }
 
+  int waitingTeams() {
+    return waiting.size();
+  }
+
   /** Changes a team and puts it where it now belongs. */
   void update(TeamState team, Runnable change) {
     waiting.remove(team);
@@ -72,7 +76,7 @@
   /** Has the teams with a waiting gang tried again, which any freed room may help. */
   void tryGangs() {
     for (TeamState team : waiting) {
-      if (!team.queue(WorkClass.GANG).isEmpty()) {
+      if (team.queue(WorkClass.GANG).size() > 0) {
         team.markWorthTrying();
       }
     }
--- a/core/src/main/java/org/hickorypier/core/scheduling/IncrementalScheduler.java
+++ b/core/src/main/java/org/hickorypier/core/scheduling/IncrementalScheduler.java
@@ -21,7 +21,6 @@
  */
 final class IncrementalScheduler implements Scheduler {
 
-  private final SchedulerSettings settings;
   private final FairOrder order = new FairOrder();
   private final ShapeTable shapes = new ShapeTable();
   private final Fleet fleet = new Fleet();
@@ -30,15 +29,18 @@
   private final ItemQueue queue;
   private final Reservations reservations;
   private final PlacementLoop placementLoop;
+  private final WaitEstimate waitEstimate = new WaitEstimate(order, shapes);
+  private final LearnedSizes learnedSizes = new LearnedSizes();
+  private final Quarantine quarantine;
   private final Admission admission;
   private long latestMillis;
 
   IncrementalScheduler(SchedulerSettings settings, long seed) {
-    this.settings = settings;
     history = new WorkHistory(settings.historyMillis());
     queue = new ItemQueue(order, shapes, history);
     reservations = new Reservations(fleet, order, history);
-    admission = new Admission(settings, capacities, history);
+    quarantine = new Quarantine(settings, fleet, history);
+    admission = new Admission(settings, capacities, history, waitEstimate);
     placementLoop =
         new PlacementLoop(
             settings,
@@ -48,7 +50,8 @@
             shapes,
             history,
             reservations,
-            new PlacementPolicies(fleet, new SplittableRandom(seed)));
+            new PlacementPolicies(fleet, new SplittableRandom(seed)),
+            new RoomHold(settings.holdAfterMillis(), fleet, order));
   }
 
   @Override
@@ -59,7 +62,7 @@
     }
     Optional<Refusal> refusal = admission.refuse(item, order.team(item.key().team()), now);
     if (refusal.isEmpty()) {
-      queue.add(item, item.resources());
+      queue.add(item, reservedFor(item));
     }
     return refusal;
   }
@@ -67,6 +70,7 @@
   @Override
   public List<Placement> place(long now) {
     latestMillis = now;
+    quarantine.release(now).forEach(this::roomFreed);
     return placementLoop.run(now);
   }
 
@@ -97,9 +101,13 @@
   public void ended(TaskId taskId, TaskEnd end, long now) {
     latestMillis = now;
     Reservation reservation = reservations.free(taskId, end, now);
-    if (reservation != null) {
-      roomFreed(fleet.worker(reservation.task().worker()));
+    if (reservation == null) {
+      return;
     }
+    waitEstimate.taskEnded(now);
+    WorkerState worker = fleet.worker(reservation.task().worker());
+    quarantine.taskEnded(worker, reservation, end, now);
+    roomFreed(worker);
   }
 
   @Override
@@ -139,6 +147,7 @@
     }
     final List<TaskId> taskIds = reservations.freeAll(state, latestMillis);
     fleet.remove(state);
+    quarantine.forget(state);
     capacities.remove(state.description().capacity());
     order.setTotal(fleet.total());
     return taskIds;
@@ -167,6 +176,14 @@
   @Override
   public void reportUsage(TaskId taskId, Resources used, long now) {
     latestMillis = now;
+    Reservation reservation = reservations.get(taskId);
+    if (reservation == null) {
+      return;
+    }
+    if (!reservation.name().isEmpty()) {
+      learnedSizes.report(taskId.key().team(), reservation.name(), used);
+    }
+    reservations.raise(reservation, used);
   }
 
   @Override
@@ -197,6 +214,11 @@
         : Optional.of(Explanation.of(queued, order.team(key.team()), fleet, now));
   }
 
+  private Resources reservedFor(WorkItem item) {
+    Resources learned = learnedSizes.sizeOf(item.key().team(), item.name(), item.resources());
+    return capacities.fitsWorkerHere(learned) ? learned : item.resources();
+  }
+
   private void roomFreed(WorkerState worker) {
     if (!worker.takesTasks()) {
       return;
--- a/core/src/main/java/org/hickorypier/core/scheduling/PlacementLoop.java
+++ b/core/src/main/java/org/hickorypier/core/scheduling/PlacementLoop.java
@@ -32,6 +32,7 @@
   private final Reservations reservations;
   private final PlacementPolicies policies;
   private final UrgentTurns urgentTurns;
+  private final RoomHold hold;
   private final Map<QueuedItem, List<PlacedTask>> placed = new LinkedHashMap<>();
   private boolean triesLater;
 
@@ -43,7 +44,8 @@
       ShapeTable shapes,
       WorkHistory history,
       Reservations reservations,
-      PlacementPolicies policies) {
+      PlacementPolicies policies,
+      RoomHold hold) {
     this.settings = settings;
     this.fleet = fleet;
     this.order = order;
@@ -52,10 +54,12 @@
     this.history = history;
     this.reservations = reservations;
     this.policies = policies;
+    this.hold = hold;
     this.urgentTurns = new UrgentTurns(settings.urgentHoldMillis(), settings.urgentTurn());
   }
 
   List<Placement> run(long now) {
+    tryHeld(now);
     boolean more = true;
     while (more) {
       boolean othersFirst = urgentTurns.isTurnOfOthers(now);
@@ -67,6 +71,19 @@
     return placements;
   }
 
+  /** Tries the item that workers are held for before all others, since they may fill its gaps. */
+  private void tryHeld(long now) {
+    for (WorkerState released : hold.releaseIfUseless(now)) {
+      shapes.unblock(released);
+      order.tryAll();
+    }
+    hold.holdIfStarving(now);
+    QueuedItem owner = hold.owner();
+    if (owner != null) {
+      starts(order.team(owner.item().key().team()), owner, now);
+    }
+  }
+
   private boolean placeOne(boolean urgent, long now) {
     for (TeamState team : order.waiting()) {
       if (team.isExhausted(urgent)) {
@@ -93,7 +110,7 @@
       return null;
     }
     for (WorkClass workClass : classes) {
-      Iterator<QueuedItem> heads = team.queue(workClass).iterator();
+      Iterator<QueuedItem> heads = team.queue(workClass).items().iterator();
       for (int tried = 0; tried < settings.backfillDepth() && heads.hasNext(); ) {
         QueuedItem queued = heads.next();
         if (queued.isTooLate(now)) {
@@ -112,8 +129,9 @@
     if (queued.item().workClass() == WorkClass.GANG) {
       return startsGang(team, queued, now);
     }
-    WorkerState worker = chooseFor(queued);
+    WorkerState worker = chooseFor(queued, now);
     if (worker == null) {
+      queued.triedInVain(now);
       return false;
     }
     reserve(queued, worker, now);
@@ -121,20 +139,24 @@
     return true;
   }
 
-  private WorkerState chooseFor(QueuedItem queued) {
-    if (queued.shape().isBlocked()) {
+  private WorkerState chooseFor(QueuedItem queued, long now) {
+    boolean isHeldFor = hold.owner() == queued;
+    if (queued.shape().isBlocked() && !isHeldFor) {
       return null;
     }
     PlacementPolicy policy = policies.of(queued.item().workClass());
+    WorkerFilter held =
+        hold.owner() == null ? WorkerFilter.ANY : worker -> hold.admits(queued, worker, now);
     Set<String> failedOn = history.failedOn(queued.item().key());
     if (!failedOn.isEmpty()) {
-      WorkerState other = policy.choose(queued, worker -> !failedOn.contains(worker.name()));
+      WorkerFilter elsewhere = worker -> !failedOn.contains(worker.name()) && held.test(worker);
+      WorkerState other = policy.choose(queued, elsewhere);
       if (other != null) {
         return other;
       }
     }
-    WorkerState worker = policy.choose(queued, WorkerFilter.ANY);
-    if (worker == null) {
+    WorkerState worker = policy.choose(queued, held);
+    if (worker == null && !isHeldFor) {
       shapes.block(queued.shape());
     }
     return worker;
@@ -142,7 +164,11 @@
 
   private boolean startsGang(TeamState team, QueuedItem queued, long now) {
     int tasks = queued.waitingTasks();
-    if (team.freePermits() < tasks || queued.shape().isBlocked()) {
+    if (team.freePermits() < tasks) {
+      return false;
+    }
+    if (queued.shape().isBlocked() && hold.owner() != queued) {
+      queued.triedInVain(now);
       return false;
     }
     if (queued.nextTryMillis() > now) {
@@ -151,9 +177,10 @@
     }
     List<Reservation> taken = new ArrayList<>(tasks);
     for (int i = 0; i < tasks; i++) {
-      WorkerState worker = chooseFor(queued);
+      WorkerState worker = chooseFor(queued, now);
       if (worker == null) {
         giveBack(taken);
+        queued.triedInVain(now);
         queued.tryAgainAt(now + settings.gangRetryMillis());
         return false;
       }
@@ -181,7 +208,7 @@
     Reservation reservation = reservation(queued, queued.takeIndex(), worker, now);
     history.taskPlaced(queued.item().key());
     TeamState team = order.team(queued.item().key().team());
-    team.taskLeftQueue();
+    team.taskStarted(queued.item().workClass(), now);
     reservations.take(worker, reservation);
     placed.computeIfAbsent(queued, unused -> new ArrayList<>()).add(reservation.task());
   }
--- a/core/src/main/java/org/hickorypier/core/scheduling/QueuedItem.java
+++ b/core/src/main/java/org/hickorypier/core/scheduling/QueuedItem.java
@@ -10,11 +10,14 @@
  */
 final class QueuedItem {
 
+  private static final long NEVER = Long.MAX_VALUE / 2;
+
   private final WorkItem item;
   private final Shape shape;
   private final int attempt;
   private int nextIndex;
   private long nextTryMillis = Long.MIN_VALUE;
+  private long inVainSinceMillis = NEVER;
   private boolean gone;
 
   QueuedItem(WorkItem item, Shape shape, int attempt) {
@@ -64,6 +67,15 @@
     nextTryMillis = millis;
   }
 
+  /** Returns when it was first tried in vain for want of room; far in the future if never. */
+  long inVainSinceMillis() {
+    return inVainSinceMillis;
+  }
+
+  void triedInVain(long now) {
+    inVainSinceMillis = Math.min(inVainSinceMillis, now);
+  }
+
   boolean isGone() {
     return gone;
   }
--- a/core/src/main/java/org/hickorypier/core/scheduling/Reservation.java
+++ b/core/src/main/java/org/hickorypier/core/scheduling/Reservation.java
@@ -1,5 +1,7 @@
 package org.hickorypier.core.scheduling;
 
+import org.hickorypier.core.model.Resources;
+
 /**
  * A placed task with what the decisions keep about its run.
  *
@@ -12,6 +14,11 @@
  */
 record Reservation(PlacedTask task, String name, long startedMillis, long expectedRunMillis) {
 
+  Reservation withReserved(Resources reserved) {
+    PlacedTask resized = new PlacedTask(task.taskId(), task.worker(), task.workClass(), reserved);
+    return new Reservation(resized, name, startedMillis, expectedRunMillis);
+  }
+
   long expectedEndMillis() {
     return startedMillis + expectedRunMillis;
   }
--- a/core/src/main/java/org/hickorypier/core/scheduling/Reservations.java
+++ b/core/src/main/java/org/hickorypier/core/scheduling/Reservations.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.hickorypier.core.model.Resources;
 import org.hickorypier.core.model.TaskId;
 
 /**
@@ -40,7 +41,7 @@
     reservations.put(task.taskId(), reservation);
     fleet.reserve(worker, reservation);
     TeamState team = order.team(task.taskId().key().team());
-    order.update(team, () -> team.taskPlaced(task.reserved()));
+    order.update(team, () -> team.taskPlaced(task));
   }
 
   /**
@@ -59,11 +60,45 @@
     PlacedTask task = reservation.task();
     fleet.release(fleet.worker(task.worker()), reservation);
     TeamState team = order.team(taskId.key().team());
-    order.update(team, () -> team.taskEnded(task.reserved()));
+    order.update(team, () -> team.taskEnded(task));
     history.taskEnded(taskId.key(), task.worker(), end, now);
+    if (end == TaskEnd.COMPLETED) {
+      team.queue(task.workClass()).taskCompleted(now - reservation.startedMillis());
+    }
     return reservation;
   }
 
+  /**
+   * Raises a task's reservation towards what it uses, as far as its worker has room.
+   *
+   * <p>Made for tasks that use more than they declared: without it the next task would be put onto
+   * room that is not there.
+   */
+  void raise(Reservation reservation, Resources used) {
+    PlacedTask task = reservation.task();
+    WorkerState worker = fleet.worker(task.worker());
+    Resources before = task.reserved();
+    Resources free = worker.free();
+    Resources after =
+        new Resources(
+            raised(before.milliProcessors(), used.milliProcessors(), free.milliProcessors()),
+            raised(before.memoryMebibytes(), used.memoryMebibytes(), free.memoryMebibytes()),
+            before.accelerators());
+    if (after.equals(before)) {
+      return;
+    }
+    Reservation larger = reservation.withReserved(after);
+    fleet.release(worker, reservation);
+    fleet.reserve(worker, larger);
+    reservations.put(task.taskId(), larger);
+    TeamState team = order.team(task.taskId().key().team());
+    order.update(team, () -> team.taskResized(before, after));
+  }
+
+  private static long raised(long reserved, long used, long free) {
+    return Math.max(reserved, Math.min(used, reserved + free));
+  }
+
   /** Frees the room of all tasks of a worker. */
   List<TaskId> freeAll(WorkerState worker, long now) {
     List<TaskId> taskIds = new ArrayList<>();
--- a/core/src/main/java/org/hickorypier/core/scheduling/SchedulerSettings.java
+++ b/core/src/main/java/org/hickorypier/core/scheduling/SchedulerSettings.java
@@ -1,5 +1,7 @@
 package org.hickorypier.core.scheduling;
 
+import java.math.BigDecimal;
+
 /**
  * The limits of the decisions.
  *
@@ -23,6 +25,17 @@
  *     longer than any delay before a new submission
  * @param failedWorkersLimit work that failed on that many different workers is refused, since by
  *     then the work is at fault and not the workers
+ * @param waitMargin an item is refused if the estimated wait times this goes past its deadline; the
+ *     estimate is a mean, and work once accepted should start in time
+ * @param badEndsLimit works in a row that end badly on a worker before it is quarantined; with
+ *     fewer two unlucky requests would close a good worker
+ * @param quarantineMillis the first quarantine; a worker that restarts is back by then
+ * @param longestQuarantineMillis the longest one, after doubling; a worker that was mended at night
+ *     is found within this time
+ * @param quarantinePart the part of the workers that may be in quarantine at once; if more fail,
+ *     the work or the platform is at fault, and closing the fleet would not help
+ * @param slowFactor a worker is slow if its tasks take this many times as long, for what they
+ *     declare, as those of the fleet; below 2, unlike work alone would reach it
  */
 public record SchedulerSettings(
     int queueLimit,
@@ -32,7 +45,13 @@
     long holdAfterMillis,
     long gangRetryMillis,
     long historyMillis,
-    int failedWorkersLimit) {
+    int failedWorkersLimit,
+    double waitMargin,
+    int badEndsLimit,
+    long quarantineMillis,
+    long longestQuarantineMillis,
+    double quarantinePart,
+    double slowFactor) {
 
   /** Checks each value against its range. */
   public SchedulerSettings {
@@ -44,6 +63,12 @@
     check("gangRetryMillis", gangRetryMillis, 0, 60_000);
     check("historyMillis", historyMillis, 1_000, 86_400_000);
     check("failedWorkersLimit", failedWorkersLimit, 2, 100);
+    check("waitMargin", waitMargin, 1, 10);
+    check("badEndsLimit", badEndsLimit, 2, 1_000);
+    check("quarantineMillis", quarantineMillis, 100, 3_600_000);
+    check("longestQuarantineMillis", longestQuarantineMillis, quarantineMillis, 86_400_000);
+    check("quarantinePart", quarantinePart, 0, 1);
+    check("slowFactor", slowFactor, 1.5, 100);
   }
 
   /**
@@ -52,13 +77,66 @@
    * @return the defaults
    */
   public static SchedulerSettings defaults() {
-    return new SchedulerSettings(1_000, 4, 2_000, 4, 10_000, 50, 120_000, 3);
+    return new SchedulerSettings(
+        1_000, 4, 2_000, 4, 10_000, 50, 120_000, 3, 1.25, 3, 10_000, 600_000, 0.25, 3.0);
   }
 
-  private static void check(String name, long value, long least, long most) {
+  /**
+   * Returns the defaults with another queue limit.
+   *
+   * @param limit items that one team may have queued in one class
+   * @return the changed settings
+   */
+  public SchedulerSettings withQueueLimit(int limit) {
+    return new SchedulerSettings(
+        limit,
+        backfillDepth,
+        urgentHoldMillis,
+        urgentTurn,
+        holdAfterMillis,
+        gangRetryMillis,
+        historyMillis,
+        failedWorkersLimit,
+        waitMargin,
+        badEndsLimit,
+        quarantineMillis,
+        longestQuarantineMillis,
+        quarantinePart,
+        slowFactor);
+  }
+
+  /**
+   * Returns the settings with another time before workers are held.
+   *
+   * @param millis how long a gang waits before workers are kept free for it
+   * @return the changed settings
+   */
+  public SchedulerSettings withHoldAfterMillis(long millis) {
+    return new SchedulerSettings(
+        queueLimit,
+        backfillDepth,
+        urgentHoldMillis,
+        urgentTurn,
+        millis,
+        gangRetryMillis,
+        historyMillis,
+        failedWorkersLimit,
+        waitMargin,
+        badEndsLimit,
+        quarantineMillis,
+        longestQuarantineMillis,
+        quarantinePart,
+        slowFactor);
+  }
+
+  private static void check(String name, double value, double least, double most) {
     if (value < least || value > most) {
       throw new IllegalArgumentException(
-          name + " is " + value + ", allowed is " + least + " to " + most);
+          name + " is " + plain(value) + ", allowed is " + plain(least) + " to " + plain(most));
     }
   }
+
+  private static String plain(double value) {
+    return new BigDecimal(String.valueOf(value)).stripTrailingZeros().toPlainString();
+  }
 }
--- a/core/src/main/java/org/hickorypier/core/scheduling/ShapeTable.java
+++ b/core/src/main/java/org/hickorypier/core/scheduling/ShapeTable.java
@@ -30,6 +30,12 @@
     return shapes.computeIfAbsent(resources, Shape::new);
   }
 
+  /** Tells whether this size is known to fit nowhere now. */
+  boolean isBlocked(Resources resources) {
+    Shape shape = shapes.get(resources);
+    return shape != null && shape.isBlocked();
+  }
+
   void block(Shape shape) {
     if (!shape.isBlocked()) {
       shape.setBlocked(true);
--- a/core/src/main/java/org/hickorypier/core/scheduling/TeamState.java
+++ b/core/src/main/java/org/hickorypier/core/scheduling/TeamState.java
@@ -1,12 +1,9 @@
 package org.hickorypier.core.scheduling;
 
-import java.util.Collection;
 import java.util.EnumMap;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import org.hickorypier.core.model.Resources;
 import org.hickorypier.core.model.WorkClass;
-import org.hickorypier.core.model.WorkKey;
 
 /**
  * A team's queues, permits and use.
@@ -18,8 +15,7 @@
   private static final double DEFAULT_SHARE = 1.0;
 
   private final String name;
-  private final Map<WorkClass, LinkedHashMap<WorkKey, QueuedItem>> queues =
-      new EnumMap<>(WorkClass.class);
+  private final Map<WorkClass, ClassQueue> queues = new EnumMap<>(WorkClass.class);
   private double share = DEFAULT_SHARE;
   private int permits;
   private int placedTasks;
@@ -33,7 +29,7 @@
   TeamState(String name) {
     this.name = name;
     for (WorkClass workClass : WorkClass.values()) {
-      queues.put(workClass, new LinkedHashMap<>());
+      queues.put(workClass, new ClassQueue());
     }
   }
 
@@ -41,19 +37,28 @@
     return name;
   }
 
-  Collection<QueuedItem> queue(WorkClass workClass) {
-    return queues.get(workClass).values();
+  ClassQueue queue(WorkClass workClass) {
+    return queues.get(workClass);
+  }
+
+  /** Returns the tasks a second that the team gets started over all classes. */
+  double drainPerSecond(long now) {
+    double sum = 0;
+    for (ClassQueue queue : queues.values()) {
+      sum += queue.drainPerSecond(now);
+    }
+    return sum;
   }
 
   void enqueue(QueuedItem queued) {
-    queues.get(queued.item().workClass()).put(queued.item().key(), queued);
+    queue(queued.item().workClass()).add(queued);
     waitingTasks += queued.waitingTasks();
     queued.shape().itemQueued();
     markWorthTrying();
   }
 
   void dequeue(QueuedItem queued) {
-    queues.get(queued.item().workClass()).remove(queued.item().key());
+    queue(queued.item().workClass()).remove(queued);
     waitingTasks -= queued.waitingTasks();
     queued.shape().itemGone();
     queued.markGone();
@@ -68,8 +73,9 @@
     return waitingTasks > 0;
   }
 
-  void taskLeftQueue() {
+  void taskStarted(WorkClass workClass, long now) {
     waitingTasks--;
+    queue(workClass).taskStarted(now);
   }
 
   int freePermits() {
@@ -101,17 +107,23 @@
     return placedTasks;
   }
 
-  void taskPlaced(Resources reserved) {
+  void taskPlaced(PlacedTask task) {
     placedTasks++;
-    used = used.plus(reserved);
+    used = used.plus(task.reserved());
+    queue(task.workClass()).taskRuns();
   }
 
-  void taskEnded(Resources reserved) {
+  void taskEnded(PlacedTask task) {
     placedTasks--;
-    used = used.minus(reserved);
+    used = used.minus(task.reserved());
+    queue(task.workClass()).taskEnded();
     markWorthTrying();
   }
 
+  void taskResized(Resources before, Resources after) {
+    used = used.minus(before).plus(after);
+  }
+
   void setUsedElsewhere(Resources resources) {
     usedElsewhere = resources;
   }
--- /dev/null
+++ b/core/src/main/java/org/hickorypier/core/scheduling/WaitEstimate.java
@@ -0,0 +1,53 @@
+package org.hickorypier.core.scheduling;
+
+import org.hickorypier.core.model.WorkItem;
+
+/**
+ * Estimates how long a new item would wait: the tasks ahead of it over the rate at which they
+ * start.
+ *
+ * <p>Made for a demand of twice the capacity and more. It prevents that callers wait to their
+ * deadline in a queue that cannot reach them, and then come back with a second request. While there
+ * is room, nothing is estimated: an idle fleet shows no rate, and the first burst must not be
+ * refused for that.
+ *
+ * <p>Not thread safe.
+ */
+final class WaitEstimate {
+
+  private static final double RATE_WINDOW_MILLIS = 5_000;
+  private static final double MILLIS_PER_SECOND = 1_000;
+
+  private final DecayedRate ends = new DecayedRate(RATE_WINDOW_MILLIS);
+  private final FairOrder order;
+  private final ShapeTable shapes;
+
+  WaitEstimate(FairOrder order, ShapeTable shapes) {
+    this.order = order;
+    this.shapes = shapes;
+  }
+
+  void taskEnded(long now) {
+    ends.count(now);
+  }
+
+  /** Returns the estimated wait in milliseconds, 0 if there is room or nothing is known yet. */
+  long millis(WorkItem item, TeamState team, long now) {
+    boolean full = shapes.isBlocked(item.resources());
+    if (!full && team.freePermits() > 0) {
+      return 0;
+    }
+    ClassQueue queue = team.queue(item.workClass());
+    if (queue.waitingTasks() > 0) {
+      return wait(queue.waitingTasks() + item.tasks(), queue.drainPerSecond(now));
+    }
+    if (!full) {
+      return wait(1, team.drainPerSecond(now));
+    }
+    return wait(order.waitingTeams() + item.tasks(), ends.perSecond(now));
+  }
+
+  private static long wait(int tasks, double perSecond) {
+    return perSecond == 0 ? 0 : (long) (tasks / perSecond * MILLIS_PER_SECOND);
+  }
+}
--- a/core/src/main/java/org/hickorypier/core/scheduling/WorkerState.java
+++ b/core/src/main/java/org/hickorypier/core/scheduling/WorkerState.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import org.hickorypier.core.model.Resources;
 import org.hickorypier.core.model.TaskId;
+import org.hickorypier.core.model.WorkClass;
 import org.hickorypier.core.model.WorkerDescription;
 
 /**
@@ -22,6 +23,8 @@
   private long freeMemoryMebibytes;
   private int freeAccelerators;
   private int freeSlots;
+  private final WorkerHealth health = new WorkerHealth();
+  private QueuedItem heldFor;
   private RoomIndex.Position position;
 
   WorkerState(WorkerDescription description, boolean open) {
@@ -44,13 +47,66 @@
     recount();
   }
 
-  boolean isOpen() {
-    return open;
+  WorkerHealth health() {
+    return health;
+  }
+
+  /** Returns the item that the worker is kept free for, or null. */
+  QueuedItem heldFor() {
+    return heldFor;
+  }
+
+  void holdFor(QueuedItem queued) {
+    heldFor = queued;
   }
 
   /** Tells whether the worker may get a task at all, whatever its size. */
   boolean takesTasks() {
-    return open && freeSlots > 0;
+    return open && freeSlots > 0 && health.admits(tasks.size());
+  }
+
+  /** Tells whether the worker may get several tasks once its present ones have ended. */
+  boolean takesTasksWhenFree() {
+    return open && health.state() == WorkerHealth.State.GOOD;
+  }
+
+  /** Returns how many tasks of a size fit beside its services alone. */
+  int tasksWhenFree(Resources need) {
+    long processors = description.capacity().milliProcessors();
+    long memory = description.capacity().memoryMebibytes();
+    long accelerators = description.capacity().accelerators();
+    long slots = description.slots();
+    for (Reservation reservation : tasks.values()) {
+      if (isService(reservation)) {
+        processors -= reservation.task().reserved().milliProcessors();
+        memory -= reservation.task().reserved().memoryMebibytes();
+        accelerators -= reservation.task().reserved().accelerators();
+        slots--;
+      }
+    }
+    long most = slots;
+    most = Math.min(most, times(processors, need.milliProcessors()));
+    most = Math.min(most, times(memory, need.memoryMebibytes()));
+    return (int) Math.max(0, Math.min(most, times(accelerators, need.accelerators())));
+  }
+
+  /** Returns when its tasks but for services are expected to have ended. */
+  long freeAtMillis() {
+    long latest = Long.MIN_VALUE;
+    for (Reservation reservation : tasks.values()) {
+      if (!isService(reservation)) {
+        latest = Math.max(latest, reservation.expectedEndMillis());
+      }
+    }
+    return latest;
+  }
+
+  private static boolean isService(Reservation reservation) {
+    return reservation.task().workClass() == WorkClass.SERVICE;
+  }
+
+  private static long times(long room, long need) {
+    return need == 0 ? Integer.MAX_VALUE : room / need;
   }
 
   Collection<Reservation> reservations() {
@@ -107,7 +163,18 @@
   }
 
   WorkerRoom room() {
-    return new WorkerRoom(description, free(), Math.max(0, freeSlots), open ? "open" : "closed");
+    return new WorkerRoom(description, free(), Math.max(0, freeSlots), stateWord());
+  }
+
+  private String stateWord() {
+    if (!open) {
+      return "closed";
+    }
+    return switch (health.state()) {
+      case GOOD -> "open";
+      case QUARANTINED -> "quarantined";
+      case PROBING -> "probing";
+    };
   }
 
   RoomIndex.Position position() {
--- /dev/null
+++ b/core/src/test/java/org/hickorypier/core/scheduling/RoomIndexTest.java
@@ -0,0 +1,67 @@
+package org.hickorypier.core.scheduling;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.hickorypier.core.model.Resources;
+import org.hickorypier.core.model.TaskId;
+import org.hickorypier.core.model.WorkClass;
+import org.hickorypier.core.model.WorkKey;
+
+class RoomIndexTest {
+
+  private static final Resources CAPACITY = new Resources(16_000, 64_512, 4);
+
+  /** Goes through all workers: slow, and plainly right. */
+  private static Optional<WorkerState> reference(
+      List<WorkerState> workers, Resources need, boolean byMemory) {
+    Comparator<WorkerState> byAccelerators = Comparator.comparingInt(WorkerState::freeAccelerators);
+    Comparator<WorkerState> byProcessors =
+        Comparator.comparingLong(WorkerState::freeMilliProcessors);
+    Comparator<WorkerState> bySize = Comparator.comparingLong(WorkerState::freeMemoryMebibytes);
+    Comparator<WorkerState> order =
+        byMemory
+            ? byAccelerators.thenComparing(bySize).thenComparing(byProcessors)
+            : byAccelerators.thenComparing(byProcessors).thenComparing(bySize);
+    return workers.stream().filter(worker -> worker.hasRoomFor(need)).min(order);
+  }
+
+  /** Amounts are whole levels of the index, so that its order is the exact one. */
+  private static Resources amount(SplittableRandom random) {
+    return new Resources(
+        250L * random.nextInt(40), 1_024L * random.nextInt(40), random.nextInt(5) / 2);
+  }
+
+  @Property(seed = "7", tries = 100)
+  void indexFindsWhatTheSlowSearchFinds(@ForAll long seed) {
+    SplittableRandom random = new SplittableRandom(seed);
+    Fleet fleet = new Fleet();
+    List<WorkerState> workers = new ArrayList<>();
+    for (int i = 0; i < 60; i++) {
+      workers.add(new WorkerState(Work.worker(i, CAPACITY, 8), true));
+      fleet.add(workers.get(i));
+    }
+    for (int step = 0; step < 200; step++) {
+      Resources need = amount(random);
+      boolean byMemory = random.nextBoolean();
+      WorkerState found = fleet.index().tightest(need, byMemory, worker -> true);
+      Optional<WorkerState> expected = reference(workers, need, byMemory);
+      assertThat(found == null).isEqualTo(expected.isEmpty());
+      if (found != null) {
+        assertThat(found.free()).isEqualTo(expected.get().free());
+        TaskId id = new TaskId(new WorkKey("team", "id"), 1, step);
+        PlacedTask task = new PlacedTask(id, found.name(), WorkClass.BATCH, need);
+        fleet.reserve(found, new Reservation(task, "", 0, 0));
+      }
+      WorkerState some = workers.get(random.nextInt(workers.size()));
+      new ArrayList<>(some.reservations())
+          .stream().limit(2).forEach(reservation -> fleet.release(some, reservation));
+    }
+  }
+}
