--- a/standins/src/main/java/org/hickorypier/standins/fault/Fault.java
+++ b/standins/src/main/java/org/hickorypier/standins/fault/Fault.java
@@ -10,6 +10,10 @@
   RESET_BEFORE_EFFECT(false),
   /** Closes the connection after the call took effect, so its answer is lost. */
   RESET_AFTER_EFFECT(true),
+  /**
+   * Closes the connection at once; the call is still under way and takes effect after the delay.
+   */
+  LATE_EFFECT(false),
   /** Never answers, and the call has no effect. */
   SILENT_BEFORE_EFFECT(false),
   /** Never answers, though the call took effect. */
@@ -24,7 +28,7 @@
   }
 
   /**
-   * Tells whether the call takes effect all the same.
+   * Tells whether the call has taken effect by the time its caller sees the fault.
    *
    * @return true if only its answer suffers
    */
--- a/standins/src/main/java/org/hickorypier/standins/fault/FaultGate.java
+++ b/standins/src/main/java/org/hickorypier/standins/fault/FaultGate.java
@@ -1,12 +1,18 @@
 package org.hickorypier.standins.fault;
 
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+
 /**
  * Lets calls to a stand-in through, or makes them go wrong as planned.
  *
- * <p>Thread safe. A call that takes no effect never reaches its {@link Effect}.
+ * <p>Thread safe. A call that takes no effect never reaches its {@link Effect}, except one under
+ * way, which reaches it after its caller has given up.
  */
 public final class FaultGate {
 
+  private static final Logger LOGGER = System.getLogger(FaultGate.class.getName());
+
   private final Delays delays;
   private FaultPlan plan = FaultPlan.NONE;
 
@@ -38,6 +44,11 @@
    */
   public <T> void call(String operation, Effect<T> effect, CallOutcome<T> outcome) {
     FaultPlan struckBy = take(operation);
+    if (struckBy.fault() == Fault.LATE_EFFECT) {
+      outcome.struck(Fault.LATE_EFFECT);
+      delays.after(Math.max(1, struckBy.delayMillis()), () -> runUnseen(effect));
+      return;
+    }
     Runnable rest = () -> finish(struckBy.fault(), effect, outcome);
     if (struckBy.delayMillis() > 0) {
       delays.after(struckBy.delayMillis(), rest);
@@ -46,6 +57,15 @@
     }
   }
 
+  /** Nobody waits for the result any more, nor for the refusal. */
+  private static <T> void runUnseen(Effect<T> effect) {
+    try {
+      effect.run();
+    } catch (Exception error) {
+      LOGGER.log(Level.DEBUG, "stand-in: late call refused: {0}", error.getMessage());
+    }
+  }
+
   private synchronized FaultPlan take(String operation) {
     if (!plan.strikes(operation)) {
       return FaultPlan.NONE;
--- a/standins/src/main/java/org/hickorypier/standins/http/FaultedResponses.java
+++ b/standins/src/main/java/org/hickorypier/standins/http/FaultedResponses.java
@@ -27,7 +27,8 @@
   static void strike(RoutingContext context, Fault fault) {
     switch (fault) {
       case UNAVAILABLE -> json(context, UNAVAILABLE, new ErrorBody("unavailable"));
-      case RESET_BEFORE_EFFECT, RESET_AFTER_EFFECT -> context.request().connection().close();
+      case RESET_BEFORE_EFFECT, RESET_AFTER_EFFECT, LATE_EFFECT ->
+          context.request().connection().close();
       case CUT_BODY ->
           context
               .response()
