Add a fleet of separate processes and the takeover measurement

Change: measure.fleet starts log, list, workers and daemons as processes, signals them, posts requests and reads the workers' records; measure.takeover puts it under load, kills and pauses instances and holds what callers concluded against the record. measure depends on daemon and standins for it; acceptance tests use the same fleet.

--- /dev/null
+++ b/measure/src/main/java/org/hickorypier/measure/takeover/TakeoverSettings.java
@@ -0,0 +1,16 @@
+package org.hickorypier.measure.takeover;
+
+/**
+ * The size of a takeover measurement.
+ *
+ * <p>Immutable.
+ *
+ * @param entries how many daemons
+ * @param workers how many workers
+ * @param callers how many callers ask at once
+ * @param rounds how often an instance is killed and another paused
+ * @param teamLimit the upper limit of each team
+ * @param leaseMillis the lease of a task on its worker
+ */
+public record TakeoverSettings(
+    int entries, int workers, int callers, int rounds, int teamLimit, long leaseMillis) {}
