Adapt the control tests to the fleet's listener, mend two linter findings

Cause: WorkerFleet takes its listener at start; a test built against the older form did not compile. Change: the call only; no assertion touched.

--- a/acceptance/src/test/java/org/hickorypier/acceptance/control/ControllerNode.java
+++ b/acceptance/src/test/java/org/hickorypier/acceptance/control/ControllerNode.java
@@ -68,12 +68,11 @@
             this,
             links::get,
             new View(),
-            name,
-            new FleetEvents());
+            name);
     dispatcher =
         new Dispatcher(
             new DispatchSettings(LEASE_MILLIS, 500, 4, 5_000), fleet, this, this, name, listener());
-    fleet.start();
+    fleet.start(new FleetEvents());
     dispatcher.start();
   }
 
--- a/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
@@ -107,12 +107,12 @@
    */
   public Hickoryd(DaemonSettings settings) {
     this.settings = settings;
-    SplittableRandom random = new SplittableRandom();
     PeerIdentity own = new PeerIdentity(settings.name(), System.currentTimeMillis());
     self = own.toString();
     cluster =
         new Cluster(own, new MembershipView(own.name(), settings.peerTimeoutMillis()), control);
     vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(settings.eventLoops()));
+    SplittableRandom random = new SplittableRandom();
     LogService log = new HttpLogService(vertx, address(settings.logService()));
     LogStreams streams = new LogStreams(log, control, control, random);
     configurationStream =
--- a/daemon/src/main/java/org/hickorypier/daemon/cluster/QuestionKind.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/cluster/QuestionKind.java
@@ -8,7 +8,7 @@
   OFFER("offer"),
   /** Stop the task named in the text; its owner does not control the worker. */
   STOP("stop"),
-  /** Does the instance know the work named in the text, and all its workers' tasks? */
+  /** Tell whether the work named in the text is known there, and whether all tasks there are. */
   KNOWS("knows"),
   /** Cancel the work named in the text. */
   CANCEL("cancel"),
