Ask former homes before work runs at a new home

Cause: when an instance joins, leaves or dies, a key's home moves; a repeated request then reached a home that had never heard of it and would have run a second time beside the first. Ruled out: a record in the log for every idempotent request (1,600 starts/s against some hundred appends/s); refusing all moved keys for a lease (35 s); asking everybody for every request. Change: HomeHistory names the former homes of a key; HomeIntake asks a live one, or everybody when it is gone, and joins the caller to the first attempt, or sends it away for a second while a takeover is under way. A synchronous request runs for ten minutes at the most, so the history may end. Conclusion: no extra message while the membership is quiet.

--- a/daemon/src/main/java/org/hickorypier/daemon/DaemonConstants.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/DaemonConstants.java
@@ -41,5 +41,11 @@
   /** Ends of tasks on workers that others control are noticed within this time. */
   static final long POLL_MILLIS = 2_000;
 
+  /** The longest synchronous request; longer work is a job. */
+  static final long LONGEST_RUN_MILLIS = 10 * 60 * 1_000;
+
+  /** Former homes are asked for as long as a request can wait and run. */
+  static final long HOME_HISTORY_MILLIS = 2 * LONGEST_RUN_MILLIS;
+
   private DaemonConstants() {}
 }
--- a/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.hickorypier.core.keys.KeyIssuer;
+import org.hickorypier.core.membership.HomeHistory;
 import org.hickorypier.core.membership.MembershipView;
 import org.hickorypier.core.model.WorkKey;
 import org.hickorypier.core.scheduling.Scheduler;
@@ -33,6 +34,7 @@
 import org.hickorypier.daemon.cluster.Cluster;
 import org.hickorypier.daemon.cluster.DigestBoard;
 import org.hickorypier.daemon.cluster.FleetQueries;
+import org.hickorypier.daemon.cluster.HomeIntake;
 import org.hickorypier.daemon.cluster.LocalRows;
 import org.hickorypier.daemon.cluster.PeerRequests;
 import org.hickorypier.daemon.cluster.QuestionKind;
@@ -79,6 +81,7 @@
 
   private static final Logger LOGGER = System.getLogger(Hickoryd.class.getName());
 
+  private static final Duration HISTORY_PERIOD = Duration.ofMillis(250);
   private static final Duration START_TIMEOUT = Duration.ofSeconds(10);
 
   private final DaemonSettings settings;
@@ -97,6 +100,8 @@
   private final Cluster cluster;
   private final PeerNetwork network;
   private final LocalRows rows;
+  private final HomeHistory history;
+  private final HomeIntake intake;
   private final DigestBoard digests;
   private final PeerRequests requests;
 
@@ -136,7 +141,8 @@
                 DaemonConstants.RETRY_LIMIT,
                 DaemonConstants.ANSWER_KEEP_MILLIS,
                 DaemonConstants.ANSWER_KEEP_BYTES,
-                DaemonConstants.TICK_MILLIS),
+                DaemonConstants.TICK_MILLIS,
+                DaemonConstants.LONGEST_RUN_MILLIS),
             scheduler,
             control,
             AttemptGate.OPEN,
@@ -188,6 +194,9 @@
             new MeterPeerCounters(registry),
             requests);
     cluster.connect(network);
+    history = new HomeHistory(own.name(), DaemonConstants.HOME_HISTORY_MILLIS);
+    intake = new HomeIntake(cluster, history, work, control, control, fleet::isComplete);
+    requests.takeInBy(intake);
     network.listen(digests);
   }
 
@@ -201,7 +210,7 @@
     Router router = Router.router(vertx);
     EntryService entry =
         new EntryService(
-            control, control, configuration, readiness, cluster, work, new JobService());
+            control, control, configuration, readiness, cluster, intake, new JobService());
     new CallerApi(
             entry,
             new CallerRequestParser(settings.deadlineDefaultMillis()),
@@ -288,6 +297,7 @@
                     }));
     configurationStream.follower().start(0);
     control.every(Duration.ofMillis(settings.digestMillis()), this::sendDigest);
+    control.every(HISTORY_PERIOD, () -> history.note(cluster.candidates(), control.nowMillis()));
     dispatcher.start();
     fleet.start(new TaskAdopter(scheduler, work, dispatcher, control));
     work.start(dispatcher);
--- a/daemon/src/main/java/org/hickorypier/daemon/cluster/Cluster.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/cluster/Cluster.java
@@ -48,6 +48,12 @@
   /** The home may wait for a place until the deadline, and then the task runs. */
   private static final long RUN_ALLOWANCE_MILLIS = 10 * 60 * 1_000;
 
+  /** Hops of work on its way to its home. */
+  static final int TO_HOME = 1;
+
+  /** Hops of work that its home has sent on; it goes no further, so it cannot go round. */
+  static final int FROM_HOME = 2;
+
   private static final Duration QUESTION_TIMEOUT = Duration.ofSeconds(5);
 
   private final PeerIdentity own;
@@ -125,6 +131,15 @@
     return members.live(timers.nowMillis());
   }
 
+  /**
+   * Returns the instances that new work is homed at.
+   *
+   * @return their names
+   */
+  public Set<String> candidates() {
+    return members.candidates(timers.nowMillis());
+  }
+
   /**
    * Returns this instance.
    *
@@ -212,12 +227,27 @@
 
   @Override
   public Uni<WorkResult> forward(String home, Submission submission) {
+    return send(home, submission, TO_HOME);
+  }
+
+  /**
+   * Hands work to an instance that is to run it, or already does, whoever its home is.
+   *
+   * @param instance the instance's name
+   * @param submission the work
+   * @return the final answer
+   */
+  public Uni<WorkResult> join(String instance, Submission submission) {
+    return send(instance, submission, FROM_HOME);
+  }
+
+  private Uni<WorkResult> send(String instance, Submission submission, int hops) {
     long now = timers.nowMillis();
     long remaining = Math.max(0, submission.item().deadlineMillis() - now);
     return network
         .request(
-            home,
-            ForwardCodec.work(submission, 1, now),
+            instance,
+            ForwardCodec.work(submission, hops, now),
             Duration.ofMillis(remaining + RUN_ALLOWANCE_MILLIS))
         .map(answer -> ForwardCodec.result((ForwardedAnswer) answer))
         .onFailure()
--- a/daemon/src/main/java/org/hickorypier/daemon/cluster/PeerRequests.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/cluster/PeerRequests.java
@@ -4,6 +4,7 @@
 import java.util.EnumMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import org.hickorypier.core.model.Refusal;
 import org.hickorypier.core.model.RefusalReason;
@@ -11,6 +12,7 @@
 import org.hickorypier.daemon.peer.PeerIdentity;
 import org.hickorypier.daemon.peer.PeerRequestHandler;
 import org.hickorypier.daemon.time.TimerService;
+import org.hickorypier.daemon.work.Submission;
 import org.hickorypier.daemon.work.WorkResult;
 import org.hickorypier.daemon.work.WorkService;
 import org.hickorypier.wire.message.PeerMessage.Answer;
@@ -28,6 +30,7 @@
   private final TimerService timers;
   private final Readiness readiness;
   private final WorkService work;
+  private HomeIntake intake;
   private final Map<QuestionKind, Function<String, Uni<byte[]>>> answers =
       new EnumMap<>(QuestionKind.class);
 
@@ -44,6 +47,16 @@
     this.work = work;
   }
 
+  /**
+   * Sets who takes in work that was forwarded to its home.
+   *
+   * @param homeIntake the intake
+   */
+  public void takeInBy(HomeIntake homeIntake) {
+    intake = homeIntake;
+    answer(QuestionKind.KNOWS, homeIntake::knows);
+  }
+
   /**
    * Adds the answer to one kind of question.
    *
@@ -74,12 +87,17 @@
                   new WorkResult.Refused(
                       new Refusal(RefusalReason.NOT_READY, obstacle.get(), RETRY_AFTER_MILLIS))));
     }
+    Submission submission = ForwardCodec.submission(forwarded, timers.nowMillis());
     return Uni.createFrom()
         .emitter(
-            emitter ->
-                work.submit(
-                    ForwardCodec.submission(forwarded, timers.nowMillis()),
-                    result -> emitter.complete(ForwardCodec.answer(result))));
+            emitter -> {
+              Consumer<WorkResult> answer = result -> emitter.complete(ForwardCodec.answer(result));
+              if (forwarded.hops() == Cluster.TO_HOME) {
+                intake.submit(submission, answer);
+              } else {
+                work.submit(submission, answer);
+              }
+            });
   }
 
   private Uni<Answer> reply(Question question) {
--- a/daemon/src/main/java/org/hickorypier/daemon/entry/EntryService.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/entry/EntryService.java
@@ -13,12 +13,12 @@
 import org.hickorypier.daemon.caller.CallerRequest;
 import org.hickorypier.daemon.caller.DenialKind;
 import org.hickorypier.daemon.caller.DeniedException;
+import org.hickorypier.daemon.cluster.HomeIntake;
 import org.hickorypier.daemon.configuration.ConfigurationService;
 import org.hickorypier.daemon.job.JobService;
 import org.hickorypier.daemon.time.TimerService;
 import org.hickorypier.daemon.work.Submission;
 import org.hickorypier.daemon.work.WorkResult;
-import org.hickorypier.daemon.work.WorkService;
 
 /**
  * The first filters of every call: authenticate, check readiness, find the home.
@@ -34,7 +34,7 @@
   private final ConfigurationService configuration;
   private final Readiness readiness;
   private final HomeDirectory homes;
-  private final WorkService work;
+  private final HomeIntake intake;
   private final JobService jobs;
 
   /**
@@ -45,7 +45,7 @@
    * @param configuration teams and keys
    * @param readiness whether new work is taken
    * @param homes where work is decided
-   * @param work the work decided here
+   * @param intake takes work in at its home
    * @param jobs the jobs
    */
   public EntryService(
@@ -54,14 +54,14 @@
       ConfigurationService configuration,
       Readiness readiness,
       HomeDirectory homes,
-      WorkService work,
+      HomeIntake intake,
       JobService jobs) {
     this.control = control;
     this.timers = timers;
     this.configuration = configuration;
     this.readiness = readiness;
     this.homes = homes;
-    this.work = work;
+    this.intake = intake;
     this.jobs = jobs;
   }
 
@@ -72,7 +72,7 @@
           Submission submission = admitted(presentedKey, request);
           Optional<String> home = homes.remoteHome(submission.item().key());
           if (home.isEmpty()) {
-            work.submit(submission, emitter::complete);
+            intake.submit(submission, emitter::complete);
           } else {
             homes
                 .forward(home.get(), submission)
--- a/daemon/src/main/java/org/hickorypier/daemon/work/Dispatcher.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/work/Dispatcher.java
@@ -98,6 +98,7 @@
       TaskRun run = new TaskRun(task, TaskReport.NO_BODY);
       run.setStarted();
       runs.put(task.taskId(), run);
+      awaitIfWanted(run);
     }
   }
 
--- a/daemon/src/main/java/org/hickorypier/daemon/work/WorkService.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/work/WorkService.java
@@ -31,6 +31,7 @@
 public final class WorkService implements TaskListener {
 
   private static final long RETRY_AFTER_MILLIS = 1_000;
+  private static final Duration OVERLONG_PERIOD = Duration.ofSeconds(5);
 
   private final WorkSettings settings;
   private final Scheduler scheduler;
@@ -73,6 +74,7 @@
   public void start(Dispatcher taskDispatcher) {
     dispatcher = taskDispatcher;
     timers.every(Duration.ofMillis(settings.tickMillis()), this::tick);
+    timers.every(OVERLONG_PERIOD, this::stopOverlong);
   }
 
   /**
@@ -167,13 +169,13 @@
   }
 
   /**
-   * Tells whether work waits or runs here.
+   * Tells whether work waits or runs here, or was answered here lately.
    *
    * @param key the work
-   * @return false if it is unknown or answered
+   * @return true if a submission would join it
    */
-  public boolean isOpen(WorkKey key) {
-    return entries.containsKey(key);
+  public boolean knows(WorkKey key) {
+    return entries.containsKey(key) || answers.find(key, timers.nowMillis()).isPresent();
   }
 
   /** Places what can be placed now. Called whenever room, permits or work have come. */
@@ -190,6 +192,18 @@
     }
   }
 
+  // A request that runs for ever holds a slot, its caller and its home. Homes ask former homes only
+  // as far back as a request can run, so the bound also keeps repeated requests from running twice.
+  private void stopOverlong() {
+    long started = timers.nowMillis() - settings.longestRunMillis();
+    for (WorkEntry entry : entries.values()) {
+      boolean overlong = entry.hasStarted() && entry.placedMillis() < started;
+      if (overlong && entry.item().workClass().isSynchronous()) {
+        entry.live().forEach(task -> dispatcher.stop(task.taskId(), false));
+      }
+    }
+  }
+
   private void tick() {
     for (GivenUp givenUp : scheduler.expire(timers.nowMillis())) {
       WorkEntry entry = entries.get(givenUp.item().key());
--- a/daemon/src/main/java/org/hickorypier/daemon/work/WorkSettings.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/work/WorkSettings.java
@@ -10,6 +10,11 @@
  * @param answerKeepMillis how long a final answer is kept for a repeated request
  * @param answerKeepBytes how many bytes of final answers are kept at the most
  * @param tickMillis how often waiting work is looked at when nothing else happens
+ * @param longestRunMillis how long a synchronous request may run before it is stopped
  */
 public record WorkSettings(
-    int retryLimit, long answerKeepMillis, long answerKeepBytes, long tickMillis) {}
+    int retryLimit,
+    long answerKeepMillis,
+    long answerKeepBytes,
+    long tickMillis,
+    long longestRunMillis) {}
--- a/daemon/src/main/java/org/hickorypier/daemon/worker/ControlledWorker.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/worker/ControlledWorker.java
@@ -24,8 +24,10 @@
   private long lastOrderMillis;
   private long lastHeardMillis;
   private int failures;
+  private long failingSinceMillis;
   private WorkerDescription description;
   private boolean saysLeaving;
+  private boolean settledElsewhere;
 
   ControlledWorker(String name, String address, WorkerService service) {
     this.name = name;
@@ -78,14 +80,31 @@
     return listedLeaving || saysLeaving;
   }
 
+  /** Whether its controller was another live instance when it was last asked. */
+  boolean isSettledElsewhere() {
+    return settledElsewhere;
+  }
+
+  void setSettledElsewhere(boolean elsewhere) {
+    settledElsewhere = elsewhere;
+  }
+
   int failures() {
     return failures;
   }
 
-  void failed() {
+  void failed(long now) {
+    if (failures == 0) {
+      failingSinceMillis = now;
+    }
     failures++;
   }
 
+  /** For how long every call has failed, 0 if the last one was answered. */
+  long millisFailing(long now) {
+    return failures == 0 ? 0 : now - failingSinceMillis;
+  }
+
   long lastOrderMillis() {
     return lastOrderMillis;
   }
--- a/daemon/src/main/java/org/hickorypier/daemon/worker/WorkerFleet.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/worker/WorkerFleet.java
@@ -162,6 +162,25 @@
         .toList();
   }
 
+  /**
+   * Tells whether the tasks of every worker that we should control are known: each such worker is
+   * held by us or by another live instance, or its leases have run out.
+   *
+   * @return false while a takeover is under way
+   */
+  public boolean isComplete() {
+    return workers.values().stream().allMatch(this::isKnown);
+  }
+
+  private boolean isKnown(ControlledWorker worker) {
+    long leases = settings.leaseMillis() + settings.marginMillis();
+    return worker.isHeld()
+        || !worker.isListed()
+        || worker.isSettledElsewhere()
+        || !view.isWanted(worker.name())
+        || worker.millisFailing(timers.nowMillis()) > leases;
+  }
+
   /**
    * Notes that an order which may have taken effect was sent, so its lease counts from now.
    *
@@ -283,6 +302,7 @@
             || isOffered
             || status.controller().equals(self)
             || !view.isLive(status.controller());
+    worker.setSettledElsewhere(!isFree);
     if (isFree && !status.leaving()) {
       claim(worker, status.token());
     }
@@ -351,7 +371,7 @@
       superseded(worker);
       return;
     }
-    worker.failed();
+    worker.failed(timers.nowMillis());
     LOGGER.log(Level.DEBUG, "worker: {0} did not answer: {1}", worker.name(), error.getMessage());
     if (worker.failures() == FAILURES_BEFORE_CLOSED && worker.isHeld()) {
       LOGGER.log(Level.WARNING, "worker: {0} does not answer", worker.name());
