--- /dev/null
+++ b/measure/src/main/java/org/hickorypier/measure/package-info.java
@@ -0,0 +1,2 @@
+/** Measurements of the decisions in fake time, beside plain baselines. */
+package org.hickorypier.measure;
