Spread services by counts for each rack and data centre

Cause: placing a service went through the tasks of all workers, several times over in a sort.

Ruled out: a sample of racks, which would not spread exactly.

Change: counts of each service by rack and data centre, and a room index for each data centre, so full ones are passed over by one look-up.

--- /dev/null
+++ b/core/src/main/java/org/hickorypier/core/scheduling/DataCentre.java
@@ -0,0 +1,51 @@
+package org.hickorypier.core.scheduling;
+
+import java.util.Collection;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+/**
+ * The racks of a data centre, its workers by room, and the services on them.
+ *
+ * <p>Not thread safe.
+ */
+final class DataCentre {
+
+  private final Map<String, Rack> racks = new TreeMap<>();
+  private final ServiceCounts services = new ServiceCounts();
+  private final RoomIndex index = new RoomIndex(RoomIndex.Scope.DATA_CENTRE);
+
+  Collection<Rack> racks() {
+    return racks.values();
+  }
+
+  Rack rack(String name) {
+    return racks.computeIfAbsent(name, unused -> new Rack());
+  }
+
+  ServiceCounts services() {
+    return services;
+  }
+
+  RoomIndex index() {
+    return index;
+  }
+
+  void eachWorker(Consumer<WorkerState> action) {
+    racks.values().forEach(rack -> rack.workers().forEach(action));
+  }
+
+  void add(WorkerState worker) {
+    rack(worker.description().rack()).workers().add(worker);
+  }
+
+  void remove(WorkerState worker) {
+    String name = worker.description().rack();
+    Rack rack = racks.get(name);
+    rack.workers().remove(worker);
+    if (rack.workers().isEmpty()) {
+      racks.remove(name);
+    }
+  }
+}
--- a/core/src/main/java/org/hickorypier/core/scheduling/Fleet.java
+++ b/core/src/main/java/org/hickorypier/core/scheduling/Fleet.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import org.hickorypier.core.model.Resources;
+import org.hickorypier.core.model.WorkClass;
 
 /**
  * The workers, found by name, by room, by place and at random.
@@ -18,10 +19,10 @@
 final class Fleet {
 
   private final Map<String, WorkerState> workers = new LinkedHashMap<>();
-  private final Map<String, Map<String, List<WorkerState>>> places = new TreeMap<>();
+  private final Map<String, DataCentre> dataCentres = new TreeMap<>();
   private final Map<String, Integer> randomPlace = new HashMap<>();
   private final List<WorkerState> forRandomChoice = new ArrayList<>();
-  private final RoomIndex index = new RoomIndex();
+  private final RoomIndex index = new RoomIndex(RoomIndex.Scope.FLEET);
   private Resources total = Resources.NONE;
 
   RoomIndex index() {
@@ -40,9 +41,8 @@
     return workers.get(name);
   }
 
-  /** Returns the workers of each rack of each data centre. */
-  Map<String, Map<String, List<WorkerState>>> places() {
-    return places;
+  Collection<DataCentre> dataCentres() {
+    return dataCentres.values();
   }
 
   int size() {
@@ -57,7 +57,8 @@
     workers.put(worker.name(), worker);
     randomPlace.put(worker.name(), forRandomChoice.size());
     forRandomChoice.add(worker);
-    rack(worker).add(worker);
+    dataCentre(worker).add(worker);
+    worker.reservations().forEach(reservation -> countService(worker, reservation.task(), true));
     total = total.plus(worker.description().capacity());
     fitLevels(worker);
     reindex(worker);
@@ -71,29 +72,38 @@
       forRandomChoice.set(place, last);
       randomPlace.put(last.name(), place);
     }
-    List<WorkerState> rack = rack(worker);
-    rack.remove(worker);
-    if (rack.isEmpty()) {
-      places.get(worker.description().dataCentre()).remove(worker.description().rack());
+    index.remove(worker);
+    DataCentre dataCentre = dataCentre(worker);
+    dataCentre.index().remove(worker);
+    worker.reservations().forEach(reservation -> countService(worker, reservation.task(), false));
+    dataCentre.remove(worker);
+    if (dataCentre.racks().isEmpty()) {
+      dataCentres.remove(worker.description().dataCentre());
     }
     total = total.minus(worker.description().capacity());
-    index.remove(worker);
   }
 
   void reserve(WorkerState worker, Reservation reservation) {
     worker.add(reservation);
+    countService(worker, reservation.task(), true);
     reindex(worker);
   }
 
   void release(WorkerState worker, Reservation reservation) {
     worker.remove(reservation);
+    countService(worker, reservation.task(), false);
     reindex(worker);
   }
 
   void reindex(WorkerState worker) {
-    index.remove(worker);
+    reindex(worker, index);
+    reindex(worker, dataCentre(worker).index());
+  }
+
+  private static void reindex(WorkerState worker, RoomIndex in) {
+    in.remove(worker);
     if (worker.takesTasks()) {
-      index.add(worker);
+      in.add(worker);
     }
   }
 
@@ -102,13 +112,33 @@
     if (index.needsWiderLevels(capacity)) {
       workers.values().forEach(index::remove);
       index.widenLevels(capacity);
-      workers.values().forEach(this::reindex);
+      workers.values().forEach(other -> reindex(other, index));
+    }
+    DataCentre dataCentre = dataCentre(worker);
+    if (dataCentre.index().needsWiderLevels(capacity)) {
+      dataCentre.eachWorker(dataCentre.index()::remove);
+      dataCentre.index().widenLevels(capacity);
+      dataCentre.eachWorker(other -> reindex(other, dataCentre.index()));
+    }
+  }
+
+  private void countService(WorkerState worker, PlacedTask task, boolean more) {
+    if (task.workClass() != WorkClass.SERVICE) {
+      return;
+    }
+    DataCentre dataCentre = dataCentre(worker);
+    Rack rack = dataCentre.rack(worker.description().rack());
+    if (more) {
+      dataCentre.services().add(task.taskId().key());
+      rack.services().add(task.taskId().key());
+    } else {
+      dataCentre.services().remove(task.taskId().key());
+      rack.services().remove(task.taskId().key());
     }
   }
 
-  private List<WorkerState> rack(WorkerState worker) {
-    return places
-        .computeIfAbsent(worker.description().dataCentre(), unused -> new TreeMap<>())
-        .computeIfAbsent(worker.description().rack(), unused -> new ArrayList<>());
+  private DataCentre dataCentre(WorkerState worker) {
+    return dataCentres.computeIfAbsent(
+        worker.description().dataCentre(), unused -> new DataCentre());
   }
 }
--- a/core/src/main/java/org/hickorypier/core/scheduling/PlacementPolicies.java
+++ b/core/src/main/java/org/hickorypier/core/scheduling/PlacementPolicies.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
-import java.util.Map;
 import java.util.random.RandomGenerator;
 import org.hickorypier.core.model.Resources;
 import org.hickorypier.core.model.WorkClass;
@@ -70,23 +69,21 @@
 
   /**
    * Chooses a worker in the data centre, and in it the rack, with the fewest tasks of the same
-   * service. Made for services that must outlive the loss of a rack or a data centre. Racks are
-   * gone through one by one: services start a few times an hour, and the shape of a task that fits
-   * nowhere is blocked before this is asked.
+   * service. Made for services that must outlive the loss of a rack or a data centre. The index of
+   * a data centre tells whether it has room at all; only then are its racks gone through.
    */
   private WorkerState spread(QueuedItem queued, WorkerFilter allowed) {
     WorkKey key = queued.item().key();
-    List<List<List<WorkerState>>> dataCentres = new ArrayList<>();
-    for (Map<String, List<WorkerState>> racks : fleet.places().values()) {
-      dataCentres.add(new ArrayList<>(racks.values()));
-    }
-    dataCentres.sort(
-        Comparator.comparingLong(
-            racks -> racks.stream().mapToLong(rack -> tasksOf(key, rack)).sum()));
-    for (List<List<WorkerState>> racks : dataCentres) {
-      racks.sort(Comparator.comparingLong(rack -> tasksOf(key, rack)));
-      for (List<WorkerState> rack : racks) {
-        WorkerState found = leastLoaded(rack, queued.need(), allowed);
+    List<DataCentre> dataCentres = new ArrayList<>(fleet.dataCentres());
+    dataCentres.sort(Comparator.comparingInt(dataCentre -> dataCentre.services().of(key)));
+    for (DataCentre dataCentre : dataCentres) {
+      if (dataCentre.index().tightest(queued.need(), false, allowed) == null) {
+        continue;
+      }
+      List<Rack> racks = new ArrayList<>(dataCentre.racks());
+      racks.sort(Comparator.comparingInt(rack -> rack.services().of(key)));
+      for (Rack rack : racks) {
+        WorkerState found = leastLoaded(rack.workers(), queued.need(), allowed);
         if (found != null) {
           return found;
         }
@@ -108,16 +105,4 @@
     }
     return best;
   }
-
-  private static long tasksOf(WorkKey key, List<WorkerState> rack) {
-    long count = 0;
-    for (WorkerState worker : rack) {
-      for (Reservation reservation : worker.reservations()) {
-        if (reservation.task().taskId().key().equals(key)) {
-          count++;
-        }
-      }
-    }
-    return count;
-  }
 }
--- a/core/src/main/java/org/hickorypier/core/scheduling/RoomIndex.java
+++ b/core/src/main/java/org/hickorypier/core/scheduling/RoomIndex.java
@@ -30,11 +30,18 @@
   private static final long LEAST_MILLI_PROCESSORS = 250;
   private static final long LEAST_MEMORY_MEBIBYTES = 256;
 
+  private final Scope scope;
   private final Row[] rows = new Row[ACCELERATOR_LEVELS * PROCESSOR_LEVELS];
   private final int[] workersByAccelerators = new int[ACCELERATOR_LEVELS];
   private long milliProcessorsPerLevel = LEAST_MILLI_PROCESSORS;
   private long memoryPerLevel = LEAST_MEMORY_MEBIBYTES;
 
+  /** What an index spans; a worker stands in one index of each scope. */
+  enum Scope {
+    FLEET,
+    DATA_CENTRE
+  }
+
   /** Where a worker stands: its row, its cell and its place in the cell. */
   static final class Position {
     private final int row;
@@ -59,12 +66,13 @@
     }
   }
 
+  RoomIndex(Scope scope) {
+    this.scope = scope;
+  }
+
   /**
-   * Widens the levels so that a capacity spans no more of them than there are.
-   *
-   * @param capacity a worker's capacity
-   * @return true if the levels changed; all workers must then be removed before the call and added
-   *     after it
+   * Tells whether a capacity spans more levels than there are. All workers must then be removed,
+   * the levels widened, and the workers added again.
    */
   boolean needsWiderLevels(Resources capacity) {
     return capacity.milliProcessors() > milliProcessorsPerLevel * (PROCESSOR_LEVELS - 1)
@@ -92,14 +100,14 @@
       members = new ArrayList<>();
       rows[row].cells.set(cell, members);
     }
-    worker.moveTo(new Position(row, cell, members.size()));
+    worker.moveTo(scope, new Position(row, cell, members.size()));
     members.add(worker);
     rows[row].mask |= 1L << cell;
     workersByAccelerators[accelerators]++;
   }
 
   void remove(WorkerState worker) {
-    Position position = worker.position();
+    Position position = worker.position(scope);
     if (position == null) {
       return;
     }
@@ -108,13 +116,13 @@
     WorkerState last = members.remove(members.size() - 1);
     if (last != worker) {
       members.set(position.place, last);
-      last.position().place = position.place;
+      last.position(scope).place = position.place;
     }
     if (members.isEmpty()) {
       row.mask &= ~(1L << position.cell);
     }
     workersByAccelerators[position.row / PROCESSOR_LEVELS]--;
-    worker.moveTo(null);
+    worker.moveTo(scope, null);
   }
 
   /**
--- /dev/null
+++ b/core/src/main/java/org/hickorypier/core/scheduling/ServiceCounts.java
@@ -0,0 +1,27 @@
+package org.hickorypier.core.scheduling;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.hickorypier.core.model.WorkKey;
+
+/**
+ * How many tasks of each service run in one place.
+ *
+ * <p>Not thread safe.
+ */
+final class ServiceCounts {
+
+  private final Map<WorkKey, Integer> tasks = new HashMap<>();
+
+  int of(WorkKey service) {
+    return tasks.getOrDefault(service, 0);
+  }
+
+  void add(WorkKey service) {
+    tasks.merge(service, 1, Integer::sum);
+  }
+
+  void remove(WorkKey service) {
+    tasks.computeIfPresent(service, (unused, count) -> count == 1 ? null : count - 1);
+  }
+}
--- a/core/src/main/java/org/hickorypier/core/scheduling/WorkerState.java
+++ b/core/src/main/java/org/hickorypier/core/scheduling/WorkerState.java
@@ -25,7 +25,8 @@
   private int freeSlots;
   private final WorkerHealth health = new WorkerHealth();
   private QueuedItem heldFor;
-  private RoomIndex.Position position;
+  private final RoomIndex.Position[] positions =
+      new RoomIndex.Position[RoomIndex.Scope.values().length];
 
   WorkerState(WorkerDescription description, boolean open) {
     this.description = description;
@@ -177,12 +178,12 @@
     };
   }
 
-  RoomIndex.Position position() {
-    return position;
+  RoomIndex.Position position(RoomIndex.Scope scope) {
+    return positions[scope.ordinal()];
   }
 
-  void moveTo(RoomIndex.Position newPosition) {
-    position = newPosition;
+  void moveTo(RoomIndex.Scope scope, RoomIndex.Position position) {
+    positions[scope.ordinal()] = position;
   }
 
   private void recount() {
