--- a/cli/src/main/java/org/hickorypier/cli/ResultPrinter.java
+++ b/cli/src/main/java/org/hickorypier/cli/ResultPrinter.java
@@ -48,6 +48,8 @@
   void printProgress(StatementResult.Accepted accepted) {
     if (format == OutputFormat.JSON) {
       terminal.output().println(codec.encode(accepted));
+    } else if (accepted.offset() == StatementResult.NO_OFFSET) {
+      terminal.output().flush();
     } else if (accepted.inForce()) {
       terminal.output().println("in force everywhere");
     } else {
