Set up the log: one line for each event, level by setting

Cause: the daemon's log came in the two-line form of java.util.logging, at a fixed level, and lost every event of a graceful shutdown.

Ruled out: a logging library (the house style asks for System.Logger); the property java.util.logging.SimpleFormatter.format (stack traces and line breaks from callers would still break lines).

Change: daemon.logging. LogSetup puts one handler on the root logger: time in UTC, level, sentence; causes shortened onto the same line, control characters from outside taken out. HickorydMain calls LogSetup before the first logger is made.

Seen failing: the tests were written with the code and not seen failing.

--- a/daemon/src/main/java/org/hickorypier/daemon/HickorydMain.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/HickorydMain.java
@@ -1,6 +1,7 @@
 package org.hickorypier.daemon;
 
 import java.util.List;
+import org.hickorypier.daemon.logging.LogSetup;
 import org.hickorypier.daemon.settings.DaemonSettings;
 import org.hickorypier.daemon.settings.SettingsException;
 import org.hickorypier.daemon.settings.SettingsReader;
@@ -39,6 +40,7 @@
   }
 
   private static void run(DaemonSettings settings) {
+    LogSetup.start(settings.logLevel(), System.err);
     Hickoryd daemon = new Hickoryd(settings);
     Runtime.getRuntime().addShutdownHook(new Thread(daemon::close, "shutdown"));
     try {
--- /dev/null
+++ b/daemon/src/main/java/org/hickorypier/daemon/logging/LineFormatter.java
@@ -0,0 +1,68 @@
+package org.hickorypier.daemon.logging;
+
+import java.time.ZoneOffset;
+import java.time.format.DateTimeFormatter;
+import java.util.logging.Formatter;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+
+/**
+ * Writes one line for each event: time in UTC, level, and the sentence with its part's prefix.
+ *
+ * <p>Thread safe. An event never takes more than one line.
+ */
+final class LineFormatter extends Formatter {
+
+  private static final DateTimeFormatter TIME =
+      DateTimeFormatter.ofPattern("yyyy-MM-dd'T'HH:mm:ss.SSS'Z'").withZone(ZoneOffset.UTC);
+
+  /** Enough to find the place; the whole trace of a fault that repeats would bury the rest. */
+  private static final int MOST_FRAMES = 6;
+
+  private static final int MOST_CAUSES = 4;
+
+  @Override
+  public String format(LogRecord event) {
+    StringBuilder line = new StringBuilder();
+    line.append(TIME.format(event.getInstant())).append(' ');
+    line.append("%-7s ".formatted(name(event.getLevel())));
+    appendPrintable(line, formatMessage(event));
+    appendCauses(line, event.getThrown());
+    return line.append('\n').toString();
+  }
+
+  private static String name(Level level) {
+    if (level.intValue() >= Level.SEVERE.intValue()) {
+      return "ERROR";
+    } else if (level.intValue() >= Level.WARNING.intValue()) {
+      return "WARNING";
+    } else if (level.intValue() >= Level.INFO.intValue()) {
+      return "INFO";
+    }
+    return level.intValue() >= Level.FINE.intValue() ? "DEBUG" : "TRACE";
+  }
+
+  private static void appendCauses(StringBuilder line, Throwable thrown) {
+    Throwable cause = thrown;
+    for (int depth = 0; cause != null && depth < MOST_CAUSES; depth++) {
+      line.append(depth == 0 ? " | " : " | caused by ");
+      appendPrintable(line, cause.toString());
+      appendFrames(line, cause.getStackTrace());
+      cause = cause.getCause();
+    }
+  }
+
+  private static void appendFrames(StringBuilder line, StackTraceElement[] frames) {
+    for (int index = 0; index < Math.min(MOST_FRAMES, frames.length); index++) {
+      line.append(" at ").append(frames[index]);
+    }
+  }
+
+  // Request ids and error texts come from outside. A line break in one would let a caller write
+  // lines of its own into the log, and an escape sequence would steer the reader's terminal.
+  private static void appendPrintable(StringBuilder line, String text) {
+    text.codePoints()
+        .map(character -> Character.isISOControl(character) ? ' ' : character)
+        .forEach(line::appendCodePoint);
+  }
+}
