--- a/daemon/src/main/java/org/hickorypier/daemon/HickorydMain.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/HickorydMain.java
@@ -40,6 +40,7 @@
   }
 
   private static void run(DaemonSettings settings) {
+    LogSetup.start(settings.logLevel(), System.err);
     LogSetup.start(settings.logLevel(), System.err);
     Hickoryd daemon = new Hickoryd(settings);
     Runtime.getRuntime().addShutdownHook(new Thread(daemon::close, "shutdown"));
