Prove the configuration's freshness by the log, a peer, or all of them; pass records on

Cause: an instance cut off from the log kept a withdrawn key working for as long as the cut lasted, or, with the age bound alone, stopped although its peers heard the log; and with the log down for all every instance stopped after ten seconds. Ruled out: counting an answer from its arrival (a paused process would take an old one for new); trusting digests for it (they carry no time of asking). Measured: FreshnessProofTest, 9 cases; the paused case was seen failing with the time of arrival.

--- /dev/null
+++ b/core/src/test/java/org/hickorypier/core/membership/FreshnessProofTest.java
@@ -0,0 +1,70 @@
+package org.hickorypier.core.membership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class FreshnessProofTest {
+
+  private static final long OWN_OFFSET = 10;
+
+  private final FreshnessProof proof = new FreshnessProof();
+
+  @Test
+  void nothingIsProvedAtFirst() {
+    assertThat(proof.ageMillis(5_000)).isEqualTo(Long.MAX_VALUE);
+  }
+
+  // The log is down for this instance only. Its callers see no break: a peer that reads the log
+  // vouches for it. The age is the peer's plus the time since the question was sent.
+  @ParameterizedTest
+  @CsvSource({
+    "10, 300, 1500, a peer as new as we are",
+    "9, 300, 1500, a peer behind us",
+    "11, 300, 9223372036854775807, a peer that holds something newer proves nothing",
+  })
+  void peerVouches(long offset, long age, long expected, String because) {
+    proof.round(4_000, OWN_OFFSET, false, List.of(new PeerFreshness(offset, age)), 3);
+
+    assertThat(proof.ageMillis(5_200)).as(because).isEqualTo(expected);
+  }
+
+  // The log is down for all. Nobody can have acknowledged a change, so all go on; as soon as one
+  // listed instance does not answer it may be the one that hears the log, and the age grows.
+  @ParameterizedTest
+  @CsvSource({
+    "true, 2, 1000, all listed instances answer",
+    "true, 3, 9223372036854775807, one does not answer",
+    "false, 2, 9223372036854775807, not all could be asked",
+  })
+  void unanimousOutageKeepsEverybodyGoing(
+      boolean askedAll, int asked, long expected, String because) {
+    List<PeerFreshness> answers =
+        List.of(
+            new PeerFreshness(10, PeerFreshness.NEVER), new PeerFreshness(9, PeerFreshness.NEVER));
+
+    proof.round(4_000, OWN_OFFSET, askedAll, answers, asked);
+
+    assertThat(proof.ageMillis(5_000)).as(because).isEqualTo(expected);
+  }
+
+  // The process is paused with a peer's answer in its socket. When it wakes, a withdrawn key would
+  // still work if the answer counted from its arrival; it counts from when the question was sent.
+  @Test
+  void answerThatLayInTheSocketProvesNothingRecent() {
+    proof.round(1_000, OWN_OFFSET, false, List.of(new PeerFreshness(10, 0)), 1);
+
+    assertThat(proof.ageMillis(61_000)).isEqualTo(60_000);
+  }
+
+  @Test
+  void olderProofDoesNotReplaceNewerOne() {
+    proof.logRead(5_000);
+    proof.logRead(3_000);
+
+    assertThat(proof.ageMillis(6_000)).isEqualTo(1_000);
+  }
+}
--- a/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
@@ -32,8 +32,10 @@
 import org.hickorypier.daemon.caller.CallerApi;
 import org.hickorypier.daemon.caller.CallerRequestParser;
 import org.hickorypier.daemon.cluster.Cluster;
+import org.hickorypier.daemon.cluster.ConfigurationGossip;
 import org.hickorypier.daemon.cluster.DigestBoard;
 import org.hickorypier.daemon.cluster.FleetQueries;
+import org.hickorypier.daemon.cluster.FreshnessService;
 import org.hickorypier.daemon.cluster.HomeIntake;
 import org.hickorypier.daemon.cluster.LocalRows;
 import org.hickorypier.daemon.cluster.PeerRequests;
@@ -100,6 +102,7 @@
   private final Cluster cluster;
   private final PeerNetwork network;
   private final LocalRows rows;
+  private final FreshnessService freshness;
   private final HomeHistory history;
   private final HomeIntake intake;
   private final DigestBoard digests;
@@ -126,12 +129,16 @@
             ConfigurationRecord.class,
             ConfigurationRecord::id,
             configuration);
-    configuration.appendTo(configurationStream.appender());
-    readiness =
-        new ReadinessCheck(
-            configurationStream.follower()::isCaughtUp,
+    configuration.connect(configurationStream.appender(), configurationStream.follower());
+    freshness =
+        new FreshnessService(
+            cluster,
+            control,
+            control,
             configurationStream.follower()::millisSinceHeard,
-            settings.freshnessMillis());
+            () -> configuration.current().offset());
+    readiness =
+        new ReadinessCheck(this::isConfigured, freshness::ageMillis, settings.freshnessMillis());
     scheduler = SchedulerFactory.create(SchedulerSettings.defaults(), random.nextLong());
     rows = new LocalRows(settings.name(), settings.dataCentre(), scheduler, control);
     digests = new DigestBoard(scheduler, control);
@@ -198,6 +205,7 @@
     intake = new HomeIntake(cluster, history, work, control, control, fleet::isComplete);
     requests.takeInBy(intake);
     network.listen(digests);
+    network.listen(new ConfigurationGossip(network, configuration));
   }
 
   /**
@@ -271,6 +279,14 @@
     return digests.behind(others, offset);
   }
 
+  // Reading the log to its end is not enough: if the records before the oldest one have expired and
+  // no snapshot was found yet, the state lacks them.
+  private boolean isConfigured() {
+    long folded = configuration.current().offset();
+    boolean whole = folded + 1 >= configurationStream.follower().nextOffset();
+    return whole && (configurationStream.follower().isCaughtUp() || folded >= 0);
+  }
+
   private String state() {
     return readiness.obstacle().isEmpty() ? "ready" : "not ready";
   }
@@ -279,7 +295,7 @@
     network.broadcast(
         digests.own(
             configuration.current().offset(),
-            configurationStream.follower().millisSinceHeard(),
+            freshness.ageMillis(),
             readiness.obstacle().isEmpty()));
   }
 
@@ -298,6 +314,7 @@
     configurationStream.follower().start(0);
     control.every(Duration.ofMillis(settings.digestMillis()), this::sendDigest);
     control.every(HISTORY_PERIOD, () -> history.note(cluster.candidates(), control.nowMillis()));
+    freshness.start(requests);
     dispatcher.start();
     fleet.start(new TaskAdopter(scheduler, work, dispatcher, control));
     work.start(dispatcher);
--- a/daemon/src/main/java/org/hickorypier/daemon/cluster/Cluster.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/cluster/Cluster.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.hickorypier.core.configuration.Configuration;
 import org.hickorypier.core.configuration.Drain;
 import org.hickorypier.core.membership.ListedMember;
@@ -61,6 +62,7 @@
   private final TimerService timers;
   private Configuration configuration = Configuration.EMPTY;
   private PeerNetwork network;
+  private Set<String> listedOthers = Set.of();
   private boolean shuttingDown;
 
   /**
@@ -100,6 +102,11 @@
                     new ListedMember(instance.name(), instance.state() == InstanceState.LEAVING))
             .toList();
     members.listed(entries, timers.nowMillis());
+    listedOthers =
+        entries.stream()
+            .map(ListedMember::name)
+            .filter(name -> !name.equals(own.name()))
+            .collect(Collectors.toUnmodifiableSet());
     network.instances(instances);
   }
 
@@ -114,7 +121,7 @@
         state.drains().values().stream()
             .filter(Drain::draining)
             .map(Drain::name)
-            .collect(java.util.stream.Collectors.toUnmodifiableSet()));
+            .collect(Collectors.toUnmodifiableSet()));
   }
 
   /** Wants no worker and no work any more, so that the others take them. */
@@ -131,6 +138,15 @@
     return members.live(timers.nowMillis());
   }
 
+  /**
+   * Returns the other instances in the platform's list, whether they answer or not.
+   *
+   * @return their names
+   */
+  public Set<String> listedOthers() {
+    return listedOthers;
+  }
+
   /**
    * Returns the instances that new work is homed at.
    *
--- a/daemon/src/main/java/org/hickorypier/daemon/peer/PeerNetwork.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/peer/PeerNetwork.java
@@ -178,6 +178,17 @@
     control.execute(() -> links.values().forEach(link -> link.tell(message)));
   }
 
+  /**
+   * Sends a message to one peer, if it is linked. Nothing says whether it arrives.
+   *
+   * @param instance the peer's name
+   * @param message the message
+   */
+  public void tell(String instance, PeerMessage message) {
+    control.execute(
+        () -> Optional.ofNullable(links.get(instance)).ifPresent(link -> link.tell(message)));
+  }
+
   /**
    * Asks one instance. The request is sent again on every new link to the same incarnation until it
    * is answered, and the instance acts on it once.
