Count only starts after a vain try in the rate of a queue

Change: only starts of items that were tried in vain tell the rate; and a rate is never taken over less than a second.

--- a/core/src/main/java/org/hickorypier/core/scheduling/ClassQueue.java
+++ b/core/src/main/java/org/hickorypier/core/scheduling/ClassQueue.java
@@ -65,9 +65,19 @@
     waitingTasks -= queued.waitingTasks();
   }
 
-  void taskStarted(long waitedMillis, long now) {
+  /**
+   * Counts the start of a task.
+   *
+   * @param waitedMillis how long the item waited
+   * @param inVain whether it had been tried in vain; only then does the start tell how fast a full
+   *     fleet gets to this queue, and not how fast an empty one is filled
+   * @param now the time
+   */
+  void taskStarted(long waitedMillis, boolean inVain, long now) {
     waitingTasks--;
-    starts.count(now);
+    if (inVain) {
+      starts.count(now);
+    }
     recentWaitMillis += WAIT_WEIGHT * (waitedMillis - recentWaitMillis);
   }
 
--- a/core/src/main/java/org/hickorypier/core/scheduling/DecayedRate.java
+++ b/core/src/main/java/org/hickorypier/core/scheduling/DecayedRate.java
@@ -9,6 +9,9 @@
 
   private static final double MILLIS_PER_SECOND = 1_000;
 
+  /** A few events in the first millisecond are no rate. */
+  private static final double LEAST_SEEN_MILLIS = 1_000;
+
   private final double windowMillis;
   private double weight;
   private long firstMillis;
@@ -39,7 +42,7 @@
     if (!any) {
       return 0;
     }
-    double seen = Math.max(1, now - firstMillis);
+    double seen = Math.max(LEAST_SEEN_MILLIS, now - firstMillis);
     double window = windowMillis * (1 - Math.exp(-seen / windowMillis));
     return decayed(now) / window * MILLIS_PER_SECOND;
   }
--- a/core/src/main/java/org/hickorypier/core/scheduling/TeamState.java
+++ b/core/src/main/java/org/hickorypier/core/scheduling/TeamState.java
@@ -83,7 +83,7 @@
   void taskStarted(QueuedItem queued, long now) {
     waitingTasks--;
     long waited = now - queued.item().submittedMillis();
-    queue(queued.item().workClass()).taskStarted(waited, now);
+    queue(queued.item().workClass()).taskStarted(waited, queued.inVainSinceMillis() <= now, now);
   }
 
   int freePermits() {
