End with 0 after SIGTERM, and keep the log through the shutdown

Cause: a trial run of the daemon ended with 143 after SIGTERM, which a supervisor takes for a crash, and its log stopped before "shutting down". The log manager was chosen too late: a class of Netty, used while the settings are checked, had made the first logger.

Ruled out: a signal handler of the JDK's internal classes (not a supported interface); checking settings without Netty only (the next library class would bring the fault back).

Change: LogSetup.prepare is the first call of HickorydMain; the shutdown thread ends the process with the daemon's own code as its last act. In Hickoryd.close one line is added, "daemon: stopped".

Not mended here: Hickoryd.close does not wait for the HTTP server to finish writing its last answers before the process ends.

--- a/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
@@ -362,6 +362,7 @@
     }
     vertx.close().toCompletionStage().toCompletableFuture().orTimeout(5, TimeUnit.SECONDS);
     control.close();
+    LOGGER.log(Level.INFO, "daemon: stopped");
   }
 
   private static ServiceAddress address(HostAndPort from) {
--- a/daemon/src/main/java/org/hickorypier/daemon/HickorydMain.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/HickorydMain.java
@@ -18,6 +18,8 @@
   private static final int EXIT_NOT_STARTED = 1;
   private static final int EXIT_BAD_SETTINGS = 2;
 
+  private static volatile int exitCode;
+
   private HickorydMain() {}
 
   /**
@@ -26,6 +28,7 @@
    * @param arguments the flags
    */
   public static void main(String[] arguments) {
+    LogSetup.prepare();
     try {
       SettingsResult result = new SettingsReader().read(List.of(arguments), System.getenv());
       if (result instanceof SettingsResult.Print print) {
@@ -42,12 +45,23 @@
   private static void run(DaemonSettings settings) {
     LogSetup.start(settings.logLevel(), System.err);
     Hickoryd daemon = new Hickoryd(settings);
-    Runtime.getRuntime().addShutdownHook(new Thread(daemon::close, "shutdown"));
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(daemon), "shutdown"));
     try {
       System.out.println("listening " + daemon.start());
     } catch (DaemonStartException error) {
       System.err.println("hickoryd: " + error.getMessage());
+      exitCode = EXIT_NOT_STARTED;
       System.exit(EXIT_NOT_STARTED);
     }
   }
+
+  // After SIGTERM the platform ends the process with 143 whatever the hooks did, and a supervisor
+  // takes a graceful shutdown for a crash. To halt with our own code, as the last act, prevents it.
+  private static void shutDown(Hickoryd daemon) {
+    try {
+      daemon.close();
+    } finally {
+      Runtime.getRuntime().halt(exitCode);
+    }
+  }
 }
--- a/daemon/src/main/java/org/hickorypier/daemon/logging/LogSetup.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/logging/LogSetup.java
@@ -11,7 +11,7 @@
  * Sets up the log of the process: {@link System.Logger} over {@code java.util.logging}, one line
  * for each event.
  *
- * <p>Thread safe. Call it before the first logger is made.
+ * <p>Thread safe.
  */
 public final class LogSetup {
 
@@ -32,6 +32,17 @@
 
   private LogSetup() {}
 
+  /**
+   * Chooses the log manager. The platform makes it with the first logger of the process and never
+   * changes it, and libraries make loggers as soon as one of their classes is used; so this is the
+   * first call of a program. Too late, it does no harm, but the log ends where the shutdown begins.
+   */
+  public static void prepare() {
+    if (System.getProperty(MANAGER_PROPERTY) == null) {
+      System.setProperty(MANAGER_PROPERTY, DaemonLogManager.class.getName());
+    }
+  }
+
   /**
    * Sends the log to a stream.
    *
@@ -39,9 +50,6 @@
    * @param stream where the lines go
    */
   public static synchronized void start(String level, PrintStream stream) {
-    if (System.getProperty(MANAGER_PROPERTY) == null) {
-      System.setProperty(MANAGER_PROPERTY, DaemonLogManager.class.getName());
-    }
     Logger root = Logger.getLogger("");
     for (Handler handler : root.getHandlers()) {
       root.removeHandler(handler);
