--- a/measure/src/main/java/org/hickorypier/measure/fleet/Fleet.java
+++ b/measure/src/main/java/org/hickorypier/measure/fleet/Fleet.java
@@ -8,6 +8,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.UUID;
 import java.util.concurrent.ConcurrentSkipListMap;
 import org.hickorypier.language.result.ResultFormatException;
@@ -200,6 +202,21 @@
     return client.post(entry.http(), "/v1/jobs", key, form);
   }
 
+  /**
+   * Asks a daemon whether it is ready. Safe from any thread.
+   *
+   * @param entry the daemon
+   * @param timeoutMillis how long to wait for its answer
+   * @return false if it says no or nothing
+   */
+  public boolean isReady(EntryProcess entry, long timeoutMillis) {
+    try {
+      return client.isReady(entry.http(), timeoutMillis);
+    } catch (FleetException error) {
+      return false;
+    }
+  }
+
   /**
    * Reads the workers' own records. Workers whose process was killed are left out.
    *
@@ -261,6 +278,20 @@
     client.until(what, bound, condition);
   }
 
+  /**
+   * Tells who controls each live worker.
+   *
+   * @return the controllers, name and incarnation; empty for a worker without one
+   * @throws FleetException if a worker does not answer
+   */
+  public Set<String> controllers() throws FleetException {
+    Set<String> controllers = new TreeSet<>();
+    for (ServiceAddress worker : liveWorkers()) {
+      controllers.add(get(worker, "/status", WorkerStatus.class).controller());
+    }
+    return controllers;
+  }
+
   /**
    * Waits until every live worker is controlled by one of the running daemons.
    *
@@ -395,7 +426,7 @@
 
   private void awaitReady(EntryProcess entry) throws FleetException {
     try {
-      client.until(entry.name() + " is ready", READY, () -> client.isReady(entry.http()));
+      client.until(entry.name() + " is ready", READY, () -> isReady(entry, READY.toMillis()));
       entries.put(entry.name(), entry);
     } catch (FleetException error) {
       throw new FleetException(error.getMessage() + "\n" + entry.process().output(), error);
@@ -403,13 +434,8 @@
   }
 
   private boolean allControlled() throws FleetException {
-    for (ServiceAddress worker : liveWorkers()) {
-      String controller = get(worker, "/status", WorkerStatus.class).controller();
-      if (!entries.containsKey(controller.split("#")[0])) {
-        return false;
-      }
-    }
-    return true;
+    return controllers().stream()
+        .allMatch(controller -> entries.containsKey(controller.split("#")[0]));
   }
 
   private List<ServiceAddress> liveWorkers() {
--- a/measure/src/main/java/org/hickorypier/measure/fleet/FleetClient.java
+++ b/measure/src/main/java/org/hickorypier/measure/fleet/FleetClient.java
@@ -23,7 +23,7 @@
  */
 public final class FleetClient implements AutoCloseable {
 
-  private static final long CALL_SECONDS = 15;
+  private static final long CALL_SECONDS = 12;
   private static final long POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
   private static final int CONNECTIONS = 500;
   private static final int OK = 200;
@@ -90,8 +90,10 @@
     }
   }
 
-  boolean isReady(ServiceAddress at) throws FleetException {
-    return send("ready", request(HttpMethod.GET, at, "/health/ready"), null).statusCode() == OK;
+  boolean isReady(ServiceAddress at, long timeoutMillis) throws FleetException {
+    HttpRequest<Buffer> request =
+        request(HttpMethod.GET, at, "/health/ready").timeout(timeoutMillis);
+    return send("ready", request, null).statusCode() == OK;
   }
 
   boolean knowsKey(ServiceAddress at, String key) throws FleetException {
--- a/measure/src/main/java/org/hickorypier/measure/takeover/TakeoverRun.java
+++ b/measure/src/main/java/org/hickorypier/measure/takeover/TakeoverRun.java
@@ -2,13 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.hickorypier.measure.fleet.Fleet;
@@ -51,50 +49,26 @@
     FleetSettings quick = FleetSettings.quick(settings.entries(), 1, settings.workers());
     try (Fleet fleet = Fleet.start(quick)) {
       fleet.awaitControl();
-      AtomicBoolean going = new AtomicBoolean(true);
-      Map<LoadCaller, Thread> callers = startCallers(fleet, going);
       Disturbance disturbance = new Disturbance(fleet, settings);
-      try {
-        disturbance.run();
-      } finally {
-        going.set(false);
+      try (Balancer balancer = new Balancer(fleet)) {
+        Load load = new Load(fleet, balancer, keys(fleet), settings.perSecond());
+        List<LoadEntry> entries;
+        try {
+          disturbance.run();
+        } finally {
+          entries = load.end();
+        }
+        return judge(entries, fleet.history(), disturbance);
       }
-      List<LoadEntry> load = finish(callers);
-      return judge(load, fleet.history(), disturbance);
     }
   }
 
-  private Map<LoadCaller, Thread> startCallers(Fleet fleet, AtomicBoolean going)
-      throws FleetException {
-    Map<String, String> keys = new HashMap<>();
+  private TreeMap<String, String> keys(Fleet fleet) throws FleetException {
+    TreeMap<String, String> keys = new TreeMap<>();
     for (String team : TEAMS) {
       keys.put(team, fleet.createTeam(team, settings.teamLimit()));
     }
-    Map<LoadCaller, Thread> callers = new HashMap<>();
-    for (int number = 0; number < settings.callers(); number++) {
-      String team = TEAMS.get(number % TEAMS.size());
-      LoadCaller caller =
-          new LoadCaller(fleet, team, keys.get(team), "c" + number, going::get, number);
-      Thread thread = new Thread(caller, "caller-" + number);
-      thread.setDaemon(true);
-      thread.start();
-      callers.put(caller, thread);
-    }
-    return callers;
-  }
-
-  private static List<LoadEntry> finish(Map<LoadCaller, Thread> callers) throws FleetException {
-    List<LoadEntry> load = new ArrayList<>();
-    for (Map.Entry<LoadCaller, Thread> caller : callers.entrySet()) {
-      try {
-        caller.getValue().join();
-      } catch (InterruptedException error) {
-        Thread.currentThread().interrupt();
-        throw new FleetException("interrupted", error);
-      }
-      load.addAll(caller.getKey().entries());
-    }
-    return load;
+    return keys;
   }
 
   private TakeoverFigures judge(
@@ -168,8 +142,11 @@
     }
   }
 
-  private static List<TaskHistory> runs(FleetHistory history, String key) {
-    return history.starts().stream().filter(run -> run.workKey().equals(key)).toList();
+  private static List<String> runs(FleetHistory history, String key) {
+    return history.starts().stream()
+        .filter(run -> run.workKey().equals(key))
+        .map(run -> run.taskId() + " by " + run.owner() + " at " + run.startMillis())
+        .toList();
   }
 
   private static Set<String> ran(FleetHistory history) {
--- a/measure/src/main/java/org/hickorypier/measure/takeover/TakeoverSettings.java
+++ b/measure/src/main/java/org/hickorypier/measure/takeover/TakeoverSettings.java
@@ -7,10 +7,10 @@
  *
  * @param entries how many daemons
  * @param workers how many workers
- * @param callers how many callers ask at once
+ * @param perSecond how many requests are posted a second, over three teams
  * @param rounds how often an instance is killed and another paused
  * @param teamLimit the upper limit of each team
  * @param leaseMillis the lease of a task on its worker
  */
 public record TakeoverSettings(
-    int entries, int workers, int callers, int rounds, int teamLimit, long leaseMillis) {}
+    int entries, int workers, int perSecond, int rounds, int teamLimit, long leaseMillis) {}
