--- a/core/src/main/java/org/hickorypier/core/scheduling/PlacementPolicies.java
+++ b/core/src/main/java/org/hickorypier/core/scheduling/PlacementPolicies.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
-import java.util.Map;
 import java.util.random.RandomGenerator;
 import org.hickorypier.core.model.Resources;
 import org.hickorypier.core.model.WorkClass;
@@ -30,22 +29,17 @@
     return switch (workClass) {
       case URGENT, REQUEST -> this::lessLoadedOfTwo;
       case SERVICE -> this::spread;
-      case GANG, BATCH -> this::tightest;
+      case GANG, BATCH -> this::bestFit;
     };
   }
 
   /**
-   * Chooses the worker with the least room of the dominant resource that is enough. Made for long
+   * Chooses the worker that the task leaves with the least and best balanced room. Made for long
    * queues of unlike tasks: large gaps stay whole for large tasks, which scattered small ones would
-   * otherwise keep out.
+   * otherwise keep out, and neither processors nor memory are used up alone.
    */
-  private WorkerState tightest(QueuedItem queued, WorkerFilter allowed) {
-    Resources need = queued.need();
-    Resources total = fleet.total();
-    boolean byMemory =
-        need.memoryMebibytes() * Math.max(1, total.milliProcessors())
-            > need.milliProcessors() * Math.max(1, total.memoryMebibytes());
-    return fleet.index().tightest(need, byMemory, allowed);
+  private WorkerState bestFit(QueuedItem queued, WorkerFilter allowed) {
+    return fleet.index().bestFit(queued.need(), allowed);
   }
 
   /**
@@ -65,28 +59,26 @@
         best = worker;
       }
     }
-    return best == null ? tightest(queued, allowed) : best;
+    return best == null ? bestFit(queued, allowed) : best;
   }
 
   /**
    * Chooses a worker in the data centre, and in it the rack, with the fewest tasks of the same
-   * service. Made for services that must outlive the loss of a rack or a data centre. Racks are
-   * gone through one by one: services start a few times an hour, and the shape of a task that fits
-   * nowhere is blocked before this is asked.
+   * service. Made for services that must outlive the loss of a rack or a data centre. The index of
+   * a data centre tells whether it has room at all; only then are its racks gone through.
    */
   private WorkerState spread(QueuedItem queued, WorkerFilter allowed) {
     WorkKey key = queued.item().key();
-    List<List<List<WorkerState>>> dataCentres = new ArrayList<>();
-    for (Map<String, List<WorkerState>> racks : fleet.places().values()) {
-      dataCentres.add(new ArrayList<>(racks.values()));
-    }
-    dataCentres.sort(
-        Comparator.comparingLong(
-            racks -> racks.stream().mapToLong(rack -> tasksOf(key, rack)).sum()));
-    for (List<List<WorkerState>> racks : dataCentres) {
-      racks.sort(Comparator.comparingLong(rack -> tasksOf(key, rack)));
-      for (List<WorkerState> rack : racks) {
-        WorkerState found = leastLoaded(rack, queued.need(), allowed);
+    List<DataCentre> dataCentres = new ArrayList<>(fleet.dataCentres());
+    dataCentres.sort(Comparator.comparingInt(dataCentre -> dataCentre.services().of(key)));
+    for (DataCentre dataCentre : dataCentres) {
+      if (dataCentre.index().bestFit(queued.need(), allowed) == null) {
+        continue;
+      }
+      List<Rack> racks = new ArrayList<>(dataCentre.racks());
+      racks.sort(Comparator.comparingInt(rack -> rack.services().of(key)));
+      for (Rack rack : racks) {
+        WorkerState found = leastLoaded(rack.workers(), queued.need(), allowed);
         if (found != null) {
           return found;
         }
@@ -108,16 +100,4 @@
     }
     return best;
   }
-
-  private static long tasksOf(WorkKey key, List<WorkerState> rack) {
-    long count = 0;
-    for (WorkerState worker : rack) {
-      for (Reservation reservation : worker.reservations()) {
-        if (reservation.task().taskId().key().equals(key)) {
-          count++;
-        }
-      }
-    }
-    return count;
-  }
 }
--- a/daemon/src/main/java/org/hickorypier/daemon/worker/WorkerFleet.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/worker/WorkerFleet.java
@@ -44,8 +44,8 @@
   private final Function<String, WorkerService> connector;
   private final ControlView view;
   private final String self;
-  private final WorkerFleetListener listener;
   private final Map<String, ControlledWorker> workers = new HashMap<>();
+  private WorkerFleetListener listener;
 
   /**
    * Creates a fleet without workers.
@@ -56,7 +56,6 @@
    * @param connector makes a worker service from an address
    * @param view the view of the other instances
    * @param self this instance's name and incarnation
-   * @param listener hears what becomes of the workers
    */
   public WorkerFleet(
       WorkerLeaseSettings settings,
@@ -64,19 +63,22 @@
       Executor control,
       Function<String, WorkerService> connector,
       ControlView view,
-      String self,
-      WorkerFleetListener listener) {
+      String self) {
     this.settings = settings;
     this.timers = timers;
     this.control = control;
     this.connector = connector;
     this.view = view;
     this.self = self;
-    this.listener = listener;
   }
 
-  /** Starts the regular renewals. */
-  public void start() {
+  /**
+   * Starts the regular renewals.
+   *
+   * @param fleetListener hears what becomes of the workers
+   */
+  public void start(WorkerFleetListener fleetListener) {
+    listener = fleetListener;
     timers.every(Duration.ofMillis(settings.renewalMillis()), this::tick);
   }
 
@@ -160,6 +162,25 @@
         .toList();
   }
 
+  /**
+   * Tells whether the tasks of every worker that we should control are known: each such worker is
+   * held by us or by another live instance, or its leases have run out.
+   *
+   * @return false while a takeover is under way
+   */
+  public boolean isComplete() {
+    return workers.values().stream().allMatch(this::isKnown);
+  }
+
+  private boolean isKnown(ControlledWorker worker) {
+    long leases = settings.leaseMillis() + settings.marginMillis();
+    return worker.isHeld()
+        || !worker.isListed()
+        || worker.isSettledElsewhere()
+        || !view.isWanted(worker.name())
+        || worker.millisFailing(timers.nowMillis()) > leases;
+  }
+
   /**
    * Notes that an order which may have taken effect was sent, so its lease counts from now.
    *
@@ -281,6 +302,7 @@
             || isOffered
             || status.controller().equals(self)
             || !view.isLive(status.controller());
+    worker.setSettledElsewhere(!isFree);
     if (isFree && !status.leaving()) {
       claim(worker, status.token());
     }
@@ -349,7 +371,7 @@
       superseded(worker);
       return;
     }
-    worker.failed();
+    worker.failed(timers.nowMillis());
     LOGGER.log(Level.DEBUG, "worker: {0} did not answer: {1}", worker.name(), error.getMessage());
     if (worker.failures() == FAILURES_BEFORE_CLOSED && worker.isHeld()) {
       LOGGER.log(Level.WARNING, "worker: {0} does not answer", worker.name());
