--- a/daemon/src/main/java/org/hickorypier/daemon/cluster/DigestBoard.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/cluster/DigestBoard.java
@@ -132,7 +132,6 @@
         free.accelerators(),
         slots,
         java.util.Arrays.stream(waiting).boxed().toList(),
-        true,
         teams);
   }
 
--- a/daemon/src/main/java/org/hickorypier/daemon/peer/PeerLink.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/peer/PeerLink.java
@@ -52,6 +52,7 @@
   private PartAssembler parts = new PartAssembler();
   private DigestReader digests = new DigestReader();
   private AnswerMemory answers = new AnswerMemory();
+  private Digest told;
   private PeerIdentity peer;
   private LinkConnection connection;
   private long heardMillis;
@@ -186,9 +187,20 @@
     pump();
   }
 
+  // With many links a digest is due every few seconds only. A new offset or a drain does not wait
+  // for that: an operator is told that a change is in force by the offsets in digests, and work is
+  // sent to a draining instance until it says so.
   private void tellDigest(Digest digest) {
     int mostUses = budget.mostUses(timers.nowMillis(), owner.linkCount());
-    if (mostUses >= 0 && outbox.add(digest, mostUses)) {
+    boolean news =
+        told == null
+            || told.configurationOffset() != digest.configurationOffset()
+            || told.taking() != digest.taking();
+    if (mostUses < 0 && !news) {
+      return;
+    }
+    told = digest;
+    if (outbox.add(digest, Math.max(0, mostUses))) {
       counters.dropped(kind(digest));
     }
   }
@@ -244,6 +256,7 @@
     outbox.clear();
     parts = new PartAssembler();
     digests = new DigestReader();
+    told = null;
     ended.close();
     owner.down(peer);
   }
--- a/daemon/src/test/java/org/hickorypier/daemon/peer/FakeConnection.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/peer/FakeConnection.java
@@ -2,12 +2,14 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import org.hickorypier.wire.message.Frame;
 import org.hickorypier.wire.message.PeerMessage;
 
 /** One direction of a connection in memory: what was written waits until a test delivers it. */
 final class FakeConnection implements LinkConnection {
 
   final Deque<PeerMessage> written = new ArrayDeque<>();
+  int digestBytes;
   boolean full;
   boolean closed;
 
@@ -19,6 +21,9 @@
   @Override
   public void write(PeerMessage message, byte[] encoded) {
     written.add(message);
+    if (message instanceof PeerMessage.DigestChange) {
+      digestBytes += Frame.HEADER_BYTES + encoded.length;
+    }
   }
 
   @Override
--- a/daemon/src/test/java/org/hickorypier/daemon/peer/PeerLinkTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/peer/PeerLinkTest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.List;
 import org.hickorypier.daemon.time.ManualTimerService;
+import org.hickorypier.wire.message.DigestBudget;
 import org.hickorypier.wire.message.PeerMessage;
 import org.hickorypier.wire.message.PeerMessage.Digest;
 import org.hickorypier.wire.message.PeerMessage.DigestChange;
@@ -70,6 +71,28 @@
     assertThat(callee.messages).containsExactly(digest(2));
   }
 
+  // At 60 instances a digest a second would cost more than all control may. Digests become rarer,
+  // but a new offset of the configuration and a drain are told with the next one.
+  @Test
+  void digestsToManyPeersAreRareButNewsIsNotKeptBack() {
+    caller.linkCount = 59;
+    int seconds = 600;
+    for (int second = 0; second < seconds; second++) {
+      timers.advance(Duration.ofSeconds(1));
+      caller.link.tell(digest(7));
+      FakePeer.deliver(caller, callee);
+    }
+    int share = DigestBudget.BYTES_PER_SECOND / caller.linkCount;
+    assertThat(caller.connection.digestBytes / seconds).isBetween(share - 2, share + 2);
+    callee.messages.clear();
+
+    for (int offset = 8; offset < 18; offset++) {
+      caller.link.tell(digest(offset));
+      FakePeer.deliver(caller, callee);
+    }
+    assertThat(callee.messages).hasSize(10);
+  }
+
   // A peer stops reading and callers keep coming. Past the bound each is told at once that its
   // request was not taken, and the daemon's memory stays where it is.
   @Test
--- a/measure/src/main/java/org/hickorypier/measure/delivery/Spread.java
+++ b/measure/src/main/java/org/hickorypier/measure/delivery/Broadcast.java
@@ -7,7 +7,7 @@
  *
  * <p>Filled by one scheme, then only read. Not thread safe.
  */
-final class Spread {
+final class Broadcast {
 
   private static final int UNREACHED = -1;
 
@@ -15,7 +15,7 @@
   private final int[] sent;
   private final int[] received;
 
-  Spread(int instances, int source) {
+  Broadcast(int instances, int source) {
     hops = new int[instances];
     Arrays.fill(hops, UNREACHED);
     hops[source] = 0;
@@ -39,7 +39,7 @@
   }
 
   /** Adds another delivery of the same update; the earlier arrival counts. */
-  void add(Spread other) {
+  void add(Broadcast other) {
     for (int instance = 0; instance < hops.length; instance++) {
       sent[instance] += other.sent[instance];
       received[instance] += other.received[instance];
--- a/measure/src/main/java/org/hickorypier/measure/delivery/DeliveryFigures.java
+++ b/measure/src/main/java/org/hickorypier/measure/delivery/DeliveryFigures.java
@@ -44,12 +44,12 @@
     int hops = 0;
     for (int round = 0; round < WELL_ROUNDS; round++) {
       for (int source = 0; source < instances; source++) {
-        Spread spread = scheme.spread(source, round, Health.ALL_WELL);
-        hops = Math.max(hops, spread.mostHops());
+        Broadcast broadcast = scheme.broadcast(source, round, Health.ALL_WELL);
+        hops = Math.max(hops, broadcast.mostHops());
         for (int instance = 0; instance < instances; instance++) {
-          sent[instance] += spread.sent(instance);
-          received += spread.received(instance);
-          missed += spread.reached(instance) ? 0 : 1;
+          sent[instance] += broadcast.sent(instance);
+          received += broadcast.received(instance);
+          missed += broadcast.reached(instance) ? 0 : 1;
         }
       }
     }
@@ -79,9 +79,10 @@
     java.util.Arrays.fill(lastHeard, -1);
     int longest = 0;
     for (int round = 0; round < DEAD_ROUNDS; round++) {
-      Spread spread = scheme.spread(source, round, new Health(dead, round >= NOTICED_AFTER));
+      Broadcast broadcast =
+          scheme.broadcast(source, round, new Health(dead, round >= NOTICED_AFTER));
       for (int instance = 0; instance < instances; instance++) {
-        if (instance != dead && spread.reached(instance)) {
+        if (instance != dead && broadcast.reached(instance)) {
           longest = Math.max(longest, round - lastHeard[instance]);
           lastHeard[instance] = round;
         }
--- a/measure/src/main/java/org/hickorypier/measure/delivery/DeliveryScheme.java
+++ b/measure/src/main/java/org/hickorypier/measure/delivery/DeliveryScheme.java
@@ -16,5 +16,5 @@
    * @param round counts the updates of the source
    * @param health which instances are dead, and whether the others have noticed
    */
-  Spread spread(int source, int round, Health health);
+  Broadcast broadcast(int source, int round, Health health);
 }
--- a/measure/src/main/java/org/hickorypier/measure/delivery/DigestLoad.java
+++ b/measure/src/main/java/org/hickorypier/measure/delivery/DigestLoad.java
@@ -2,154 +2,135 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collections;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.random.RandomGenerator;
+import java.util.stream.IntStream;
 import org.hickorypier.wire.MessagePackCodec;
 import org.hickorypier.wire.UndecodableException;
 import org.hickorypier.wire.message.DigestBudget;
 import org.hickorypier.wire.message.DigestReader;
 import org.hickorypier.wire.message.DigestWriter;
 import org.hickorypier.wire.message.Frame;
-import org.hickorypier.wire.message.NumberedUse;
 import org.hickorypier.wire.message.PeerMessage;
 import org.hickorypier.wire.message.PeerMessage.Digest;
 import org.hickorypier.wire.message.PeerMessage.DigestChange;
 import org.hickorypier.wire.message.TeamUse;
 
 /**
- * The digests of one busy instance, second by second, and their bytes as they are really encoded.
+ * The digests of one busy instance, second by second, on one of its links, as they are really
+ * encoded.
  *
- * <p>Every team has tasks running at the instance. Each second a fifth of them end, as with tasks
- * of five seconds, and about as many start. Not thread safe.
+ * <p>Every team has tasks running at the instance. Each second about a tenth of them end and as
+ * many start: 1,600 starts a second over 17,000 running tasks. Not thread safe.
  */
 final class DigestLoad {
 
+  private static final String NAME = "branch-team-";
   private static final int CLASSES = 5;
-  private static final int TURNOVER = 5;
-  private static final int SECONDS = 600;
+  private static final int TURNOVER = 10;
+  private static final long MILLIS = 1_000;
 
   private final MessagePackCodec<PeerMessage> codec = new MessagePackCodec<>(PeerMessage.class);
   private final DigestWriter unboundedWriter = new DigestWriter();
   private final DigestWriter boundedWriter = new DigestWriter();
   private final DigestReader reader = new DigestReader();
   private final DigestBudget budget = new DigestBudget();
-  private final RandomGenerator random = new SplittableRandom(11);
+  private final RandomGenerator random;
   private final int[] running;
+  private final int[] known;
   private final int tasksEach;
   private long offset = 100_000;
-  private Digest known;
   private long named;
   private long unbounded;
   private long bounded;
   private int digests;
   private int first;
-  private int fixed;
-  private int each;
-  private double error;
 
   /**
    * Creates the load.
    *
    * @param teams the number of teams
    * @param tasks how many tasks run at the instance
+   * @param seed where its chances begin
    */
-  DigestLoad(int teams, int tasks) {
+  DigestLoad(int teams, int tasks, long seed) {
+    random = new SplittableRandom(seed);
     running = new int[teams];
+    known = new int[teams];
     tasksEach = Math.max(1, tasks / teams);
     Arrays.fill(running, tasksEach);
   }
 
-  /**
-   * Measures what ten minutes of digests cost on each of an instance's links.
-   *
-   * @param links how many links share the budget
-   */
-  DigestFigures measure(int links) {
-    for (int second = 0; second < SECONDS; second++) {
-      step();
-      Digest digest = digest();
-      named += frameBytes(digest);
-      DigestChange all = unboundedWriter.change(digest, Integer.MAX_VALUE);
-      unbounded += frameBytes(all);
-      noteParts(all);
-      sendBounded(digest, second, links);
+  /** Lets a second pass and sends the digest. */
+  void second(int second, int links) {
+    for (int team = 0; team < running.length; team++) {
+      running[team] += chance(tasksEach) - chance(running[team]);
+    }
+    offset++;
+    Digest digest = digest();
+    named += frameBytes(digest);
+    int change = frameBytes(unboundedWriter.change(digest, Integer.MAX_VALUE));
+    unbounded += change;
+    first = second == 0 ? change : first;
+    int mostUses = budget.mostUses(second * MILLIS, links);
+    if (mostUses >= 0) {
+      send(boundedWriter.change(digest, mostUses));
     }
-    return new DigestFigures(
-        (double) named / SECONDS,
-        first,
-        (double) unbounded / SECONDS,
-        (double) bounded / SECONDS,
-        fixed,
-        each,
-        (double) SECONDS / digests,
-        error / SECONDS);
   }
 
-  private void noteParts(DigestChange change) {
-    int whole = frameBytes(change);
-    if (first == 0) {
-      first = whole;
-    }
-    fixed = Math.max(fixed, frameBytes(without(change, List.of())));
-    change.uses().stream()
-        .mapToInt(use -> frameBytes(without(change, List.of(use))) - fixed)
-        .forEach(bytes -> each = Math.max(each, bytes));
+  /** Returns a team's running tasks. */
+  int running(int team) {
+    return running[team];
   }
 
-  private static DigestChange without(DigestChange change, List<NumberedUse> uses) {
-    return new DigestChange(
-        change.configurationOffset(),
-        change.logAgeMillis(),
-        change.taking(),
-        change.milliProcessors(),
-        change.memoryMebibytes(),
-        change.accelerators(),
-        change.slots(),
-        change.waiting(),
-        change.fresh(),
-        List.of(),
-        uses);
+  /** Returns a team's running tasks as the other end of the link knows them. */
+  int known(int team) {
+    return known[team];
   }
 
-  private void sendBounded(Digest digest, int second, int links) {
-    int mostUses = budget.mostUses(second * 1_000L, links);
-    if (mostUses >= 0) {
-      DigestChange change = boundedWriter.change(digest, mostUses);
-      int bytes = frameBytes(change);
-      budget.spent(bytes);
-      bounded += bytes;
-      digests++;
-      try {
-        known = reader.read(change);
-      } catch (UndecodableException broken) {
-        throw new IllegalStateException("own digest cannot be read", broken);
-      }
-    }
-    error += errorOf(digest);
+  /** Returns the bytes of all digests if each had named every team. */
+  long named() {
+    return named;
   }
 
-  private double errorOf(Digest truth) {
-    long off = 0;
-    long sum = 0;
-    for (TeamUse use : truth.teams()) {
-      int read =
-          known.teams().stream()
-              .filter(other -> other.team().equals(use.team()))
-              .mapToInt(TeamUse::running)
-              .sum();
-      off += Math.abs(read - use.running());
-      sum += use.running();
-    }
-    return sum == 0 ? 0 : (double) off / sum;
+  /** Returns the bytes of all changes if they were not bounded. */
+  long unbounded() {
+    return unbounded;
   }
 
-  private void step() {
-    offset++;
-    for (int team = 0; team < running.length; team++) {
-      int ended = (int) Math.round(running[team] * random.nextDouble() * 2 / TURNOVER);
-      int started = (int) Math.round(tasksEach * random.nextDouble() * 2 / TURNOVER);
-      running[team] = running[team] - ended + started;
+  /** Returns the bytes of all changes that were sent. */
+  long bounded() {
+    return bounded;
+  }
+
+  /** Returns how many changes were sent. */
+  int digests() {
+    return digests;
+  }
+
+  /** Returns the bytes of the first change. */
+  int first() {
+    return first;
+  }
+
+  private int chance(int tasks) {
+    return (int) IntStream.range(0, tasks).filter(ignored -> random.nextInt(TURNOVER) == 0).count();
+  }
+
+  private void send(DigestChange change) {
+    int bytes = frameBytes(change);
+    budget.spent(bytes);
+    bounded += bytes;
+    digests++;
+    Arrays.fill(known, 0);
+    try {
+      for (TeamUse use : reader.read(change).teams()) {
+        known[Integer.parseInt(use.team().substring(NAME.length()))] = use.running();
+      }
+    } catch (UndecodableException broken) {
+      throw new IllegalStateException("own digest cannot be read", broken);
     }
   }
 
@@ -157,15 +138,11 @@
     List<TeamUse> teams = new ArrayList<>();
     int sum = 0;
     for (int team = 0; team < running.length; team++) {
-      sum += running[team];
       int tasks = running[team];
-      teams.add(
-          new TeamUse("branch-team-" + team, tasks, tasks / 4, tasks * 1_000L, tasks * 4_096L, 0));
-    }
-    List<Integer> waiting = new ArrayList<>();
-    for (int workClass = 0; workClass < CLASSES; workClass++) {
-      waiting.add(sum / 4 / CLASSES);
+      sum += tasks;
+      teams.add(new TeamUse(NAME + team, tasks, tasks / 4, tasks * 1_000L, tasks * 4_096L, 0));
     }
+    List<Integer> waiting = Collections.nCopies(CLASSES, sum / 4 / CLASSES);
     return new Digest(
         offset, random.nextInt(1_000), true, sum * 500L, sum * 2_048L, 3, sum / 2, waiting, teams);
   }
--- a/measure/src/main/java/org/hickorypier/measure/delivery/FullMesh.java
+++ b/measure/src/main/java/org/hickorypier/measure/delivery/FullMesh.java
@@ -5,7 +5,7 @@
 
   @Override
   public String name() {
-    return "full mesh";
+    return "mesh";
   }
 
   @Override
@@ -14,13 +14,13 @@
   }
 
   @Override
-  public Spread spread(int source, int round, Health health) {
-    Spread spread = new Spread(instances, source);
+  public Broadcast broadcast(int source, int round, Health health) {
+    Broadcast broadcast = new Broadcast(instances, source);
     for (int to = 0; to < instances; to++) {
       if (to != source && !health.isDead(to)) {
-        spread.copy(source, to);
+        broadcast.copy(source, to);
       }
     }
-    return spread;
+    return broadcast;
   }
 }
--- a/measure/src/main/java/org/hickorypier/measure/delivery/RandomGossip.java
+++ b/measure/src/main/java/org/hickorypier/measure/delivery/RandomGossip.java
@@ -15,7 +15,7 @@
 
   @Override
   public String name() {
-    return "random gossip, fan-out " + fanout;
+    return "gossip-" + fanout;
   }
 
   @Override
@@ -24,9 +24,9 @@
   }
 
   @Override
-  public Spread spread(int source, int round, Health health) {
+  public Broadcast broadcast(int source, int round, Health health) {
     RandomGenerator random = new SplittableRandom(31L * round + source);
-    Spread spread = new Spread(instances, source);
+    Broadcast broadcast = new Broadcast(instances, source);
     Queue<Integer> telling = new ArrayDeque<>();
     telling.add(source);
     while (!telling.isEmpty()) {
@@ -36,10 +36,10 @@
           .filter(to -> to != from && !(health.noticed() && health.isDead(to)))
           .distinct()
           .limit(Math.min(fanout, instances - 2))
-          .filter(to -> spread.copy(from, to))
+          .filter(to -> broadcast.copy(from, to))
           .filter(to -> !health.isDead(to))
           .forEach(telling::add);
     }
-    return spread;
+    return broadcast;
   }
 }
--- a/measure/src/main/java/org/hickorypier/measure/delivery/StripedTrees.java
+++ b/measure/src/main/java/org/hickorypier/measure/delivery/StripedTrees.java
@@ -24,9 +24,9 @@
   @Override
   public String name() {
     if (stripes == 1) {
-      return "one tree, " + children + " children";
+      return "one-tree";
     }
-    return stripes + " striped trees, " + (copies == 1 ? "in turn" : copies + " at once");
+    return "striped-" + stripes + (copies == 1 ? "-in-turn" : "-" + copies + "-at-once");
   }
 
   @Override
@@ -43,10 +43,10 @@
   }
 
   @Override
-  public Spread spread(int source, int round, Health health) {
-    Spread all = new Spread(instances, source);
+  public Broadcast broadcast(int source, int round, Health health) {
+    Broadcast all = new Broadcast(instances, source);
     for (int copy = 0; copy < copies; copy++) {
-      all.add(tree((round + copy) % stripes, health).spread(source, health));
+      all.add(tree((round + copy) % stripes, health).broadcast(source, health));
     }
     return all;
   }
--- a/measure/src/main/java/org/hickorypier/measure/delivery/TreeOverlay.java
+++ b/measure/src/main/java/org/hickorypier/measure/delivery/TreeOverlay.java
@@ -37,18 +37,18 @@
     return new TreeOverlay(neighbours);
   }
 
-  Spread spread(int source, Health health) {
-    Spread spread = new Spread(neighbours.size(), source);
+  Broadcast broadcast(int source, Health health) {
+    Broadcast broadcast = new Broadcast(neighbours.size(), source);
     Queue<Integer> telling = new ArrayDeque<>();
     telling.add(source);
     while (!telling.isEmpty()) {
       int from = telling.remove();
       for (int to : neighbours.get(from)) {
-        if (!spread.reached(to) && spread.copy(from, to) && !health.isDead(to)) {
+        if (!broadcast.reached(to) && broadcast.copy(from, to) && !health.isDead(to)) {
           telling.add(to);
         }
       }
     }
-    return spread;
+    return broadcast;
   }
 }
