--- /dev/null
+++ b/core/src/main/java/org/hickorypier/core/journal/AttemptKey.java
@@ -0,0 +1,68 @@
+package org.hickorypier.core.journal;
+
+import java.util.Optional;
+import org.hickorypier.core.model.TaskId;
+import org.hickorypier.core.model.WorkKey;
+
+/**
+ * The key under which the decisions see one attempt of one task of journaled work.
+ *
+ * <p>Immutable. Each attempt has a key of its own, so an attempt by a new home never looks to a
+ * worker like a repeated order of an earlier one. The separator is not allowed in callers' ids.
+ *
+ * @param work the work
+ * @param index the task, or {@link #WHOLE_GANG}
+ * @param attempt the attempt's number
+ */
+public record AttemptKey(WorkKey work, int index, int attempt) {
+
+  /** The index that stands for all tasks of a gang, which are attempted together. */
+  public static final int WHOLE_GANG = -1;
+
+  private static final char SEPARATOR = '@';
+  private static final char NUMBER_SEPARATOR = '.';
+
+  /**
+   * Returns the key for the decisions.
+   *
+   * @return the key
+   */
+  public WorkKey workKey() {
+    return new WorkKey(
+        work.team(), work.requestId() + SEPARATOR + index + NUMBER_SEPARATOR + attempt);
+  }
+
+  /**
+   * Returns the id under which a worker knows the task of this attempt.
+   *
+   * @param taskIndex the task's index within the work
+   * @return the task's id
+   */
+  public TaskId taskId(int taskIndex) {
+    return new TaskId(workKey(), 1, index == WHOLE_GANG ? taskIndex : 0);
+  }
+
+  /**
+   * Reads a key back.
+   *
+   * @param key the key as the decisions see it
+   * @return the attempt, or empty if the work is not journaled
+   */
+  public static Optional<AttemptKey> parse(WorkKey key) {
+    String text = key.requestId();
+    int separator = text.lastIndexOf(SEPARATOR);
+    int number = text.lastIndexOf(NUMBER_SEPARATOR);
+    if (separator < 0 || number < separator) {
+      return Optional.empty();
+    }
+    try {
+      return Optional.of(
+          new AttemptKey(
+              new WorkKey(key.team(), text.substring(0, separator)),
+              Integer.parseInt(text.substring(separator + 1, number)),
+              Integer.parseInt(text.substring(number + 1))));
+    } catch (NumberFormatException error) {
+      return Optional.empty();
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/hickorypier/core/journal/Journal.java
@@ -0,0 +1,264 @@
+package org.hickorypier.core.journal;
+
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.hickorypier.core.fold.Verdict;
+import org.hickorypier.core.model.Outcome;
+import org.hickorypier.core.model.WorkKey;
+import org.hickorypier.wire.record.JournalRecord;
+import org.hickorypier.wire.record.JournalRecord.Accepted;
+import org.hickorypier.wire.record.JournalRecord.Attempt;
+import org.hickorypier.wire.record.JournalRecord.AttemptVoid;
+import org.hickorypier.wire.record.JournalRecord.Cancelled;
+import org.hickorypier.wire.record.JournalRecord.Ended;
+
+/**
+ * The fold of the journal: which work is accepted, which attempts may be running, what has ended.
+ *
+ * <p>Failure prevented: two instances both believe that they are home of the same work and both
+ * start it. An attempt is taken only if the task has no open one, whoever asks; both read the same
+ * records in the same order, so exactly one of them finds its own attempt open and the other starts
+ * nothing.
+ *
+ * <p>Deterministic: the same records at the same offsets give the same state at every instance.
+ * Belongs to the control thread. Invariant: an offset folds once, and entries leave only by the
+ * distance of offsets, never by time.
+ */
+public final class Journal {
+
+  /** How often a task of idempotent work is attempted; then its last outcome stands. */
+  public static final int ATTEMPTS = 3;
+
+  /**
+   * Ended work is remembered for this many records. At the target's 42,000 jobs a day with four
+   * records each that is half a day, long past a caller's last question.
+   */
+  static final long REMEMBERED_OFFSETS = 80_000;
+
+  private final Map<WorkKey, JournalEntry> entries = new LinkedHashMap<>();
+  private final Deque<JournalEntry> ended = new ArrayDeque<>();
+  private final Deque<JournalEntry> requests = new ArrayDeque<>();
+  private long offset = -1;
+
+  /**
+   * Folds one record.
+   *
+   * @param at the record's offset
+   * @param record the record
+   * @return what became of it
+   */
+  public Verdict apply(long at, JournalRecord record) {
+    if (at <= offset) {
+      return Verdict.DUPLICATE;
+    }
+    offset = at;
+    Verdict verdict = applyNew(at, record);
+    forget(at);
+    return verdict;
+  }
+
+  /**
+   * Passes over a record that cannot be read.
+   *
+   * @param at the record's offset
+   */
+  public void passOver(long at) {
+    offset = Math.max(offset, at);
+  }
+
+  /**
+   * Returns the offset up to which the journal is folded.
+   *
+   * @return the offset, -1 at first
+   */
+  public long offset() {
+    return offset;
+  }
+
+  /**
+   * Finds work.
+   *
+   * @param key its identity
+   * @return the entry, or empty if it was never accepted or is forgotten
+   */
+  public Optional<JournalEntry> find(WorkKey key) {
+    return Optional.ofNullable(entries.get(key));
+  }
+
+  /**
+   * Returns all entries.
+   *
+   * @return a view, in the order of acceptance
+   */
+  public Collection<JournalEntry> entries() {
+    return Collections.unmodifiableCollection(entries.values());
+  }
+
+  /**
+   * Tells whether an attempt was taken and is still open, so that its start may be ordered.
+   *
+   * @param attempt the attempt as it was appended
+   * @return true only for the one attempt that the fold took
+   */
+  public boolean isOpen(Attempt attempt) {
+    return task(attempt, attempt.index())
+        .flatMap(JournalTask::open)
+        .filter(open -> open.attempt() == attempt.attempt() && open.owner().equals(attempt.owner()))
+        .isPresent();
+  }
+
+  private Verdict applyNew(long at, JournalRecord record) {
+    if (record instanceof Accepted accepted) {
+      return accept(at, accepted);
+    }
+    JournalEntry entry = entries.get(new WorkKey(record.team(), record.requestId()));
+    if (entry == null || entry.hasEnded()) {
+      return Verdict.CONFLICT;
+    }
+    Verdict verdict = applyTo(entry, record);
+    if (verdict == Verdict.APPLIED) {
+      entry.touched(at);
+      if (entry.hasEnded()) {
+        ended.addLast(entry);
+      }
+    }
+    return verdict;
+  }
+
+  private Verdict applyTo(JournalEntry entry, JournalRecord record) {
+    if (record instanceof Attempt attempt) {
+      return attempt(entry, attempt);
+    }
+    if (record instanceof AttemptVoid closed) {
+      return closeAttempt(entry, closed);
+    }
+    if (record instanceof Ended end) {
+      return end(entry, end);
+    }
+    return cancel(entry, (Cancelled) record);
+  }
+
+  private Verdict accept(long at, Accepted accepted) {
+    WorkKey key = new WorkKey(accepted.team(), accepted.requestId());
+    if (entries.containsKey(key)) {
+      return Verdict.DUPLICATE;
+    }
+    if (accepted.tasks() < 1) {
+      return Verdict.INVALID;
+    }
+    JournalEntry entry = new JournalEntry(accepted, at);
+    entries.put(key, entry);
+    if (!accepted.job()) {
+      requests.addLast(entry);
+    }
+    return Verdict.APPLIED;
+  }
+
+  private Verdict attempt(JournalEntry entry, Attempt attempt) {
+    JournalTask task = task(attempt, attempt.index()).orElse(null);
+    if (task == null) {
+      return Verdict.INVALID;
+    }
+    if (isOpen(attempt)) {
+      return Verdict.DUPLICATE;
+    }
+    boolean free = task.open().isEmpty() && task.outcome().isEmpty() && !entry.isCancelled();
+    if (!free || attempt.attempt() <= task.lastAttempt()) {
+      return Verdict.CONFLICT;
+    }
+    task.begin(
+        new OpenAttempt(attempt.attempt(), attempt.owner(), attempt.worker(), attempt.token()));
+    return Verdict.APPLIED;
+  }
+
+  private Verdict closeAttempt(JournalEntry entry, AttemptVoid closed) {
+    JournalTask task = task(closed, closed.index()).orElse(null);
+    if (task == null || !isNumber(task, closed.attempt())) {
+      return Verdict.CONFLICT;
+    }
+    if (entry.isCancelled()) {
+      task.end(Outcome.NOT_RUN, entry.detail());
+    } else {
+      task.close();
+    }
+    return Verdict.APPLIED;
+  }
+
+  private Verdict end(JournalEntry entry, Ended end) {
+    JournalTask task = task(end, end.index()).orElse(null);
+    Optional<Outcome> outcome = outcome(end.outcome());
+    if (task == null || outcome.isEmpty()) {
+      return Verdict.INVALID;
+    }
+    boolean neverAttempted = end.attempt() == 0 && task.open().isEmpty();
+    if (task.outcome().isPresent() || !(neverAttempted || isNumber(task, end.attempt()))) {
+      return Verdict.CONFLICT;
+    }
+    boolean again =
+        entry.accepted().job()
+            && entry.accepted().idempotent()
+            && !entry.isCancelled()
+            && !neverAttempted
+            && outcome.get() != Outcome.COMPLETED
+            && end.attempt() < ATTEMPTS;
+    if (again) {
+      task.close();
+    } else {
+      task.end(outcome.get(), end.detail());
+    }
+    return Verdict.APPLIED;
+  }
+
+  private static Verdict cancel(JournalEntry entry, Cancelled cancelled) {
+    if (entry.isCancelled()) {
+      return Verdict.DUPLICATE;
+    }
+    entry.cancel(cancelled.detail());
+    for (JournalTask task : entry.tasks()) {
+      if (task.open().isEmpty() && task.outcome().isEmpty()) {
+        task.end(Outcome.NOT_RUN, cancelled.detail());
+      }
+    }
+    return Verdict.APPLIED;
+  }
+
+  private Optional<JournalTask> task(JournalRecord record, int index) {
+    return find(new WorkKey(record.team(), record.requestId()))
+        .filter(entry -> index >= 0 && index < entry.tasks().size())
+        .map(entry -> entry.tasks().get(index));
+  }
+
+  private static boolean isNumber(JournalTask task, int attempt) {
+    return task.open().filter(open -> open.attempt() == attempt).isPresent();
+  }
+
+  private static Optional<Outcome> outcome(String name) {
+    for (Outcome outcome : Outcome.values()) {
+      if (outcome.name().equals(name)) {
+        return Optional.of(outcome);
+      }
+    }
+    return Optional.empty();
+  }
+
+  private void forget(long at) {
+    while (!ended.isEmpty() && ended.peekFirst().lastOffset() < at - REMEMBERED_OFFSETS) {
+      JournalEntry entry = ended.removeFirst();
+      entries.remove(entry.key(), entry);
+    }
+    // A request that was refused after it had been accepted never ends in the journal.
+    while (!requests.isEmpty() && isForgettable(requests.peekFirst(), at)) {
+      JournalEntry entry = requests.removeFirst();
+      entries.remove(entry.key(), entry);
+    }
+  }
+
+  private static boolean isForgettable(JournalEntry entry, long at) {
+    return entry.lastOffset() < at - REMEMBERED_OFFSETS && !entry.hasOpenAttempt();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/hickorypier/core/journal/JournalTask.java
@@ -0,0 +1,71 @@
+package org.hickorypier.core.journal;
+
+import java.util.Optional;
+import org.hickorypier.core.model.Outcome;
+
+/**
+ * One task of journaled work.
+ *
+ * <p>Belongs to the control thread; changed only by {@link Journal}. Invariant: at most one attempt
+ * is open; a task with an outcome has none.
+ */
+public final class JournalTask {
+
+  private int lastAttempt;
+  private OpenAttempt open;
+  private Outcome outcome;
+  private String detail = "";
+
+  JournalTask() {}
+
+  /**
+   * Returns the number of the last attempt.
+   *
+   * @return the number, 0 if there was none
+   */
+  public int lastAttempt() {
+    return lastAttempt;
+  }
+
+  /**
+   * Returns the attempt that may be running.
+   *
+   * @return the attempt, or empty if none is open
+   */
+  public Optional<OpenAttempt> open() {
+    return Optional.ofNullable(open);
+  }
+
+  /**
+   * Returns how the task ended.
+   *
+   * @return the outcome, or empty if it has not ended
+   */
+  public Optional<Outcome> outcome() {
+    return Optional.ofNullable(outcome);
+  }
+
+  /**
+   * Returns a sentence on its end.
+   *
+   * @return the sentence, empty if there is none
+   */
+  public String detail() {
+    return detail;
+  }
+
+  void begin(OpenAttempt attempt) {
+    open = attempt;
+    lastAttempt = attempt.attempt();
+  }
+
+  void close() {
+    open = null;
+  }
+
+  void end(Outcome endedAs, String sentence) {
+    open = null;
+    outcome = endedAs;
+    detail = sentence;
+  }
+}
--- a/daemon/src/main/java/org/hickorypier/daemon/DaemonConstants.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/DaemonConstants.java
@@ -8,6 +8,12 @@
   /** The stream of teams, keys and drains. */
   static final String CONFIGURATION_STREAM = "configuration";
 
+  /** The stream of accepted work and its attempts. */
+  static final String JOURNAL_STREAM = "journal";
+
+  /** A long poll is answered within two seconds; past twice that the log counts as silent. */
+  static final long LOG_SILENT_MILLIS = 4_000;
+
   /** The platform's list lags by seconds; asking more often brings nothing new. */
   static final Duration LIST_PERIOD = Duration.ofSeconds(1);
 
--- a/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
@@ -23,7 +23,6 @@
 import java.util.concurrent.TimeUnit;
 import org.hickorypier.core.keys.KeyIssuer;
 import org.hickorypier.core.membership.HomeHistory;
-import org.hickorypier.core.membership.MembershipView;
 import org.hickorypier.core.model.WorkKey;
 import org.hickorypier.core.scheduling.Scheduler;
 import org.hickorypier.core.scheduling.SchedulerFactory;
@@ -32,6 +31,7 @@
 import org.hickorypier.daemon.caller.CallerApi;
 import org.hickorypier.daemon.caller.CallerRequestParser;
 import org.hickorypier.daemon.cluster.Cluster;
+import org.hickorypier.daemon.cluster.ClusterJobScope;
 import org.hickorypier.daemon.cluster.ConfigurationGossip;
 import org.hickorypier.daemon.cluster.DigestBoard;
 import org.hickorypier.daemon.cluster.FleetQueries;
@@ -44,7 +44,13 @@
 import org.hickorypier.daemon.entry.EntryService;
 import org.hickorypier.daemon.entry.ReadinessCheck;
 import org.hickorypier.daemon.instance.InstanceListPoller;
+import org.hickorypier.daemon.job.AttemptRecorder;
+import org.hickorypier.daemon.job.JobRunner;
+import org.hickorypier.daemon.job.JobScope;
 import org.hickorypier.daemon.job.JobService;
+import org.hickorypier.daemon.job.JournalService;
+import org.hickorypier.daemon.job.OrphanResolver;
+import org.hickorypier.daemon.membership.Membership;
 import org.hickorypier.daemon.metrics.WorkMetrics;
 import org.hickorypier.daemon.operator.CancelOutcome;
 import org.hickorypier.daemon.operator.ConfiguredOperators;
@@ -57,7 +63,6 @@
 import org.hickorypier.daemon.settings.DaemonSettings;
 import org.hickorypier.daemon.settings.HostAndPort;
 import org.hickorypier.daemon.time.ControlThread;
-import org.hickorypier.daemon.work.AttemptGate;
 import org.hickorypier.daemon.work.DispatchSettings;
 import org.hickorypier.daemon.work.Dispatcher;
 import org.hickorypier.daemon.work.TaskAdopter;
@@ -72,6 +77,7 @@
 import org.hickorypier.platform.log.LogService;
 import org.hickorypier.platform.worker.HttpWorkerService;
 import org.hickorypier.wire.record.ConfigurationRecord;
+import org.hickorypier.wire.record.JournalRecord;
 
 /**
  * One daemon: all its parts, wired.
@@ -105,6 +111,11 @@
   private final FreshnessService freshness;
   private final HomeHistory history;
   private final HomeIntake intake;
+  private final JournalService journal = new JournalService();
+  private final LogStream<JournalRecord> journalStream;
+  private final AttemptRecorder recorder;
+  private final JobRunner runner;
+  private final JobService jobs;
   private final DigestBoard digests;
   private final PeerRequests requests;
 
@@ -118,7 +129,10 @@
     PeerIdentity own = new PeerIdentity(settings.name(), System.currentTimeMillis());
     self = own.toString();
     cluster =
-        new Cluster(own, new MembershipView(own.name(), settings.peerTimeoutMillis()), control);
+        new Cluster(
+            own,
+            new Membership(own, Duration.ofMillis(settings.peerTimeoutMillis()), control),
+            control);
     vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(settings.eventLoops()));
     SplittableRandom random = new SplittableRandom();
     LogService log = new HttpLogService(vertx, address(settings.logService()));
@@ -130,6 +144,10 @@
             ConfigurationRecord::id,
             configuration);
     configuration.connect(configurationStream.appender(), configurationStream.follower());
+    journalStream =
+        streams.open(
+            DaemonConstants.JOURNAL_STREAM, JournalRecord.class, JournalRecord::recordId, journal);
+    journal.appendTo(journalStream.appender());
     freshness =
         new FreshnessService(
             cluster,
@@ -152,7 +170,7 @@
                 DaemonConstants.LONGEST_RUN_MILLIS),
             scheduler,
             control,
-            AttemptGate.OPEN,
+            (placement, verdict) -> recorder().request(placement, verdict),
             new WorkMetrics(registry).andThen(rows));
     fleet =
         new WorkerFleet(
@@ -202,7 +220,31 @@
             requests);
     cluster.connect(network);
     history = new HomeHistory(own.name(), DaemonConstants.HOME_HISTORY_MILLIS);
-    intake = new HomeIntake(cluster, history, work, control, control, fleet::isComplete);
+    intake =
+        new HomeIntake(
+            cluster,
+            history,
+            work,
+            control,
+            control,
+            fleet::isComplete,
+            (submission, answer) -> jobs().runOnce(submission, answer));
+    recorder = new AttemptRecorder(journal, fleet, control, control, self);
+    JobScope scope = new ClusterJobScope(cluster, readiness, dispatcher, requests);
+    runner =
+        new JobRunner(
+            journal,
+            recorder,
+            new OrphanResolver(
+                journal,
+                fleet,
+                control,
+                control,
+                settings.leaseMillis() + DaemonConstants.LEASE_MARGIN_MILLIS),
+            work,
+            control,
+            scope);
+    jobs = new JobService(journal, runner, control, this::logAnswers);
     requests.takeInBy(intake);
     network.listen(digests);
     network.listen(new ConfigurationGossip(network, configuration));
@@ -217,8 +259,7 @@
   public String start() throws DaemonStartException {
     Router router = Router.router(vertx);
     EntryService entry =
-        new EntryService(
-            control, control, configuration, readiness, cluster, intake, new JobService());
+        new EntryService(control, control, configuration, readiness, cluster, intake, jobs);
     new CallerApi(
             entry,
             new CallerRequestParser(settings.deadlineDefaultMillis()),
@@ -279,6 +320,19 @@
     return digests.behind(others, offset);
   }
 
+  private AttemptRecorder recorder() {
+    return recorder;
+  }
+
+  private JobService jobs() {
+    return jobs;
+  }
+
+  private boolean logAnswers() {
+    return journalStream.follower().isCaughtUp()
+        && journalStream.follower().millisSinceHeard() < DaemonConstants.LOG_SILENT_MILLIS;
+  }
+
   // Reading the log to its end is not enough: if the records before the oldest one have expired and
   // no snapshot was found yet, the state lacks them.
   private boolean isConfigured() {
@@ -312,6 +366,8 @@
                       scheduler.putPermits(team.name(), team.upperLimit());
                     }));
     configurationStream.follower().start(0);
+    journalStream.follower().start(0);
+    runner.start();
     control.every(Duration.ofMillis(settings.digestMillis()), this::sendDigest);
     control.every(HISTORY_PERIOD, () -> history.note(cluster.candidates(), control.nowMillis()));
     freshness.start(requests);
--- a/daemon/src/main/java/org/hickorypier/daemon/caller/CallerApi.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/caller/CallerApi.java
@@ -70,7 +70,12 @@
     router.errorHandler(
         413,
         context ->
-            error(context.response(), 413, "the body is larger than " + bodyLimit + " bytes", 0));
+            error(
+                context.response(),
+                Outcome.NOT_RUN,
+                413,
+                "the body is larger than " + bodyLimit + " bytes",
+                0));
   }
 
   private BodyHandler body() {
@@ -103,7 +108,7 @@
       CallerRequest request = parser.parse(body == null ? new byte[0] : body.getBytes(), classes);
       call.apply(request).subscribe().with(answered, failure -> failed(context, failure));
     } catch (BadRequestException error) {
-      error(context.response(), 400, error.getMessage(), 0);
+      error(context.response(), Outcome.NOT_RUN, 400, error.getMessage(), 0);
     }
   }
 
@@ -115,8 +120,10 @@
 
   private void failed(RoutingContext context, Throwable failure) {
     if (failure instanceof DeniedException denied) {
+      Outcome outcome = denied.kind() == DenialKind.UNDECIDED ? Outcome.UNKNOWN : Outcome.NOT_RUN;
       error(
           context.response(),
+          outcome,
           denied.kind().status(),
           denied.getMessage(),
           denied.retryAfterMillis());
@@ -131,7 +138,12 @@
       Refusal refusal = refused.refusal();
       DeniedException denied = DeniedException.of(refusal);
       response.putHeader("Hickory-Reason", refusal.reason().name().toLowerCase(Locale.ROOT));
-      error(response, denied.kind().status(), refusal.detail(), refusal.retryAfterMillis());
+      error(
+          response,
+          Outcome.NOT_RUN,
+          denied.kind().status(),
+          refusal.detail(),
+          refusal.retryAfterMillis());
       return;
     }
     WorkResult.Answered answered = (WorkResult.Answered) result;
@@ -158,8 +170,12 @@
   }
 
   private static void error(
-      HttpServerResponse response, int status, String message, long retryAfterMillis) {
-    outcome(response, Outcome.NOT_RUN);
+      HttpServerResponse response,
+      Outcome outcome,
+      int status,
+      String message,
+      long retryAfterMillis) {
+    outcome(response, outcome);
     if (retryAfterMillis > 0) {
       long seconds = Math.max(1, (retryAfterMillis + 999) / 1_000);
       response.putHeader("Retry-After", Long.toString(seconds));
--- a/daemon/src/main/java/org/hickorypier/daemon/caller/DenialKind.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/caller/DenialKind.java
@@ -12,6 +12,8 @@
   NOT_FOUND(404),
   /** It was cancelled, or clashes with other work under the same id. */
   CONFLICT(409),
+  /** Nobody can tell yet whether it was taken. */
+  UNDECIDED(504),
   /** It can never run as declared. */
   IMPOSSIBLE(422),
   /** The team has its fill; others may not. */
--- a/daemon/src/main/java/org/hickorypier/daemon/cluster/Cluster.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/cluster/Cluster.java
@@ -11,23 +11,20 @@
 import java.util.stream.Collectors;
 import org.hickorypier.core.configuration.Configuration;
 import org.hickorypier.core.configuration.Drain;
-import org.hickorypier.core.membership.ListedMember;
-import org.hickorypier.core.membership.MembershipView;
 import org.hickorypier.core.model.Outcome;
 import org.hickorypier.core.model.Refusal;
 import org.hickorypier.core.model.RefusalReason;
 import org.hickorypier.core.model.WorkKey;
 import org.hickorypier.daemon.entry.HomeDirectory;
+import org.hickorypier.daemon.membership.Membership;
 import org.hickorypier.daemon.peer.PeerException;
 import org.hickorypier.daemon.peer.PeerIdentity;
-import org.hickorypier.daemon.peer.PeerListener;
 import org.hickorypier.daemon.peer.PeerNetwork;
 import org.hickorypier.daemon.time.TimerService;
 import org.hickorypier.daemon.work.Submission;
 import org.hickorypier.daemon.work.WorkResult;
 import org.hickorypier.daemon.worker.ControlView;
 import org.hickorypier.platform.instance.InstanceKind;
-import org.hickorypier.platform.instance.InstanceState;
 import org.hickorypier.platform.instance.ListedInstance;
 import org.hickorypier.wire.message.PeerMessage.Answer;
 import org.hickorypier.wire.message.PeerMessage.ForwardedAnswer;
@@ -40,10 +37,9 @@
  * <p>Belongs to the control thread. The view may be wrong at any time, and two instances may
  * differ: it decides where work goes, never whether work may run.
  */
-public final class Cluster implements ControlView, HomeDirectory, PeerListener {
+public final class Cluster implements ControlView, HomeDirectory {
 
   private static final Logger LOGGER = System.getLogger(Cluster.class.getName());
-  private static final char IDENTITY_SEPARATOR = '#';
   private static final long RETRY_AFTER_MILLIS = 1_000;
 
   /** The home may wait for a place until the deadline, and then the task runs. */
@@ -58,7 +54,7 @@
   private static final Duration QUESTION_TIMEOUT = Duration.ofSeconds(5);
 
   private final PeerIdentity own;
-  private final MembershipView members;
+  private final Membership members;
   private final TimerService timers;
   private Configuration configuration = Configuration.EMPTY;
   private PeerNetwork network;
@@ -72,7 +68,7 @@
    * @param members what is known of the others
    * @param timers the time
    */
-  public Cluster(PeerIdentity own, MembershipView members, TimerService timers) {
+  public Cluster(PeerIdentity own, Membership members, TimerService timers) {
     this.own = own;
     this.members = members;
     this.timers = timers;
@@ -85,7 +81,7 @@
    */
   public void connect(PeerNetwork peers) {
     network = peers;
-    peers.listen(this);
+    peers.listen(members);
   }
 
   /**
@@ -94,17 +90,11 @@
    * @param instances the whole list
    */
   public void onInstanceList(List<ListedInstance> instances) {
-    List<ListedMember> entries =
+    members.onInstanceList(instances);
+    listedOthers =
         instances.stream()
             .filter(instance -> instance.kind() == InstanceKind.ENTRY)
-            .map(
-                instance ->
-                    new ListedMember(instance.name(), instance.state() == InstanceState.LEAVING))
-            .toList();
-    members.listed(entries, timers.nowMillis());
-    listedOthers =
-        entries.stream()
-            .map(ListedMember::name)
+            .map(ListedInstance::name)
             .filter(name -> !name.equals(own.name()))
             .collect(Collectors.toUnmodifiableSet());
     network.instances(instances);
@@ -117,7 +107,7 @@
    */
   public void onConfiguration(Configuration state) {
     configuration = state;
-    members.drained(
+    members.onDrains(
         state.drains().values().stream()
             .filter(Drain::draining)
             .map(Drain::name)
@@ -135,7 +125,7 @@
    * @return their names
    */
   public Set<String> live() {
-    return members.live(timers.nowMillis());
+    return members.live();
   }
 
   /**
@@ -153,7 +143,7 @@
    * @return their names
    */
   public Set<String> candidates() {
-    return members.candidates(timers.nowMillis());
+    return members.candidates();
   }
 
   /**
@@ -182,37 +172,14 @@
     return answer instanceof Reply reply ? reply.data() : new byte[0];
   }
 
-  @Override
-  public void up(PeerIdentity peer) {
-    members.up(peer.name(), peer.incarnation(), timers.nowMillis());
-  }
-
-  @Override
-  public void down(PeerIdentity peer) {
-    members.down(peer.name(), timers.nowMillis());
-  }
-
   @Override
   public boolean isWanted(String worker) {
-    return !shuttingDown && wanted(worker).equals(own.name());
-  }
-
-  private String wanted(String key) {
-    return members.wanted(key, timers.nowMillis());
+    return !shuttingDown && members.wantedController(worker).equals(own.name());
   }
 
   @Override
   public boolean isLive(String controller) {
-    int separator = controller.lastIndexOf(IDENTITY_SEPARATOR);
-    if (separator < 0) {
-      return false;
-    }
-    try {
-      long incarnation = Long.parseLong(controller.substring(separator + 1));
-      return members.isLive(controller.substring(0, separator), incarnation, timers.nowMillis());
-    } catch (NumberFormatException error) {
-      return false;
-    }
+    return PeerIdentity.parse(controller).map(members::isLive).orElse(false);
   }
 
   @Override
@@ -222,7 +189,7 @@
 
   @Override
   public void offer(String worker) {
-    String wanted = wanted(worker);
+    String wanted = members.wantedController(worker);
     if (wanted.equals(own.name())) {
       return;
     }
@@ -237,7 +204,7 @@
 
   @Override
   public Optional<String> remoteHome(WorkKey key) {
-    String home = wanted(key.toString());
+    String home = members.home(key);
     return home.equals(own.name()) ? Optional.empty() : Optional.of(home);
   }
 
--- a/daemon/src/main/java/org/hickorypier/daemon/cluster/HomeIntake.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/cluster/HomeIntake.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Executor;
+import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.hickorypier.core.membership.HomeHistory;
@@ -40,6 +41,7 @@
   private final TimerService timers;
   private final Executor control;
   private final BooleanSupplier workersComplete;
+  private final BiConsumer<Submission, Consumer<WorkResult>> once;
 
   /**
    * Creates the intake.
@@ -51,6 +53,7 @@
    * @param control the control thread
    * @param workersComplete whether the tasks of all workers that this instance should control are
    *     known
+   * @param once runs requests that are not idempotent
    */
   public HomeIntake(
       Cluster cluster,
@@ -58,13 +61,15 @@
       WorkService work,
       TimerService timers,
       Executor control,
-      BooleanSupplier workersComplete) {
+      BooleanSupplier workersComplete,
+      BiConsumer<Submission, Consumer<WorkResult>> once) {
     this.cluster = cluster;
     this.history = history;
     this.work = work;
     this.timers = timers;
     this.control = control;
     this.workersComplete = workersComplete;
+    this.once = once;
   }
 
   /**
@@ -95,12 +100,20 @@
     Collection<String> former =
         work.knows(key) ? List.of() : history.formerHomes(key.toString(), timers.nowMillis());
     if (former.isEmpty()) {
-      work.submit(submission, answer);
+      run(submission, answer);
       return;
     }
     ask(key, whom(former), answers -> decide(submission, answer, answers));
   }
 
+  private void run(Submission submission, Consumer<WorkResult> answer) {
+    if (submission.item().idempotent()) {
+      work.submit(submission, answer);
+    } else {
+      once.accept(submission, answer);
+    }
+  }
+
   private Collection<String> whom(Collection<String> former) {
     Set<String> live = cluster.live();
     if (live.containsAll(former)) {
@@ -151,7 +164,7 @@
                   "an instance has changed and its work is being found again",
                   RETRY_AFTER_MILLIS)));
     } else {
-      work.submit(submission, answer);
+      run(submission, answer);
     }
   }
 
--- a/daemon/src/main/java/org/hickorypier/daemon/job/JobService.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/job/JobService.java
@@ -1,47 +1,231 @@
 package org.hickorypier.daemon.job;
 
 import io.smallrye.mutiny.Uni;
+import java.time.Duration;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.hickorypier.core.journal.AttemptKey;
+import org.hickorypier.core.journal.JournalEntry;
+import org.hickorypier.core.journal.JournalTask;
+import org.hickorypier.core.model.Outcome;
+import org.hickorypier.core.model.Refusal;
+import org.hickorypier.core.model.RefusalReason;
+import org.hickorypier.core.model.WorkItem;
 import org.hickorypier.core.model.WorkKey;
 import org.hickorypier.daemon.caller.CallerGateway.JobView;
 import org.hickorypier.daemon.caller.DenialKind;
 import org.hickorypier.daemon.caller.DeniedException;
+import org.hickorypier.daemon.time.TimerService;
 import org.hickorypier.daemon.work.Submission;
+import org.hickorypier.daemon.work.WorkResult;
+import org.hickorypier.wire.record.JournalRecord;
+import org.hickorypier.wire.record.JournalRecord.Accepted;
+import org.hickorypier.wire.record.JournalRecord.Cancelled;
 
-/** Jobs; refused until the journal is wired. */
+/**
+ * Accepts, shows and cancels jobs, and runs requests that are not idempotent at most once.
+ *
+ * <p>Belongs to the control thread. A job is accepted only after its record has been read back, so
+ * no accepted job can be lost with an instance.
+ */
 public final class JobService {
 
+  private static final long RETRY_AFTER_MILLIS = 2_000;
+
+  /** Past this the caller is told that nobody knows yet, and asks after the job instead. */
+  private static final Duration ACCEPT_WAIT = Duration.ofSeconds(10);
+
+  private final JournalService journal;
+  private final JobRunner runner;
+  private final TimerService timers;
+  private final BooleanSupplier logAnswers;
+
+  /**
+   * Creates the service.
+   *
+   * @param journal the journal
+   * @param runner runs the attempts
+   * @param timers the time
+   * @param logAnswers whether the log has been heard of late
+   */
+  public JobService(
+      JournalService journal, JobRunner runner, TimerService timers, BooleanSupplier logAnswers) {
+    this.journal = journal;
+    this.runner = runner;
+    this.timers = timers;
+    this.logAnswers = logAnswers;
+  }
+
   /**
-   * Accepts a job.
+   * Accepts a job. Repeating it under the same id changes nothing.
    *
    * @param submission the job
-   * @return a failure
+   * @return where it stands, or a {@link DeniedException}
    */
   public Uni<JobView> accept(Submission submission) {
-    return Uni.createFrom().failure(unavailable());
+    WorkKey key = submission.item().key();
+    Optional<JournalEntry> known = journal.journal().find(key);
+    if (known.isPresent()) {
+      return Uni.createFrom().item(view(known.get()));
+    }
+    if (!logAnswers.getAsBoolean()) {
+      return Uni.createFrom().failure(logSilent());
+    }
+    Accepted record = record(submission, true);
+    return withinWait(journal.append(record), record).onItem().transformToUni(offset -> found(key));
   }
 
   /**
-   * Asks after a job.
+   * Shows a job.
    *
    * @param key the job
-   * @return never
-   * @throws DeniedException always
+   * @return where it stands
+   * @throws DeniedException if there is no such job
    */
   public JobView find(WorkKey key) throws DeniedException {
-    throw unavailable();
+    Optional<JournalEntry> entry = journal.journal().find(key);
+    if (entry.isEmpty() || !entry.get().accepted().job()) {
+      throw new DeniedException(DenialKind.NOT_FOUND, "no job " + key.requestId(), 0);
+    }
+    return view(entry.get());
   }
 
   /**
-   * Cancels a job.
+   * Cancels a job. Idempotent.
    *
    * @param key the job
-   * @return a failure
+   * @return where it stands afterwards, or a {@link DeniedException}
    */
   public Uni<JobView> cancel(WorkKey key) {
-    return Uni.createFrom().failure(unavailable());
+    Optional<JournalEntry> entry = journal.journal().find(key);
+    if (entry.isEmpty() || entry.get().hasEnded() || entry.get().isCancelled()) {
+      return found(key);
+    }
+    Cancelled record = new Cancelled(key.team(), key.requestId(), "cancelled");
+    return withinWait(journal.append(record), record).onItem().transformToUni(offset -> found(key));
+  }
+
+  /**
+   * Runs a request that is not idempotent, at most once.
+   *
+   * @param submission the request
+   * @param answer is given the final answer, on the control thread
+   */
+  public void runOnce(Submission submission, Consumer<WorkResult> answer) {
+    if (!logAnswers.getAsBoolean()) {
+      answer.accept(refused("the log does not answer, so it cannot be run at most once"));
+      return;
+    }
+    WorkKey key = submission.item().key();
+    Optional<JournalEntry> known = journal.journal().find(key);
+    if (known.isPresent()) {
+      again(known.get(), submission, answer);
+      return;
+    }
+    Accepted record = record(submission, false);
+    withinWait(journal.append(record), record)
+        .subscribe()
+        .with(
+            offset -> again(journal.journal().find(key).orElseThrow(), submission, answer),
+            error -> answer.accept(refused(error.getMessage())));
+  }
+
+  private void again(JournalEntry entry, Submission submission, Consumer<WorkResult> answer) {
+    JournalTask task = entry.tasks().get(0);
+    AttemptKey next = new AttemptKey(entry.key(), 0, task.lastAttempt() + 1);
+    AttemptKey last = new AttemptKey(entry.key(), 0, task.lastAttempt());
+    if (runner.join(entry, next, answer) || runner.join(entry, last, answer)) {
+      return;
+    }
+    if (entry.accepted().job()) {
+      answer.accept(
+          new WorkResult.Refused(
+              new Refusal(RefusalReason.CANCELLED, "a job has this id already", 0)));
+    } else if (task.outcome().isPresent()) {
+      answer.accept(
+          new WorkResult.Answered(
+              task.outcome().get(),
+              "it ran before as " + task.outcome().get().text() + "; its answer is not kept",
+              new byte[0]));
+    } else if (task.open().isPresent()) {
+      answer.accept(
+          new WorkResult.Answered(
+              Outcome.UNKNOWN, "an earlier attempt may be running", new byte[0]));
+    } else {
+      runner.submit(entry, next, submission.payload(), answer);
+    }
+  }
+
+  private Uni<Long> withinWait(Uni<Long> appended, JournalRecord record) {
+    return Uni.createFrom()
+        .emitter(
+            emitter -> {
+              timers.after(
+                  ACCEPT_WAIT,
+                  () -> {
+                    boolean takenBack = journal.takeBack(record);
+                    emitter.fail(takenBack ? logSilent() : undecided());
+                  });
+              appended.subscribe().with(emitter::complete, error -> emitter.fail(logSilent()));
+            });
+  }
+
+  private Uni<JobView> found(WorkKey key) {
+    try {
+      return Uni.createFrom().item(find(key));
+    } catch (DeniedException denied) {
+      return Uni.createFrom().failure(denied);
+    }
+  }
+
+  private static WorkResult refused(String detail) {
+    return new WorkResult.Refused(new Refusal(RefusalReason.NOT_READY, detail, RETRY_AFTER_MILLIS));
+  }
+
+  private static DeniedException logSilent() {
+    return new DeniedException(
+        DenialKind.UNAVAILABLE,
+        "the log does not answer; nothing was accepted",
+        RETRY_AFTER_MILLIS);
+  }
+
+  // The record may be in the log although nobody could read it back. "Not accepted" might be a lie.
+  private static DeniedException undecided() {
+    return new DeniedException(
+        DenialKind.UNDECIDED, "the log was lost; ask after the job", RETRY_AFTER_MILLIS);
+  }
+
+  private Accepted record(Submission submission, boolean job) {
+    WorkItem item = submission.item();
+    return new Accepted(
+        item.key().team(),
+        item.key().requestId(),
+        job,
+        item.workClass().name(),
+        item.name(),
+        item.resources().milliProcessors(),
+        item.resources().memoryMebibytes(),
+        item.resources().accelerators(),
+        item.tasks(),
+        item.idempotent(),
+        item.deadlineMillis() - timers.nowMillis(),
+        item.expectedRunMillis(),
+        job ? submission.payload() : new byte[0]);
+  }
+
+  private static JobView view(JournalEntry entry) {
+    return new JobView(entry.key(), state(entry), entry.detail(), entry.offset());
   }
 
-  private static DeniedException unavailable() {
-    return new DeniedException(DenialKind.UNAVAILABLE, "jobs are not taken yet", 0);
+  private static String state(JournalEntry entry) {
+    if (entry.isCancelled()) {
+      return entry.hasEnded() ? "cancelled" : "stopping";
+    }
+    if (entry.outcome().isPresent()) {
+      return entry.outcome().get().text().toLowerCase(Locale.ROOT);
+    }
+    return entry.hasOpenAttempt() ? "running" : "accepted";
   }
 }
--- a/daemon/src/main/java/org/hickorypier/daemon/membership/Membership.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/membership/Membership.java
@@ -81,6 +81,15 @@
     return view.live(timers.nowMillis());
   }
 
+  /**
+   * Returns the instances that new work and workers go to.
+   *
+   * @return their names
+   */
+  public Set<String> candidates() {
+    return view.candidates(timers.nowMillis());
+  }
+
   /**
    * Tells whether an incarnation looks live.
    *
--- a/daemon/src/main/java/org/hickorypier/daemon/work/Dispatcher.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/work/Dispatcher.java
@@ -30,9 +30,9 @@
 /**
  * Orders placed tasks from their workers and finds out what became of each.
  *
- * <p>Belongs to the control thread. Invariant: a task is reported {@code NOT_STARTED} only if no
- * byte of an order left, the worker refused every order sent, or the worker does not know the task
- * under a token higher than every order carried. In every other case its room stays taken.
+ * <p>Belongs to the control thread. Invariants: a task is reported {@code NOT_STARTED} only if no
+ * byte of an order left or the worker refused every order sent. It is reported {@code LOST} only if
+ * nothing of it can run any more. Until one of the two is known its room stays taken.
  */
 public final class Dispatcher {
 
@@ -249,8 +249,10 @@
     } else if (run.isStarted()) {
       finish(run, TaskReport.without(TaskEnd.LOST, "the worker no longer knows the task"));
     } else if (status.token() > run.highestToken()) {
-      // The worker refuses every order that we sent, even one that is still under way.
-      finish(run, TaskReport.without(TaskEnd.NOT_STARTED, "the start was superseded"));
+      // The worker refuses every order that we sent, even one that is still under way: nothing
+      // runs. But it may have restarted and forgotten a task that ran before, so this is not proof
+      // that it never did.
+      finish(run, TaskReport.without(TaskEnd.LOST, "the worker does not know the task"));
     } else {
       // The order may still be under way. The same order again, with the same task id, starts it
       // at most once and brings an answer.
--- a/daemon/src/main/java/org/hickorypier/daemon/work/Submission.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/work/Submission.java
@@ -1,5 +1,6 @@
 package org.hickorypier.daemon.work;
 
+import org.hickorypier.core.journal.AttemptKey;
 import org.hickorypier.core.model.WorkItem;
 
 /**
@@ -8,4 +9,15 @@
  * @param item the work as the decisions see it
  * @param payload what the caller sent for the tasks
  */
-public record Submission(WorkItem item, byte[] payload) {}
+public record Submission(WorkItem item, byte[] payload) {
+
+  /**
+   * Tells whether this is one attempt of journaled work. The journal then decides on further
+   * attempts and remembers the outcome.
+   *
+   * @return true if the key is that of an attempt
+   */
+  public boolean isJournaled() {
+    return AttemptKey.parse(item.key()).isPresent();
+  }
+}
--- a/daemon/src/main/java/org/hickorypier/daemon/work/WorkService.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/work/WorkService.java
@@ -299,6 +299,7 @@
 
   private boolean canRetry(WorkEntry entry) {
     return entry.retries() < settings.retryLimit()
+        && !entry.submission().isJournaled()
         && !entry.isCancelled()
         && timers.nowMillis() < entry.item().deadlineMillis();
   }
@@ -332,7 +333,7 @@
     long now = timers.nowMillis();
     entries.remove(entry.item().key());
     // A refusal is not kept: the caller may come back under the same id, and the work has not run.
-    if (result instanceof WorkResult.Answered) {
+    if (result instanceof WorkResult.Answered && entry.item().workClass().isSynchronous()) {
       answers.put(entry.item().key(), result, now);
     }
     observer.onFinished(entry.item(), result, now - entry.item().submittedMillis());
