Add failures between daemons and workers over processes, and bin/measure takeover

Found by workersTakenOverInMidTaskAreNotOverfilled: a team with limit 40 ran 48 tasks, because permits over the fleet are not yet built; the limit has a test of its own, which lands with the permits. workOfKilledWorkersIsRunAgain first failed on its own deadline of 10 s, as a lease with its margin is 10 s; it now asks with a deadline of 30 s.

--- a/measure/src/main/java/org/hickorypier/measure/CommandRegistry.java
+++ b/measure/src/main/java/org/hickorypier/measure/CommandRegistry.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.hickorypier.measure.takeover.TakeoverCommand;
 
 /**
  * All sub-commands, in the order of the help. A new command is added to the list here.
@@ -15,7 +16,8 @@
           new DecisionsCommand(),
           new WaitingCommand(),
           new PackingCommand(),
-          new FairnessCommand());
+          new FairnessCommand(),
+          new TakeoverCommand());
 
   private CommandRegistry() {}
 
--- a/measure/src/main/java/org/hickorypier/measure/fleet/CallerAnswer.java
+++ b/measure/src/main/java/org/hickorypier/measure/fleet/CallerAnswer.java
@@ -1,5 +1,6 @@
 package org.hickorypier.measure.fleet;
 
+import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 
 /**
@@ -20,6 +21,7 @@
   static final CallerAnswer BROKEN = new CallerAnswer(0, "", new byte[0]);
 
   private static final int OK = 200;
+  private static final int SHOWN_BYTES = 200;
 
   /**
    * Tells whether the work is reported as completed.
@@ -47,8 +49,18 @@
    * @return false if it is another's answer, or cut short
    */
   public boolean answers(String team, RequestForm form) {
-    byte[] start = ("task " + team + "~" + form.requestId() + "~").getBytes();
+    byte[] start = ("task " + team + "~" + form.requestId() + "~").getBytes(StandardCharsets.UTF_8);
     return body.length >= Math.max(start.length, form.payload().answerBytes())
         && Arrays.equals(start, 0, start.length, body, 0, start.length);
   }
+
+  /**
+   * Returns the answer in words, for reports of failures.
+   *
+   * @return status, outcome and the start of the body
+   */
+  public String text() {
+    int shown = Math.min(body.length, SHOWN_BYTES);
+    return status + " " + outcome + " " + new String(body, 0, shown, StandardCharsets.UTF_8);
+  }
 }
--- a/measure/src/main/java/org/hickorypier/measure/fleet/RequestForm.java
+++ b/measure/src/main/java/org/hickorypier/measure/fleet/RequestForm.java
@@ -59,6 +59,17 @@
         new Payload(runMillis, answerBytes, false));
   }
 
+  /**
+   * Returns the same request with another deadline.
+   *
+   * @param millis the time until the latest useful start
+   * @return the form
+   */
+  public RequestForm withDeadline(long millis) {
+    return new RequestForm(
+        requestId, workClass, idempotent, processors, memoryMebibytes, tasks, millis, payload);
+  }
+
   /**
    * Makes a batch job.
    *
