--- a/measure/src/main/java/org/hickorypier/measure/CommandRegistry.java
+++ b/measure/src/main/java/org/hickorypier/measure/CommandRegistry.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.hickorypier.measure.delivery.DeliveryCommand;
 import org.hickorypier.measure.takeover.TakeoverCommand;
 
 /**
@@ -17,6 +18,7 @@
           new WaitingCommand(),
           new PackingCommand(),
           new FairnessCommand(),
+          new DeliveryCommand(),
           new TakeoverCommand());
 
   private CommandRegistry() {}
