--- a/measure/src/main/java/org/hickorypier/measure/takeover/TakeoverRun.java
+++ b/measure/src/main/java/org/hickorypier/measure/takeover/TakeoverRun.java
@@ -58,7 +58,7 @@
         } finally {
           entries = load.end();
         }
-        return judge(entries, fleet.history(), disturbance);
+        return judge(entries, fleet.workers().history(), disturbance);
       }
     }
   }
