Let hickory repeat a query and complete statements in bash

Cause: operators watch a drain or a full queue for minutes, and mistype columns.

Ruled out: a hand-written completion file (it would fall behind the grammar; the script is printed from the statements, subjects and flags themselves); ending a watch at a server that does not answer (the next look may reach another; a refused key does end it).

The guide is checked to name every flag.

--- a/cli/src/main/java/org/hickorypier/cli/HelpPrinter.java
+++ b/cli/src/main/java/org/hickorypier/cli/HelpPrinter.java
@@ -13,10 +13,12 @@
       """
       usage: hickory [flags] [statement]
              hickory help [statement]
+             hickory completion
 
       Without a statement, hickory reads a script from standard input, one statement a line,
       or gives a prompt at a terminal. # starts a comment. Names with other characters than
-      letters, digits and _ - . : @ + ~ stand in quotes.
+      letters, digits and _ - . : @ + ~ stand in quotes. source <(hickory completion) teaches
+      bash to complete statements.
 
       flags:
         --server HOST:PORT,...  the instances, tried in this order; or HICKORY_SERVER;
@@ -27,6 +29,7 @@
         --wait                  waits up to 30 s until a change is in force everywhere
         --keep-going            goes on after an error in a script
         --change-id ID          repeats a change whose answer was lost, under its first id
+        --watch                 repeats a query every 2 s until it is broken off
         --help                  prints this text
 
       statements:
--- a/cli/src/main/java/org/hickorypier/cli/HickoryCommand.java
+++ b/cli/src/main/java/org/hickorypier/cli/HickoryCommand.java
@@ -33,6 +33,10 @@
       if (!words.isEmpty() && words.get(0).equals(HelpPrinter.VERB)) {
         return help.print(words.subList(1, words.size()));
       }
+      if (words.equals(List.of(CompletionScript.VERB))) {
+        terminal.output().print(new CompletionScript().text());
+        return ExitCode.DONE;
+      }
       return runStatements(invocation, help);
     } catch (UsageException error) {
       terminal.errors().println(ORIGIN + error.getMessage());
@@ -48,6 +52,9 @@
     if (invocation.changeId().isPresent() && invocation.words().isEmpty()) {
       throw new UsageException("--change-id goes with one statement");
     }
+    if (invocation.watching() && invocation.words().isEmpty()) {
+      throw new UsageException("--watch goes with a query");
+    }
     try (OperatorClient client = new HttpOperatorClient(invocation.servers(), invocation.key())) {
       ResultPrinter printer = new ResultPrinter(terminal, invocation.format());
       StatementRunner runner =
@@ -58,7 +65,10 @@
               pause,
               invocation.waiting());
       if (!invocation.words().isEmpty()) {
-        return runner.run(String.join(" ", invocation.words()), ORIGIN);
+        String text = String.join(" ", invocation.words());
+        return invocation.watching()
+            ? new Watch(terminal, runner, pause).run(text, ORIGIN)
+            : runner.run(text, ORIGIN);
       }
       return terminal.interactive()
           ? new Prompt(terminal, runner, help).run()
--- a/cli/src/main/java/org/hickorypier/cli/Invocation.java
+++ b/cli/src/main/java/org/hickorypier/cli/Invocation.java
@@ -12,6 +12,7 @@
  * @param format how results are printed
  * @param waiting whether to wait until a change is in force
  * @param keepGoing whether a script goes on after an error
+ * @param watching whether a query is repeated
  * @param changeId the id of an earlier try of the same change, if given
  * @param words the statement, or help with its argument; empty for a script or the prompt
  */
@@ -21,6 +22,7 @@
     OutputFormat format,
     boolean waiting,
     boolean keepGoing,
+    boolean watching,
     Optional<String> changeId,
     List<String> words) {
 
--- a/cli/src/main/java/org/hickorypier/cli/InvocationReader.java
+++ b/cli/src/main/java/org/hickorypier/cli/InvocationReader.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Collectors;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Option;
@@ -34,8 +35,16 @@
           .addOption(Option.builder().longOpt("change-id").hasArg().get())
           .addOption(Option.builder().longOpt("wait").get())
           .addOption(Option.builder().longOpt("keep-going").get())
+          .addOption(Option.builder().longOpt("watch").get())
           .addOption(Option.builder().longOpt("help").get());
 
+  /** Returns all flags with their dashes, for completion. */
+  static String flags() {
+    return OPTIONS.getOptions().stream()
+        .map(option -> "--" + option.getLongOpt())
+        .collect(Collectors.joining(" "));
+  }
+
   Invocation read(List<String> arguments, Map<String, String> environment) throws UsageException {
     CommandLine line = parse(arguments);
     String servers =
@@ -46,6 +55,7 @@
         parseFormat(line.getOptionValue("output", "table")),
         line.hasOption("wait"),
         line.hasOption("keep-going"),
+        line.hasOption("watch"),
         parseChangeId(line.getOptionValue("change-id")),
         line.hasOption("help") ? List.of("help") : line.getArgList());
   }
--- a/cli/src/test/java/org/hickorypier/cli/OperatorSessionTest.java
+++ b/cli/src/test/java/org/hickorypier/cli/OperatorSessionTest.java
@@ -206,6 +206,22 @@
     session.assertMatches("prompt-and-help.txt");
   }
 
+  @Test
+  void watchesQueriesUntilBrokenOff() throws IOException {
+    server.answer(SHOW_TEAMS, 200, TEAMS);
+    server.answer(SHOW_TEAMS, FakeOperatorServer.HANG_UP, null);
+    server.answer(SHOW_TEAMS, 200, TEAMS);
+    server.answer(SHOW_TEAMS, 401, new Problem("no operator's key in force", 0));
+    second.answer(SHOW_TEAMS, 503, new Problem("not ready", 0));
+
+    session.run("--watch", "show", "teams");
+    session.run("--watch", "drain", "worker", "w1");
+    session.run("--watch", "show", "teems");
+    session.run("--watch");
+
+    session.assertMatches("watch.txt");
+  }
+
   private static Accepted accepted(
       long offset, boolean inForce, List<String> behind, String secret) {
     return new Accepted(offset, "what was done", inForce, behind, secret);
--- a/cli/src/test/java/org/hickorypier/cli/OperatorsGuideTest.java
+++ b/cli/src/test/java/org/hickorypier/cli/OperatorsGuideTest.java
@@ -66,9 +66,10 @@
   }
 
   @Test
-  void guideNamesEveryStatementColumnAndExitCode() throws IOException {
+  void guideNamesEveryFlagStatementColumnAndExitCode() throws IOException {
     String guide = Files.readString(GUIDE);
 
+    assertThat(InvocationReader.flags().split(" ")).allMatch(flag -> guide.contains("| `" + flag));
     assertThat(StatementHelp.values()).allMatch(help -> guide.contains(help.usage()));
     for (Subject subject : Subject.values()) {
       List<String> columns = subject.columns().stream().map(column -> column.name()).toList();
