Hold the daemon and hickory's fake server to one operator contract

Cause: the sessions of hickory are tested against a hand-written server, which could drift from the daemon without any test failing.

Ruled out: a test jar shared between modules (more build for one table); the contract as code written twice (the table is the contract, and each side has only the loop that reads it).

The fake now derives statuses from results, checks keys and change ids, and parses statements, where tests prepared the statuses before.

--- a/cli/src/test/java/org/hickorypier/cli/FakeOperatorServer.java
+++ b/cli/src/test/java/org/hickorypier/cli/FakeOperatorServer.java
@@ -10,15 +10,25 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import org.hickorypier.language.StatementParser;
+import org.hickorypier.language.StatementSyntaxException;
 import org.hickorypier.language.result.StatementResult;
 import org.hickorypier.language.result.StatementResultCodec;
 
-/** A daemon's operator interface with answers prepared by the test. */
+/**
+ * A daemon's operator interface with results prepared by the test. What the interface itself lays
+ * down, such as keys, statuses and errors of syntax, it keeps by the same contract as the daemon.
+ */
 final class FakeOperatorServer implements AutoCloseable {
 
   /** A status that stands for closing the connection without an answer. */
   static final int HANG_UP = 0;
 
+  private static final String STATEMENTS_PATH = "/v1/operator/statements";
+  private static final String CHANGES_PATH = "/v1/operator/changes/";
+
+  private static final String NO_KEY = "no operator's key in force";
+
   private record Answer(int status, StatementResult result) {}
 
   private final Map<String, Deque<Answer>> answers = new ConcurrentHashMap<>();
@@ -39,9 +49,18 @@
             .join();
   }
 
-  /** Prepares the next answer to a statement, or to the path of a change. */
-  FakeOperatorServer answer(String statement, int status, StatementResult result) {
-    answers.computeIfAbsent(statement, text -> new ArrayDeque<>()).add(new Answer(status, result));
+  /** Prepares the next result of a statement, or of the path of a change. The last one stays. */
+  FakeOperatorServer answer(String question, StatementResult result) {
+    return add(question, answerOf(result));
+  }
+
+  /** Prepares a failure in place of a result: 401, 503, 504 or {@link #HANG_UP}. */
+  FakeOperatorServer fail(String question, int status) {
+    return add(question, new Answer(status, problem(status == 401 ? NO_KEY : "not ready")));
+  }
+
+  private FakeOperatorServer add(String question, Answer answer) {
+    answers.computeIfAbsent(question, text -> new ArrayDeque<>()).add(answer);
     return this;
   }
 
@@ -55,20 +74,50 @@
   }
 
   private void handle(HttpServerRequest request, Buffer body) {
-    boolean isStatement = request.path().equals("/v1/operator/statements");
+    boolean isStatement = request.path().equals(STATEMENTS_PATH);
     String question = isStatement ? body.toString() : request.path();
     String changeId = request.getHeader("Hickory-Change-Id");
     seen.add(changeId == null ? question : changeId + " " + question);
     if (!("Bearer " + key).equals(request.getHeader("Authorization"))) {
-      send(request, new Answer(401, new StatementResult.Problem("no such operator's key", 0)));
-      return;
+      send(request, new Answer(401, problem(NO_KEY)));
+    } else if (changeId != null && !changeId.matches("[A-Za-z0-9-]{1,64}")) {
+      send(request, answerOf(problem("the change id is not usable")));
+    } else {
+      send(request, isStatement ? statement(question) : change(question));
+    }
+  }
+
+  private Answer statement(String text) {
+    try {
+      new StatementParser().parse(text);
+      return prepared(text);
+    } catch (StatementSyntaxException error) {
+      return answerOf(new StatementResult.Problem(error.getMessage(), error.column()));
     }
+  }
+
+  private Answer change(String path) {
+    boolean isOffset = path.substring(CHANGES_PATH.length()).matches("[0-9]+");
+    return isOffset ? prepared(path) : answerOf(problem("offset: not a whole number from 0"));
+  }
+
+  private Answer prepared(String question) {
     Deque<Answer> prepared = answers.getOrDefault(question, new ArrayDeque<>());
     if (prepared.isEmpty()) {
-      send(request, new Answer(400, new StatementResult.Problem("the test expects no such", 0)));
-    } else {
-      send(request, prepared.size() > 1 ? prepared.poll() : prepared.peek());
+      return answerOf(problem("the test prepared no answer"));
     }
+    return prepared.size() > 1 ? prepared.poll() : prepared.peek();
+  }
+
+  private static Answer answerOf(StatementResult result) {
+    if (result instanceof StatementResult.Conflict) {
+      return new Answer(409, result);
+    }
+    return new Answer(result instanceof StatementResult.Problem ? 400 : 200, result);
+  }
+
+  private static StatementResult problem(String message) {
+    return new StatementResult.Problem(message, StatementResult.NO_COLUMN);
   }
 
   private void send(HttpServerRequest request, Answer answer) {
--- a/cli/src/test/java/org/hickorypier/cli/OperatorSessionTest.java
+++ b/cli/src/test/java/org/hickorypier/cli/OperatorSessionTest.java
@@ -55,25 +55,21 @@
 
   @Test
   void oneShotStatements() throws IOException {
-    server.answer(CREATE, 200, IN_FORCE);
-    server.answer(SHOW_TEAMS, 200, TEAMS);
+    server.answer(CREATE, IN_FORCE);
+    server.answer(SHOW_TEAMS, TEAMS);
     server.answer(
         "show running",
-        200,
         new Table(
             List.of("team", "request"),
             List.of(List.of(Cell.of("labels"), Cell.of("r\u001b[2J1"))),
             List.of("norte-2", "norte-3")));
-    server.answer("count running", 200, new Table(List.of("count"), List.of(), List.of()));
-    server.answer(
-        "give key to team labels", 200, accepted(8, true, List.of(), "k2.fedcba9876543210"));
+    server.answer("count running", new Table(List.of("count"), List.of(), List.of()));
+    server.answer("give key to team labels", accepted(8, true, List.of(), "k2.fedcba9876543210"));
     server.answer(
         "set team labels limit 20 at revision 1",
-        409,
         new Conflict("team labels is at revision 2, not 1"));
-    server.answer("withdraw key k9", 400, new Problem("no key k9", 0));
-    server.answer(
-        "cancel labels/r-1", 200, accepted(StatementResult.NO_OFFSET, true, List.of(), ""));
+    server.answer("withdraw key k9", new Problem("no key k9", 0));
+    server.answer("cancel labels/r-1", accepted(StatementResult.NO_OFFSET, true, List.of(), ""));
 
     session.run("create", "team", "labels", "share", "2", "limit", "40");
     session.run(SHOW_TEAMS);
@@ -108,15 +104,15 @@
 
   @Test
   void changesThatAreNotYetInForce() throws IOException {
-    server.answer(CREATE, 200, accepted(7, false, List.of("norte-2", "norte-3"), ""));
+    server.answer(CREATE, accepted(7, false, List.of("norte-2", "norte-3"), ""));
     String path = "/v1/operator/changes/7";
-    server.answer(path, 200, accepted(7, false, List.of("norte-3"), ""));
-    server.answer(path, FakeOperatorServer.HANG_UP, null);
-    server.answer(path, 200, accepted(7, true, List.of(), ""));
-    second.answer(path, 503, new Problem("not ready", 0));
+    server.answer(path, accepted(7, false, List.of("norte-3"), ""));
+    server.fail(path, FakeOperatorServer.HANG_UP);
+    server.answer(path, accepted(7, true, List.of(), ""));
+    second.fail(path, 503);
     String giving = "give key to operators";
-    server.answer(giving, 200, accepted(8, false, List.of("norte-3"), "k3.0011223344556677"));
-    server.answer("/v1/operator/changes/8", 200, accepted(8, false, List.of("norte-3"), ""));
+    server.answer(giving, accepted(8, false, List.of("norte-3"), "k3.0011223344556677"));
+    server.answer("/v1/operator/changes/8", accepted(8, false, List.of("norte-3"), ""));
 
     session.run(CREATE);
     session.run("--wait", CREATE);
@@ -133,29 +129,29 @@
   // log takes it once. Only when no server answers does the operator hear that the fate is unknown.
   @Test
   void changesWhoseAnswerIsLostAreRepeatedUnderTheirId() throws IOException {
-    server.answer(CREATE, FakeOperatorServer.HANG_UP, null);
-    second.answer(CREATE, 200, IN_FORCE);
+    server.fail(CREATE, FakeOperatorServer.HANG_UP);
+    second.answer(CREATE, IN_FORCE);
     session.run(CREATE);
     assertThat(server.seen()).containsExactly("change-1 " + CREATE);
     assertThat(second.seen()).containsExactly("change-1 " + CREATE);
 
     String change = "drain worker w1";
-    server.answer(change, 504, new Problem("the log did not answer in time", 0));
-    second.answer(change, 503, new Problem("not ready", 0));
-    second.answer(change, 200, accepted(9, true, List.of(), ""));
+    server.fail(change, 504);
+    second.fail(change, 503);
+    second.answer(change, accepted(9, true, List.of(), ""));
     session.run(change);
     session.run("--change-id", "change-2", change);
     assertThat(second.seen()).endsWith("change-2 " + change);
 
-    server.answer(SHOW_TEAMS, FakeOperatorServer.HANG_UP, null);
-    second.answer(SHOW_TEAMS, 503, new Problem("not ready", 0));
+    server.fail(SHOW_TEAMS, FakeOperatorServer.HANG_UP);
+    second.fail(SHOW_TEAMS, 503);
     session.run(SHOW_TEAMS);
     session.assertMatches("lost-answers.txt");
   }
 
   @Test
   void unreachableServers() throws IOException {
-    second.answer(CREATE, 200, IN_FORCE);
+    second.answer(CREATE, IN_FORCE);
     server.close();
     session.run(CREATE);
     second.close();
@@ -166,10 +162,10 @@
 
   @Test
   void scripts() throws IOException {
-    server.answer(CREATE, 200, IN_FORCE);
-    server.answer(SHOW_TEAMS, 200, TEAMS);
-    server.answer("withdraw key k9", 400, new Problem("no key k9", 0));
-    server.answer("drain worker w1", 200, accepted(9, false, List.of("norte-2"), ""));
+    server.answer(CREATE, IN_FORCE);
+    server.answer(SHOW_TEAMS, TEAMS);
+    server.answer("withdraw key k9", new Problem("no key k9", 0));
+    server.answer("drain worker w1", accepted(9, false, List.of("norte-2"), ""));
     String script =
         """
         # the teams of the print shop
@@ -194,7 +190,7 @@
 
   @Test
   void promptAndHelp() throws IOException {
-    server.answer(SHOW_TEAMS, 200, TEAMS);
+    server.answer(SHOW_TEAMS, TEAMS);
 
     session.runPrompt("help cancel\nshow teems\n\n# nothing\nshow teams\nexit\nshow teams\n");
     session.runPrompt("show teams");
@@ -208,11 +204,11 @@
 
   @Test
   void watchesQueriesUntilBrokenOff() throws IOException {
-    server.answer(SHOW_TEAMS, 200, TEAMS);
-    server.answer(SHOW_TEAMS, FakeOperatorServer.HANG_UP, null);
-    server.answer(SHOW_TEAMS, 200, TEAMS);
-    server.answer(SHOW_TEAMS, 401, new Problem("no operator's key in force", 0));
-    second.answer(SHOW_TEAMS, 503, new Problem("not ready", 0));
+    server.answer(SHOW_TEAMS, TEAMS);
+    server.fail(SHOW_TEAMS, FakeOperatorServer.HANG_UP);
+    server.answer(SHOW_TEAMS, TEAMS);
+    server.fail(SHOW_TEAMS, 401);
+    second.fail(SHOW_TEAMS, 503);
 
     session.run("--watch", "show", "teams");
     session.run("--watch", "drain", "worker", "w1");
--- a/cli/src/test/java/org/hickorypier/cli/OperatorsGuideTest.java
+++ b/cli/src/test/java/org/hickorypier/cli/OperatorsGuideTest.java
@@ -90,11 +90,10 @@
     accept("set team labels limit 20", 14, "team labels changed: share 2, limit 20", "");
     server.answer(
         "set team labels share 3 at revision 1",
-        409,
         new Conflict("team labels is at revision 2; this change rests on revision 1"));
     behind("drain worker norte-a-07", 15, "worker norte-a-07 takes no new work");
     behind("undrain worker norte-a-07", 16, "worker norte-a-07 takes new work again");
-    server.answer("/v1/operator/changes/16", 200, new Accepted(16, "", true, List.of(), ""));
+    server.answer("/v1/operator/changes/16", new Accepted(16, "", true, List.of(), ""));
     accept("withdraw key 4be1c07f5a2d9e63", 17, "key 4be1c07f5a2d9e63 withdrawn", "");
     accept(
         "cancel labels/december-04", StatementResult.NO_OFFSET, "labels/december-04 cancelled", "");
@@ -145,7 +144,7 @@
   }
 
   private void answer(String statement, StatementResult result) {
-    server.answer(statement, 200, result);
+    server.answer(statement, result);
   }
 
   private static List<Cell> row(Object... values) {
--- a/daemon/src/test/java/org/hickorypier/daemon/operator/OperatorApiTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/operator/OperatorApiTest.java
@@ -15,17 +15,24 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.security.SecureRandom;
+import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import org.hickorypier.core.keys.IssuedKey;
 import org.hickorypier.core.keys.KeyIssuer;
 import org.hickorypier.daemon.settings.Secret;
 import org.hickorypier.daemon.time.ControlThread;
+import org.hickorypier.wire.record.ConfigurationRecord.GiveKey;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 class OperatorApiTest {
 
+  private static final Path CONTRACT =
+      Path.of("../language/src/test/resources/contract/operator-interface.csv");
+  private static final HttpClient HTTP = HttpClient.newHttpClient();
   private static final String KEY = "first.0123456789abcdef";
   private static final long SENDER_MILLIS = 5_000;
 
@@ -104,6 +111,41 @@
     assertThat(transcript.toString()).as("see " + copy).isEqualTo(Files.readString(golden));
   }
 
+  @Test
+  void keepsTheContract() throws IOException, InterruptedException {
+    for (String line : Files.readAllLines(CONTRACT)) {
+      if (!line.startsWith("#")) {
+        check(line, Arrays.stream(line.split("\\|")).map(String::strip).toList());
+      }
+    }
+  }
+
+  private void check(String line, List<String> parts) throws IOException, InterruptedException {
+    boolean isPost = parts.get(0).equals("POST");
+    String key = Map.of("operator", KEY, "team", teamKey(), "nobody", "").get(parts.get(1));
+    HttpRequest.Builder request = request(isPost ? OperatorApi.STATEMENTS_PATH : parts.get(3), key);
+    if (!parts.get(2).equals("-")) {
+      request.header(OperatorApi.CHANGE_ID_HEADER, parts.get(2));
+    }
+    if (isPost) {
+      request.POST(BodyPublishers.ofString(parts.get(3)));
+    }
+    HttpResponse<String> response = HTTP.send(request.build(), BodyHandlers.ofString());
+    assertThat(response.statusCode()).as(line).isEqualTo(Integer.parseInt(parts.get(4)));
+    assertThat(response.body()).as(line).startsWith("{\"kind\":\"" + parts.get(5) + "\"");
+    assertThat(response.headers().firstValue("Content-Type")).contains("application/json");
+  }
+
+  private String teamKey() {
+    IssuedKey key = new KeyIssuer(new SecureRandom()).issue();
+    String id = "give-" + key.keyId();
+    control.execute(
+        () -> {
+          log.submit(new GiveKey(id, 0, key.keyId(), "labels", key.salt(), key.hash()));
+        });
+    return key.presented();
+  }
+
   private void post(String key, String statement) throws IOException, InterruptedException {
     HttpRequest.Builder request =
         request("/v1/operator/statements", key)
@@ -124,8 +166,7 @@
 
   private void send(String question, HttpRequest.Builder request)
       throws IOException, InterruptedException {
-    HttpResponse<String> response =
-        HttpClient.newHttpClient().send(request.build(), BodyHandlers.ofString());
+    HttpResponse<String> response = HTTP.send(request.build(), BodyHandlers.ofString());
     transcript.append(question).append('\n').append(response.statusCode()).append(' ');
     transcript.append(response.body()).append('\n');
   }
