--- a/measure/src/main/java/org/hickorypier/measure/fleet/CallerAnswer.java
+++ b/measure/src/main/java/org/hickorypier/measure/fleet/CallerAnswer.java
@@ -20,6 +20,9 @@
 
   static final CallerAnswer BROKEN = new CallerAnswer(0, "", new byte[0]);
 
+  /** What follows the request id in a task id: the attempt, or for journaled work its task. */
+  private static final String ENDS_OF_REQUEST_ID = "~@";
+
   private static final int OK = 200;
   private static final int SHOWN_BYTES = 200;
 
@@ -49,9 +52,10 @@
    * @return false if it is another's answer, or cut short
    */
   public boolean answers(String team, RequestForm form) {
-    byte[] start = ("task " + team + "~" + form.requestId() + "~").getBytes(StandardCharsets.UTF_8);
-    return body.length >= Math.max(start.length, form.payload().answerBytes())
-        && Arrays.equals(start, 0, start.length, body, 0, start.length);
+    byte[] start = ("task " + team + "~" + form.requestId()).getBytes(StandardCharsets.UTF_8);
+    return body.length > Math.max(start.length, form.payload().answerBytes() - 1)
+        && Arrays.equals(start, 0, start.length, body, 0, start.length)
+        && ENDS_OF_REQUEST_ID.indexOf(body[start.length]) >= 0;
   }
 
   /**
--- a/standins/src/main/java/org/hickorypier/standins/worker/TaskHistory.java
+++ b/standins/src/main/java/org/hickorypier/standins/worker/TaskHistory.java
@@ -1,5 +1,7 @@
 package org.hickorypier.standins.worker;
 
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.hickorypier.platform.worker.TaskState;
 
 /**
@@ -32,19 +34,28 @@
 
   private static final String SEPARATOR = "~";
   private static final int TASK_ID_PARTS = 4;
+  private static final Pattern JOURNALED = Pattern.compile("(.*)@(-?\\d+)\\.\\d+");
+  private static final String GANG = "-1";
 
   /**
-   * Returns the work that a task id belongs to: of {@code team~request~attempt~index} all but the
-   * attempt.
+   * Returns the task of the work that a task id belongs to, whatever its attempt. The forms are
+   * {@code team~request~attempt~index} and, for journaled work, {@code
+   * team~request@index.attempt~1~0}; a gang has the index -1 and each task's own at the end.
    *
    * @param taskId the task's id
-   * @return the work's key; the whole id if it has another form
+   * @return team, request and index; the whole id if it has another form
    */
   public static String workKey(String taskId) {
     String[] parts = taskId.split(SEPARATOR, -1);
-    return parts.length == TASK_ID_PARTS
-        ? parts[0] + SEPARATOR + parts[1] + SEPARATOR + parts[3]
-        : taskId;
+    if (parts.length != TASK_ID_PARTS) {
+      return taskId;
+    }
+    Matcher journaled = JOURNALED.matcher(parts[1]);
+    if (!journaled.matches()) {
+      return parts[0] + SEPARATOR + parts[1] + SEPARATOR + parts[3];
+    }
+    String index = journaled.group(2).equals(GANG) ? parts[3] : journaled.group(2);
+    return parts[0] + SEPARATOR + journaled.group(1) + SEPARATOR + index;
   }
 
   /**
