Bound the connections to a worker so that all instances fit into its 64

Cause: the default of 16 lets 8 instances open 128 connections, of which a worker refuses half; and 1 or 2, which were allowed, leave none for answers, so that HttpWorkerService threw at the first worker.

--- a/daemon/src/main/java/org/hickorypier/daemon/settings/SettingCatalogue.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/settings/SettingCatalogue.java
@@ -121,7 +121,12 @@
           30_000,
           "How long a graceful shutdown waits for the requests in progress.");
   static final Setting<Long> CONNECTIONS_PER_WORKER =
-      defineNumber("connections-per-worker", 1, 64, 16, "The most connections to one worker.");
+      defineNumber(
+          "connections-per-worker",
+          3,
+          64,
+          8,
+          "The most connections to one worker, which takes 64 from all instances together.");
 
   static final List<Setting<?>> ALL = List.copyOf(DEFINED);
 
--- a/daemon/src/test/java/org/hickorypier/daemon/settings/SettingsReaderTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/settings/SettingsReaderTest.java
@@ -63,7 +63,7 @@
     "--lease-millis, 4999",
     "--lease-millis, 600001",
     "--lease-millis, 30s",
-    "--connections-per-worker, 0",
+    "--connections-per-worker, 2",
     "--connections-per-worker, 65",
     "--host, localhost",
     "--host, 10.0.0.256",
