Keep a few gaps free for urgent work on a full fleet

Cause: on a full fleet urgent work waited for the next end: p99 0 ms at 0.7 times the capacity, 25 ms at 2.

Ruled out: gaps on fixed workers, which fill up again only as fast as tasks end there; the largest of the part and one gap for small fleets, which cost 5 percent of the running tasks at 4,200 workers with large urgent tasks.

Change: one slot in eighty, or that part of the scarcest resource, is kept on whichever workers tasks end, only while urgent work comes, and not while other work is overdue behind urgent work. Two gaps over 30 workers left 9 ms, three none. Fleets too small for a gap have no reserve.

--- a/core/src/main/java/org/hickorypier/core/scheduling/Fleet.java
+++ b/core/src/main/java/org/hickorypier/core/scheduling/Fleet.java
@@ -24,11 +24,16 @@
   private final List<WorkerState> forRandomChoice = new ArrayList<>();
   private final RoomIndex index = new RoomIndex(RoomIndex.Scope.FLEET);
   private Resources total = Resources.NONE;
+  private int totalSlots;
 
   RoomIndex index() {
     return index;
   }
 
+  int totalSlots() {
+    return totalSlots;
+  }
+
   Resources total() {
     return total;
   }
@@ -60,6 +65,7 @@
     dataCentre(worker).add(worker);
     worker.reservations().forEach(reservation -> countService(worker, reservation.task(), true));
     total = total.plus(worker.description().capacity());
+    totalSlots += worker.description().slots();
     fitLevels(worker);
     reindex(worker);
   }
@@ -81,6 +87,7 @@
       dataCentres.remove(worker.description().dataCentre());
     }
     total = total.minus(worker.description().capacity());
+    totalSlots -= worker.description().slots();
   }
 
   void reserve(WorkerState worker, Reservation reservation) {
--- a/core/src/main/java/org/hickorypier/core/scheduling/IncrementalScheduler.java
+++ b/core/src/main/java/org/hickorypier/core/scheduling/IncrementalScheduler.java
@@ -22,20 +22,24 @@
 final class IncrementalScheduler implements Scheduler {
 
   private final FairOrder order = new FairOrder();
-  private final ShapeTable shapes = new ShapeTable();
   private final Fleet fleet = new Fleet();
+  private final UrgentReserve reserve;
+  private final ShapeTable shapes;
   private final Capacities capacities = new Capacities();
   private final WorkHistory history;
   private final ItemQueue queue;
   private final Reservations reservations;
   private final PlacementLoop placementLoop;
-  private final WaitEstimate waitEstimate = new WaitEstimate(order, shapes);
+  private final WaitEstimate waitEstimate;
   private final LearnedSizes learnedSizes = new LearnedSizes();
   private final Quarantine quarantine;
   private final Admission admission;
   private long latestMillis;
 
   IncrementalScheduler(SchedulerSettings settings, long seed) {
+    reserve = new UrgentReserve(settings.urgentReservePart(), fleet);
+    shapes = new ShapeTable(reserve);
+    waitEstimate = new WaitEstimate(order, shapes);
     history = new WorkHistory(settings.historyMillis());
     queue = new ItemQueue(order, shapes, history);
     reservations = new Reservations(fleet, order, history);
@@ -51,7 +55,8 @@
             history,
             reservations,
             new PlacementPolicies(fleet, new SplittableRandom(seed)),
-            new RoomHold(settings.holdAfterMillis(), fleet, order));
+            new RoomHold(settings.holdAfterMillis(), fleet, order),
+            reserve);
   }
 
   @Override
@@ -62,7 +67,11 @@
     }
     Optional<Refusal> refusal = admission.refuse(item, order.team(item.key().team()), now);
     if (refusal.isEmpty()) {
-      queue.add(item, reservedFor(item));
+      Resources need = reservedFor(item);
+      queue.add(item, need);
+      if (item.workClass() == WorkClass.URGENT) {
+        reserve.urgentCame(need, now);
+      }
     }
     return refusal;
   }
@@ -148,6 +157,7 @@
     final List<TaskId> taskIds = reservations.freeAll(state, latestMillis);
     fleet.remove(state);
     quarantine.forget(state);
+    reserve.forget(state);
     capacities.remove(state.description().capacity());
     order.setTotal(fleet.total());
     return taskIds;
@@ -220,6 +230,7 @@
   }
 
   private void roomFreed(WorkerState worker) {
+    reserve.roomFreed(worker);
     if (!worker.takesTasks()) {
       return;
     }
--- a/core/src/main/java/org/hickorypier/core/scheduling/ItemQueue.java
+++ b/core/src/main/java/org/hickorypier/core/scheduling/ItemQueue.java
@@ -54,7 +54,7 @@
 
   void add(WorkItem item, Resources need) {
     int attempt = history.newAttempt(item.key(), item.tasks());
-    QueuedItem queued = new QueuedItem(item, shapes.intern(need), attempt);
+    QueuedItem queued = new QueuedItem(item, shapes.intern(need, item.workClass()), attempt);
     items.put(item.key(), queued);
     byDeadline.add(queued);
     urgentItems += item.workClass() == WorkClass.URGENT ? 1 : 0;
--- a/core/src/main/java/org/hickorypier/core/scheduling/PlacementLoop.java
+++ b/core/src/main/java/org/hickorypier/core/scheduling/PlacementLoop.java
@@ -33,6 +33,7 @@
   private final PlacementPolicies policies;
   private final UrgentTurns urgentTurns;
   private final RoomHold hold;
+  private final UrgentReserve reserve;
   private final Map<QueuedItem, List<PlacedTask>> placed = new LinkedHashMap<>();
   private boolean triesLater;
 
@@ -45,7 +46,8 @@
       WorkHistory history,
       Reservations reservations,
       PlacementPolicies policies,
-      RoomHold hold) {
+      RoomHold hold,
+      UrgentReserve reserve) {
     this.settings = settings;
     this.fleet = fleet;
     this.order = order;
@@ -55,6 +57,7 @@
     this.reservations = reservations;
     this.policies = policies;
     this.hold = hold;
+    this.reserve = reserve;
     this.urgentTurns = new UrgentTurns(settings.urgentHoldMillis(), settings.urgentTurn());
   }
 
@@ -73,10 +76,8 @@
 
   /** Tries the item that workers are held for before all others, since they may fill its gaps. */
   private void tryHeld(long now) {
-    for (WorkerState released : hold.releaseIfUseless(now)) {
-      shapes.unblock(released);
-      order.tryAll();
-    }
+    hold.releaseIfUseless(now).forEach(this::offerAgain);
+    reserve.refresh(urgentTurns.isOverdue(now), now).forEach(this::offerAgain);
     hold.holdIfStarving(now);
     QueuedItem owner = hold.owner();
     if (owner != null) {
@@ -84,6 +85,11 @@
     }
   }
 
+  private void offerAgain(WorkerState worker) {
+    shapes.unblock(worker);
+    order.tryAll();
+  }
+
   private boolean placeOne(boolean urgent, long now) {
     for (TeamState team : order.waiting()) {
       if (team.isExhausted(urgent)) {
@@ -145,23 +151,28 @@
       return null;
     }
     PlacementPolicy policy = policies.of(queued.item().workClass());
-    WorkerFilter held =
-        hold.owner() == null ? WorkerFilter.ANY : worker -> hold.admits(queued, worker, now);
+    WorkerFilter usable = usableFor(queued, now);
     Set<String> failedOn = history.failedOn(queued.item().key());
     if (!failedOn.isEmpty()) {
-      WorkerFilter elsewhere = worker -> !failedOn.contains(worker.name()) && held.test(worker);
+      WorkerFilter elsewhere = worker -> !failedOn.contains(worker.name()) && usable.test(worker);
       WorkerState other = policy.choose(queued, elsewhere);
       if (other != null) {
         return other;
       }
     }
-    WorkerState worker = policy.choose(queued, held);
+    WorkerState worker = policy.choose(queued, usable);
     if (worker == null && !isHeldFor) {
       shapes.block(queued.shape());
     }
     return worker;
   }
 
+  private WorkerFilter usableFor(QueuedItem queued, long now) {
+    boolean urgent = queued.item().workClass() == WorkClass.URGENT;
+    return worker ->
+        (urgent || reserve.admits(worker, queued.need())) && hold.admits(queued, worker, now);
+  }
+
   private boolean startsGang(TeamState team, QueuedItem queued, long now) {
     int tasks = queued.waitingTasks();
     if (team.freePermits() < tasks) {
@@ -210,6 +221,7 @@
     TeamState team = order.team(queued.item().key().team());
     team.taskStarted(queued, now);
     reservations.take(worker, reservation);
+    reserve.roomTaken(worker);
     placed.computeIfAbsent(queued, unused -> new ArrayList<>()).add(reservation.task());
   }
 
--- a/core/src/main/java/org/hickorypier/core/scheduling/SchedulerSettings.java
+++ b/core/src/main/java/org/hickorypier/core/scheduling/SchedulerSettings.java
@@ -37,6 +37,9 @@
  *     the work or the platform is at fault, and closing the fleet would not help
  * @param slowFactor a worker is slow if its tasks take this many times as long, for what they
  *     declare, as those of the fleet; below 2, unlike work alone would reach it
+ * @param urgentReservePart the part of all slots that is kept free for urgent work while any comes;
+ *     0 for none. It is lost to all other work, so it is small: one slot in eighty is three gaps
+ *     over 30 workers, and two gaps left urgent work a p99 of 9 ms at twice the capacity
  */
 public record SchedulerSettings(
     int queueLimit,
@@ -52,7 +55,8 @@
     long quarantineMillis,
     long longestQuarantineMillis,
     double quarantinePart,
-    double slowFactor) {
+    double slowFactor,
+    double urgentReservePart) {
 
   /** Checks each value against its range. */
   public SchedulerSettings {
@@ -70,6 +74,7 @@
     check("longestQuarantineMillis", longestQuarantineMillis, quarantineMillis, 86_400_000);
     check("quarantinePart", quarantinePart, 0, 1);
     check("slowFactor", slowFactor, 1.5, 100);
+    check("urgentReservePart", urgentReservePart, 0, 0.5);
   }
 
   /**
@@ -79,7 +84,7 @@
    */
   public static SchedulerSettings defaults() {
     return new SchedulerSettings(
-        1_000, 4, 2_000, 4, 10_000, 50, 120_000, 3, 2.0, 3, 10_000, 600_000, 0.25, 3.0);
+        1_000, 4, 2_000, 4, 10_000, 50, 120_000, 3, 2.0, 3, 10_000, 600_000, 0.25, 3.0, 0.0125);
   }
 
   /**
@@ -103,7 +108,8 @@
         quarantineMillis,
         longestQuarantineMillis,
         quarantinePart,
-        slowFactor);
+        slowFactor,
+        urgentReservePart);
   }
 
   /**
@@ -127,7 +133,33 @@
         quarantineMillis,
         longestQuarantineMillis,
         quarantinePart,
-        slowFactor);
+        slowFactor,
+        urgentReservePart);
+  }
+
+  /**
+   * Returns the settings with another part of the slots for urgent work.
+   *
+   * @param part the part of all slots that is kept free for urgent work
+   * @return the changed settings
+   */
+  public SchedulerSettings withUrgentReservePart(double part) {
+    return new SchedulerSettings(
+        queueLimit,
+        backfillDepth,
+        urgentHoldMillis,
+        urgentTurn,
+        holdAfterMillis,
+        gangRetryMillis,
+        historyMillis,
+        failedWorkersLimit,
+        waitMargin,
+        badEndsLimit,
+        quarantineMillis,
+        longestQuarantineMillis,
+        quarantinePart,
+        slowFactor,
+        part);
   }
 
   private static void check(String name, double value, double least, double most) {
--- a/core/src/main/java/org/hickorypier/core/scheduling/ShapeTable.java
+++ b/core/src/main/java/org/hickorypier/core/scheduling/ShapeTable.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import org.hickorypier.core.model.Resources;
+import org.hickorypier.core.model.WorkClass;
 
 /**
  * The sizes of the queued work, and which of them fit nowhere now.
@@ -19,20 +20,28 @@
    */
   private static final int UNUSED_SHAPES_LIMIT = 2_048;
 
-  private final Map<Resources, Shape> shapes = new HashMap<>();
+  private record Size(Resources resources, boolean urgent) {}
+
+  private final Map<Size, Shape> shapes = new HashMap<>();
+  private final UrgentReserve reserve;
   private final List<Shape> blocked = new ArrayList<>();
   private int sweepAt = UNUSED_SHAPES_LIMIT;
 
-  Shape intern(Resources resources) {
+  ShapeTable(UrgentReserve reserve) {
+    this.reserve = reserve;
+  }
+
+  Shape intern(Resources resources, WorkClass workClass) {
     if (shapes.size() > sweepAt) {
       dropUnused();
     }
-    return shapes.computeIfAbsent(resources, Shape::new);
+    return shapes.computeIfAbsent(
+        size(resources, workClass), size -> new Shape(size.resources(), size.urgent()));
   }
 
   /** Tells whether this size is known to fit nowhere now. */
-  boolean isBlocked(Resources resources) {
-    Shape shape = shapes.get(resources);
+  boolean isBlocked(Resources resources, WorkClass workClass) {
+    Shape shape = shapes.get(size(resources, workClass));
     return shape != null && shape.isBlocked();
   }
 
@@ -53,7 +62,8 @@
     boolean any = false;
     for (int i = blocked.size() - 1; i >= 0; i--) {
       Shape shape = blocked.get(i);
-      if (worker.hasRoomFor(shape.resources())) {
+      boolean fits = worker.hasRoomFor(shape.resources());
+      if (fits && (shape.isUrgent() || reserve.admits(worker, shape.resources()))) {
         shape.setBlocked(false);
         blocked.set(i, blocked.get(blocked.size() - 1));
         blocked.remove(blocked.size() - 1);
@@ -63,6 +73,10 @@
     return any;
   }
 
+  private static Size size(Resources resources, WorkClass workClass) {
+    return new Size(resources, workClass == WorkClass.URGENT);
+  }
+
   private void dropUnused() {
     shapes.values().removeIf(Shape::isUnused);
     blocked.removeIf(Shape::isUnused);
--- a/core/src/main/java/org/hickorypier/core/scheduling/UrgentTurns.java
+++ b/core/src/main/java/org/hickorypier/core/scheduling/UrgentTurns.java
@@ -26,7 +26,12 @@
     if (heldSinceMillis == NOT_HELD) {
       heldSinceMillis = now;
     }
-    return now - heldSinceMillis >= holdMillis && urgentInRow >= turn - 1;
+    return isOverdue(now) && urgentInRow >= turn - 1;
+  }
+
+  /** Tells whether urgent work has held other work back for the hold time. */
+  boolean isOverdue(long now) {
+    return heldSinceMillis != NOT_HELD && now - heldSinceMillis >= holdMillis;
   }
 
   void started(boolean urgent) {
--- a/core/src/main/java/org/hickorypier/core/scheduling/WaitEstimate.java
+++ b/core/src/main/java/org/hickorypier/core/scheduling/WaitEstimate.java
@@ -35,7 +35,8 @@
   /** Returns the estimated wait in milliseconds, 0 if there is room or nothing is known yet. */
   long millis(WorkItem item, TeamState team, long now) {
     ClassQueue queue = team.queue(item.workClass());
-    boolean full = shapes.isBlocked(item.resources()) || queue.headWasTriedInVain(now);
+    boolean full =
+        shapes.isBlocked(item.resources(), item.workClass()) || queue.headWasTriedInVain(now);
     if (!full && team.freePermits() > 0) {
       return 0;
     }
--- a/core/src/main/java/org/hickorypier/core/scheduling/WorkerState.java
+++ b/core/src/main/java/org/hickorypier/core/scheduling/WorkerState.java
@@ -25,6 +25,7 @@
   private int freeSlots;
   private final WorkerHealth health = new WorkerHealth();
   private QueuedItem heldFor;
+  private boolean reserveForUrgent;
   private final RoomIndex.Position[] positions =
       new RoomIndex.Position[RoomIndex.Scope.values().length];
 
@@ -57,6 +58,15 @@
     return heldFor;
   }
 
+  /** Tells whether a gap on this worker is kept free for urgent work. */
+  boolean isReserveForUrgent() {
+    return reserveForUrgent;
+  }
+
+  void setReserveForUrgent(boolean reserve) {
+    reserveForUrgent = reserve;
+  }
+
   void holdFor(QueuedItem queued) {
     heldFor = queued;
   }
@@ -135,6 +145,14 @@
         && need.accelerators() <= freeAccelerators;
   }
 
+  /** Tells whether a task fits here together with another one. */
+  boolean hasRoomBeside(Resources other, Resources need) {
+    return freeSlots > 1
+        && need.milliProcessors() + other.milliProcessors() <= freeMilliProcessors
+        && need.memoryMebibytes() + other.memoryMebibytes() <= freeMemoryMebibytes
+        && need.accelerators() + other.accelerators() <= freeAccelerators;
+  }
+
   long freeMilliProcessors() {
     return freeMilliProcessors;
   }
--- a/core/src/test/java/org/hickorypier/core/scheduling/OverloadTest.java
+++ b/core/src/test/java/org/hickorypier/core/scheduling/OverloadTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.function.ToLongFunction;
 import org.hickorypier.core.model.Refusal;
 import org.hickorypier.core.model.RefusalReason;
@@ -81,6 +82,29 @@
         .contains(RefusalReason.DEADLINE_TOO_NEAR);
   }
 
+  /**
+   * Urgent callers never wait on a full fleet while they are few. Other work takes each place that
+   * comes free, but for the gap that is kept; an urgent task takes it, and the next end fills it
+   * up.
+   */
+  @Test
+  void fewUrgentCallersDoNotWaitOnFullFleet() {
+    ToLongFunction<PlacedTask> unlike =
+        task -> 500 + new SplittableRandom(task.taskId().hashCode()).nextInt(1_000);
+    SimulatedLoad load = new SimulatedLoad(Work.scheduler(10, "north", "south"), unlike);
+    for (int i = 0; i < 100; i++) {
+      load.submit(Work.item("south", "batch" + i, WorkClass.BATCH, Work.SMALL, 40), true);
+      load.run(30);
+    }
+    load.submit(Work.item("north", "first", WorkClass.URGENT, Work.SMALL, 1), true);
+    load.run(2_000);
+    for (int i = 0; i < 50; i++) {
+      load.submit(Work.item("north", "u" + i, WorkClass.URGENT, Work.SMALL, 1), true);
+      assertThat(load.started("north")).isEqualTo(i + 2);
+      load.run(100);
+    }
+  }
+
   /**
    * Urgent callers flood; all other work still goes on. Urgent work goes first until it has held
    * the others back for the hold time; then each fourth place is theirs.
