--- a/daemon/src/main/java/org/hickorypier/daemon/peer/PeerLink.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/peer/PeerLink.java
@@ -8,9 +8,15 @@
 import org.hickorypier.daemon.time.TimerService;
 import org.hickorypier.wire.MessagePackCodec;
 import org.hickorypier.wire.UndecodableException;
+import org.hickorypier.wire.message.DigestBudget;
+import org.hickorypier.wire.message.DigestReader;
+import org.hickorypier.wire.message.Frame;
 import org.hickorypier.wire.message.FrameException;
 import org.hickorypier.wire.message.PeerMessage;
 import org.hickorypier.wire.message.PeerMessage.Answer;
+import org.hickorypier.wire.message.PeerMessage.ConfigurationPush;
+import org.hickorypier.wire.message.PeerMessage.Digest;
+import org.hickorypier.wire.message.PeerMessage.DigestChange;
 import org.hickorypier.wire.message.PeerMessage.Failure;
 import org.hickorypier.wire.message.PeerMessage.Heartbeat;
 import org.hickorypier.wire.message.PeerMessage.OpenRequests;
@@ -42,8 +48,11 @@
   private final MessagePackCodec<PeerMessage> codec = new MessagePackCodec<>(PeerMessage.class);
   private final OpenRequestTable open = new OpenRequestTable();
   private final Outbox outbox = new Outbox(codec, this::isWanted);
+  private final DigestBudget budget = new DigestBudget();
   private PartAssembler parts = new PartAssembler();
+  private DigestReader digests = new DigestReader();
   private AnswerMemory answers = new AnswerMemory();
+  private Digest told;
   private PeerIdentity peer;
   private LinkConnection connection;
   private long heardMillis;
@@ -165,15 +174,37 @@
     if (connection == null) {
       return;
     }
-    byte[] encoded = codec.encode(message);
-    if (!outbox.hasRoom(encoded.length) || encoded.length > Outbox.MAX_MESSAGE_BYTES) {
-      counters.dropped(kind(message));
-      return;
+    if (message instanceof Digest digest) {
+      tellDigest(digest);
+    } else {
+      byte[] encoded = codec.encode(message);
+      if (!outbox.hasRoom(encoded.length) || encoded.length > Outbox.MAX_MESSAGE_BYTES) {
+        counters.dropped(kind(message));
+        return;
+      }
+      outbox.add(message, encoded);
     }
-    enqueue(message, encoded);
     pump();
   }
 
+  // With many links a digest is due every few seconds only. A new offset or a drain does not wait
+  // for that: an operator is told that a change is in force by the offsets in digests, and work is
+  // sent to a draining instance until it says so.
+  private void tellDigest(Digest digest) {
+    int mostUses = budget.mostUses(timers.nowMillis(), owner.linkCount());
+    boolean news =
+        told == null
+            || told.configurationOffset() != digest.configurationOffset()
+            || told.taking() != digest.taking();
+    if (mostUses < 0 && !news) {
+      return;
+    }
+    told = digest;
+    if (outbox.add(digest, Math.max(0, mostUses))) {
+      counters.dropped(kind(digest));
+    }
+  }
+
   /** Writes what waits, as far as the connection takes it. */
   void pump() {
     while (connection != null && !connection.isFull()) {
@@ -184,6 +215,9 @@
       if (next.get().completes() instanceof Request request) {
         open.written(request, peer.incarnation());
       }
+      if (next.get().message() instanceof DigestChange) {
+        budget.spent(Frame.HEADER_BYTES + next.get().encoded().length);
+      }
       sentMillis = timers.nowMillis();
       connection.write(next.get().message(), next.get().encoded());
     }
@@ -221,11 +255,13 @@
     connection = null;
     outbox.clear();
     parts = new PartAssembler();
+    digests = new DigestReader();
+    told = null;
     ended.close();
     owner.down(peer);
   }
 
-  private void take(PeerMessage message) throws FrameException {
+  private void take(PeerMessage message) throws FrameException, UndecodableException {
     if (message instanceof Request request) {
       takeRequest(request);
     } else if (message instanceof Answer answer) {
@@ -236,8 +272,9 @@
       answers.settled(settled.correlations());
     } else if (message instanceof OpenRequests still) {
       answers.onlyOpen(still.below(), still.correlations());
-    } else if (message instanceof PeerMessage.Digest
-        || message instanceof PeerMessage.ConfigurationPush) {
+    } else if (message instanceof DigestChange change) {
+      owner.message(peer, digests.read(change));
+    } else if (message instanceof ConfigurationPush) {
       owner.message(peer, message);
     } else if (!(message instanceof Heartbeat)) {
       throw new FrameException("unexpected " + kind(message));
@@ -280,7 +317,7 @@
     if (!memory.keep(kept, encoded.length)) {
       counters.dropped("unwanted answer");
     } else if (memory == answers && connection != null) {
-      enqueue(kept, encoded);
+      outbox.add(kept, encoded);
       pump();
     }
   }
@@ -300,16 +337,10 @@
   }
 
   private void send(PeerMessage message) {
-    enqueue(message, codec.encode(message));
+    outbox.add(message, codec.encode(message));
     pump();
   }
 
-  private void enqueue(PeerMessage message, byte[] encoded) {
-    if (outbox.add(message, encoded)) {
-      counters.dropped(kind(message));
-    }
-  }
-
   private Optional<String> refusal(int length) {
     if (connection == null) {
       return Optional.of("no link to the instance");
