Tell operators that a drained name is unknown

Cause: a mistyped name was accepted and drained nothing; whoever relies on the drain stops a worker that still gets work.

Ruled out: refusing unknown names (a worker or instance may be away for a moment, and its drain must be there when it comes back).

Change: the note of a drain says that no worker or instance of that name is known now.

Seen failing: with the remark switched off, 2 of 4 cases.

--- a/daemon/src/main/java/org/hickorypier/daemon/operator/ChangeExecutor.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/operator/ChangeExecutor.java
@@ -35,12 +35,14 @@
   private final ChangeProgress progress;
   private final TimeLimit foldLimit;
   private final InForceWait inForceWait;
+  private final DrainRemark drainRemark;
 
   ChangeExecutor(
       Supplier<Configuration> configuration,
       ChangePlanner planner,
       ChangeSubmitter submitter,
       ChangeProgress progress,
+      FleetView fleet,
       TimerService timers) {
     this.configuration = configuration;
     this.planner = planner;
@@ -48,6 +50,7 @@
     this.progress = progress;
     this.foldLimit = new TimeLimit(timers, FOLD_LIMIT);
     this.inForceWait = new InForceWait(progress, timers, IN_FORCE_LIMIT);
+    this.drainRemark = new DrainRemark(fleet, timers);
   }
 
   Uni<StatementResult> execute(Statement.Change change, String id) {
@@ -55,7 +58,8 @@
       PlannedChange planned = planner.plan(change, id, configuration.get());
       return foldLimit
           .apply(submitter.submit(planned.record()), () -> notFolded(id))
-          .flatMap(folded -> finish(planned, folded));
+          .flatMap(folded -> finish(planned, folded))
+          .flatMap(result -> drainRemark.addTo(result, change));
     } catch (UnusableChangeException error) {
       return Uni.createFrom().item(problem(error.getMessage()));
     }
--- a/daemon/src/main/java/org/hickorypier/daemon/operator/StatementExecutor.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/operator/StatementExecutor.java
@@ -54,7 +54,8 @@
       TimerService timers) {
     this.queries = new QueryExecutor(configuration, fleet, explainer);
     this.changes =
-        new ChangeExecutor(configuration, new ChangePlanner(issuer), submitter, progress, timers);
+        new ChangeExecutor(
+            configuration, new ChangePlanner(issuer), submitter, progress, fleet, timers);
     this.canceller = canceller;
     this.answerLimit = new TimeLimit(timers, ANSWER_LIMIT);
   }
--- a/daemon/src/test/java/org/hickorypier/daemon/operator/StatementExecutorTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/operator/StatementExecutorTest.java
@@ -204,6 +204,22 @@
     assertThat(log.state().teams().get("labels").share()).isEqualTo(5);
   }
 
+  // An operator mistypes a worker's name and would stop a worker that still gets work. The answer
+  // says that no worker of that name is known.
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      textBlock =
+          """
+          drain worker w1        | worker w1 takes no new work
+          drain worker w2        | worker w2 takes no new work; no worker of that name is known now
+          undrain instance norte-1 | instance norte-1 takes new work again
+          drain instance w1      | instance w1 takes no new work; no instance of that name is known now
+          """)
+  void drainsOfUnknownNamesAreRemarkedOn(String statement, String note) {
+    assertThat(((Accepted) run(statement)).note()).isEqualTo(note);
+  }
+
   @Test
   void cancels() {
     assertThat(run("cancel labels/r-1"))
