--- a/daemon/src/main/java/org/hickorypier/daemon/peer/OpenRequestTable.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/peer/OpenRequestTable.java
@@ -98,6 +98,11 @@
         "the peer was restarted before it answered");
   }
 
+  /** Fails all open requests. */
+  void failAll(String message) {
+    take(entry -> true, message).run();
+  }
+
   /** Returns the requests settled since the last call. */
   List<Long> takeSettled() {
     List<Long> taken = List.copyOf(settled);
--- a/daemon/src/main/java/org/hickorypier/daemon/peer/PeerConnection.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/peer/PeerConnection.java
@@ -1,5 +1,7 @@
 package org.hickorypier.daemon.peer;
 
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetSocket;
 import java.lang.System.Logger;
@@ -36,11 +38,21 @@
   private final FrameReader reader = new FrameReader(Frame.MAX_HANDSHAKE_BYTES);
   private final AtomicInteger pending = new AtomicInteger();
   private final NetSocket socket;
+  private final Context context;
   private final Handshake handshake;
   private final PeerCounters counters;
   private final Executor control;
   private final ConnectionOwner owner;
 
+  /**
+   * Wraps a connection. To be called on its event loop, before the first byte is read.
+   *
+   * @param socket the connection
+   * @param handshake our side of the authentication
+   * @param counters counts the traffic
+   * @param control the control thread
+   * @param owner hears what happens
+   */
   PeerConnection(
       NetSocket socket,
       Handshake handshake,
@@ -48,13 +60,14 @@
       Executor control,
       ConnectionOwner owner) {
     this.socket = socket;
+    this.context = Vertx.currentContext();
     this.handshake = handshake;
     this.counters = counters;
     this.control = control;
     this.owner = owner;
   }
 
-  /** Starts the handshake. To be called on the event loop, before the first byte is read. */
+  /** Starts the handshake. To be called on the event loop as well. */
   void start() {
     socket.handler(this::read);
     socket.drainHandler(ignored -> control.execute(() -> owner.drained(this)));
@@ -114,7 +127,8 @@
   }
 
   // A peer may send faster than the control thread takes. Without the pause the messages would
-  // pile up in its queue until the daemon is out of memory.
+  // pile up in its queue until the daemon is out of memory. Both calls are made on the event loop:
+  // a resume from the control thread could overtake the pause, and the link would stay paused.
   private void handOver(PeerMessage message) {
     if (pending.incrementAndGet() == MAX_PENDING) {
       socket.pause();
@@ -122,7 +136,7 @@
     control.execute(
         () -> {
           if (pending.decrementAndGet() == MAX_PENDING / 2) {
-            socket.resume();
+            context.runOnContext(ignored -> socket.resume());
           }
           owner.received(this, message);
         });
--- a/daemon/src/main/java/org/hickorypier/daemon/peer/PeerLink.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/peer/PeerLink.java
@@ -245,6 +245,12 @@
     }
   }
 
+  /** Closes the connection and fails what is open, for good. */
+  void shutDown() {
+    disconnect("shutting down");
+    open.failAll("this instance is shutting down");
+  }
+
   /** Closes the connection, if there is one. */
   void disconnect(String why) {
     if (connection == null) {
--- a/daemon/src/main/java/org/hickorypier/daemon/peer/PeerNetwork.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/peer/PeerNetwork.java
@@ -128,7 +128,7 @@
         () -> {
           closed = true;
           ticking.cancel();
-          links.values().forEach(link -> link.disconnect("shutting down"));
+          links.values().forEach(PeerLink::shutDown);
           strangers.closeAll();
         });
     return uni(Future.join(server.close(), client.close()).mapEmpty());
--- a/daemon/src/test/java/org/hickorypier/daemon/peer/PeerNetworkTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/peer/PeerNetworkTest.java
@@ -104,6 +104,31 @@
     assertThat(first.ask("entry-2", "again")).isEqualTo("entry-1#10 asked again");
   }
 
+  @Test
+  void shutdownFailsWhatIsOpen() throws Exception {
+    try (PeerNode mute =
+        new PeerNode(
+            vertx,
+            "entry-3",
+            30,
+            PeerNode.SECRET,
+            (peer, request) -> io.smallrye.mutiny.Uni.createFrom().nothing())) {
+      PeerNode.join(first, mute);
+      assertThat(first.nextEvent()).isEqualTo("up entry-3#30");
+      var answer =
+          first
+              .network
+              .request("entry-3", new Question(0, "q", "t"), Duration.ofSeconds(60))
+              .subscribeAsCompletionStage();
+      first.network.close().await().atMost(Duration.ofSeconds(5));
+
+      assertThat(answer)
+          .failsWithin(Duration.ofSeconds(5))
+          .withThrowableThat()
+          .withCauseInstanceOf(PeerException.class);
+    }
+  }
+
   @Test
   void requestWithoutLinkFailsAsNotTaken() {
     Throwable thrown =
