Give the decisions their permits from the log

Cause: each instance placed up to a team's whole limit, so eight of them could run eight times it. Change: PermitService asks for permits and uses what was read back; it speaks for each worker before tasks start there; HolderRetirement fences off and retires lost holders; TaskOwners keeps tasks that another instance's permits cover out of ours. Conclusion: the limit holds by the order of the log.

--- a/daemon/src/main/java/org/hickorypier/daemon/DaemonConstants.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/DaemonConstants.java
@@ -11,6 +11,9 @@
   /** The stream of accepted work and its attempts. */
   static final String JOURNAL_STREAM = "journal";
 
+  /** The stream of the teams' permits. */
+  static final String PERMIT_STREAM = "permits";
+
   /** A long poll is answered within two seconds; past twice that the log counts as silent. */
   static final long LOG_SILENT_MILLIS = 4_000;
 
--- a/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
@@ -23,7 +23,9 @@
 import java.util.concurrent.TimeUnit;
 import org.hickorypier.core.keys.KeyIssuer;
 import org.hickorypier.core.membership.HomeHistory;
+import org.hickorypier.core.model.WorkItem;
 import org.hickorypier.core.model.WorkKey;
+import org.hickorypier.core.permits.Holder;
 import org.hickorypier.core.scheduling.Scheduler;
 import org.hickorypier.core.scheduling.SchedulerFactory;
 import org.hickorypier.core.scheduling.SchedulerSettings;
@@ -39,7 +41,9 @@
 import org.hickorypier.daemon.cluster.HomeIntake;
 import org.hickorypier.daemon.cluster.LocalRows;
 import org.hickorypier.daemon.cluster.PeerRequests;
+import org.hickorypier.daemon.cluster.PermitDemands;
 import org.hickorypier.daemon.cluster.QuestionKind;
+import org.hickorypier.daemon.cluster.WorkerSightings;
 import org.hickorypier.daemon.configuration.ConfigurationService;
 import org.hickorypier.daemon.entry.EntryService;
 import org.hickorypier.daemon.entry.ReadinessCheck;
@@ -60,12 +64,16 @@
 import org.hickorypier.daemon.peer.PeerIdentity;
 import org.hickorypier.daemon.peer.PeerNetwork;
 import org.hickorypier.daemon.peer.PeerSettings;
+import org.hickorypier.daemon.permit.HolderRetirement;
+import org.hickorypier.daemon.permit.PermitService;
+import org.hickorypier.daemon.permit.TaskOwners;
 import org.hickorypier.daemon.settings.DaemonSettings;
 import org.hickorypier.daemon.settings.HostAndPort;
 import org.hickorypier.daemon.time.ControlThread;
 import org.hickorypier.daemon.work.DispatchSettings;
 import org.hickorypier.daemon.work.Dispatcher;
 import org.hickorypier.daemon.work.TaskAdopter;
+import org.hickorypier.daemon.work.WorkObserver;
 import org.hickorypier.daemon.work.WorkService;
 import org.hickorypier.daemon.work.WorkSettings;
 import org.hickorypier.daemon.worker.WorkerFleet;
@@ -78,6 +86,7 @@
 import org.hickorypier.platform.worker.HttpWorkerService;
 import org.hickorypier.wire.record.ConfigurationRecord;
 import org.hickorypier.wire.record.JournalRecord;
+import org.hickorypier.wire.record.PermitRecord;
 
 /**
  * One daemon: all its parts, wired.
@@ -116,6 +125,10 @@
   private final AttemptRecorder recorder;
   private final JobRunner runner;
   private final JobService jobs;
+  private final TaskOwners owners;
+  private final PermitService permits;
+  private final LogStream<PermitRecord> permitStream;
+  private final TaskAdopter adopter;
   private final DigestBoard digests;
   private final PeerRequests requests;
 
@@ -159,7 +172,8 @@
         new ReadinessCheck(this::isConfigured, freshness::ageMillis, settings.freshnessMillis());
     scheduler = SchedulerFactory.create(SchedulerSettings.defaults(), random.nextLong());
     rows = new LocalRows(settings.name(), settings.dataCentre(), scheduler, control);
-    digests = new DigestBoard(scheduler, control);
+    owners = new TaskOwners((worker, owner) -> permits().covers(worker, owner));
+    digests = new DigestBoard(scheduler, owners::isOurs);
     work =
         new WorkService(
             new WorkSettings(
@@ -171,7 +185,7 @@
             scheduler,
             control,
             (placement, verdict) -> recorder().request(placement, verdict),
-            new WorkMetrics(registry).andThen(rows));
+            new WorkMetrics(registry).andThen(rows).andThen(new PermitSeeker()));
     fleet =
         new WorkerFleet(
             new WorkerLeaseSettings(
@@ -197,6 +211,17 @@
             control,
             self,
             work);
+    permits =
+        new PermitService(
+            new Holder(own.name(), own.incarnation()),
+            new PermitDemands(scheduler, digests, owners, work, worker -> adopter().reopen(worker)),
+            control,
+            control);
+    permitStream =
+        streams.open(
+            DaemonConstants.PERMIT_STREAM, PermitRecord.class, PermitRecord::recordId, permits);
+    permits.connect(permitStream.appender(), permitStream.follower());
+    adopter = new TaskAdopter(scheduler, work, dispatcher, control, permits, owners);
     requests = new PeerRequests(control, readiness, work);
     requests.answer(
         QuestionKind.OFFER,
@@ -320,6 +345,24 @@
     return digests.behind(others, offset);
   }
 
+  private HolderRetirement retirement() {
+    return new HolderRetirement(
+        permits,
+        control,
+        control,
+        holder -> cluster.isLive(holder.toString()),
+        holder -> cluster.isWanted(holder.toString()),
+        answer -> WorkerSightings.askAll(fleet, answer));
+  }
+
+  private PermitService permits() {
+    return permits;
+  }
+
+  private TaskAdopter adopter() {
+    return adopter;
+  }
+
   private AttemptRecorder recorder() {
     return recorder;
   }
@@ -357,14 +400,11 @@
     configuration.subscribe(cluster::onConfiguration);
     configuration.subscribe(
         state ->
-            state
-                .teams()
-                .values()
-                .forEach(
-                    team -> {
-                      scheduler.putShare(team.name(), team.share());
-                      scheduler.putPermits(team.name(), team.upperLimit());
-                    }));
+            state.teams().values().forEach(team -> scheduler.putShare(team.name(), team.share())));
+    configuration.subscribe(permits::onConfiguration);
+    permitStream.follower().start(0);
+    permits.start();
+    retirement().start();
     configurationStream.follower().start(0);
     journalStream.follower().start(0);
     runner.start();
@@ -372,7 +412,7 @@
     control.every(HISTORY_PERIOD, () -> history.note(cluster.candidates(), control.nowMillis()));
     freshness.start(requests);
     dispatcher.start();
-    fleet.start(new TaskAdopter(scheduler, work, dispatcher, control));
+    fleet.start(adopter);
     work.start(dispatcher);
     new InstanceListPoller(
             new HttpInstanceList(vertx, address(settings.instanceList())),
@@ -441,4 +481,12 @@
   private static ServiceAddress address(HostAndPort from) {
     return new ServiceAddress(from.host(), from.port());
   }
+
+  /** Asks for permits as soon as work waits for them. */
+  private final class PermitSeeker implements WorkObserver {
+    @Override
+    public void onQueued(WorkItem item) {
+      permits().planSoon(item.key().team());
+    }
+  }
 }
--- a/daemon/src/main/java/org/hickorypier/daemon/cluster/DigestBoard.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/cluster/DigestBoard.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import org.hickorypier.core.model.Resources;
 import org.hickorypier.core.model.WorkClass;
 import org.hickorypier.core.model.WorkItem;
@@ -16,7 +17,6 @@
 import org.hickorypier.core.scheduling.WorkerRoom;
 import org.hickorypier.daemon.peer.PeerIdentity;
 import org.hickorypier.daemon.peer.PeerListener;
-import org.hickorypier.daemon.time.TimerService;
 import org.hickorypier.wire.message.PeerMessage;
 import org.hickorypier.wire.message.PeerMessage.Digest;
 import org.hickorypier.wire.message.TeamUse;
@@ -32,7 +32,7 @@
   private static final String OPEN = "open";
 
   private final Scheduler scheduler;
-  private final TimerService timers;
+  private final Predicate<PlacedTask> isOurs;
   private final Map<String, Received> received = new TreeMap<>();
   private final Set<String> told = new HashSet<>();
 
@@ -40,17 +40,17 @@
    * Creates a board without digests.
    *
    * @param scheduler the decisions, which are told what the teams use elsewhere
-   * @param timers the time
+   * @param isOurs whether a placed task counts as this instance's; others tell of the rest
    */
-  public DigestBoard(Scheduler scheduler, TimerService timers) {
+  public DigestBoard(Scheduler scheduler, Predicate<PlacedTask> isOurs) {
     this.scheduler = scheduler;
-    this.timers = timers;
+    this.isOurs = isOurs;
   }
 
   @Override
   public void message(PeerIdentity peer, PeerMessage message) {
     if (message instanceof Digest digest) {
-      received.put(peer.name(), new Received(digest, timers.nowMillis()));
+      received.put(peer.name(), new Received(peer, digest));
       tellScheduler();
     }
   }
@@ -72,13 +72,22 @@
   }
 
   /**
-   * Returns how many tasks of a team run elsewhere, and how many wait elsewhere.
+   * Returns what each linked instance uses of a team, and has waiting.
    *
    * @param team the team
-   * @return the sums over the digests
+   * @return the use by instance; all zero where the digest does not name the team
    */
-  public TeamUse elsewhere(String team) {
-    return sum(team);
+  public Map<PeerIdentity, TeamUse> uses(String team) {
+    Map<PeerIdentity, TeamUse> uses = new HashMap<>();
+    for (Received from : received.values()) {
+      TeamUse use =
+          from.digest().teams().stream()
+              .filter(one -> one.team().equals(team))
+              .findFirst()
+              .orElseGet(() -> new Use().toTeamUse(team));
+      uses.put(from.peer(), use);
+    }
+    return uses;
   }
 
   /**
@@ -114,7 +123,9 @@
     }
     Map<String, Use> uses = new TreeMap<>();
     for (PlacedTask task : scheduler.placed()) {
-      use(uses, task.taskId().key().team()).place(task.reserved());
+      if (isOurs.test(task)) {
+        use(uses, task.taskId().key().team()).place(task.reserved());
+      }
     }
     int[] waiting = new int[WorkClass.values().length];
     for (WorkItem item : scheduler.queued()) {
@@ -153,20 +164,7 @@
     sums.forEach(scheduler::putUseElsewhere);
   }
 
-  private TeamUse sum(String team) {
-    Use total = new Use();
-    for (Received from : received.values()) {
-      for (TeamUse use : from.digest().teams()) {
-        if (use.team().equals(team)) {
-          total.running += use.running();
-          total.waiting += use.waiting();
-        }
-      }
-    }
-    return total.toTeamUse(team);
-  }
-
-  private record Received(Digest digest, long whenMillis) {}
+  private record Received(PeerIdentity peer, Digest digest) {}
 
   private static final class Use {
     private int running;
--- /dev/null
+++ b/daemon/src/main/java/org/hickorypier/daemon/cluster/PermitDemands.java
@@ -0,0 +1,101 @@
+package org.hickorypier.daemon.cluster;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.hickorypier.core.model.WorkClass;
+import org.hickorypier.core.model.WorkItem;
+import org.hickorypier.core.permits.Holder;
+import org.hickorypier.core.permits.PermitDemand;
+import org.hickorypier.core.scheduling.PlacedTask;
+import org.hickorypier.core.scheduling.Scheduler;
+import org.hickorypier.daemon.permit.PermitWork;
+import org.hickorypier.daemon.permit.TaskOwners;
+import org.hickorypier.daemon.work.WorkService;
+
+/** The demand for permits, from the decisions and the digests. Belongs to the control thread. */
+public final class PermitDemands implements PermitWork {
+
+  private final Scheduler scheduler;
+  private final DigestBoard digests;
+  private final TaskOwners owners;
+  private final WorkService work;
+  private final Consumer<String> reopen;
+
+  /**
+   * Creates the demand.
+   *
+   * @param scheduler the decisions
+   * @param digests what the others need
+   * @param owners who started the tasks on our workers
+   * @param work is told to place when permits have come
+   * @param reopen is told of a worker on which tasks may start
+   */
+  public PermitDemands(
+      Scheduler scheduler,
+      DigestBoard digests,
+      TaskOwners owners,
+      WorkService work,
+      Consumer<String> reopen) {
+    this.scheduler = scheduler;
+    this.digests = digests;
+    this.owners = owners;
+    this.work = work;
+    this.reopen = reopen;
+  }
+
+  @Override
+  public PermitDemand demand(String team) {
+    int urgent = 0;
+    int waiting = 0;
+    for (WorkItem item : scheduler.queued()) {
+      if (item.key().team().equals(team)) {
+        waiting += item.tasks();
+        urgent += item.workClass() == WorkClass.URGENT ? item.tasks() : 0;
+      }
+    }
+    return new PermitDemand(placed(team, true), waiting, urgent);
+  }
+
+  @Override
+  public Map<Holder, PermitDemand> others(String team) {
+    Map<Holder, PermitDemand> demands = new HashMap<>();
+    digests
+        .uses(team)
+        .forEach(
+            (peer, use) ->
+                demands.put(
+                    new Holder(peer.name(), peer.incarnation()),
+                    new PermitDemand(use.running(), use.waiting(), 0)));
+    return demands;
+  }
+
+  @Override
+  public int coveredElsewhere(String team) {
+    return placed(team, false);
+  }
+
+  @Override
+  public void use(String team, int permits) {
+    scheduler.putPermits(team, permits);
+    work.pump();
+  }
+
+  @Override
+  public void mayStartOn(String worker) {
+    reopen.accept(worker);
+  }
+
+  private int placed(String team, boolean ours) {
+    List<PlacedTask> tasks = scheduler.placed();
+    owners.keepOnly(tasks);
+    int count = 0;
+    for (PlacedTask task : tasks) {
+      if (task.taskId().key().team().equals(team) && owners.isOurs(task) == ours) {
+        count++;
+      }
+    }
+    return count;
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/hickorypier/daemon/cluster/WorkerSightings.java
@@ -0,0 +1,61 @@
+package org.hickorypier.daemon.cluster;
+
+import io.smallrye.mutiny.Uni;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.hickorypier.core.permits.Holder;
+import org.hickorypier.core.permits.WorkerSighting;
+import org.hickorypier.daemon.peer.PeerIdentity;
+import org.hickorypier.daemon.worker.WorkerFleet;
+import org.hickorypier.platform.worker.TaskState;
+import org.hickorypier.platform.worker.TaskStatus;
+import org.hickorypier.platform.worker.WorkerStatus;
+
+/** Asks every worker of the fleet who controls it and whose tasks it runs. Thread safe. */
+public final class WorkerSightings {
+
+  private WorkerSightings() {}
+
+  /**
+   * Asks all of them.
+   *
+   * @param fleet the workers
+   * @param answer is given all words, or nothing if one worker did not answer
+   */
+  public static void askAll(WorkerFleet fleet, Consumer<Optional<List<WorkerSighting>>> answer) {
+    List<Uni<WorkerSighting>> questions = new ArrayList<>();
+    fleet
+        .listed()
+        .forEach((name, service) -> questions.add(service.status().map(WorkerSightings::sighting)));
+    if (questions.isEmpty()) {
+      answer.accept(Optional.empty());
+      return;
+    }
+    Uni.join()
+        .all(questions)
+        .andFailFast()
+        .subscribe()
+        .with(
+            sightings -> answer.accept(Optional.of(sightings)),
+            error -> answer.accept(Optional.empty()));
+  }
+
+  private static WorkerSighting sighting(WorkerStatus status) {
+    Set<Holder> owners = new HashSet<>();
+    for (TaskStatus task : status.tasks()) {
+      if (task.state() == TaskState.RUNNING) {
+        holder(task.owner()).ifPresent(owners::add);
+      }
+    }
+    return new WorkerSighting(status.name(), holder(status.controller()), owners);
+  }
+
+  private static Optional<Holder> holder(String controller) {
+    return PeerIdentity.parse(controller)
+        .map(identity -> new Holder(identity.name(), identity.incarnation()));
+  }
+}
--- a/daemon/src/main/java/org/hickorypier/daemon/work/TaskAdopter.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/work/TaskAdopter.java
@@ -2,6 +2,10 @@
 
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
 import org.hickorypier.core.model.Resources;
 import org.hickorypier.core.model.TaskId;
 import org.hickorypier.core.model.WorkClass;
@@ -9,6 +13,8 @@
 import org.hickorypier.core.model.WorkerDescription;
 import org.hickorypier.core.scheduling.PlacedTask;
 import org.hickorypier.core.scheduling.Scheduler;
+import org.hickorypier.daemon.permit.PermitService;
+import org.hickorypier.daemon.permit.TaskOwners;
 import org.hickorypier.daemon.time.TimerService;
 import org.hickorypier.daemon.worker.WorkerFleetListener;
 import org.hickorypier.platform.worker.TaskState;
@@ -29,7 +35,10 @@
   private final WorkService work;
   private final Dispatcher dispatcher;
   private final TimerService timers;
-  private final java.util.Map<String, WorkerDescription> known = new java.util.HashMap<>();
+  private final PermitService permits;
+  private final TaskOwners owners;
+  private final Map<String, WorkerDescription> known = new HashMap<>();
+  private final Set<String> waitingForWord = new HashSet<>();
 
   /**
    * Creates the adopter.
@@ -38,31 +47,59 @@
    * @param work the work decided here
    * @param dispatcher follows tasks
    * @param timers the time
+   * @param permits speaks for our workers
+   * @param owners who started the tasks on our workers
    */
   public TaskAdopter(
-      Scheduler scheduler, WorkService work, Dispatcher dispatcher, TimerService timers) {
+      Scheduler scheduler,
+      WorkService work,
+      Dispatcher dispatcher,
+      TimerService timers,
+      PermitService permits,
+      TaskOwners owners) {
     this.scheduler = scheduler;
     this.work = work;
     this.dispatcher = dispatcher;
     this.timers = timers;
+    this.permits = permits;
+    this.owners = owners;
   }
 
   @Override
   public void onStatus(WorkerDescription worker, WorkerStatus status, boolean open) {
     known.put(worker.name(), worker);
-    scheduler.putWorker(worker, open);
+    boolean spoken = permits.mayStartOn(worker.name(), status.token());
+    scheduler.putWorker(worker, open && spoken);
+    waitingForWord.remove(worker.name());
+    if (open && !spoken) {
+      waitingForWord.add(worker.name());
+    }
     for (TaskStatus task : status.tasks()) {
       if (task.state() == TaskState.RUNNING) {
         running(worker.name(), task);
       }
     }
+    permits.speakFor(worker.name(), status.token(), status.tasks());
     dispatcher.onStatus(status);
     work.pump();
   }
 
+  /**
+   * Opens a worker on which tasks may start now, if only that was missing.
+   *
+   * @param worker the worker's name
+   */
+  public void reopen(String worker) {
+    if (waitingForWord.remove(worker)) {
+      scheduler.putWorker(known.get(worker), true);
+      work.pump();
+    }
+  }
+
   @Override
   public void onClosed(String worker, String reason) {
     WorkerDescription description = known.get(worker);
+    waitingForWord.remove(worker);
     if (description != null) {
       LOGGER.log(Level.INFO, "work: worker {0} closed, {1}", worker, reason);
       scheduler.putWorker(description, false);
@@ -74,6 +111,7 @@
     dispatcher.onLost(worker);
     scheduler.removeWorker(worker);
     known.remove(worker);
+    waitingForWord.remove(worker);
   }
 
   private void running(String worker, TaskStatus task) {
@@ -97,6 +135,7 @@
         new Resources(task.milliProcessors(), task.memoryMebibytes(), task.accelerators());
     long now = timers.nowMillis();
     WorkItem item = new WorkItem(taskId.key(), workClass, "", reserved, 1, false, now, now, 0);
+    owners.put(taskId, task.owner());
     LOGGER.log(Level.INFO, "work: adopted {0} on {1}", task.taskId(), worker);
     work.adopt(new PlacedTask(taskId, worker, workClass, reserved), item);
   }
--- a/daemon/src/main/java/org/hickorypier/daemon/work/WorkObserver.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/work/WorkObserver.java
@@ -5,13 +5,20 @@
 /** Hears of the steps of work, for metrics and the operators' record of refusals. */
 public interface WorkObserver {
 
+  /**
+   * The work waits in its queue.
+   *
+   * @param item the work
+   */
+  default void onQueued(WorkItem item) {}
+
   /**
    * A task of the work was confirmed by its worker for the first time.
    *
    * @param item the work
    * @param waitedMillis the time since it was submitted
    */
-  void onStarted(WorkItem item, long waitedMillis);
+  default void onStarted(WorkItem item, long waitedMillis) {}
 
   /**
    * The work has its final answer.
@@ -20,7 +27,7 @@
    * @param result the answer
    * @param totalMillis the time since it was submitted
    */
-  void onFinished(WorkItem item, WorkResult result, long totalMillis);
+  default void onFinished(WorkItem item, WorkResult result, long totalMillis) {}
 
   /**
    * Returns an observer that tells this one and then another.
@@ -31,6 +38,12 @@
   default WorkObserver andThen(WorkObserver next) {
     WorkObserver first = this;
     return new WorkObserver() {
+      @Override
+      public void onQueued(WorkItem item) {
+        first.onQueued(item);
+        next.onQueued(item);
+      }
+
       @Override
       public void onStarted(WorkItem item, long waitedMillis) {
         first.onStarted(item, waitedMillis);
--- a/daemon/src/main/java/org/hickorypier/daemon/work/WorkService.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/work/WorkService.java
@@ -217,7 +217,11 @@
   private void enqueue(WorkEntry entry) {
     Optional<Refusal> refusal = scheduler.submit(entry.item(), timers.nowMillis());
     entry.setQueued(refusal.isEmpty());
-    refusal.ifPresent(reason -> refuse(entry, reason));
+    if (refusal.isEmpty()) {
+      observer.onQueued(entry.item());
+    } else {
+      refuse(entry, refusal.get());
+    }
   }
 
   private void begin(Placement placement) {
--- a/daemon/src/main/java/org/hickorypier/daemon/worker/WorkerFleet.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/worker/WorkerFleet.java
@@ -162,6 +162,23 @@
         .toList();
   }
 
+  /**
+   * Returns every listed worker, held or not, to ask all of them.
+   *
+   * @return the workers by name
+   */
+  public Map<String, WorkerService> listed() {
+    Map<String, WorkerService> listed = new HashMap<>();
+    for (ControlledWorker worker : workers.values()) {
+      long leases = settings.leaseMillis() + settings.marginMillis();
+      boolean isEmpty = worker.millisFailing(timers.nowMillis()) > leases;
+      if (worker.isListed() && !isEmpty) {
+        listed.put(worker.name(), worker.service());
+      }
+    }
+    return listed;
+  }
+
   /**
    * Tells whether the tasks of every worker that we should control are known: each such worker is
    * held by us or by another live instance, or its leases have run out.
