Fold and plan the permits that keep a team below its limit

Cause: a team's limit is for the whole fleet; instances race, lag, pause and die with permits out. Ruled out, each by a run of the fleet test that broke the limit: moving the permits of adopted tasks by count from the owner alone (an adopter that died before its word was folded left tasks without permits); asking for a hold while an adoption is under way (the number counts on the old hold and gives away what the adopted tasks need: 8 running on 7 held); adopting from a holder that is only believed gone (alive but lagging it used the permit of an ended task again: 3 on 2). Also ruled out: limits read from the configuration stream (no order between two streams), a memory of ids (a sequence number of the holder says more in less), split by largest demand alone (starves the last). Permits of a gone instance go in three steps: all its workers claimed, Fence (refused if it spoke since), Adopt of its tasks, Retire of the rest. After a grant of control an instance starts tasks there only once its word (Adopt) was read back.

--- /dev/null
+++ b/core/src/main/java/org/hickorypier/core/permits/Holder.java
@@ -0,0 +1,27 @@
+package org.hickorypier.core.permits;
+
+import java.util.Comparator;
+
+/**
+ * One run of an instance: its name and incarnation.
+ *
+ * <p>Immutable.
+ *
+ * @param instance the instance's name
+ * @param incarnation its incarnation, higher after each restart
+ */
+public record Holder(String instance, long incarnation) implements Comparable<Holder> {
+
+  private static final Comparator<Holder> ORDER =
+      Comparator.comparing(Holder::instance).thenComparingLong(Holder::incarnation);
+
+  @Override
+  public int compareTo(Holder other) {
+    return ORDER.compare(this, other);
+  }
+
+  @Override
+  public String toString() {
+    return instance + "#" + incarnation;
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/hickorypier/core/permits/PermitFleetMember.java
@@ -0,0 +1,151 @@
+package org.hickorypier.core.permits;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.hickorypier.core.permits.PermitFleet.Worker;
+import org.hickorypier.wire.record.PermitRecord;
+import org.hickorypier.wire.record.PermitRecord.AdoptedTasks;
+import org.hickorypier.wire.record.PermitRecord.Retire;
+
+/** One instance of the fleet in the tests. */
+final class PermitFleetMember {
+
+  private static final String TEAM = PermitFleet.TEAM;
+
+  final PermitFleet fleet;
+  final Holder self;
+  final LocalPermits permits;
+  final Deque<PermitRecord> sending = new ArrayDeque<>();
+  final Map<String, Long> control = new TreeMap<>();
+
+  boolean paused;
+  int waiting;
+  int urgent;
+  int started;
+
+  PermitFleetMember(PermitFleet fleet, Holder self) {
+    this.fleet = fleet;
+    this.self = self;
+    this.permits = new LocalPermits(self);
+  }
+
+  int running() {
+    int running = 0;
+    for (Worker worker : fleet.workers.values()) {
+      for (Map.Entry<Holder, Integer> group : worker.tasks.entrySet()) {
+        running += permits.covers(worker.name, group.getKey()) ? group.getValue() : 0;
+      }
+    }
+    return running;
+  }
+
+  void read(int count) {
+    for (int index = 0; index < count; index++) {
+      int offset = (int) permits.state().offset() + 1;
+      if (offset >= fleet.log.size()) {
+        break;
+      }
+      permits.fold(offset, fleet.log.get(offset));
+    }
+  }
+
+  void readAll() {
+    read(fleet.log.size());
+  }
+
+  void plan() {
+    Map<Holder, PermitDemand> others = new TreeMap<>();
+    for (PermitFleetMember other : fleet.members.values()) {
+      if (other != this && !other.paused) {
+        others.put(other.self, other.demand());
+      }
+    }
+    sending.addAll(permits.plan(TEAM, demand(), others, fleet.now).records());
+  }
+
+  PermitDemand demand() {
+    return new PermitDemand(running(), waiting, Math.min(urgent, waiting));
+  }
+
+  /** Sends the oldest record; if the answer is lost, it will be sent again. */
+  void send(boolean answerLost) {
+    if (!sending.isEmpty()) {
+      fleet.append(answerLost ? sending.peek() : sending.poll());
+    }
+  }
+
+  void sendAll() {
+    while (!sending.isEmpty()) {
+      send(false);
+    }
+  }
+
+  /** Starts one task if the permits allow, and a worker does. */
+  boolean start() {
+    if (waiting == 0 || running() >= permits.usable(TEAM)) {
+      return false;
+    }
+    for (Map.Entry<String, Long> held : control.entrySet()) {
+      Worker worker = fleet.workers.get(held.getKey());
+      if (permits.mayStartOn(worker.name, held.getValue()) && worker.start(held.getValue(), self)) {
+        waiting--;
+        started++;
+        return true;
+      }
+    }
+    return false;
+  }
+
+  void endOne() {
+    for (Worker worker : fleet.workers.values()) {
+      if (worker.tasks.containsKey(self)) {
+        worker.end(self);
+        return;
+      }
+    }
+  }
+
+  void claim(Worker worker) {
+    control.put(worker.name, worker.grant(self));
+    adoptOn(worker, true);
+  }
+
+  /** Adopts the tasks of holders that are fenced off, and speaks for the worker. */
+  void adoptOn(Worker worker, boolean speakAnyway) {
+    long token = control.getOrDefault(worker.name, -1L);
+    if (token != worker.token) {
+      return;
+    }
+    List<AdoptedTasks> adopted = new ArrayList<>();
+    worker.tasks.forEach(
+        (owner, count) -> {
+          Holder holder = permits.state().worker(worker.name).holderOf(owner);
+          if (permits.state().isFenced(holder)) {
+            adopted.add(new AdoptedTasks(TEAM, owner.instance(), owner.incarnation(), count));
+          }
+        });
+    if (speakAnyway || !adopted.isEmpty()) {
+      sending.add(permits.adoption(worker.name, token, adopted));
+    }
+  }
+
+  void adoptAll() {
+    fleet.workers.values().forEach(worker -> adoptOn(worker, false));
+  }
+
+  void fence(Holder gone) {
+    if (RetirementRule.mayFence(gone, fleet.sightings())) {
+      sending.add(permits.fence(gone));
+    }
+  }
+
+  void retire(Holder gone) {
+    if (RetirementRule.mayRetire(permits.state(), gone, fleet.sightings())) {
+      sending.add(new Retire(gone.instance(), gone.incarnation()));
+    }
+  }
+}
