Never call journaled work "not run" after an attempt of it ran

Cause: a job whose first attempt ran and failed was closed for another one; cancelled then, or given up before the next start, its outcome was "not run". The caller would repeat work that has had its effects. Change: a task remembers how an attempt that ran came out, and that outcome stands in place of "not run".

--- a/core/src/main/java/org/hickorypier/core/journal/Journal.java
+++ b/core/src/main/java/org/hickorypier/core/journal/Journal.java
@@ -207,7 +207,7 @@
             && outcome.get() != Outcome.COMPLETED
             && end.attempt() < ATTEMPTS;
     if (again) {
-      task.close();
+      task.closeAfter(outcome.get(), end.detail());
     } else {
       task.end(outcome.get(), end.detail());
     }
--- a/core/src/main/java/org/hickorypier/core/journal/JournalTask.java
+++ b/core/src/main/java/org/hickorypier/core/journal/JournalTask.java
@@ -15,6 +15,8 @@
   private OpenAttempt open;
   private Outcome outcome;
   private String detail = "";
+  private Outcome ranAs;
+  private String ranDetail = "";
 
   JournalTask() {}
 
@@ -63,9 +65,21 @@
     open = null;
   }
 
+  /** Closes an attempt that is to be followed by another one. */
+  void closeAfter(Outcome attemptOutcome, String sentence) {
+    open = null;
+    if (attemptOutcome != Outcome.NOT_RUN) {
+      ranAs = attemptOutcome;
+      ranDetail = sentence;
+    }
+  }
+
+  // A task whose first attempt ran and failed may be cancelled, or its second one may never start.
+  // "Not run" would be untrue then: the caller would repeat work that has had its effects.
   void end(Outcome endedAs, String sentence) {
     open = null;
-    outcome = endedAs;
-    detail = sentence;
+    boolean ranBefore = endedAs == Outcome.NOT_RUN && ranAs != null;
+    outcome = ranBefore ? ranAs : endedAs;
+    detail = ranBefore ? ranDetail : sentence;
   }
 }
