--- a/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
@@ -23,8 +23,9 @@
 import java.util.concurrent.TimeUnit;
 import org.hickorypier.core.keys.KeyIssuer;
 import org.hickorypier.core.membership.HomeHistory;
-import org.hickorypier.core.membership.MembershipView;
+import org.hickorypier.core.model.WorkItem;
 import org.hickorypier.core.model.WorkKey;
+import org.hickorypier.core.permits.Holder;
 import org.hickorypier.core.scheduling.Scheduler;
 import org.hickorypier.core.scheduling.SchedulerFactory;
 import org.hickorypier.core.scheduling.SchedulerSettings;
@@ -32,6 +33,7 @@
 import org.hickorypier.daemon.caller.CallerApi;
 import org.hickorypier.daemon.caller.CallerRequestParser;
 import org.hickorypier.daemon.cluster.Cluster;
+import org.hickorypier.daemon.cluster.ClusterJobScope;
 import org.hickorypier.daemon.cluster.ConfigurationGossip;
 import org.hickorypier.daemon.cluster.DigestBoard;
 import org.hickorypier.daemon.cluster.FleetQueries;
@@ -39,12 +41,20 @@
 import org.hickorypier.daemon.cluster.HomeIntake;
 import org.hickorypier.daemon.cluster.LocalRows;
 import org.hickorypier.daemon.cluster.PeerRequests;
+import org.hickorypier.daemon.cluster.PermitDemands;
 import org.hickorypier.daemon.cluster.QuestionKind;
+import org.hickorypier.daemon.cluster.WorkerSightings;
 import org.hickorypier.daemon.configuration.ConfigurationService;
 import org.hickorypier.daemon.entry.EntryService;
 import org.hickorypier.daemon.entry.ReadinessCheck;
 import org.hickorypier.daemon.instance.InstanceListPoller;
+import org.hickorypier.daemon.job.AttemptRecorder;
+import org.hickorypier.daemon.job.JobRunner;
+import org.hickorypier.daemon.job.JobScope;
 import org.hickorypier.daemon.job.JobService;
+import org.hickorypier.daemon.job.JournalService;
+import org.hickorypier.daemon.job.OrphanResolver;
+import org.hickorypier.daemon.membership.Membership;
 import org.hickorypier.daemon.metrics.WorkMetrics;
 import org.hickorypier.daemon.operator.CancelOutcome;
 import org.hickorypier.daemon.operator.ConfiguredOperators;
@@ -54,13 +64,16 @@
 import org.hickorypier.daemon.peer.PeerIdentity;
 import org.hickorypier.daemon.peer.PeerNetwork;
 import org.hickorypier.daemon.peer.PeerSettings;
+import org.hickorypier.daemon.permit.HolderRetirement;
+import org.hickorypier.daemon.permit.PermitService;
+import org.hickorypier.daemon.permit.TaskOwners;
 import org.hickorypier.daemon.settings.DaemonSettings;
 import org.hickorypier.daemon.settings.HostAndPort;
 import org.hickorypier.daemon.time.ControlThread;
-import org.hickorypier.daemon.work.AttemptGate;
 import org.hickorypier.daemon.work.DispatchSettings;
 import org.hickorypier.daemon.work.Dispatcher;
 import org.hickorypier.daemon.work.TaskAdopter;
+import org.hickorypier.daemon.work.WorkObserver;
 import org.hickorypier.daemon.work.WorkService;
 import org.hickorypier.daemon.work.WorkSettings;
 import org.hickorypier.daemon.worker.WorkerFleet;
@@ -72,6 +85,8 @@
 import org.hickorypier.platform.log.LogService;
 import org.hickorypier.platform.worker.HttpWorkerService;
 import org.hickorypier.wire.record.ConfigurationRecord;
+import org.hickorypier.wire.record.JournalRecord;
+import org.hickorypier.wire.record.PermitRecord;
 
 /**
  * One daemon: all its parts, wired.
@@ -105,6 +120,15 @@
   private final FreshnessService freshness;
   private final HomeHistory history;
   private final HomeIntake intake;
+  private final JournalService journal = new JournalService();
+  private final LogStream<JournalRecord> journalStream;
+  private final AttemptRecorder recorder;
+  private final JobRunner runner;
+  private final JobService jobs;
+  private final TaskOwners owners;
+  private final PermitService permits;
+  private final LogStream<PermitRecord> permitStream;
+  private final TaskAdopter adopter;
   private final DigestBoard digests;
   private final PeerRequests requests;
 
@@ -118,7 +142,10 @@
     PeerIdentity own = new PeerIdentity(settings.name(), System.currentTimeMillis());
     self = own.toString();
     cluster =
-        new Cluster(own, new MembershipView(own.name(), settings.peerTimeoutMillis()), control);
+        new Cluster(
+            own,
+            new Membership(own, Duration.ofMillis(settings.peerTimeoutMillis()), control),
+            control);
     vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(settings.eventLoops()));
     SplittableRandom random = new SplittableRandom();
     LogService log = new HttpLogService(vertx, address(settings.logService()));
@@ -130,6 +157,10 @@
             ConfigurationRecord::id,
             configuration);
     configuration.connect(configurationStream.appender(), configurationStream.follower());
+    journalStream =
+        streams.open(
+            DaemonConstants.JOURNAL_STREAM, JournalRecord.class, JournalRecord::recordId, journal);
+    journal.appendTo(journalStream.appender());
     freshness =
         new FreshnessService(
             cluster,
@@ -141,7 +172,8 @@
         new ReadinessCheck(this::isConfigured, freshness::ageMillis, settings.freshnessMillis());
     scheduler = SchedulerFactory.create(SchedulerSettings.defaults(), random.nextLong());
     rows = new LocalRows(settings.name(), settings.dataCentre(), scheduler, control);
-    digests = new DigestBoard(scheduler, control);
+    owners = new TaskOwners((worker, owner) -> permits().covers(worker, owner));
+    digests = new DigestBoard(scheduler, owners::isOurs);
     work =
         new WorkService(
             new WorkSettings(
@@ -152,8 +184,8 @@
                 DaemonConstants.LONGEST_RUN_MILLIS),
             scheduler,
             control,
-            AttemptGate.OPEN,
-            new WorkMetrics(registry).andThen(rows));
+            (placement, verdict) -> recorder().request(placement, verdict),
+            new WorkMetrics(registry).andThen(rows).andThen(new PermitSeeker()));
     fleet =
         new WorkerFleet(
             new WorkerLeaseSettings(
@@ -179,6 +211,17 @@
             control,
             self,
             work);
+    permits =
+        new PermitService(
+            new Holder(own.name(), own.incarnation()),
+            new PermitDemands(scheduler, digests, owners, work, worker -> adopter().reopen(worker)),
+            control,
+            control);
+    permitStream =
+        streams.open(
+            DaemonConstants.PERMIT_STREAM, PermitRecord.class, PermitRecord::recordId, permits);
+    permits.connect(permitStream.appender(), permitStream.follower());
+    adopter = new TaskAdopter(scheduler, work, dispatcher, control, permits, owners);
     requests = new PeerRequests(control, readiness, work);
     requests.answer(
         QuestionKind.OFFER,
@@ -202,7 +245,31 @@
             requests);
     cluster.connect(network);
     history = new HomeHistory(own.name(), DaemonConstants.HOME_HISTORY_MILLIS);
-    intake = new HomeIntake(cluster, history, work, control, control, fleet::isComplete);
+    intake =
+        new HomeIntake(
+            cluster,
+            history,
+            work,
+            control,
+            control,
+            fleet::isComplete,
+            (submission, answer) -> jobs().runOnce(submission, answer));
+    recorder = new AttemptRecorder(journal, fleet, control, control, self);
+    JobScope scope = new ClusterJobScope(cluster, readiness, dispatcher, requests);
+    runner =
+        new JobRunner(
+            journal,
+            recorder,
+            new OrphanResolver(
+                journal,
+                fleet,
+                control,
+                control,
+                settings.leaseMillis() + DaemonConstants.LEASE_MARGIN_MILLIS),
+            work,
+            control,
+            scope);
+    jobs = new JobService(journal, runner, control, this::logAnswers);
     requests.takeInBy(intake);
     network.listen(digests);
     network.listen(new ConfigurationGossip(network, configuration));
@@ -217,8 +284,7 @@
   public String start() throws DaemonStartException {
     Router router = Router.router(vertx);
     EntryService entry =
-        new EntryService(
-            control, control, configuration, readiness, cluster, intake, new JobService());
+        new EntryService(control, control, configuration, readiness, cluster, intake, jobs);
     new CallerApi(
             entry,
             new CallerRequestParser(settings.deadlineDefaultMillis()),
@@ -279,6 +345,37 @@
     return digests.behind(others, offset);
   }
 
+  private HolderRetirement retirement() {
+    return new HolderRetirement(
+        permits,
+        control,
+        control,
+        holder -> cluster.isLive(holder.toString()),
+        holder -> cluster.isWanted(holder.toString()),
+        answer -> WorkerSightings.askAll(fleet, answer));
+  }
+
+  private PermitService permits() {
+    return permits;
+  }
+
+  private TaskAdopter adopter() {
+    return adopter;
+  }
+
+  private AttemptRecorder recorder() {
+    return recorder;
+  }
+
+  private JobService jobs() {
+    return jobs;
+  }
+
+  private boolean logAnswers() {
+    return journalStream.follower().isCaughtUp()
+        && journalStream.follower().millisSinceHeard() < DaemonConstants.LOG_SILENT_MILLIS;
+  }
+
   // Reading the log to its end is not enough: if the records before the oldest one have expired and
   // no snapshot was found yet, the state lacks them.
   private boolean isConfigured() {
@@ -303,20 +400,19 @@
     configuration.subscribe(cluster::onConfiguration);
     configuration.subscribe(
         state ->
-            state
-                .teams()
-                .values()
-                .forEach(
-                    team -> {
-                      scheduler.putShare(team.name(), team.share());
-                      scheduler.putPermits(team.name(), team.upperLimit());
-                    }));
+            state.teams().values().forEach(team -> scheduler.putShare(team.name(), team.share())));
+    configuration.subscribe(permits::onConfiguration);
+    permitStream.follower().start(0);
+    permits.start();
+    retirement().start();
     configurationStream.follower().start(0);
+    journalStream.follower().start(0);
+    runner.start();
     control.every(Duration.ofMillis(settings.digestMillis()), this::sendDigest);
     control.every(HISTORY_PERIOD, () -> history.note(cluster.candidates(), control.nowMillis()));
     freshness.start(requests);
     dispatcher.start();
-    fleet.start(new TaskAdopter(scheduler, work, dispatcher, control));
+    fleet.start(adopter);
     work.start(dispatcher);
     new InstanceListPoller(
             new HttpInstanceList(vertx, address(settings.instanceList())),
@@ -385,4 +481,12 @@
   private static ServiceAddress address(HostAndPort from) {
     return new ServiceAddress(from.host(), from.port());
   }
+
+  /** Asks for permits as soon as work waits for them. */
+  private final class PermitSeeker implements WorkObserver {
+    @Override
+    public void onQueued(WorkItem item) {
+      permits().planSoon(item.key().team());
+    }
+  }
 }
--- a/measure/src/main/java/org/hickorypier/measure/CommandRegistry.java
+++ b/measure/src/main/java/org/hickorypier/measure/CommandRegistry.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.hickorypier.measure.delivery.DeliveryCommand;
+import org.hickorypier.measure.takeover.TakeoverCommand;
 
 /**
  * All sub-commands, in the order of the help. A new command is added to the list here.
@@ -17,7 +18,8 @@
           new WaitingCommand(),
           new PackingCommand(),
           new FairnessCommand(),
-          new DeliveryCommand());
+          new DeliveryCommand(),
+          new TakeoverCommand());
 
   private CommandRegistry() {}
 
