Wait for the answers in progress before the daemon ends

Cause: Hickoryd.close asked Vert.x to close and did not wait; the process ended with the answers of the last requests still on their way. A slow caller of a large answer got part of it.

Ruled out: waiting for vertx.close alone (it closes the connections at once: in the trial the caller got 6,191,360 of 50,331,648 bytes).

Seen failing: with vertx.close in its place, as above.

--- a/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
@@ -118,6 +118,7 @@
   private final JobService jobs;
   private final DigestBoard digests;
   private final PeerRequests requests;
+  private volatile HttpServer server;
 
   /**
    * Wires a daemon; nothing runs until {@link #start}.
@@ -272,7 +273,7 @@
     router.get("/metrics").handler(context -> context.end(registry.scrape()));
     int peerPort = network.start().await().atMost(START_TIMEOUT);
     control.execute(this::startControl);
-    HttpServer server = listen(router);
+    server = listen(router);
     String text =
         String.format(
             "%s http %s:%d peer %s:%d",
@@ -414,6 +415,7 @@
   @Override
   public void close() {
     LOGGER.log(Level.INFO, "daemon: shutting down");
+    long until = control.nowMillis() + settings.shutdownMillis();
     CountDownLatch idle = new CountDownLatch(1);
     control.execute(
         () -> {
@@ -433,7 +435,8 @@
     } catch (InterruptedException error) {
       Thread.currentThread().interrupt();
     }
-    vertx.close().toCompletionStage().toCompletableFuture().orTimeout(5, TimeUnit.SECONDS);
+    long left = Math.max(DaemonConstants.TICK_MILLIS, until - control.nowMillis());
+    new TrafficStop(vertx, Optional.ofNullable(server)).stop(Duration.ofMillis(left));
     control.close();
     LOGGER.log(Level.INFO, "daemon: stopped");
   }
