--- a/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
@@ -131,6 +131,7 @@
   private final TaskAdopter adopter;
   private final DigestBoard digests;
   private final PeerRequests requests;
+  private volatile HttpServer server;
 
   /**
    * Wires a daemon; nothing runs until {@link #start}.
@@ -297,7 +298,7 @@
     router.get("/metrics").handler(context -> context.end(registry.scrape()));
     int peerPort = network.start().await().atMost(START_TIMEOUT);
     control.execute(this::startControl);
-    HttpServer server = listen(router);
+    server = listen(router);
     String text =
         String.format(
             "%s http %s:%d peer %s:%d",
@@ -454,6 +455,7 @@
   @Override
   public void close() {
     LOGGER.log(Level.INFO, "daemon: shutting down");
+    long until = control.nowMillis() + settings.shutdownMillis();
     CountDownLatch idle = new CountDownLatch(1);
     control.execute(
         () -> {
@@ -473,7 +475,8 @@
     } catch (InterruptedException error) {
       Thread.currentThread().interrupt();
     }
-    vertx.close().toCompletionStage().toCompletableFuture().orTimeout(5, TimeUnit.SECONDS);
+    long left = Math.max(DaemonConstants.TICK_MILLIS, until - control.nowMillis());
+    new TrafficStop(vertx, Optional.ofNullable(server)).stop(Duration.ofMillis(left));
     control.close();
     LOGGER.log(Level.INFO, "daemon: stopped");
   }
