Seal the frames of a link

Cause: the handshake proved who opened a connection, but frames after it were taken on trust; somebody who passes a handshake on between two instances could have added orders of his own. Change: after the handshake every frame ends with 8 bytes of the HMAC-SHA256 over its number and content, under a key for this connection and direction. Ruled out: TLS, which needs certificates to be given out and replaced by operators. Figures: a frame is 8 bytes longer.

--- a/daemon/src/main/java/org/hickorypier/daemon/peer/Handshake.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/peer/Handshake.java
@@ -26,8 +26,8 @@
 
   static final int NONCE_BYTES = 32;
 
-  private static final String ALGORITHM = "HmacSHA256";
-  private static final String PURPOSE = "hickorypier peer link 1";
+  private static final String PROOF = "hickorypier peer link 1 proof";
+  private static final String FRAMES = "hickorypier peer link 1 frames";
   private static final int LONGEST_NAME = 128;
 
   private final byte[] secret;
@@ -66,11 +66,11 @@
     if (other == null && message instanceof Hello hello) {
       check(hello);
       other = hello;
-      return Optional.of(new Proof(hmac(own, other)));
+      return Optional.of(new Proof(hmac(PROOF, own, other)));
     }
     if (other != null && !done && message instanceof Proof proof) {
       // A comparison that stops at the first difference would tell by its time how much is right.
-      if (!MessageDigest.isEqual(proof.hmac(), hmac(other, own))) {
+      if (!MessageDigest.isEqual(proof.hmac(), hmac(PROOF, other, own))) {
         throw new HandshakeException("wrong proof from " + other.name());
       }
       done = true;
@@ -86,6 +86,16 @@
         : Optional.empty();
   }
 
+  /** Returns what marks the frames that we send; only once the other side is proved. */
+  FrameSeal sendingSeal() {
+    return new FrameSeal(hmac(FRAMES, own, other));
+  }
+
+  /** Returns what checks the frames that we receive; only once the other side is proved. */
+  FrameSeal receivingSeal() {
+    return new FrameSeal(hmac(FRAMES, other, own));
+  }
+
   private void check(Hello hello) throws HandshakeException {
     if (hello.nonce().length != NONCE_BYTES || hello.name().length() > LONGEST_NAME) {
       throw new HandshakeException("malformed greeting");
@@ -95,16 +105,16 @@
     }
   }
 
-  private byte[] hmac(Hello sender, Hello receiver) {
+  private byte[] hmac(String purpose, Hello sender, Hello receiver) {
     try {
-      Mac mac = Mac.getInstance(ALGORITHM);
-      mac.init(new SecretKeySpec(secret, ALGORITHM));
-      mac.update(PURPOSE.getBytes(StandardCharsets.UTF_8));
+      Mac mac = Mac.getInstance(FrameSeal.ALGORITHM);
+      mac.init(new SecretKeySpec(secret, FrameSeal.ALGORITHM));
+      mac.update(purpose.getBytes(StandardCharsets.UTF_8));
       update(mac, sender);
       update(mac, receiver);
       return mac.doFinal();
     } catch (GeneralSecurityException error) {
-      throw new IllegalStateException("every Java platform has " + ALGORITHM, error);
+      throw new IllegalStateException("every Java platform has " + FrameSeal.ALGORITHM, error);
     }
   }
 
--- a/daemon/src/main/java/org/hickorypier/daemon/peer/PeerConnection.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/peer/PeerConnection.java
@@ -43,6 +43,8 @@
   private final PeerCounters counters;
   private final Executor control;
   private final ConnectionOwner owner;
+  private volatile FrameSeal sending;
+  private FrameSeal receiving;
 
   /**
    * Wraps a connection. To be called on its event loop, before the first byte is read.
@@ -84,7 +86,8 @@
 
   @Override
   public void write(PeerMessage message, byte[] encoded) {
-    byte[] frame = Frame.wrap(encoded);
+    FrameSeal seal = sending;
+    byte[] frame = Frame.wrap(seal == null ? encoded : seal.seal(encoded));
     counters.sent(kind(message), frame.length);
     socket.write(Buffer.buffer(frame));
   }
@@ -98,7 +101,8 @@
     try {
       reader.append(chunk.getBytes());
       for (var next = reader.next(); next.isPresent(); next = reader.next()) {
-        PeerMessage message = codec.decode(next.get());
+        byte[] encoded = receiving == null ? next.get() : receiving.open(next.get());
+        PeerMessage message = codec.decode(encoded);
         counters.received(kind(message), next.get().length + Frame.HEADER_BYTES);
         take(message);
       }
@@ -122,6 +126,8 @@
         .ifPresent(
             identity -> {
               reader.limit(Frame.MAX_MESSAGE_BYTES);
+              receiving = handshake.receivingSeal();
+              sending = handshake.sendingSeal();
               control.execute(() -> owner.authenticated(this, identity));
             });
   }
--- a/daemon/src/main/java/org/hickorypier/daemon/peer/PeerLink.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/peer/PeerLink.java
@@ -216,7 +216,7 @@
         open.written(request, peer.incarnation());
       }
       if (next.get().message() instanceof DigestChange) {
-        budget.spent(Frame.HEADER_BYTES + next.get().encoded().length);
+        budget.spent(Frame.OVERHEAD_BYTES + next.get().encoded().length);
       }
       sentMillis = timers.nowMillis();
       connection.write(next.get().message(), next.get().encoded());
--- a/measure/src/main/java/org/hickorypier/measure/delivery/DigestLoad.java
+++ b/measure/src/main/java/org/hickorypier/measure/delivery/DigestLoad.java
@@ -148,6 +148,6 @@
   }
 
   private int frameBytes(PeerMessage message) {
-    return Frame.HEADER_BYTES + codec.encode(message).length;
+    return Frame.OVERHEAD_BYTES + codec.encode(message).length;
   }
 }
--- a/wire/src/main/java/org/hickorypier/wire/message/DigestBudget.java
+++ b/wire/src/main/java/org/hickorypier/wire/message/DigestBudget.java
@@ -16,8 +16,8 @@
   /** Half of an instance's control traffic; the rest is for heartbeats, workers and the log. */
   public static final int BYTES_PER_SECOND = 1_000;
 
-  /** What a digest takes without teams, frame included; the longest measured is 46. */
-  static final int FIXED_BYTES = 46;
+  /** What a digest takes without teams, frame included; the longest measured is 54. */
+  static final int FIXED_BYTES = 54;
 
   /** What a team takes, its name aside; the longest measured is 17. */
   static final int BYTES_EACH = 15;
--- a/wire/src/main/java/org/hickorypier/wire/message/Frame.java
+++ b/wire/src/main/java/org/hickorypier/wire/message/Frame.java
@@ -4,7 +4,7 @@
 
 /**
  * The frame format of peer connections: 4 bytes of length (big-endian, of what follows), 1 byte of
- * version, then one encoded {@link PeerMessage}.
+ * version, then one encoded {@link PeerMessage}. After the handshake a seal follows it.
  */
 public final class Frame {
 
@@ -14,6 +14,12 @@
   /** Bytes before the encoded message. */
   public static final int HEADER_BYTES = 5;
 
+  /** Bytes of the seal at the end of a frame, once both sides have proved who they are. */
+  public static final int SEAL_BYTES = 8;
+
+  /** Bytes of a frame beside the encoded message, once both sides have proved who they are. */
+  public static final int OVERHEAD_BYTES = HEADER_BYTES + SEAL_BYTES;
+
   /**
    * The longest encoded message in one frame. Longer ones travel as {@link PeerMessage.Part}s, so
    * that a heartbeat never waits behind more than this; at 100 Mbit/s it is 6 ms.
