--- a/core/src/main/java/org/hickorypier/core/journal/AttemptKey.java
+++ b/core/src/main/java/org/hickorypier/core/journal/AttemptKey.java
@@ -42,6 +42,16 @@
     return new TaskId(workKey(), 1, index == WHOLE_GANG ? taskIndex : 0);
   }
 
+  /**
+   * Returns the identity of the work that a key of the decisions belongs to.
+   *
+   * @param key the key as the decisions see it
+   * @return the work of the attempt, or the key itself if the work is not journaled
+   */
+  public static WorkKey workOf(WorkKey key) {
+    return parse(key).map(AttemptKey::work).orElse(key);
+  }
+
   /**
    * Reads a key back.
    *
--- a/core/src/main/java/org/hickorypier/core/scheduling/ServiceCounts.java
+++ b/core/src/main/java/org/hickorypier/core/scheduling/ServiceCounts.java
@@ -2,10 +2,12 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import org.hickorypier.core.journal.AttemptKey;
 import org.hickorypier.core.model.WorkKey;
 
 /**
- * How many tasks of each service run in one place.
+ * How many tasks of each service run in one place. The tasks of a job have keys of their own, each
+ * attempt another; all count for the one service.
  *
  * <p>Not thread safe.
  */
@@ -14,14 +16,15 @@
   private final Map<WorkKey, Integer> tasks = new HashMap<>();
 
   int of(WorkKey service) {
-    return tasks.getOrDefault(service, 0);
+    return tasks.getOrDefault(AttemptKey.workOf(service), 0);
   }
 
   void add(WorkKey service) {
-    tasks.merge(service, 1, Integer::sum);
+    tasks.merge(AttemptKey.workOf(service), 1, Integer::sum);
   }
 
   void remove(WorkKey service) {
-    tasks.computeIfPresent(service, (unused, count) -> count == 1 ? null : count - 1);
+    tasks.computeIfPresent(
+        AttemptKey.workOf(service), (unused, count) -> count == 1 ? null : count - 1);
   }
 }
--- a/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
@@ -24,7 +24,6 @@
 import org.hickorypier.core.keys.KeyIssuer;
 import org.hickorypier.core.membership.HomeHistory;
 import org.hickorypier.core.model.WorkItem;
-import org.hickorypier.core.model.WorkKey;
 import org.hickorypier.core.permits.Holder;
 import org.hickorypier.core.scheduling.Scheduler;
 import org.hickorypier.core.scheduling.SchedulerFactory;
@@ -37,6 +36,7 @@
 import org.hickorypier.daemon.cluster.ConfigurationGossip;
 import org.hickorypier.daemon.cluster.DigestBoard;
 import org.hickorypier.daemon.cluster.FleetQueries;
+import org.hickorypier.daemon.cluster.FleetWork;
 import org.hickorypier.daemon.cluster.FreshnessService;
 import org.hickorypier.daemon.cluster.HomeIntake;
 import org.hickorypier.daemon.cluster.LocalRows;
@@ -56,7 +56,6 @@
 import org.hickorypier.daemon.job.OrphanResolver;
 import org.hickorypier.daemon.membership.Membership;
 import org.hickorypier.daemon.metrics.WorkMetrics;
-import org.hickorypier.daemon.operator.CancelOutcome;
 import org.hickorypier.daemon.operator.ConfiguredOperators;
 import org.hickorypier.daemon.operator.OperatorApi;
 import org.hickorypier.daemon.operator.StatementExecutor;
@@ -317,12 +316,13 @@
             rows::refused,
             () -> rows.workers(fleet),
             () -> List.of(rows.instance(this::state, configuration.current().offset(), fleet)));
+    FleetWork fleetWork = new FleetWork(cluster, requests, journal, jobs, work, scheduler, control);
     StatementExecutor executor =
         new StatementExecutor(
             configuration::current,
             queries,
-            key -> Uni.createFrom().item(scheduler.explain(key, control.nowMillis())),
-            this::cancel,
+            fleetWork,
+            fleetWork,
             configuration,
             this::behind,
             new KeyIssuer(new SecureRandom()),
@@ -335,11 +335,6 @@
         DaemonConstants.SENDER_MILLIS);
   }
 
-  private Uni<CancelOutcome> cancel(WorkKey key) {
-    boolean found = work.cancel(key, "cancelled by an operator");
-    return Uni.createFrom().item(found ? CancelOutcome.CANCELLED : CancelOutcome.NOT_FOUND);
-  }
-
   private List<String> behind(long offset) {
     Set<String> others = new HashSet<>(cluster.live());
     others.remove(settings.name());
--- a/daemon/src/main/java/org/hickorypier/daemon/cluster/Cluster.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/cluster/Cluster.java
@@ -257,4 +257,15 @@
   public static byte[] bytes(String text) {
     return text.getBytes(StandardCharsets.UTF_8);
   }
+
+  /**
+   * Reads the text form of a work key.
+   *
+   * @param text team and request id with a slash between
+   * @return the key
+   */
+  static WorkKey workKey(String text) {
+    int slash = text.indexOf('/');
+    return new WorkKey(text.substring(0, Math.max(0, slash)), text.substring(slash + 1));
+  }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/hickorypier/daemon/cluster/FleetWork.java
@@ -0,0 +1,135 @@
+package org.hickorypier.daemon.cluster;
+
+import io.smallrye.mutiny.Uni;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.hickorypier.core.journal.AttemptKey;
+import org.hickorypier.core.journal.JournalEntry;
+import org.hickorypier.core.model.WorkItem;
+import org.hickorypier.core.model.WorkKey;
+import org.hickorypier.core.scheduling.Scheduler;
+import org.hickorypier.daemon.job.JobService;
+import org.hickorypier.daemon.job.JournalService;
+import org.hickorypier.daemon.operator.CancelOutcome;
+import org.hickorypier.daemon.operator.WorkCanceller;
+import org.hickorypier.daemon.operator.WorkExplainer;
+import org.hickorypier.daemon.time.TimerService;
+import org.hickorypier.daemon.work.WorkService;
+
+/**
+ * Cancels and explains work for operators, wherever in the fleet it is.
+ *
+ * <p>Belongs to the control thread. A job is cancelled through the journal, so that its home hears
+ * of it whichever instance that is; a synchronous request is looked for at every instance.
+ */
+public final class FleetWork implements WorkCanceller, WorkExplainer {
+
+  private static final String FOUND = "found";
+  private static final String DETAIL = "cancelled by an operator";
+
+  private final Cluster cluster;
+  private final JournalService journal;
+  private final JobService jobs;
+  private final WorkService work;
+  private final Scheduler scheduler;
+  private final TimerService timers;
+
+  /**
+   * Creates it and answers the other instances.
+   *
+   * @param cluster the other instances
+   * @param requests answers the other instances
+   * @param journal the journal
+   * @param jobs the jobs
+   * @param work the work decided here
+   * @param scheduler the decisions
+   * @param timers the time
+   */
+  public FleetWork(
+      Cluster cluster,
+      PeerRequests requests,
+      JournalService journal,
+      JobService jobs,
+      WorkService work,
+      Scheduler scheduler,
+      TimerService timers) {
+    this.cluster = cluster;
+    this.journal = journal;
+    this.jobs = jobs;
+    this.work = work;
+    this.scheduler = scheduler;
+    this.timers = timers;
+    requests.answer(QuestionKind.CANCEL, text -> reply(cancelHere(parse(text)) ? FOUND : ""));
+    requests.answer(QuestionKind.EXPLAIN, text -> reply(explainHere(parse(text)).orElse("")));
+  }
+
+  @Override
+  public Uni<CancelOutcome> cancel(WorkKey key) {
+    Optional<JournalEntry> entry = journal.journal().find(key);
+    if (entry.isPresent() && entry.get().hasEnded()) {
+      return Uni.createFrom().item(CancelOutcome.ENDED_BEFORE);
+    }
+    if (entry.isPresent() && entry.get().accepted().job()) {
+      return jobs.cancel(key).map(view -> CancelOutcome.CANCELLED);
+    }
+    if (cancelHere(key)) {
+      return Uni.createFrom().item(CancelOutcome.CANCELLED);
+    }
+    return firstAnswer(QuestionKind.CANCEL, key)
+        .map(found -> found.isPresent() ? CancelOutcome.CANCELLED : CancelOutcome.NOT_FOUND);
+  }
+
+  @Override
+  public Uni<Optional<String>> explain(WorkKey key) {
+    Optional<String> here = explainHere(key);
+    return here.isPresent() ? Uni.createFrom().item(here) : firstAnswer(QuestionKind.EXPLAIN, key);
+  }
+
+  private boolean cancelHere(WorkKey key) {
+    boolean found = work.cancel(key, DETAIL);
+    for (WorkItem item : scheduler.queued()) {
+      boolean isAttempt = AttemptKey.workOf(item.key()).equals(key);
+      found |= isAttempt && work.cancel(item.key(), DETAIL);
+    }
+    return found;
+  }
+
+  private Optional<String> explainHere(WorkKey key) {
+    return scheduler.queued().stream()
+        .map(WorkItem::key)
+        .filter(queued -> AttemptKey.workOf(queued).equals(key))
+        .findFirst()
+        .flatMap(queued -> scheduler.explain(queued, timers.nowMillis()));
+  }
+
+  private Uni<Optional<String>> firstAnswer(QuestionKind kind, WorkKey key) {
+    List<Uni<String>> questions = new ArrayList<>();
+    for (String instance : cluster.live()) {
+      if (!instance.equals(cluster.own().name())) {
+        questions.add(
+            cluster
+                .ask(instance, kind, key.toString())
+                .map(data -> new String(data, StandardCharsets.UTF_8))
+                .onFailure()
+                .recoverWithItem(""));
+      }
+    }
+    if (questions.isEmpty()) {
+      return Uni.createFrom().item(Optional.empty());
+    }
+    return Uni.join()
+        .all(questions)
+        .andCollectFailures()
+        .map(answers -> answers.stream().filter(text -> !text.isEmpty()).findFirst());
+  }
+
+  private static Uni<byte[]> reply(String text) {
+    return Uni.createFrom().item(Cluster.bytes(text));
+  }
+
+  private static WorkKey parse(String text) {
+    return Cluster.workKey(text);
+  }
+}
--- a/daemon/src/main/java/org/hickorypier/daemon/cluster/HomeIntake.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/cluster/HomeIntake.java
@@ -83,7 +83,7 @@
   }
 
   private String knownHere(String key) {
-    if (work.knows(parse(key))) {
+    if (work.knows(Cluster.workKey(key))) {
       return KNOWN;
     }
     return workersComplete.getAsBoolean() ? UNKNOWN : INCOMPLETE;
@@ -168,10 +168,5 @@
     }
   }
 
-  private static WorkKey parse(String text) {
-    int slash = text.indexOf('/');
-    return new WorkKey(text.substring(0, Math.max(0, slash)), text.substring(slash + 1));
-  }
-
   private record Told(String instance, String text) {}
 }
--- a/daemon/src/main/java/org/hickorypier/daemon/cluster/LocalRows.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/cluster/LocalRows.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Supplier;
+import org.hickorypier.core.journal.AttemptKey;
 import org.hickorypier.core.model.WorkItem;
 import org.hickorypier.core.model.WorkerDescription;
 import org.hickorypier.core.scheduling.Scheduler;
@@ -65,7 +66,7 @@
             task -> {
               WorkerDescription worker = workers.get(task.worker());
               return new RunningRow(
-                  task.taskId().key(),
+                  AttemptKey.workOf(task.taskId().key()),
                   task.workClass(),
                   name,
                   task.worker(),
@@ -87,7 +88,7 @@
 
   private WaitingRow waitingRow(WorkItem item) {
     return new WaitingRow(
-        item.key(),
+        AttemptKey.workOf(item.key()),
         item.workClass(),
         name,
         dataCentre,
@@ -106,7 +107,7 @@
         .map(
             kept ->
                 new RefusedRow(
-                    kept.item().key(),
+                    AttemptKey.workOf(kept.item().key()),
                     kept.item().workClass(),
                     name,
                     dataCentre,
--- a/daemon/src/main/java/org/hickorypier/daemon/cluster/QuestionKind.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/cluster/QuestionKind.java
@@ -12,6 +12,8 @@
   KNOWS("knows"),
   /** Cancel the work named in the text. */
   CANCEL("cancel"),
+  /** Say why the work named in the text waits. */
+  EXPLAIN("explain"),
   /** Tell which offset of the configuration is folded there, and how old it can be. */
   FRESHNESS("freshness"),
   /** Answer the query in the text with the rows of this instance. */
--- a/daemon/src/main/java/org/hickorypier/daemon/worker/WorkerFleet.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/worker/WorkerFleet.java
@@ -38,6 +38,10 @@
   // missed renewals are seen within a few seconds, well inside a lease.
   private static final int FAILURES_BEFORE_CLOSED = 2;
 
+  // The workers of a lost instance take no work until somebody looks at them. Looking every second
+  // costs one question for each worker that changes hands; renewals keep their own, longer period.
+  private static final Duration LOOK_PERIOD = Duration.ofSeconds(1);
+
   private final WorkerLeaseSettings settings;
   private final TimerService timers;
   private final Executor control;
@@ -79,7 +83,7 @@
    */
   public void start(WorkerFleetListener fleetListener) {
     listener = fleetListener;
-    timers.every(Duration.ofMillis(settings.renewalMillis()), this::tick);
+    timers.every(LOOK_PERIOD, this::tick);
   }
 
   /**
@@ -263,11 +267,19 @@
       // A renewal to a worker that does not answer may still take effect there and lengthen the
       // leases, so we could never say when its tasks have ended. Asking changes nothing.
       observe(worker, false);
-    } else {
+    } else if (isRenewalDue(worker)) {
       renew(worker);
     }
   }
 
+  private boolean isRenewalDue(ControlledWorker worker) {
+    long sinceHeard = timers.nowMillis() - worker.lastHeardMillis();
+    // Room for one period of looking, so that renewals never come later than their period.
+    return worker.failures() > 0
+        || sinceHeard > settings.renewalMillis() - LOOK_PERIOD.toMillis()
+        || !view.isWanted(worker.name());
+  }
+
   private boolean giveUpIfSilent(ControlledWorker worker) {
     boolean silent = worker.failures() >= FAILURES_BEFORE_CLOSED || !worker.isListed();
     long leasesEnd = worker.lastOrderMillis() + settings.leaseMillis() + settings.marginMillis();
