--- a/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
@@ -105,6 +105,7 @@
   private final WorkerFleet fleet;
   private final LogStream<ConfigurationRecord> configurationStream;
   private final ReadinessCheck readiness;
+  private final ConfigurationKeeper keeper;
   private final Cluster cluster;
   private final PeerNetwork network;
   private final LocalRows rows;
@@ -160,6 +161,7 @@
     scheduler = SchedulerFactory.create(SchedulerSettings.defaults(), random.nextLong());
     rows = new LocalRows(settings.name(), settings.dataCentre(), scheduler, control);
     digests = new DigestBoard(scheduler, control);
+    keeper = new ConfigurationKeeper(configuration, configurationStream, digests, cluster);
     work =
         new WorkService(
             new WorkSettings(
@@ -333,12 +335,8 @@
         && journalStream.follower().millisSinceHeard() < DaemonConstants.LOG_SILENT_MILLIS;
   }
 
-  // Reading the log to its end is not enough: if the records before the oldest one have expired and
-  // no snapshot was found yet, the state lacks them.
   private boolean isConfigured() {
-    long folded = configuration.current().offset();
-    boolean whole = folded + 1 >= configurationStream.follower().nextOffset();
-    return whole && (configurationStream.follower().isCaughtUp() || folded >= 0);
+    return keeper.obstacle().isEmpty();
   }
 
   private String state() {
@@ -365,6 +363,7 @@
                       scheduler.putShare(team.name(), team.share());
                       scheduler.putPermits(team.name(), team.upperLimit());
                     }));
+    keeper.start(control);
     configurationStream.follower().start(0);
     journalStream.follower().start(0);
     runner.start();
--- a/daemon/src/main/java/org/hickorypier/daemon/cluster/DigestBoard.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/cluster/DigestBoard.java
@@ -95,6 +95,20 @@
         .toList();
   }
 
+  /**
+   * Returns the highest configuration offset that an instance which takes work has folded.
+   *
+   * @return the offset, -1 if no such instance is linked
+   */
+  public long highestReadyOffset() {
+    return received.values().stream()
+        .map(Received::digest)
+        .filter(Digest::taking)
+        .mapToLong(Digest::configurationOffset)
+        .max()
+        .orElse(-1);
+  }
+
   /**
    * Makes this instance's digest.
    *
--- a/daemon/src/main/java/org/hickorypier/daemon/configuration/ConfigurationService.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/configuration/ConfigurationService.java
@@ -86,6 +86,17 @@
     return current.verdictOf(id).orElseGet(() -> new FoldedId(id, offset, Verdict.APPLIED));
   }
 
+  /**
+   * Publishes a snapshot of the configuration in force.
+   *
+   * @param instance the instance that publishes it
+   * @return the offset at which it was read back
+   */
+  public Uni<Long> publishSnapshot(String instance) {
+    String id = "snapshot/" + instance + "/" + current.offset();
+    return appender.append(ConfigurationSnapshots.write(id, current));
+  }
+
   @Override
   public boolean takeBack(String id) {
     return appender.withdraw(id);
@@ -102,6 +113,8 @@
     }
     take(result.state());
     if (change instanceof Snapshot && result.verdict() == Verdict.APPLIED) {
+      // Changes whose records are in the snapshot will not be read back one by one.
+      appender.settleFrom(this::foldedAt);
       // The state is that of the snapshot's contents; what came after them has to be read again.
       seek.accept(current.offset() + 1);
     }
--- a/daemon/src/test/java/org/hickorypier/daemon/log/LogTestBench.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/log/LogTestBench.java
@@ -18,18 +18,9 @@
 
   final ManualTimerService timers = new ManualTimerService();
   final FakeLogService log = new FakeLogService(timers);
-  final LogFollower<ConfigurationRecord> follower =
-      new LogFollower<>(log, STREAM, CODEC, timers, timers, new Random(7), FollowSettings.DEFAULT);
-  final LogAppender<ConfigurationRecord> appender =
-      new LogAppender<>(
-          log,
-          STREAM,
-          CODEC,
-          ConfigurationRecord::id,
-          timers,
-          timers,
-          new Random(8),
-          AppendSettings.DEFAULT);
+  private final Stream stream = open();
+  final LogFollower<ConfigurationRecord> follower = stream.follower();
+  final LogAppender<ConfigurationRecord> appender = stream.appender();
   final List<String> seen = new ArrayList<>();
 
   LogTestBench() {
@@ -53,6 +44,26 @@
     follower.subscribe(appender);
   }
 
+  /** Opens the stream once more, as another instance would. */
+  Stream open() {
+    return new Stream(
+        new LogFollower<>(
+            log, STREAM, CODEC, timers, timers, new Random(7), FollowSettings.DEFAULT),
+        new LogAppender<>(
+            log,
+            STREAM,
+            CODEC,
+            ConfigurationRecord::id,
+            timers,
+            timers,
+            new Random(8),
+            AppendSettings.DEFAULT));
+  }
+
+  /** One instance's way to the stream. */
+  record Stream(
+      LogFollower<ConfigurationRecord> follower, LogAppender<ConfigurationRecord> appender) {}
+
   static ConfigurationRecord change(String id) {
     return new PutDrain(id, ConfigurationRecord.ANY_REVISION, "worker-1", true);
   }
