--- a/core/src/test/java/org/hickorypier/core/permits/PermitFleetTest.java
+++ b/core/src/test/java/org/hickorypier/core/permits/PermitFleetTest.java
@@ -9,6 +9,8 @@
 import java.util.function.Predicate;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import org.hickorypier.wire.MessagePackCodec;
+import org.hickorypier.wire.record.PermitRecord;
 import org.junit.jupiter.api.Test;
 
 class PermitFleetTest {
@@ -272,6 +274,34 @@
     assertThat(chaos.log).isNotEmpty();
   }
 
+  // A new instance starts after the first records have expired, from a snapshot and the records
+  // after it. It must grant as all others do, or two of them would count on the same permit.
+  @Property(tries = 200, seed = "12")
+  void snapshotAndTailReachTheSameState(@ForAll Random random) throws Exception {
+    PermitFleet chaos = new PermitFleet(6);
+    chaos.configure(10);
+    for (int index = 0; index < 4; index++) {
+      chaos.join("i" + index);
+    }
+    PermitState atCut = PermitState.EMPTY;
+    int cut = 100 + random.nextInt(300);
+    for (int step = 0; step < 500; step++) {
+      step(chaos, random);
+      if (step == cut) {
+        atCut = chaos.head;
+      }
+    }
+    MessagePackCodec<PermitRecord> codec = new MessagePackCodec<>(PermitRecord.class);
+    PermitRecord snapshot = codec.decode(codec.encode(PermitSnapshots.write("s", atCut)));
+
+    PermitState late = PermitFold.apply(PermitState.EMPTY, chaos.log.size(), snapshot).state();
+    for (int offset = (int) late.offset() + 1; offset < chaos.log.size(); offset++) {
+      late = PermitFold.apply(late, offset, chaos.log.get(offset)).state();
+    }
+
+    assertThat(late).isEqualTo(chaos.head);
+  }
+
   private void takeOver(PermitFleetMember adopter, PermitFleetMember gone) {
     for (PermitFleet.Worker worker : fleet.workers.values()) {
       if (gone.self.equals(worker.controller)) {
