--- a/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
@@ -113,6 +113,7 @@
   private final WorkerFleet fleet;
   private final LogStream<ConfigurationRecord> configurationStream;
   private final ReadinessCheck readiness;
+  private final ConfigurationKeeper keeper;
   private final Cluster cluster;
   private final PeerNetwork network;
   private final LocalRows rows;
@@ -174,6 +175,7 @@
     rows = new LocalRows(settings.name(), settings.dataCentre(), scheduler, control);
     owners = new TaskOwners((worker, owner) -> permits().covers(worker, owner));
     digests = new DigestBoard(scheduler, owners::isOurs);
+    keeper = new ConfigurationKeeper(configuration, configurationStream, digests, cluster);
     work =
         new WorkService(
             new WorkSettings(
@@ -372,12 +374,8 @@
         && journalStream.follower().millisSinceHeard() < DaemonConstants.LOG_SILENT_MILLIS;
   }
 
-  // Reading the log to its end is not enough: if the records before the oldest one have expired and
-  // no snapshot was found yet, the state lacks them.
   private boolean isConfigured() {
-    long folded = configuration.current().offset();
-    boolean whole = folded + 1 >= configurationStream.follower().nextOffset();
-    return whole && (configurationStream.follower().isCaughtUp() || folded >= 0);
+    return keeper.obstacle().isEmpty();
   }
 
   private String state() {
@@ -401,6 +399,7 @@
     permitStream.follower().start(0);
     permits.start();
     retirement().start();
+    keeper.start(control);
     configurationStream.follower().start(0);
     journalStream.follower().start(0);
     runner.start();
