Keep the correction between digests that come one by one

Change: the measurement sends digests one by one; the use here is compared with that of up to 0.9 s ago.

--- a/core/src/main/java/org/hickorypier/core/scheduling/IncrementalScheduler.java
+++ b/core/src/main/java/org/hickorypier/core/scheduling/IncrementalScheduler.java
@@ -181,7 +181,7 @@
   @Override
   public void putUseElsewhere(String team, Resources resources) {
     TeamState state = order.team(team);
-    order.update(state, () -> state.setUsedElsewhere(resources));
+    order.update(state, () -> state.setUsedElsewhere(resources, latestMillis));
   }
 
   @Override
--- a/core/src/main/java/org/hickorypier/core/scheduling/TeamState.java
+++ b/core/src/main/java/org/hickorypier/core/scheduling/TeamState.java
@@ -20,6 +20,12 @@
    */
   private static final double MOST_CHANGE = 1.5;
 
+  /**
+   * The digests of the others come one by one, each once a second, so at any moment most of what
+   * they say is older than the last one. The use here is compared with that of up to this long ago.
+   */
+  private static final long DIGEST_AGE_MILLIS = 900;
+
   private final String name;
   private final Map<WorkClass, ClassQueue> queues = new EnumMap<>(WorkClass.class);
   private double share = DEFAULT_SHARE;
@@ -29,6 +35,7 @@
   private Resources used = Resources.NONE;
   private Resources usedElsewhere = Resources.NONE;
   private Resources usedAtDigest = Resources.NONE;
+  private long usedAtDigestMillis = Long.MIN_VALUE / 2;
   private double weightedShare;
   private final ClassTurns classTurns = new ClassTurns();
   private boolean urgentExhausted;
@@ -137,9 +144,12 @@
     used = used.minus(before).plus(after);
   }
 
-  void setUsedElsewhere(Resources resources) {
+  void setUsedElsewhere(Resources resources, long now) {
     usedElsewhere = resources;
-    usedAtDigest = used;
+    if (now - usedAtDigestMillis >= DIGEST_AGE_MILLIS) {
+      usedAtDigest = used;
+      usedAtDigestMillis = now;
+    }
   }
 
   /**
--- a/core/src/test/java/org/hickorypier/core/scheduling/SchedulerTest.java
+++ b/core/src/test/java/org/hickorypier/core/scheduling/SchedulerTest.java
@@ -139,6 +139,28 @@
         .startsWith("north", "south");
   }
 
+  /**
+   * As above, while the digests of the others come one by one. The next one, a moment later, says
+   * the same of north; it once wiped out what had been gained since the first.
+   */
+  @Test
+  void nextDigestOfAnotherInstanceKeepsTheCorrection() {
+    Scheduler scheduler = Work.scheduler(1, "north", "south");
+    scheduler.submit(Work.request("north", "first"), 0);
+    scheduler.place(0);
+    scheduler.putUseElsewhere("north", new Resources(2_000, 0, 0));
+    scheduler.putUseElsewhere("south", new Resources(4_000, 0, 0));
+    scheduler.submit(Work.request("north", "n0"), 100);
+    scheduler.place(100);
+    scheduler.putUseElsewhere("north", new Resources(2_000, 0, 0));
+    scheduler.submit(Work.request("north", "n1"), 100);
+    scheduler.submit(Work.request("south", "s0"), 100);
+
+    assertThat(tasks(scheduler.place(100)))
+        .extracting(task -> task.taskId().key().team())
+        .startsWith("south");
+  }
+
   @Test
   void gangStartsWholeOrNotAtAll() {
     Scheduler scheduler = Work.scheduler(2, "north");
--- a/measure/src/main/java/org/hickorypier/measure/FairnessLoad.java
+++ b/measure/src/main/java/org/hickorypier/measure/FairnessLoad.java
@@ -1,6 +1,7 @@
 package org.hickorypier.measure;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -13,6 +14,7 @@
 import org.hickorypier.core.model.WorkItem;
 import org.hickorypier.core.model.WorkerDescription;
 import org.hickorypier.core.scheduling.PlacedTask;
+import org.hickorypier.core.scheduling.Scheduler;
 
 /**
  * A full fleet under eight instances. Each team's callers stick to four of them. Instances hear of
@@ -30,6 +32,8 @@
   private static final int BACKLOG = 12;
   private static final int WARM_UP_SECONDS = 10;
   private static final long STEP_MILLIS = 5;
+  private static final long SECOND_MILLIS = 1_000;
+  private static final long DIGEST_SHIFT_MILLIS = SECOND_MILLIS / INSTANCES;
   private static final long FAR_MILLIS = 1_000_000_000;
 
   /** The distances from the entitled share, as parts of what all use. */
@@ -44,6 +48,7 @@
   private final List<Decider> deciders = new ArrayList<>();
   private final List<Map<TaskId, PlacedTask>> runningOf = new ArrayList<>();
   private final Map<TaskId, Integer> movedTo = new HashMap<>();
+  private final Resources[][] digests;
   private final int[][] waiting;
   private final boolean[] gone = new boolean[INSTANCES];
   private final PriorityQueue<End> ends =
@@ -56,6 +61,10 @@
     this.plain = plain;
     this.teams = teams;
     mix = new WorkMix(seed, 1, 1);
+    digests = new Resources[INSTANCES][teams];
+    for (Resources[] digest : digests) {
+      Arrays.fill(digest, Resources.NONE);
+    }
     waiting = new int[INSTANCES][teams];
     sumOfShares = new double[teams];
     List<WorkerDescription> all = WorkMix.workers(workers);
@@ -73,17 +82,17 @@
   }
 
   Distances run() {
-    long end = (WARM_UP_SECONDS + SECONDS) * 1_000L;
+    long end = (WARM_UP_SECONDS + SECONDS) * SECOND_MILLIS;
     for (long now = 0; now < end; now += STEP_MILLIS) {
       endTasks(now);
-      if (now == (WARM_UP_SECONDS + SECONDS / 2) * 1_000L && !plain) {
+      if (now == (WARM_UP_SECONDS + SECONDS / 2) * SECOND_MILLIS && !plain) {
         loseLast(now);
       }
       for (int i = 0; i < INSTANCES; i++) {
         offer(i, now);
       }
-      if (now % 1_000 == 0) {
-        exchangeDigests();
+      exchangeDigests(now);
+      if (now % SECOND_MILLIS == 0) {
         sample(now);
       }
     }
@@ -171,36 +180,42 @@
     for (int i = 0; i < orphans.size(); i++) {
       int instance = i % lost;
       newController.put(orphans.get(i).name(), instance);
-      ((SchedulerDecider) deciders.get(instance)).scheduler().putWorker(orphans.get(i), true);
+      scheduler(instance).putWorker(orphans.get(i), true);
     }
     for (PlacedTask task : runningOf.get(lost).values()) {
       int instance = newController.get(task.worker());
       movedTo.put(task.taskId(), instance);
       runningOf.get(instance).put(task.taskId(), task);
-      ((SchedulerDecider) deciders.get(instance))
-          .scheduler()
+      scheduler(instance)
           .adopt(task.taskId(), task.worker(), task.workClass(), task.reserved(), now);
     }
     runningOf.get(lost).clear();
   }
 
-  private void exchangeDigests() {
-    if (plain) {
+  /** Has each instance send its digest once a second, each at its own moment. */
+  private void exchangeDigests(long now) {
+    int from = (int) (now % SECOND_MILLIS / DIGEST_SHIFT_MILLIS);
+    if (plain || now % DIGEST_SHIFT_MILLIS != 0) {
       return;
     }
+    for (int team = 0; team < teams; team++) {
+      digests[from][team] = used(from, team);
+    }
     for (int to = 0; to < INSTANCES; to++) {
-      for (int team = 0; team < teams && !gone[to]; team++) {
+      for (int team = 0; team < teams && to != from && !gone[to]; team++) {
         Resources elsewhere = Resources.NONE;
-        for (int from = 0; from < INSTANCES; from++) {
-          elsewhere = from == to ? elsewhere : elsewhere.plus(used(from, team));
+        for (int other = 0; other < INSTANCES; other++) {
+          elsewhere = other == to ? elsewhere : elsewhere.plus(digests[other][team]);
         }
-        ((SchedulerDecider) deciders.get(to))
-            .scheduler()
-            .putUseElsewhere(WorkMix.team(team), elsewhere);
+        scheduler(to).putUseElsewhere(WorkMix.team(team), elsewhere);
       }
     }
   }
 
+  private Scheduler scheduler(int instance) {
+    return ((SchedulerDecider) deciders.get(instance)).scheduler();
+  }
+
   private Resources used(int instance, int team) {
     Resources used = Resources.NONE;
     for (PlacedTask task : runningOf.get(instance).values()) {
@@ -210,7 +225,7 @@
   }
 
   private void sample(long now) {
-    if (now < WARM_UP_SECONDS * 1_000L) {
+    if (now < WARM_UP_SECONDS * SECOND_MILLIS) {
       return;
     }
     double[] shares = new double[teams];
