--- a/measure/src/main/java/org/hickorypier/measure/FairnessLoad.java
+++ b/measure/src/main/java/org/hickorypier/measure/FairnessLoad.java
@@ -180,13 +180,13 @@
     for (int i = 0; i < orphans.size(); i++) {
       int instance = i % lost;
       newController.put(orphans.get(i).name(), instance);
-      scheduler(instance).putWorker(orphans.get(i), true);
+      schedulerAt(instance).putWorker(orphans.get(i), true);
     }
     for (PlacedTask task : runningOf.get(lost).values()) {
       int instance = newController.get(task.worker());
       movedTo.put(task.taskId(), instance);
       runningOf.get(instance).put(task.taskId(), task);
-      scheduler(instance)
+      schedulerAt(instance)
           .adopt(task.taskId(), task.worker(), task.workClass(), task.reserved(), now);
     }
     runningOf.get(lost).clear();
@@ -207,12 +207,12 @@
         for (int other = 0; other < INSTANCES; other++) {
           elsewhere = other == to ? elsewhere : elsewhere.plus(digests[other][team]);
         }
-        scheduler(to).putUseElsewhere(WorkMix.team(team), elsewhere);
+        schedulerAt(to).putUseElsewhere(WorkMix.team(team), elsewhere);
       }
     }
   }
 
-  private Scheduler scheduler(int instance) {
+  private Scheduler schedulerAt(int instance) {
     return ((SchedulerDecider) deciders.get(instance)).scheduler();
   }
 
