Give up on the rest of a job that fails everywhere

Cause: a job whose tasks had failed on three workers was refused when it came again, but what still waited of it went on to start and fail.

Change: expire gives up on the rest with FAILS_EVERYWHERE.

restOfFaultyJobIsGivenUpOn was seen failing without the change.

--- a/core/src/main/java/org/hickorypier/core/scheduling/Admission.java
+++ b/core/src/main/java/org/hickorypier/core/scheduling/Admission.java
@@ -4,6 +4,7 @@
 import org.hickorypier.core.model.Refusal;
 import org.hickorypier.core.model.RefusalReason;
 import org.hickorypier.core.model.WorkItem;
+import org.hickorypier.core.model.WorkKey;
 
 /**
  * Refuses at once what cannot start in time, so that its caller can act on it.
@@ -44,10 +45,8 @@
     if (neverFits.isPresent()) {
       return refusal(RefusalReason.NEVER_FITS, neverFits.get(), 0);
     }
-    int failedOn = history.failedOn(item.key()).size();
-    if (failedOn >= settings.failedWorkersLimit()) {
-      String detail = "Its tasks failed on " + failedOn + " different workers.";
-      return refusal(RefusalReason.FAILS_EVERYWHERE, detail, 0);
+    if (failsEverywhere(item.key())) {
+      return Optional.of(failsEverywhereRefusal(item.key()));
     }
     long remaining = item.deadlineMillis() - now;
     if (remaining < 0) {
@@ -66,6 +65,16 @@
     return Optional.empty();
   }
 
+  /** Tells whether work has failed on so many workers that it is at fault itself. */
+  boolean failsEverywhere(WorkKey key) {
+    return history.failedOn(key).size() >= settings.failedWorkersLimit();
+  }
+
+  Refusal failsEverywhereRefusal(WorkKey key) {
+    String detail = "Its tasks failed on " + history.failedOn(key).size() + " different workers.";
+    return new Refusal(RefusalReason.FAILS_EVERYWHERE, detail, 0);
+  }
+
   private static long retryAfter(long millis) {
     return Math.max(LEAST_RETRY_MILLIS, Math.min(MOST_RETRY_MILLIS, millis));
   }
--- a/core/src/main/java/org/hickorypier/core/scheduling/IncrementalScheduler.java
+++ b/core/src/main/java/org/hickorypier/core/scheduling/IncrementalScheduler.java
@@ -1,8 +1,10 @@
 package org.hickorypier.core.scheduling;
 
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import org.hickorypier.core.model.Refusal;
 import org.hickorypier.core.model.RefusalReason;
@@ -34,6 +36,7 @@
   private final LearnedSizes learnedSizes = new LearnedSizes();
   private final Quarantine quarantine;
   private final Admission admission;
+  private final Set<WorkKey> failing = new LinkedHashSet<>();
   private long latestMillis;
 
   IncrementalScheduler(SchedulerSettings settings, long seed) {
@@ -88,7 +91,7 @@
   public List<GivenUp> expire(long now) {
     latestMillis = now;
     history.forgetOld(now);
-    List<GivenUp> givenUp = new ArrayList<>();
+    List<GivenUp> givenUp = new ArrayList<>(giveUpFailing(now));
     for (QueuedItem queued : queue.removeExpired(now)) {
       String detail = "No place came free before the deadline.";
       givenUp.add(
@@ -97,6 +100,20 @@
     return givenUp;
   }
 
+  /** Gives up what still waits of jobs whose tasks have failed on several workers by now. */
+  private List<GivenUp> giveUpFailing(long now) {
+    List<GivenUp> givenUp = new ArrayList<>();
+    for (WorkKey key : failing) {
+      QueuedItem queued = queue.get(key);
+      if (queued != null) {
+        queue.remove(queued, now);
+        givenUp.add(new GivenUp(queued.item(), admission.failsEverywhereRefusal(key)));
+      }
+    }
+    failing.clear();
+    return givenUp;
+  }
+
   @Override
   public boolean cancelQueued(WorkKey key) {
     QueuedItem queued = queue.get(key);
@@ -118,6 +135,9 @@
     WorkerState worker = fleet.worker(reservation.task().worker());
     quarantine.taskEnded(worker, reservation, end, now);
     roomFreed(worker);
+    if (admission.failsEverywhere(taskId.key()) && queue.get(taskId.key()) != null) {
+      failing.add(taskId.key());
+    }
   }
 
   @Override
@@ -195,6 +215,7 @@
       learnedSizes.report(taskId.key().team(), reservation.name(), used);
     }
     reservations.raise(reservation, used);
+    reserve.roomTaken(fleet.worker(reservation.task().worker()));
   }
 
   @Override
@@ -231,6 +252,7 @@
   }
 
   private void roomFreed(WorkerState worker) {
+    reserve.roomTaken(worker);
     reserve.roomFreed(worker);
     if (!worker.takesTasks()) {
       return;
--- a/core/src/test/java/org/hickorypier/core/scheduling/OverloadTest.java
+++ b/core/src/test/java/org/hickorypier/core/scheduling/OverloadTest.java
@@ -207,6 +207,24 @@
     assertThat(load.started("south")).isGreaterThan(400);
   }
 
+  /**
+   * The owner of a faulty job is told so before all of it has run. Its first tasks fail on three
+   * workers; the rest, which would fail as well, is given up on and not started.
+   */
+  @Test
+  void restOfFaultyJobIsGivenUpOn() {
+    Scheduler scheduler = Work.scheduler(4, "north");
+    scheduler.submit(Work.item("north", "bad", WorkClass.BATCH, Work.SMALL, 500), 0);
+    for (PlacedTask task : scheduler.place(0).get(0).tasks()) {
+      scheduler.ended(task.taskId(), TaskEnd.FAILED, 10);
+    }
+
+    assertThat(scheduler.expire(10))
+        .extracting(givenUp -> givenUp.refusal().reason())
+        .containsExactly(RefusalReason.FAILS_EVERYWHERE);
+    assertThat(scheduler.place(11)).isEmpty();
+  }
+
   /** Several large gangs wait at once; each gets its workers in turn, and none blocks another. */
   @Test
   void severalGangsAllStart() {
