Let urgent work use held workers until other work is overdue

Change: urgent work may use held workers, unless it has held other work back for the hold time; so a flood of it does not starve a gang.

--- a/core/src/main/java/org/hickorypier/core/scheduling/PlacementLoop.java
+++ b/core/src/main/java/org/hickorypier/core/scheduling/PlacementLoop.java
@@ -164,11 +164,18 @@
     return worker;
   }
 
+  /**
+   * Says which workers an item may use. Urgent work may use held workers, unless it is overdue for
+   * other work to have its turn: an instance of four workers holds a quarter of its room for one
+   * gang.
+   */
   private WorkerFilter usableFor(QueuedItem queued, long now) {
     boolean urgent = queued.item().workClass() == WorkClass.URGENT;
     return worker ->
         (urgent || reserve.admits(worker, queued.need()))
-            && (worker.heldBy() == null || worker.heldBy().admits(queued, now));
+            && (worker.heldBy() == null
+                || worker.heldBy().admits(queued, now)
+                || urgent && !urgentTurns.isOverdue(now));
   }
 
   private boolean startsGang(TeamState team, QueuedItem queued, long now) {
