--- a/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
@@ -5,8 +5,6 @@
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
-import io.vertx.core.http.HttpServer;
-import io.vertx.core.http.HttpServerOptions;
 import io.vertx.ext.web.Router;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
@@ -19,7 +17,6 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.hickorypier.core.keys.KeyIssuer;
 import org.hickorypier.core.membership.HomeHistory;
@@ -131,7 +128,7 @@
   private final TaskAdopter adopter;
   private final DigestBoard digests;
   private final PeerRequests requests;
-  private volatile HttpServer server;
+  private final HttpFront front;
 
   /**
    * Wires a daemon; nothing runs until {@link #start}.
@@ -148,6 +145,7 @@
             new Membership(own, Duration.ofMillis(settings.peerTimeoutMillis()), control),
             control);
     vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(settings.eventLoops()));
+    front = new HttpFront(vertx);
     SplittableRandom random = new SplittableRandom();
     LogService log = new HttpLogService(vertx, address(settings.logService()));
     LogStreams streams = new LogStreams(log, control, control, random);
@@ -298,11 +296,11 @@
     router.get("/metrics").handler(context -> context.end(registry.scrape()));
     int peerPort = network.start().await().atMost(START_TIMEOUT);
     control.execute(this::startControl);
-    server = listen(router);
+    int httpPort = front.listen(router, settings.host(), settings.httpPort());
     String text =
         String.format(
             "%s http %s:%d peer %s:%d",
-            settings.name(), settings.host(), server.actualPort(), settings.host(), peerPort);
+            settings.name(), settings.host(), httpPort, settings.host(), peerPort);
     LOGGER.log(Level.INFO, "daemon: {0} listens, {1}", self, text);
     return text;
   }
@@ -436,21 +434,6 @@
         .end(obstacle.orElse("ready") + "\n");
   }
 
-  private HttpServer listen(Router router) throws DaemonStartException {
-    try {
-      return vertx
-          .createHttpServer(new HttpServerOptions().setHost(settings.host()))
-          .requestHandler(router)
-          .listen(settings.httpPort(), settings.host())
-          .toCompletionStage()
-          .toCompletableFuture()
-          .get();
-    } catch (ExecutionException | InterruptedException error) {
-      throw new DaemonStartException(
-          "cannot listen on " + settings.host() + ":" + settings.httpPort(), error);
-    }
-  }
-
   /** Takes no new work, waits for work in progress, then stops. Idempotent. */
   @Override
   public void close() {
@@ -476,7 +459,7 @@
       Thread.currentThread().interrupt();
     }
     long left = Math.max(DaemonConstants.TICK_MILLIS, until - control.nowMillis());
-    new TrafficStop(vertx, Optional.ofNullable(server)).stop(Duration.ofMillis(left));
+    front.stop(Duration.ofMillis(left));
     control.close();
     LOGGER.log(Level.INFO, "daemon: stopped");
   }
