--- a/daemon/src/main/java/org/hickorypier/daemon/peer/PeerConnection.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/peer/PeerConnection.java
@@ -1,7 +1,5 @@
 package org.hickorypier.daemon.peer;
 
-import io.vertx.core.Context;
-import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetSocket;
 import java.lang.System.Logger;
@@ -38,16 +36,19 @@
   private final FrameReader reader = new FrameReader(Frame.MAX_HANDSHAKE_BYTES);
   private final AtomicInteger pending = new AtomicInteger();
   private final NetSocket socket;
-  private final Context context;
+  private final Executor eventLoop;
   private final Handshake handshake;
   private final PeerCounters counters;
   private final Executor control;
   private final ConnectionOwner owner;
+  private volatile FrameSeal sending;
+  private FrameSeal receiving;
 
   /**
-   * Wraps a connection. To be called on its event loop, before the first byte is read.
+   * Wraps a connection.
    *
    * @param socket the connection
+   * @param eventLoop the connection's event loop
    * @param handshake our side of the authentication
    * @param counters counts the traffic
    * @param control the control thread
@@ -55,19 +56,20 @@
    */
   PeerConnection(
       NetSocket socket,
+      Executor eventLoop,
       Handshake handshake,
       PeerCounters counters,
       Executor control,
       ConnectionOwner owner) {
     this.socket = socket;
-    this.context = Vertx.currentContext();
+    this.eventLoop = eventLoop;
     this.handshake = handshake;
     this.counters = counters;
     this.control = control;
     this.owner = owner;
   }
 
-  /** Starts the handshake. To be called on the event loop as well. */
+  /** Starts the handshake. To be called on the event loop, before the first byte is read. */
   void start() {
     socket.handler(this::read);
     socket.drainHandler(ignored -> control.execute(() -> owner.drained(this)));
@@ -84,7 +86,8 @@
 
   @Override
   public void write(PeerMessage message, byte[] encoded) {
-    byte[] frame = Frame.wrap(encoded);
+    FrameSeal seal = sending;
+    byte[] frame = Frame.wrap(seal == null ? encoded : seal.seal(encoded));
     counters.sent(kind(message), frame.length);
     socket.write(Buffer.buffer(frame));
   }
@@ -98,7 +101,8 @@
     try {
       reader.append(chunk.getBytes());
       for (var next = reader.next(); next.isPresent(); next = reader.next()) {
-        PeerMessage message = codec.decode(next.get());
+        byte[] encoded = receiving == null ? next.get() : receiving.open(next.get());
+        PeerMessage message = codec.decode(encoded);
         counters.received(kind(message), next.get().length + Frame.HEADER_BYTES);
         take(message);
       }
@@ -122,6 +126,8 @@
         .ifPresent(
             identity -> {
               reader.limit(Frame.MAX_MESSAGE_BYTES);
+              receiving = handshake.receivingSeal();
+              sending = handshake.sendingSeal();
               control.execute(() -> owner.authenticated(this, identity));
             });
   }
@@ -136,7 +142,7 @@
     control.execute(
         () -> {
           if (pending.decrementAndGet() == MAX_PENDING / 2) {
-            context.runOnContext(ignored -> socket.resume());
+            eventLoop.execute(socket::resume);
           }
           owner.received(this, message);
         });
