Use a request's number once in an incarnation, over all links

Cause: found by reading: a link that was forgotten (an hour down and unlisted) and made anew counted from 1 again, while the peer could still remember the old requests. A new request would have been taken for a repeated one and got the old answer, which breaks 'the whole answer to their own request'. Change: numbers come from one counter of the network; OpenRequests names all that are open, and everything else is forgotten. Seen failing before: linkMadeAnewGetsNoAnswerOfTheForgottenOne, the new requests were never acted on.

--- a/daemon/src/main/java/org/hickorypier/daemon/peer/AnswerMemory.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/peer/AnswerMemory.java
@@ -86,11 +86,10 @@
     correlations.forEach(this::forget);
   }
 
-  /** Forgets all requests below a number but those that are still open. */
-  void onlyOpen(long below, List<Long> correlations) {
+  /** Forgets all requests but those that are still open. */
+  void onlyOpen(List<Long> correlations) {
     Set<Long> open = new HashSet<>(correlations);
-    List<Long> gone =
-        requests.keySet().stream().filter(known -> known < below && !open.contains(known)).toList();
+    List<Long> gone = requests.keySet().stream().filter(known -> !open.contains(known)).toList();
     settled(gone);
   }
 
--- a/daemon/src/main/java/org/hickorypier/daemon/peer/LinkOwner.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/peer/LinkOwner.java
@@ -11,6 +11,9 @@
   /** Returns how many links stand, to share what digests may cost. */
   int linkCount();
 
+  /** Returns a number that this incarnation has not used for any request yet. */
+  long nextCorrelation();
+
   /** The link stands. */
   void up(PeerIdentity peer);
 
--- a/daemon/src/main/java/org/hickorypier/daemon/peer/OpenRequestTable.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/peer/OpenRequestTable.java
@@ -25,7 +25,6 @@
 
   private final TreeMap<Long, Entry> entries = new TreeMap<>();
   private final List<Long> settled = new ArrayList<>();
-  private long nextCorrelation = 1;
 
   boolean isFull() {
     return entries.size() >= MAX_OPEN;
@@ -40,17 +39,9 @@
     return entries.containsKey(request.correlation());
   }
 
-  /** Adds a request under a new correlation and returns it with that. */
-  Request add(Request request, long deadlineMillis, AnswerReceiver receiver) {
-    Request numbered = request.withCorrelation(nextCorrelation);
-    entries.put(nextCorrelation, new Entry(numbered, deadlineMillis, receiver));
-    nextCorrelation++;
-    return numbered;
-  }
-
-  /** Returns the lowest correlation that was never used. */
-  long nextCorrelation() {
-    return nextCorrelation;
+  /** Adds a request that has its correlation. */
+  void add(Request request, long deadlineMillis, AnswerReceiver receiver) {
+    entries.put(request.correlation(), new Entry(request, deadlineMillis, receiver));
   }
 
   /** Returns the open requests in the order in which they were made. */
--- a/daemon/src/main/java/org/hickorypier/daemon/peer/Outbox.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/peer/Outbox.java
@@ -128,6 +128,7 @@
     longWork.clear();
     digest = null;
     digests = new DigestWriter();
+    longHasTurn = false;
     longOffset = 0;
     bytes = 0;
   }
--- a/daemon/src/main/java/org/hickorypier/daemon/peer/PeerLink.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/peer/PeerLink.java
@@ -31,8 +31,8 @@
  * <p>Failure it is for: a connection goes silent for good while new ones work. The caller would
  * wait until its deadline, or a repetition would run the work twice. Here the silent connection is
  * closed, open requests go out again on the next one under the same correlation, and the peer
- * answers from memory what it has acted on already. That is enough because a correlation is used
- * once for each incarnation of both sides, and a new incarnation starts with an empty memory.
+ * answers from memory what it has acted on already. That is enough because an incarnation uses a
+ * correlation once, whatever peer it is for, and a new incarnation starts with an empty memory.
  *
  * <p>Not thread safe: it belongs to the control thread. It has no sockets; see {@link
  * LinkConnection}.
@@ -159,7 +159,8 @@
       receiver.failed(new PeerException(refusal.get(), false));
       return Optional.empty();
     }
-    Request numbered = open.add(request, deadlineMillis, receiver);
+    Request numbered = request.withCorrelation(owner.nextCorrelation());
+    open.add(numbered, deadlineMillis, receiver);
     send(numbered);
     return Optional.of(numbered);
   }
@@ -277,7 +278,7 @@
     } else if (message instanceof Settled settled) {
       answers.settled(settled.correlations());
     } else if (message instanceof OpenRequests still) {
-      answers.onlyOpen(still.below(), still.correlations());
+      answers.onlyOpen(still.correlations());
     } else if (message instanceof DigestChange change) {
       owner.message(peer, digests.read(change));
     } else if (message instanceof ConfigurationPush) {
@@ -336,9 +337,7 @@
 
   private void sendOpenRequests() {
     List<Request> again = open.open();
-    send(
-        new OpenRequests(
-            open.nextCorrelation(), again.stream().map(Request::correlation).toList()));
+    send(new OpenRequests(again.stream().map(Request::correlation).toList()));
     again.forEach(this::send);
   }
 
--- a/daemon/src/main/java/org/hickorypier/daemon/peer/PeerNetwork.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/peer/PeerNetwork.java
@@ -69,6 +69,7 @@
   private final PeerDialer dialer;
   private volatile Set<PeerIdentity> live = Set.of();
   private TimerSubscription ticking = () -> {};
+  private long lastCorrelation;
   private boolean closed;
 
   /**
@@ -374,6 +375,12 @@
   /** Carries what happens on the links to the listeners. */
   private final class Links implements LinkOwner {
 
+    @Override
+    public long nextCorrelation() {
+      lastCorrelation++;
+      return lastCorrelation;
+    }
+
     @Override
     public int linkCount() {
       return live.size();
--- a/daemon/src/test/java/org/hickorypier/daemon/peer/FakePeer.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/peer/FakePeer.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
 import org.hickorypier.daemon.time.ManualTimerService;
 import org.hickorypier.wire.message.PeerMessage;
 import org.hickorypier.wire.message.PeerMessage.Answer;
@@ -29,6 +30,7 @@
   private final ManualTimerService timers;
   FakeConnection connection;
   int linkCount = 1;
+  AtomicLong numbers = new AtomicLong();
 
   FakePeer(String name, long incarnation, ManualTimerService timers) {
     this.timers = timers;
@@ -92,6 +94,11 @@
     asked.get(text).complete(new Reply(PeerMessage.NO_CORRELATION, answer));
   }
 
+  @Override
+  public long nextCorrelation() {
+    return numbers.incrementAndGet();
+  }
+
   @Override
   public int linkCount() {
     return linkCount;
--- a/daemon/src/test/java/org/hickorypier/daemon/peer/PeerLinkFailureTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/peer/PeerLinkFailureTest.java
@@ -179,6 +179,29 @@
     assertThat(caller.connection.holds(Question.class)).isFalse();
   }
 
+  // An instance has forgotten a peer that was gone for long, and links to it again. The peer still
+  // remembers earlier requests. Were numbers used again, the new request would get the old answer.
+  @Test
+  void linkMadeAnewGetsNoAnswerOfTheForgottenOne() {
+    FakePeer.connect(caller, callee);
+    caller.ask("old");
+    caller.ask("slow");
+    FakePeer.deliver(caller, callee);
+    callee.answer("old", "1");
+    FakePeer again = new FakePeer("entry-1", 1, timers);
+    again.numbers = caller.numbers;
+    FakePeer.connect(again, callee);
+    again.ask("new");
+    again.ask("other");
+    FakePeer.deliver(again, callee);
+    callee.answer("slow", "2");
+    callee.answer("other", "4");
+    callee.answer("new", "3");
+    FakePeer.deliver(again, callee);
+
+    assertThat(again.ends).containsExactly("other = 4", "new = 3");
+  }
+
   // A connection dies and is replaced many times while requests are out. Each request is acted on
   // once and answered once, whatever was delivered before each end.
   @ParameterizedTest
--- a/wire/src/main/java/org/hickorypier/wire/message/PeerMessage.java
+++ b/wire/src/main/java/org/hickorypier/wire/message/PeerMessage.java
@@ -116,11 +116,10 @@
    * The first message of a replaced link: which of the sender's earlier requests are still open.
    * They are sent again; the answers to all others may be forgotten.
    *
-   * @param below the lowest correlation not used yet
-   * @param correlations the open requests below that
+   * @param correlations the open requests
    */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-  record OpenRequests(long below, List<Long> correlations) implements PeerMessage {
+  record OpenRequests(List<Long> correlations) implements PeerMessage {
 
     /** Copies the list. */
     public OpenRequests {
--- a/wire/src/test/java/org/hickorypier/wire/message/PeerMessageTest.java
+++ b/wire/src/test/java/org/hickorypier/wire/message/PeerMessageTest.java
@@ -33,7 +33,7 @@
         new Hello("entry-1", 7, DATA),
         new Proof(DATA),
         new Heartbeat(1),
-        new PeerMessage.OpenRequests(9, List.of(4L, 7L)),
+        new PeerMessage.OpenRequests(List.of(4L, 7L)),
         new PeerMessage.Settled(List.of(5_000_000_000L)),
         new Digest(12, 30, true, 64_000, 9_000, 2, 17, List.of(0, 1, 2, 3, 4), List.of(use)),
         new PeerMessage.DigestChange(
