Look at links often enough for short heartbeats

Cause: found by reading: settings allow heartbeats of 50 ms and a silence of 150 ms, while links were looked at every 250 ms; quiet links would have been closed again and again. Change: the period is half the heartbeat, 250 ms at the most.

--- a/daemon/src/main/java/org/hickorypier/daemon/peer/PeerNetwork.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/peer/PeerNetwork.java
@@ -46,9 +46,6 @@
 
   private static final Logger LOGGER = System.getLogger(PeerNetwork.class.getName());
 
-  /** How often deadlines, heartbeats, silence and dials are looked at. */
-  private static final Duration TICK = Duration.ofMillis(250);
-
   /**
    * What is known of an instance that is neither listed nor linked is kept this long: far longer
    * than an instance pauses, so that its repeated requests still find their answers.
@@ -116,7 +113,7 @@
    */
   public Uni<Integer> start() {
     server.connectHandler(socket -> open(socket, name -> name.compareTo(ownName()) < 0, () -> {}));
-    control.execute(() -> ticking = timers.every(TICK, this::tick));
+    control.execute(() -> ticking = timers.every(settings.tick(), this::tick));
     return uni(server.listen()).map(NetServer::actualPort);
   }
 
--- a/daemon/src/main/java/org/hickorypier/daemon/peer/PeerSettings.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/peer/PeerSettings.java
@@ -29,6 +29,7 @@
   /** A shorter secret could be guessed. */
   public static final int LEAST_SECRET_BYTES = 16;
 
+  private static final Duration LONGEST_TICK = Duration.ofMillis(250);
   private static final int HEARTBEATS_IN_SILENCE = 3;
 
   /** Checks the secret's length, and that the silence spans several heartbeats. */
@@ -55,6 +56,17 @@
     this(own, host, port, secret, DEFAULT_HEARTBEAT, DEFAULT_SILENCE);
   }
 
+  /**
+   * Returns how often deadlines, heartbeats, silence and dials are looked at. With short heartbeats
+   * it has to be shorter too, or they would be sent late and live links closed as silent.
+   *
+   * @return the period
+   */
+  Duration tick() {
+    Duration half = heartbeat.dividedBy(2);
+    return half.compareTo(LONGEST_TICK) < 0 ? half : LONGEST_TICK;
+  }
+
   @Override
   public String toString() {
     return "PeerSettings[" + own + ", " + host + ":" + port + "]";
--- a/daemon/src/test/java/org/hickorypier/daemon/peer/FakePeer.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/peer/FakePeer.java
@@ -33,12 +33,19 @@
   AtomicLong numbers = new AtomicLong();
 
   FakePeer(String name, long incarnation, ManualTimerService timers) {
+    this(
+        name,
+        incarnation,
+        timers,
+        new PeerSettings(
+            new PeerIdentity(name, incarnation), "", 0, new byte[PeerSettings.LEAST_SECRET_BYTES]));
+  }
+
+  FakePeer(String name, long incarnation, ManualTimerService timers, PeerSettings settings) {
     this.timers = timers;
     identity = new PeerIdentity(name, incarnation);
-    PeerSettings settings =
-        new PeerSettings(identity, "", 0, new byte[PeerSettings.LEAST_SECRET_BYTES]);
     link = new PeerLink(settings, timers, PeerCounters.NONE, this);
-    timers.every(Duration.ofMillis(250), link::tick);
+    timers.every(settings.tick(), link::tick);
   }
 
   /** Replaces the connection between two ends. */
