Send waiting work to peers that have room

Cause: work waited, or was refused, at a home whose workers were full while others were idle; each instance holds an eighth of the workers. Ruled out: sending to the emptiest peer (all would choose the same one, see Router's test); moving work twice. Change: WorkShifter with the Router; a peer returns within 250 ms what it cannot start; an attempt of journaled work is journaled by the peer that runs it. Work lost with a peer is asked after before it runs again, and its unknown outcome is not kept as its answer when it is idempotent.

--- a/core/src/main/java/org/hickorypier/core/membership/HomeHistory.java
+++ b/core/src/main/java/org/hickorypier/core/membership/HomeHistory.java
@@ -3,7 +3,9 @@
 import java.util.ArrayDeque;
 import java.util.Collection;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.Iterator;
+import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
 
@@ -27,6 +29,7 @@
   private final String own;
   private final long keepMillis;
   private final Deque<View> views = new ArrayDeque<>();
+  private final Map<String, Lost> lostWith = new HashMap<>();
 
   /**
    * Creates a history that starts empty.
@@ -57,6 +60,17 @@
     forget(now);
   }
 
+  /**
+   * Notes that work was sent to an instance which was lost before it answered.
+   *
+   * @param key the key
+   * @param instance the instance
+   * @param now the time
+   */
+  public void sentTo(String key, String instance, long now) {
+    lostWith.put(key, new Lost(instance, now));
+  }
+
   /**
    * Returns the other instances that were home of a key and may still be running it.
    *
@@ -71,17 +85,24 @@
     while (fromNewest.hasNext()) {
       RendezvousHash.first(fromNewest.next().candidates, key).ifPresent(homes::add);
     }
+    Lost lost = lostWith.get(key);
+    if (lost != null) {
+      homes.add(lost.instance);
+    }
     homes.remove(own);
     return homes;
   }
 
   private void forget(long now) {
+    lostWith.values().removeIf(lost -> now - lost.sinceMillis > keepMillis);
     while (views.size() > 1
         && (now - views.peekFirst().endedMillis > keepMillis || views.size() > VIEWS_KEPT)) {
       views.removeFirst();
     }
   }
 
+  private record Lost(String instance, long sinceMillis) {}
+
   private static final class View {
     private final Set<String> candidates;
     private long endedMillis;
--- a/core/src/main/java/org/hickorypier/core/model/RefusalReason.java
+++ b/core/src/main/java/org/hickorypier/core/model/RefusalReason.java
@@ -21,5 +21,7 @@
   /** The caller or an operator cancelled it. */
   CANCELLED,
   /** Its tasks failed on several workers. */
-  FAILS_EVERYWHERE
+  FAILS_EVERYWHERE,
+  /** The instance that its home sent it to has no room now; it goes back and waits at home. */
+  NO_ROOM
 }
--- a/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
@@ -40,6 +40,7 @@
 import org.hickorypier.daemon.cluster.PeerRequests;
 import org.hickorypier.daemon.cluster.PermitDemands;
 import org.hickorypier.daemon.cluster.QuestionKind;
+import org.hickorypier.daemon.cluster.WorkShifter;
 import org.hickorypier.daemon.cluster.WorkerSightings;
 import org.hickorypier.daemon.configuration.ConfigurationService;
 import org.hickorypier.daemon.entry.EntryService;
@@ -126,6 +127,7 @@
   private final PermitService permits;
   private final LogStream<PermitRecord> permitStream;
   private final TaskAdopter adopter;
+  private final WorkShifter shifter;
   private final DigestBoard digests;
   private final PeerRequests requests;
   private final HttpFront front;
@@ -184,6 +186,7 @@
                 DaemonConstants.LONGEST_RUN_MILLIS),
             scheduler,
             control,
+            control,
             (placement, verdict) -> recorder().request(placement, verdict),
             new WorkMetrics(registry).andThen(rows).andThen(new PermitSeeker()));
     fleet =
@@ -270,7 +273,9 @@
             control,
             scope);
     jobs = new JobService(journal, runner, control, this::logAnswers);
-    requests.takeInBy(intake);
+    requests.takeInBy(intake, runner::runForHome);
+    shifter = new WorkShifter(cluster, scheduler, work, control, control, history, random.split());
+    network.listen(shifter);
     network.listen(digests);
     network.listen(new ConfigurationGossip(network, configuration));
   }
@@ -401,6 +406,7 @@
     configurationStream.follower().start(0);
     journalStream.follower().start(0);
     runner.start();
+    shifter.start();
     control.every(Duration.ofMillis(settings.digestMillis()), this::sendDigest);
     control.every(HISTORY_PERIOD, () -> history.note(cluster.candidates(), control.nowMillis()));
     freshness.start(requests);
--- a/daemon/src/main/java/org/hickorypier/daemon/cluster/PeerRequests.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/cluster/PeerRequests.java
@@ -4,6 +4,7 @@
 import java.util.EnumMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.hickorypier.core.model.Refusal;
@@ -31,6 +32,7 @@
   private final Readiness readiness;
   private final WorkService work;
   private HomeIntake intake;
+  private BiConsumer<Submission, Consumer<WorkResult>> journaled;
   private final Map<QuestionKind, Function<String, Uni<byte[]>>> answers =
       new EnumMap<>(QuestionKind.class);
 
@@ -51,9 +53,12 @@
    * Sets who takes in work that was forwarded to its home.
    *
    * @param homeIntake the intake
+   * @param runAttempt runs attempts of journaled work that their home has sent here
    */
-  public void takeInBy(HomeIntake homeIntake) {
+  public void takeInBy(
+      HomeIntake homeIntake, BiConsumer<Submission, Consumer<WorkResult>> runAttempt) {
     intake = homeIntake;
+    journaled = runAttempt;
     answer(QuestionKind.KNOWS, homeIntake::knows);
   }
 
@@ -94,8 +99,10 @@
               Consumer<WorkResult> answer = result -> emitter.complete(ForwardCodec.answer(result));
               if (forwarded.hops() == Cluster.TO_HOME) {
                 intake.submit(submission, answer);
+              } else if (submission.isJournaled()) {
+                journaled.accept(submission, answer);
               } else {
-                work.submit(submission, answer);
+                work.submitFromHome(submission, answer);
               }
             });
   }
--- a/daemon/src/main/java/org/hickorypier/daemon/job/JobRunner.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/job/JobRunner.java
@@ -8,6 +8,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.hickorypier.core.journal.AttemptKey;
@@ -15,6 +16,7 @@
 import org.hickorypier.core.journal.JournalTask;
 import org.hickorypier.core.journal.OpenAttempt;
 import org.hickorypier.core.model.Outcome;
+import org.hickorypier.core.model.Refusal;
 import org.hickorypier.core.model.RefusalReason;
 import org.hickorypier.core.model.Resources;
 import org.hickorypier.core.model.WorkClass;
@@ -120,6 +122,30 @@
     }
   }
 
+  /**
+   * Runs an attempt that its home has sent here. It is journaled here as the home would do it.
+   *
+   * @param submission the attempt
+   * @param answer is given the result; {@code NO_ROOM} sends the attempt back to its home
+   */
+  public void runForHome(Submission submission, Consumer<WorkResult> answer) {
+    AttemptKey key = AttemptKey.parse(submission.item().key()).orElseThrow();
+    Optional<JournalEntry> entry = journal.journal().find(key.work());
+    if (entry.isEmpty()) {
+      // The home has read the log further than we have.
+      answer.accept(
+          new WorkResult.Refused(
+              new Refusal(RefusalReason.NO_ROOM, "the journal is not read so far here", 0)));
+      return;
+    }
+    work.submitFromHome(
+        submission,
+        result -> {
+          answer.accept(result);
+          settleAttempts(key, result);
+        });
+  }
+
   /**
    * Joins a repeated request to an attempt that runs here or was answered here lately.
    *
@@ -198,24 +224,29 @@
   }
 
   private void settle(JournalEntry entry, AttemptKey key, WorkResult result) {
-    List<Attempt> attempts = recorder.release(key.workKey());
-    if (result instanceof WorkResult.Answered answered) {
-      attempts.forEach(attempt -> append(ended(attempt, answered.outcome(), answered.detail())));
-      return;
-    }
-    attempts.forEach(
-        attempt ->
-            append(
-                new AttemptVoid(
-                    attempt.team(), attempt.requestId(), attempt.index(), attempt.attempt())));
-    WorkResult.Refused refused = (WorkResult.Refused) result;
-    boolean isFinal = FINAL_REFUSALS.contains(refused.refusal().reason());
-    if (isFinal && entry.accepted().job()) {
+    settleAttempts(key, result);
+    if (result instanceof WorkResult.Refused refused
+        && FINAL_REFUSALS.contains(refused.refusal().reason())
+        && entry.accepted().job()) {
       LOGGER.log(Level.INFO, "job: {0} not run: {1}", entry.key(), refused.refusal().detail());
       endUnattempted(entry, key, refused.refusal().detail());
     }
   }
 
+  // Whoever journaled the attempts journals their ends; for work that ran at a peer that is the
+  // peer, and here there is nothing to settle.
+  private void settleAttempts(AttemptKey key, WorkResult result) {
+    for (Attempt attempt : recorder.release(key.workKey())) {
+      if (result instanceof WorkResult.Answered answered) {
+        append(ended(attempt, answered.outcome(), answered.detail()));
+      } else {
+        append(
+            new AttemptVoid(
+                attempt.team(), attempt.requestId(), attempt.index(), attempt.attempt()));
+      }
+    }
+  }
+
   private void endUnattempted(JournalEntry entry, AttemptKey key, String detail) {
     List<Integer> indexes = new ArrayList<>();
     if (key.index() == AttemptKey.WHOLE_GANG) {
--- a/daemon/src/main/java/org/hickorypier/daemon/work/WorkEntry.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/work/WorkEntry.java
@@ -24,6 +24,7 @@
   private WorkResult result;
   private boolean cancelled;
   private boolean queued;
+  private boolean movable = true;
   private int retries;
   private int startedTasks;
   private long placedMillis;
@@ -58,6 +59,15 @@
     toTell.forEach(waiter -> waiter.accept(finalResult));
   }
 
+  /** Whether it may be sent to a peer; work that was sent here by its home may not. */
+  boolean isMovable() {
+    return movable;
+  }
+
+  void setMovable(boolean mayMove) {
+    movable = mayMove;
+  }
+
   boolean isFinished() {
     return result != null;
   }
--- a/daemon/src/main/java/org/hickorypier/daemon/work/WorkService.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/work/WorkService.java
@@ -1,12 +1,16 @@
 package org.hickorypier.daemon.work;
 
+import io.smallrye.mutiny.Uni;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.Executor;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.hickorypier.core.model.Outcome;
 import org.hickorypier.core.model.Refusal;
 import org.hickorypier.core.model.RefusalReason;
@@ -31,11 +35,25 @@
 public final class WorkService implements TaskListener {
 
   private static final long RETRY_AFTER_MILLIS = 1_000;
+
+  /** A peer may first have to ask the log for permits, some tens of milliseconds. */
+  private static final Duration RETURN_AFTER = Duration.ofMillis(250);
+
+  /** After these the work has not run at the peer and waits at its home again. */
+  private static final Set<RefusalReason> RETURNED =
+      Set.of(
+          RefusalReason.NO_ROOM,
+          RefusalReason.QUEUE_FULL,
+          RefusalReason.DEADLINE_TOO_NEAR,
+          RefusalReason.NOT_READY,
+          RefusalReason.SHUTTING_DOWN);
+
   private static final Duration OVERLONG_PERIOD = Duration.ofSeconds(5);
 
   private final WorkSettings settings;
   private final Scheduler scheduler;
   private final TimerService timers;
+  private final Executor control;
   private final AttemptGate gate;
   private final WorkObserver observer;
   private final AnswerCache answers;
@@ -49,6 +67,7 @@
    * @param settings its limits
    * @param scheduler the decisions
    * @param timers the time
+   * @param control the control thread
    * @param gate says when a placement may be ordered
    * @param observer hears of the steps
    */
@@ -56,11 +75,13 @@
       WorkSettings settings,
       Scheduler scheduler,
       TimerService timers,
+      Executor control,
       AttemptGate gate,
       WorkObserver observer) {
     this.settings = settings;
     this.scheduler = scheduler;
     this.timers = timers;
+    this.control = control;
     this.gate = gate;
     this.observer = observer;
     this.answers = new AnswerCache(settings.answerKeepMillis(), settings.answerKeepBytes());
@@ -102,6 +123,64 @@
     pump();
   }
 
+  /**
+   * Takes in work that its home has sent here. It is returned as {@link RefusalReason#NO_ROOM} if
+   * it does not start within a short time, and never sent on.
+   *
+   * @param submission the work
+   * @param answer is given the final answer, on the control thread
+   */
+  public void submitFromHome(Submission submission, Consumer<WorkResult> answer) {
+    WorkKey key = submission.item().key();
+    boolean known = knows(key);
+    submit(submission, answer);
+    WorkEntry entry = entries.get(key);
+    if (known || entry == null) {
+      return;
+    }
+    entry.setMovable(false);
+    timers.after(RETURN_AFTER, () -> returnIfQueued(entry));
+  }
+
+  private void returnIfQueued(WorkEntry entry) {
+    if (entry.isQueued() && scheduler.cancelQueued(entry.item().key())) {
+      refuse(entry, new Refusal(RefusalReason.NO_ROOM, "no room at this instance", 0));
+    }
+  }
+
+  /**
+   * Sends waiting work to another instance. What comes back for want of room waits here again.
+   *
+   * @param key the work
+   * @param send sends it and gives its answer
+   * @return false if it does not wait here or may not be moved
+   */
+  public boolean shift(WorkKey key, Function<Submission, Uni<WorkResult>> send) {
+    WorkEntry entry = entries.get(key);
+    if (entry == null || !entry.isMovable() || !scheduler.cancelQueued(key)) {
+      return false;
+    }
+    entry.setQueued(false);
+    send.apply(entry.submission())
+        .subscribe()
+        .with(result -> control.execute(() -> shifted(entry, result)));
+    return true;
+  }
+
+  private void shifted(WorkEntry entry, WorkResult result) {
+    boolean returned =
+        result instanceof WorkResult.Refused refused
+            && RETURNED.contains(refused.refusal().reason());
+    if (returned && entry.isCancelled()) {
+      refuse(entry, new Refusal(RefusalReason.CANCELLED, "cancelled while it waited", 0));
+    } else if (returned) {
+      enqueue(entry);
+      pump();
+    } else {
+      finish(entry, result);
+    }
+  }
+
   /**
    * Follows a task that was found running on a worker after a takeover.
    *
@@ -150,7 +229,7 @@
    *
    * @param rule the refusal for an item, or empty to let it wait
    */
-  public void refuseQueued(java.util.function.Function<WorkItem, Optional<Refusal>> rule) {
+  public void refuseQueued(Function<WorkItem, Optional<Refusal>> rule) {
     for (WorkItem item : scheduler.queued()) {
       Optional<Refusal> refusal = rule.apply(item);
       if (refusal.isPresent() && scheduler.cancelQueued(item.key())) {
@@ -337,7 +416,10 @@
     long now = timers.nowMillis();
     entries.remove(entry.item().key());
     // A refusal is not kept: the caller may come back under the same id, and the work has not run.
-    if (result instanceof WorkResult.Answered && entry.item().workClass().isSynchronous()) {
+    // Nor is an unknown outcome of idempotent work, which may be run again.
+    boolean isOpenToRetry = result.outcome() == Outcome.UNKNOWN && entry.item().idempotent();
+    boolean isAnswer = result instanceof WorkResult.Answered && !isOpenToRetry;
+    if (isAnswer && entry.item().workClass().isSynchronous()) {
       answers.put(entry.item().key(), result, now);
     }
     observer.onFinished(entry.item(), result, now - entry.item().submittedMillis());
