--- a/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
@@ -111,7 +111,7 @@
   private final WorkerFleet fleet;
   private final LogStream<ConfigurationRecord> configurationStream;
   private final ReadinessCheck readiness;
-  private final ConfigurationKeeper keeper;
+  private final SnapshotKeeper keeper;
   private final Cluster cluster;
   private final PeerNetwork network;
   private final LocalRows rows;
@@ -175,7 +175,6 @@
     rows = new LocalRows(settings.name(), settings.dataCentre(), scheduler, control);
     owners = new TaskOwners((worker, owner) -> permits().covers(worker, owner));
     digests = new DigestBoard(scheduler, owners::isOurs);
-    keeper = new ConfigurationKeeper(configuration, configurationStream, digests, cluster);
     work =
         new WorkService(
             new WorkSettings(
@@ -224,6 +223,9 @@
         streams.open(
             DaemonConstants.PERMIT_STREAM, PermitRecord.class, PermitRecord::recordId, permits);
     permits.connect(permitStream.appender(), permitStream.follower());
+    keeper =
+        new SnapshotKeeper(
+            configuration, configurationStream, permits, permitStream, digests, cluster);
     adopter = new TaskAdopter(scheduler, work, dispatcher, control, permits, owners);
     requests = new PeerRequests(control, readiness, work);
     requests.answer(
@@ -378,7 +380,7 @@
   }
 
   private boolean isConfigured() {
-    return keeper.obstacle().isEmpty();
+    return keeper.configurationObstacle().isEmpty();
   }
 
   private String state() {
@@ -399,10 +401,10 @@
         state ->
             state.teams().values().forEach(team -> scheduler.putShare(team.name(), team.share())));
     configuration.subscribe(permits::onConfiguration);
+    keeper.start(control);
     permitStream.follower().start(0);
     permits.start();
     retirement().start();
-    keeper.start(control);
     configurationStream.follower().start(0);
     journalStream.follower().start(0);
     runner.start();
