--- a/daemon/src/main/java/org/hickorypier/daemon/peer/PeerNetwork.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/peer/PeerNetwork.java
@@ -1,6 +1,7 @@
 package org.hickorypier.daemon.peer;
 
 import io.smallrye.mutiny.Uni;
+import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetClient;
@@ -45,9 +46,6 @@
 
   private static final Logger LOGGER = System.getLogger(PeerNetwork.class.getName());
 
-  /** How often deadlines, heartbeats, silence and dials are looked at. */
-  private static final Duration TICK = Duration.ofMillis(250);
-
   /**
    * What is known of an instance that is neither listed nor linked is kept this long: far longer
    * than an instance pauses, so that its repeated requests still find their answers.
@@ -68,6 +66,7 @@
   private final PeerDialer dialer;
   private volatile Set<PeerIdentity> live = Set.of();
   private TimerSubscription ticking = () -> {};
+  private long lastCorrelation;
   private boolean closed;
 
   /**
@@ -114,7 +113,7 @@
    */
   public Uni<Integer> start() {
     server.connectHandler(socket -> open(socket, name -> name.compareTo(ownName()) < 0, () -> {}));
-    control.execute(() -> ticking = timers.every(TICK, this::tick));
+    control.execute(() -> ticking = timers.every(settings.tick(), this::tick));
     return uni(server.listen()).map(NetServer::actualPort);
   }
 
@@ -275,8 +274,15 @@
     byte[] nonce = new byte[Handshake.NONCE_BYTES];
     nonces.nextBytes(nonce);
     Handshake handshake = new Handshake(settings.secret(), settings.own(), nonce, expected);
+    Context context = Vertx.currentContext();
     PeerConnection connection =
-        new PeerConnection(socket, handshake, counters, control, new Events(whenEnded));
+        new PeerConnection(
+            socket,
+            task -> context.runOnContext(ignored -> task.run()),
+            handshake,
+            counters,
+            control,
+            new Events(whenEnded));
     connection.start();
   }
 
@@ -366,6 +372,12 @@
   /** Carries what happens on the links to the listeners. */
   private final class Links implements LinkOwner {
 
+    @Override
+    public long nextCorrelation() {
+      lastCorrelation++;
+      return lastCorrelation;
+    }
+
     @Override
     public int linkCount() {
       return live.size();
--- a/daemon/src/main/java/org/hickorypier/daemon/work/Dispatcher.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/work/Dispatcher.java
@@ -6,10 +6,12 @@
 import java.lang.System.Logger.Level;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
@@ -150,12 +152,21 @@
    * @param status what the worker says
    */
   public void onStatus(WorkerStatus status) {
+    Set<TaskId> named = new HashSet<>();
     for (TaskStatus task : status.tasks()) {
+      named.add(parse(task.taskId()));
       TaskRun run = task.state().isEnded() ? runs.get(parse(task.taskId())) : null;
       if (run != null && !run.wantsAnswer()) {
         learn(run, task);
       }
     }
+    // A worker that has restarted and was claimed again at once renews its leases as before, and
+    // says nothing of the tasks that it has forgotten. They would fill it for ever.
+    for (TaskRun run : on(status.name())) {
+      if (run.isStarted() && !run.isAsking() && !named.contains(run.task().taskId())) {
+        settle(run);
+      }
+    }
   }
 
   /**
--- a/daemon/src/test/java/org/hickorypier/daemon/peer/FakePeer.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/peer/FakePeer.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
 import org.hickorypier.daemon.time.ManualTimerService;
 import org.hickorypier.wire.message.PeerMessage;
 import org.hickorypier.wire.message.PeerMessage.Answer;
@@ -29,14 +30,22 @@
   private final ManualTimerService timers;
   FakeConnection connection;
   int linkCount = 1;
+  AtomicLong numbers = new AtomicLong();
 
   FakePeer(String name, long incarnation, ManualTimerService timers) {
+    this(
+        name,
+        incarnation,
+        timers,
+        new PeerSettings(
+            new PeerIdentity(name, incarnation), "", 0, new byte[PeerSettings.LEAST_SECRET_BYTES]));
+  }
+
+  FakePeer(String name, long incarnation, ManualTimerService timers, PeerSettings settings) {
     this.timers = timers;
     identity = new PeerIdentity(name, incarnation);
-    PeerSettings settings =
-        new PeerSettings(identity, "", 0, new byte[PeerSettings.LEAST_SECRET_BYTES]);
     link = new PeerLink(settings, timers, PeerCounters.NONE, this);
-    timers.every(Duration.ofMillis(250), link::tick);
+    timers.every(settings.tick(), link::tick);
   }
 
   /** Replaces the connection between two ends. */
@@ -92,6 +101,11 @@
     asked.get(text).complete(new Reply(PeerMessage.NO_CORRELATION, answer));
   }
 
+  @Override
+  public long nextCorrelation() {
+    return numbers.incrementAndGet();
+  }
+
   @Override
   public int linkCount() {
     return linkCount;
