--- a/measure/src/main/java/org/hickorypier/measure/takeover/LoadEntry.java
+++ b/measure/src/main/java/org/hickorypier/measure/takeover/LoadEntry.java
@@ -1,5 +1,7 @@
 package org.hickorypier.measure.takeover;
 
+import java.util.concurrent.TimeUnit;
+
 /**
  * One request of the load, and what its caller concluded.
  *
@@ -40,4 +42,11 @@
   String workKey() {
     return team + "~" + requestId + "~0";
   }
+
+  @Override
+  public String toString() {
+    long millis = TimeUnit.NANOSECONDS.toMillis(endNanos - startNanos);
+    String kind = idempotent ? "idempotent " : "not idempotent ";
+    return ending + " " + kind + workKey() + " after " + millis + " ms, " + detail;
+  }
 }
--- a/measure/src/main/java/org/hickorypier/measure/takeover/TakeoverCommand.java
+++ b/measure/src/main/java/org/hickorypier/measure/takeover/TakeoverCommand.java
@@ -75,6 +75,7 @@
     report.add("kills", figures.kills(), COUNT);
     report.add("pauses", figures.pauses(), COUNT);
     report.add("lost", figures.lost(), COUNT);
+    report.add("wrong", figures.wrong(), COUNT);
     report.add("doubled", figures.doubled(), COUNT);
     report.add("untrue_not_run", figures.untrueNotRun(), COUNT);
     report.add("over_limit", figures.overLimit(), COUNT);
--- a/measure/src/main/java/org/hickorypier/measure/takeover/TakeoverFigures.java
+++ b/measure/src/main/java/org/hickorypier/measure/takeover/TakeoverFigures.java
@@ -12,7 +12,8 @@
  * @param answered how many got their whole answer
  * @param notRun how many were refused as not run
  * @param unknown how many non-idempotent requests ended with an unknown outcome, as is allowed
- * @param lost how many got neither an answer nor a refusal, or another's answer
+ * @param lost how many got neither an answer nor a refusal
+ * @param wrong how many were told "completed" with less than their whole answer, or another's
  * @param doubled how many pieces of work ran twice at once, or twice though non-idempotent
  * @param untrueNotRun how many were refused as not run although they ran
  * @param overLimit how many tasks above their limits the teams ran at the worst moment
@@ -29,6 +30,7 @@
     int notRun,
     int unknown,
     int lost,
+    int wrong,
     int doubled,
     int untrueNotRun,
     int overLimit,
@@ -50,14 +52,14 @@
    * @return true if every count of a violation is 0
    */
   public boolean allKept() {
-    return lost + doubled + untrueNotRun + overLimit + overCapacity == 0;
+    return lost + wrong + doubled + untrueNotRun + overLimit + overCapacity == 0;
   }
 
   @Override
   public String toString() {
     return String.format(
         Locale.ROOT,
-        "requests %d, answered %d, not run %d, unknown %d, lost %d, doubled %d, untrue not run %d,"
+        "requests %d, answered %d, not run %d, unknown %d, lost %d, wrong %d, doubled %d, untrue not run %d,"
             + " over limit %d, over capacity %d, kills %d, pauses %d, longest without service %d"
             + " ms, slowest answer %d ms, examples %s",
         requests,
@@ -65,6 +67,7 @@
         notRun,
         unknown,
         lost,
+        wrong,
         doubled,
         untrueNotRun,
         overLimit,
--- a/measure/src/main/java/org/hickorypier/measure/takeover/TakeoverRun.java
+++ b/measure/src/main/java/org/hickorypier/measure/takeover/TakeoverRun.java
@@ -73,16 +73,18 @@
 
   private TakeoverFigures judge(
       List<LoadEntry> load, FleetHistory history, Disturbance disturbance) {
-    int lost = count(load, Ending.LOST) + count(load, Ending.WRONG);
+    int lost = count(load, Ending.LOST);
+    int wrong = count(load, Ending.WRONG);
     load.stream()
         .filter(entry -> entry.ending() == Ending.LOST || entry.ending() == Ending.WRONG)
-        .forEach(entry -> example(entry.ending() + " " + entry.workKey() + ", " + entry.detail()));
+        .forEach(entry -> example(entry.toString()));
     return new TakeoverFigures(
         load.size(),
         count(load, Ending.ANSWERED),
         count(load, Ending.NOT_RUN),
         count(load, Ending.UNKNOWN),
         lost + answeredButNeverRun(load, history),
+        wrong,
         doubled(load, history),
         untrueNotRun(load, history),
         overLimit(history),
