--- a/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
@@ -5,8 +5,6 @@
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
-import io.vertx.core.http.HttpServer;
-import io.vertx.core.http.HttpServerOptions;
 import io.vertx.ext.web.Router;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
@@ -19,12 +17,10 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.hickorypier.core.keys.KeyIssuer;
 import org.hickorypier.core.membership.HomeHistory;
 import org.hickorypier.core.model.WorkItem;
-import org.hickorypier.core.model.WorkKey;
 import org.hickorypier.core.permits.Holder;
 import org.hickorypier.core.scheduling.Scheduler;
 import org.hickorypier.core.scheduling.SchedulerFactory;
@@ -37,12 +33,14 @@
 import org.hickorypier.daemon.cluster.ConfigurationGossip;
 import org.hickorypier.daemon.cluster.DigestBoard;
 import org.hickorypier.daemon.cluster.FleetQueries;
+import org.hickorypier.daemon.cluster.FleetWork;
 import org.hickorypier.daemon.cluster.FreshnessService;
 import org.hickorypier.daemon.cluster.HomeIntake;
 import org.hickorypier.daemon.cluster.LocalRows;
 import org.hickorypier.daemon.cluster.PeerRequests;
 import org.hickorypier.daemon.cluster.PermitDemands;
 import org.hickorypier.daemon.cluster.QuestionKind;
+import org.hickorypier.daemon.cluster.WorkShifter;
 import org.hickorypier.daemon.cluster.WorkerSightings;
 import org.hickorypier.daemon.configuration.ConfigurationService;
 import org.hickorypier.daemon.entry.EntryService;
@@ -56,7 +54,6 @@
 import org.hickorypier.daemon.job.OrphanResolver;
 import org.hickorypier.daemon.membership.Membership;
 import org.hickorypier.daemon.metrics.WorkMetrics;
-import org.hickorypier.daemon.operator.CancelOutcome;
 import org.hickorypier.daemon.operator.ConfiguredOperators;
 import org.hickorypier.daemon.operator.OperatorApi;
 import org.hickorypier.daemon.operator.StatementExecutor;
@@ -114,6 +111,7 @@
   private final WorkerFleet fleet;
   private final LogStream<ConfigurationRecord> configurationStream;
   private final ReadinessCheck readiness;
+  private final ConfigurationKeeper keeper;
   private final Cluster cluster;
   private final PeerNetwork network;
   private final LocalRows rows;
@@ -129,9 +127,10 @@
   private final PermitService permits;
   private final LogStream<PermitRecord> permitStream;
   private final TaskAdopter adopter;
+  private final WorkShifter shifter;
   private final DigestBoard digests;
   private final PeerRequests requests;
-  private volatile HttpServer server;
+  private final HttpFront front;
 
   /**
    * Wires a daemon; nothing runs until {@link #start}.
@@ -148,6 +147,7 @@
             new Membership(own, Duration.ofMillis(settings.peerTimeoutMillis()), control),
             control);
     vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(settings.eventLoops()));
+    front = new HttpFront(vertx);
     SplittableRandom random = new SplittableRandom();
     LogService log = new HttpLogService(vertx, address(settings.logService()));
     LogStreams streams = new LogStreams(log, control, control, random);
@@ -175,6 +175,7 @@
     rows = new LocalRows(settings.name(), settings.dataCentre(), scheduler, control);
     owners = new TaskOwners((worker, owner) -> permits().covers(worker, owner));
     digests = new DigestBoard(scheduler, owners::isOurs);
+    keeper = new ConfigurationKeeper(configuration, configurationStream, digests, cluster);
     work =
         new WorkService(
             new WorkSettings(
@@ -185,6 +186,7 @@
                 DaemonConstants.LONGEST_RUN_MILLIS),
             scheduler,
             control,
+            control,
             (placement, verdict) -> recorder().request(placement, verdict),
             new WorkMetrics(registry).andThen(rows).andThen(new PermitSeeker()));
     fleet =
@@ -271,7 +273,9 @@
             control,
             scope);
     jobs = new JobService(journal, runner, control, this::logAnswers);
-    requests.takeInBy(intake);
+    requests.takeInBy(intake, runner::runForHome);
+    shifter = new WorkShifter(cluster, scheduler, work, control, control, history, random.split());
+    network.listen(shifter);
     network.listen(digests);
     network.listen(new ConfigurationGossip(network, configuration));
   }
@@ -298,11 +302,11 @@
     router.get("/metrics").handler(context -> context.end(registry.scrape()));
     int peerPort = network.start().await().atMost(START_TIMEOUT);
     control.execute(this::startControl);
-    server = listen(router);
+    int httpPort = front.listen(router, settings.host(), settings.httpPort());
     String text =
         String.format(
             "%s http %s:%d peer %s:%d",
-            settings.name(), settings.host(), server.actualPort(), settings.host(), peerPort);
+            settings.name(), settings.host(), httpPort, settings.host(), peerPort);
     LOGGER.log(Level.INFO, "daemon: {0} listens, {1}", self, text);
     return text;
   }
@@ -317,12 +321,13 @@
             rows::refused,
             () -> rows.workers(fleet),
             () -> List.of(rows.instance(this::state, configuration.current().offset(), fleet)));
+    FleetWork fleetWork = new FleetWork(cluster, requests, journal, jobs, work, scheduler, control);
     StatementExecutor executor =
         new StatementExecutor(
             configuration::current,
             queries,
-            key -> Uni.createFrom().item(scheduler.explain(key, control.nowMillis())),
-            this::cancel,
+            fleetWork,
+            fleetWork,
             configuration,
             this::behind,
             new KeyIssuer(new SecureRandom()),
@@ -335,11 +340,6 @@
         DaemonConstants.SENDER_MILLIS);
   }
 
-  private Uni<CancelOutcome> cancel(WorkKey key) {
-    boolean found = work.cancel(key, "cancelled by an operator");
-    return Uni.createFrom().item(found ? CancelOutcome.CANCELLED : CancelOutcome.NOT_FOUND);
-  }
-
   private List<String> behind(long offset) {
     Set<String> others = new HashSet<>(cluster.live());
     others.remove(settings.name());
@@ -377,12 +377,8 @@
         && journalStream.follower().millisSinceHeard() < DaemonConstants.LOG_SILENT_MILLIS;
   }
 
-  // Reading the log to its end is not enough: if the records before the oldest one have expired and
-  // no snapshot was found yet, the state lacks them.
   private boolean isConfigured() {
-    long folded = configuration.current().offset();
-    boolean whole = folded + 1 >= configurationStream.follower().nextOffset();
-    return whole && (configurationStream.follower().isCaughtUp() || folded >= 0);
+    return keeper.obstacle().isEmpty();
   }
 
   private String state() {
@@ -406,9 +402,11 @@
     permitStream.follower().start(0);
     permits.start();
     retirement().start();
+    keeper.start(control);
     configurationStream.follower().start(0);
     journalStream.follower().start(0);
     runner.start();
+    shifter.start();
     control.every(Duration.ofMillis(settings.digestMillis()), this::sendDigest);
     control.every(HISTORY_PERIOD, () -> history.note(cluster.candidates(), control.nowMillis()));
     freshness.start(requests);
@@ -436,21 +434,6 @@
         .end(obstacle.orElse("ready") + "\n");
   }
 
-  private HttpServer listen(Router router) throws DaemonStartException {
-    try {
-      return vertx
-          .createHttpServer(new HttpServerOptions().setHost(settings.host()))
-          .requestHandler(router)
-          .listen(settings.httpPort(), settings.host())
-          .toCompletionStage()
-          .toCompletableFuture()
-          .get();
-    } catch (ExecutionException | InterruptedException error) {
-      throw new DaemonStartException(
-          "cannot listen on " + settings.host() + ":" + settings.httpPort(), error);
-    }
-  }
-
   /** Takes no new work, waits for work in progress, then stops. Idempotent. */
   @Override
   public void close() {
@@ -476,7 +459,7 @@
       Thread.currentThread().interrupt();
     }
     long left = Math.max(DaemonConstants.TICK_MILLIS, until - control.nowMillis());
-    new TrafficStop(vertx, Optional.ofNullable(server)).stop(Duration.ofMillis(left));
+    front.stop(Duration.ofMillis(left));
     control.close();
     LOGGER.log(Level.INFO, "daemon: stopped");
   }
