--- a/measure/src/main/java/org/hickorypier/measure/takeover/TakeoverFigures.java
+++ b/measure/src/main/java/org/hickorypier/measure/takeover/TakeoverFigures.java
@@ -60,8 +60,8 @@
     return String.format(
         Locale.ROOT,
         "requests %d, answered %d, not run %d, unknown %d, lost %d, wrong %d, doubled %d,"
-            + " untrue not run %d, over limit %d, over capacity %d, kills %d, pauses %d, longest without service %d"
-            + " ms, slowest answer %d ms, examples %s",
+            + " untrue not run %d, over limit %d, over capacity %d, kills %d, pauses %d,"
+            + " longest without service %d ms, slowest answer %d ms, examples %s",
         requests,
         answered,
         notRun,
