Explain that work runs instead of calling it unknown

Change: if nobody says why the work waits, the running tasks of the fleet are looked at.

Core is not touched here.

--- a/daemon/src/main/java/org/hickorypier/daemon/operator/QueryExecutor.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/operator/QueryExecutor.java
@@ -50,7 +50,23 @@
   }
 
   private Uni<StatementResult> explain(WorkKey key) {
-    return explainer.explain(key).map(sentence -> explained(key, sentence));
+    return explainer
+        .explain(key)
+        .flatMap(sentence -> sentence.isPresent() ? Uni.createFrom().item(sentence) : running(key))
+        .map(sentence -> explained(key, sentence));
+  }
+
+  // Work that runs waits nowhere, so no instance explains it. "Nobody knows it" would be wrong, and
+  // an operator might take it for lost.
+  private Uni<Optional<String>> running(WorkKey key) {
+    return fleet
+        .running()
+        .map(
+            all ->
+                all.rows().stream()
+                    .filter(row -> row.key().equals(key))
+                    .map(row -> "it does not wait, it runs on " + row.worker())
+                    .findFirst());
   }
 
   private static StatementResult explained(WorkKey key, Optional<String> sentence) {
--- a/daemon/src/test/java/org/hickorypier/daemon/operator/StatementExecutorTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/operator/StatementExecutorTest.java
@@ -220,6 +220,13 @@
     assertThat(((Accepted) run(statement)).note()).isEqualTo(note);
   }
 
+  @Test
+  void explainsThatWorkRuns() {
+    Table table = (Table) run("explain labels/r-1");
+
+    assertThat(table.rows().get(0).get(1).shown()).isEqualTo("it does not wait, it runs on w1");
+  }
+
   @Test
   void cancels() {
     assertThat(run("cancel labels/r-1"))
