--- a/daemon/src/main/java/org/hickorypier/daemon/permit/PermitService.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/permit/PermitService.java
@@ -1,5 +1,6 @@
 package org.hickorypier.daemon.permit;
 
+import io.smallrye.mutiny.Uni;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.time.Duration;
@@ -20,6 +21,7 @@
 import org.hickorypier.core.model.TaskId;
 import org.hickorypier.core.permits.Holder;
 import org.hickorypier.core.permits.LocalPermits;
+import org.hickorypier.core.permits.PermitSnapshots;
 import org.hickorypier.core.permits.PermitState;
 import org.hickorypier.core.permits.PlannedPermits;
 import org.hickorypier.daemon.log.LogAppendException;
@@ -173,6 +175,17 @@
     append(local.fence(gone));
   }
 
+  /**
+   * Publishes a snapshot of the permits of all.
+   *
+   * @param instance the instance that publishes it
+   * @return the offset at which it was read back
+   */
+  public Uni<Long> publishSnapshot(String instance) {
+    return appender.append(
+        PermitSnapshots.write(instance + "/" + local.state().offset(), local.state()));
+  }
+
   /**
    * Appends a record.
    *
