--- a/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
@@ -40,6 +40,7 @@
 import org.hickorypier.daemon.cluster.PeerRequests;
 import org.hickorypier.daemon.cluster.PermitDemands;
 import org.hickorypier.daemon.cluster.QuestionKind;
+import org.hickorypier.daemon.cluster.WorkShifter;
 import org.hickorypier.daemon.cluster.WorkerSightings;
 import org.hickorypier.daemon.configuration.ConfigurationService;
 import org.hickorypier.daemon.entry.EntryService;
@@ -110,7 +111,7 @@
   private final WorkerFleet fleet;
   private final LogStream<ConfigurationRecord> configurationStream;
   private final ReadinessCheck readiness;
-  private final ConfigurationKeeper keeper;
+  private final SnapshotKeeper keeper;
   private final Cluster cluster;
   private final PeerNetwork network;
   private final LocalRows rows;
@@ -126,6 +127,7 @@
   private final PermitService permits;
   private final LogStream<PermitRecord> permitStream;
   private final TaskAdopter adopter;
+  private final WorkShifter shifter;
   private final DigestBoard digests;
   private final PeerRequests requests;
   private final HttpFront front;
@@ -173,7 +175,6 @@
     rows = new LocalRows(settings.name(), settings.dataCentre(), scheduler, control);
     owners = new TaskOwners((worker, owner) -> permits().covers(worker, owner));
     digests = new DigestBoard(scheduler, owners::isOurs);
-    keeper = new ConfigurationKeeper(configuration, configurationStream, digests, cluster);
     work =
         new WorkService(
             new WorkSettings(
@@ -184,6 +185,7 @@
                 DaemonConstants.LONGEST_RUN_MILLIS),
             scheduler,
             control,
+            control,
             (placement, verdict) -> recorder().request(placement, verdict),
             new WorkMetrics(registry).andThen(rows).andThen(new PermitSeeker()));
     fleet =
@@ -221,6 +223,9 @@
         streams.open(
             DaemonConstants.PERMIT_STREAM, PermitRecord.class, PermitRecord::recordId, permits);
     permits.connect(permitStream.appender(), permitStream.follower());
+    keeper =
+        new SnapshotKeeper(
+            configuration, configurationStream, permits, permitStream, digests, cluster);
     adopter = new TaskAdopter(scheduler, work, dispatcher, control, permits, owners);
     requests = new PeerRequests(control, readiness, work);
     requests.answer(
@@ -270,7 +275,9 @@
             control,
             scope);
     jobs = new JobService(journal, runner, control, this::logAnswers);
-    requests.takeInBy(intake);
+    requests.takeInBy(intake, runner::runForHome);
+    shifter = new WorkShifter(cluster, scheduler, work, control, control, history, random.split());
+    network.listen(shifter);
     network.listen(digests);
     network.listen(new ConfigurationGossip(network, configuration));
   }
@@ -373,7 +380,7 @@
   }
 
   private boolean isConfigured() {
-    return keeper.obstacle().isEmpty();
+    return keeper.configurationObstacle().isEmpty();
   }
 
   private String state() {
@@ -394,13 +401,14 @@
         state ->
             state.teams().values().forEach(team -> scheduler.putShare(team.name(), team.share())));
     configuration.subscribe(permits::onConfiguration);
+    keeper.start(control);
     permitStream.follower().start(0);
     permits.start();
     retirement().start();
-    keeper.start(control);
     configurationStream.follower().start(0);
     journalStream.follower().start(0);
     runner.start();
+    shifter.start();
     control.every(Duration.ofMillis(settings.digestMillis()), this::sendDigest);
     control.every(HISTORY_PERIOD, () -> history.note(cluster.candidates(), control.nowMillis()));
     freshness.start(requests);
