--- a/core/src/main/java/org/hickorypier/core/scheduling/FairOrder.java
+++ b/core/src/main/java/org/hickorypier/core/scheduling/FairOrder.java
@@ -31,10 +31,6 @@
     return teams.computeIfAbsent(name, TeamState::new);
   }
 
-  Iterable<TeamState> teams() {
-    return teams.values();
-  }
-
   /** Returns the teams with waiting work, in order; no team may be changed while it is read. */
   Iterable<TeamState> waiting() {
     return waiting;
--- a/core/src/main/java/org/hickorypier/core/scheduling/TeamState.java
+++ b/core/src/main/java/org/hickorypier/core/scheduling/TeamState.java
@@ -115,10 +115,6 @@
     share = newShare;
   }
 
-  double share() {
-    return share;
-  }
-
   Resources used() {
     return used;
   }
--- a/measure/src/main/java/org/hickorypier/measure/Report.java
+++ b/measure/src/main/java/org/hickorypier/measure/Report.java
@@ -6,7 +6,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
-import java.util.Optional;
 
 /**
  * The figures of one run, and the directory for its plots.
@@ -89,16 +88,6 @@
     return List.copyOf(figures);
   }
 
-  /**
-   * Looks a figure up.
-   *
-   * @param key the name
-   * @return its value, if there is one
-   */
-  public Optional<String> value(String key) {
-    return figures.stream().filter(f -> f.key().equals(key)).map(Figure::value).findFirst();
-  }
-
   private static String format(double value) {
     if (value == Math.rint(value) && Math.abs(value) < 1e12) {
       return String.valueOf((long) value);
--- a/measure/src/main/java/org/hickorypier/measure/WorkMix.java
+++ b/measure/src/main/java/org/hickorypier/measure/WorkMix.java
@@ -64,10 +64,6 @@
     return workers;
   }
 
-  static Resources capacity() {
-    return CAPACITY;
-  }
-
   WorkItem next(long now) {
     int pick = random.nextInt(100);
     if (pick < 10) {
