--- a/daemon/src/main/java/org/hickorypier/daemon/peer/PeerConnection.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/peer/PeerConnection.java
@@ -107,7 +107,8 @@
         take(message);
       }
     } catch (FrameException | UndecodableException | HandshakeException error) {
-      LOGGER.log(Level.INFO, "peer: closing {0}: {1}", socket.remoteAddress(), error.getMessage());
+      String why = socket.remoteAddress() + ", " + error.getMessage();
+      control.execute(() -> owner.refused(this, why));
       counters.dropped("bad connection");
       socket.handler(ignored -> {});
       socket.close();
--- a/daemon/src/test/java/org/hickorypier/daemon/peer/FakeSocket.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/peer/FakeSocket.java
@@ -4,6 +4,7 @@
 import io.vertx.core.Handler;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetSocket;
+import io.vertx.core.net.SocketAddress;
 import java.lang.reflect.Proxy;
 import java.util.ArrayList;
 import java.util.List;
@@ -40,6 +41,10 @@
       case "resume":
         paused = method.equals("pause");
         return proxy;
+      case "close":
+        return Future.succeededFuture();
+      case "remoteAddress":
+        return SocketAddress.inetSocketAddress(1, "127.0.0.1");
       case "write":
         written.add(((Buffer) arguments[0]).getBytes());
         return Future.succeededFuture();
--- a/daemon/src/test/java/org/hickorypier/daemon/peer/PeerConnectionTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/peer/PeerConnectionTest.java
@@ -43,6 +43,19 @@
     assertThat(owner.received).isEqualTo(256);
   }
 
+  // Somebody sends what cannot be read, again and again on one connection. It is told to the owner,
+  // who logs once in a while, and not logged each time; what comes after it is not read.
+  @Test
+  void unreadableBytesAreToldOnce() throws Exception {
+    authenticate();
+    for (int count = 0; count < 50; count++) {
+      socket.deliver(new byte[] {0, 0, 0, 1, 9, 9});
+    }
+    control.forEach(Runnable::run);
+
+    assertThat(owner.refused).isEqualTo(1);
+  }
+
   private FrameSeal authenticate() throws Exception {
     PeerConnection connection =
         new PeerConnection(
@@ -74,6 +87,7 @@
 
   private static final class Counting implements ConnectionOwner {
     private int received;
+    private int refused;
 
     @Override
     public void opened(PeerConnection connection) {}
@@ -87,7 +101,9 @@
     }
 
     @Override
-    public void refused(PeerConnection connection, String why) {}
+    public void refused(PeerConnection connection, String why) {
+      refused++;
+    }
 
     @Override
     public void drained(PeerConnection connection) {}
