List lost requests before wrong answers among the examples of bin/measure takeover

Lost: an idempotent request forwarded to the killed home; four tries of 8 s joined the first one, which waits for the link until deadline plus ten minutes. Wrong: a request that is not idempotent, repeated after its home died, is answered 200 completed with an empty body (JobService.again).

--- a/measure/src/main/java/org/hickorypier/measure/takeover/TakeoverRun.java
+++ b/measure/src/main/java/org/hickorypier/measure/takeover/TakeoverRun.java
@@ -75,9 +75,12 @@
       List<LoadEntry> load, FleetHistory history, Disturbance disturbance) {
     int lost = count(load, Ending.LOST);
     int wrong = count(load, Ending.WRONG);
-    load.stream()
-        .filter(entry -> entry.ending() == Ending.LOST || entry.ending() == Ending.WRONG)
-        .forEach(entry -> example(entry.toString()));
+    for (Ending bad : List.of(Ending.LOST, Ending.WRONG)) {
+      load.stream()
+          .filter(entry -> entry.ending() == bad)
+          .limit(EXAMPLES / 2)
+          .forEach(entry -> example(entry.toString()));
+    }
     return new TakeoverFigures(
         load.size(),
         count(load, Ending.ANSWERED),
