Answer callers of a lost home at once, fetch kept answers, forget old rates; drains and cancels

Lost: a request sent to a home that died stayed open until its deadline plus ten minutes. Wrong: a request that is not idempotent, repeated after its home had died, got 200 without a body. Refused beside idle workers: the decayed rate of a quiet team was taken for the present (waits of an hour). Ruled out: the links (they settle what the other side can still answer); a second run for the answer. Change: Cluster gives open sends up when the target is gone; KeptAnswers fetches the answer from the worker, else 410 with the outcome; DecayedRate knows nothing below half an event. A repeated request has its own deadline. A drained instance takes no new work and still serves operators; an operator's cancel finds running requests; rows count a task at its owner only.

--- a/core/src/main/java/org/hickorypier/core/journal/JournalTask.java
+++ b/core/src/main/java/org/hickorypier/core/journal/JournalTask.java
@@ -12,6 +12,7 @@
 public final class JournalTask {
 
   private int lastAttempt;
+  private String lastWorker = "";
   private OpenAttempt open;
   private Outcome outcome;
   private String detail = "";
@@ -29,6 +30,15 @@
     return lastAttempt;
   }
 
+  /**
+   * Returns the worker of the last attempt, which may still hold its answer.
+   *
+   * @return the worker's name, empty if there was no attempt
+   */
+  public String lastWorker() {
+    return lastWorker;
+  }
+
   /**
    * Returns the attempt that may be running.
    *
@@ -59,6 +69,7 @@
   void begin(OpenAttempt attempt) {
     open = attempt;
     lastAttempt = attempt.attempt();
+    lastWorker = attempt.worker();
   }
 
   void close() {
--- a/core/src/main/java/org/hickorypier/core/scheduling/DecayedRate.java
+++ b/core/src/main/java/org/hickorypier/core/scheduling/DecayedRate.java
@@ -12,6 +12,9 @@
   /** A few events in the first millisecond are no rate. */
   private static final double LEAST_SEEN_MILLIS = 1_000;
 
+  /** Below this, what is left of old events says nothing of the present. */
+  private static final double LEAST_WEIGHT = 0.5;
+
   private final double windowMillis;
   private double weight;
   private long firstMillis;
@@ -37,9 +40,14 @@
     latestMillis = now;
   }
 
-  /** Returns the events a second; while young, over the time since the first event. */
+  /**
+   * Returns the events a second; while young, over the time since the first event. Once less than
+   * half an event is left in the window nothing is known any more, and the rate is 0. Without that,
+   * an instance whose team had been quiet, or waited for permits, took the remainder of an old rate
+   * for the present one, estimated a wait of an hour, and refused work beside idle workers.
+   */
   double perSecond(long now) {
-    if (!any) {
+    if (!any || decayed(now) < LEAST_WEIGHT) {
       return 0;
     }
     double seen = Math.max(LEAST_SEEN_MILLIS, now - firstMillis);
--- a/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
@@ -51,6 +51,7 @@
 import org.hickorypier.daemon.job.JobScope;
 import org.hickorypier.daemon.job.JobService;
 import org.hickorypier.daemon.job.JournalService;
+import org.hickorypier.daemon.job.KeptAnswers;
 import org.hickorypier.daemon.job.OrphanResolver;
 import org.hickorypier.daemon.membership.Membership;
 import org.hickorypier.daemon.metrics.WorkMetrics;
@@ -170,10 +171,15 @@
             configurationStream.follower()::millisSinceHeard,
             () -> configuration.current().offset());
     readiness =
-        new ReadinessCheck(this::isConfigured, freshness::ageMillis, settings.freshnessMillis());
+        new ReadinessCheck(
+            this::isConfigured,
+            freshness::ageMillis,
+            () -> configuration.current().isDraining(settings.name()),
+            settings.freshnessMillis());
     scheduler = SchedulerFactory.create(SchedulerSettings.defaults(), random.nextLong());
-    rows = new LocalRows(settings.name(), settings.dataCentre(), scheduler, control);
     owners = new TaskOwners((worker, owner) -> permits().covers(worker, owner));
+    rows =
+        new LocalRows(settings.name(), settings.dataCentre(), scheduler, control, owners::isOurs);
     digests = new DigestBoard(scheduler, owners::isOurs);
     work =
         new WorkService(
@@ -274,7 +280,8 @@
             work,
             control,
             scope);
-    jobs = new JobService(journal, runner, control, this::logAnswers);
+    jobs =
+        new JobService(journal, runner, new KeptAnswers(fleet, control), control, this::logAnswers);
     requests.takeInBy(intake, runner::runForHome);
     shifter = new WorkShifter(cluster, scheduler, work, control, control, history, random.split());
     network.listen(shifter);
@@ -337,7 +344,7 @@
     return new OperatorApi(
         executor,
         new ConfiguredOperators(configuration::current, settings.operatorKey()),
-        readiness::obstacle,
+        readiness::configurationObstacle,
         control,
         DaemonConstants.SENDER_MILLIS);
   }
@@ -384,6 +391,9 @@
   }
 
   private String state() {
+    if (configuration.current().isDraining(settings.name())) {
+      return "draining";
+    }
     return readiness.obstacle().isEmpty() ? "ready" : "not ready";
   }
 
@@ -411,6 +421,7 @@
     shifter.start();
     control.every(Duration.ofMillis(settings.digestMillis()), this::sendDigest);
     control.every(HISTORY_PERIOD, () -> history.note(cluster.candidates(), control.nowMillis()));
+    cluster.start();
     freshness.start(requests);
     dispatcher.start();
     fleet.start(adopter);
--- a/daemon/src/main/java/org/hickorypier/daemon/caller/CallerApi.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/caller/CallerApi.java
@@ -31,6 +31,7 @@
   private static final List<WorkClass> JOB_CLASSES =
       List.of(WorkClass.BATCH, WorkClass.GANG, WorkClass.SERVICE);
   private static final String BEARER = "Bearer ";
+  private static final int STATUS_GONE = 410;
   private static final int STATUS_FAILED = 502;
   private static final int STATUS_UNKNOWN = 504;
 
@@ -148,7 +149,10 @@
     }
     WorkResult.Answered answered = (WorkResult.Answered) result;
     outcome(response, answered.outcome());
-    if (answered.outcome() == Outcome.COMPLETED) {
+    boolean isBodyLost = answered.body().length == 0 && !answered.detail().isEmpty();
+    if (answered.outcome() == Outcome.COMPLETED && isBodyLost) {
+      end(response, STATUS_GONE, message(answered.detail()));
+    } else if (answered.outcome() == Outcome.COMPLETED) {
       end(response, 200, Buffer.buffer(answered.body()));
     } else {
       int status = answered.outcome() == Outcome.FAILED ? STATUS_FAILED : STATUS_UNKNOWN;
--- a/daemon/src/main/java/org/hickorypier/daemon/cluster/Cluster.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/cluster/Cluster.java
@@ -1,6 +1,7 @@
 package org.hickorypier.daemon.cluster;
 
 import io.smallrye.mutiny.Uni;
+import io.smallrye.mutiny.subscription.UniEmitter;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.nio.charset.StandardCharsets;
@@ -8,6 +9,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.stream.Collectors;
 import org.hickorypier.core.configuration.Configuration;
 import org.hickorypier.core.configuration.Drain;
@@ -51,6 +53,7 @@
   /** Hops of work that its home has sent on; it goes no further, so it cannot go round. */
   static final int FROM_HOME = 2;
 
+  private static final Duration LOST_PERIOD = Duration.ofMillis(250);
   private static final Duration QUESTION_TIMEOUT = Duration.ofSeconds(5);
 
   private final PeerIdentity own;
@@ -59,6 +62,7 @@
   private Configuration configuration = Configuration.EMPTY;
   private PeerNetwork network;
   private Set<String> listedOthers = Set.of();
+  private final Set<OpenSend> openSends = ConcurrentHashMap.newKeySet();
   private boolean shuttingDown;
 
   /**
@@ -227,14 +231,32 @@
   private Uni<WorkResult> send(String instance, Submission submission, int hops) {
     long now = timers.nowMillis();
     long remaining = Math.max(0, submission.item().deadlineMillis() - now);
-    return network
-        .request(
-            instance,
-            ForwardCodec.work(submission, hops, now),
-            Duration.ofMillis(remaining + RUN_ALLOWANCE_MILLIS))
-        .map(answer -> ForwardCodec.result((ForwardedAnswer) answer))
-        .onFailure()
-        .recoverWithItem(Cluster::unanswered);
+    Uni<WorkResult> answered =
+        network
+            .request(
+                instance,
+                ForwardCodec.work(submission, hops, now),
+                Duration.ofMillis(remaining + RUN_ALLOWANCE_MILLIS))
+            .map(answer -> ForwardCodec.result((ForwardedAnswer) answer))
+            .onFailure()
+            .recoverWithItem(Cluster::unanswered);
+    return Uni.createFrom().emitter(emitter -> new OpenSend(instance, emitter).start(answered));
+  }
+
+  /** Starts to look after work that was sent to instances which are gone. */
+  public void start() {
+    timers.every(LOST_PERIOD, this::giveUpLost);
+  }
+
+  // A request to an instance that is gone would stay open until its deadline, since the link waits
+  // for the instance to come back. The caller is told at once that nobody knows.
+  private void giveUpLost() {
+    Set<String> live = members.live();
+    for (OpenSend open : List.copyOf(openSends)) {
+      if (!live.contains(open.instance)) {
+        open.finish(unanswered(new PeerException(open.instance + " is gone", true)));
+      }
+    }
   }
 
   // A home that was lost after it took the work may have run it. Only a refusal by the link itself,
@@ -268,4 +290,27 @@
     int slash = text.indexOf('/');
     return new WorkKey(text.substring(0, Math.max(0, slash)), text.substring(slash + 1));
   }
+
+  /** Work that was sent to another instance and is not answered. */
+  private final class OpenSend {
+
+    private final String instance;
+    private final UniEmitter<? super WorkResult> emitter;
+
+    OpenSend(String instance, UniEmitter<? super WorkResult> emitter) {
+      this.instance = instance;
+      this.emitter = emitter;
+    }
+
+    void start(Uni<WorkResult> answered) {
+      openSends.add(this);
+      answered.subscribe().with(this::finish);
+    }
+
+    void finish(WorkResult result) {
+      if (openSends.remove(this)) {
+        emitter.complete(result);
+      }
+    }
+  }
 }
--- a/daemon/src/main/java/org/hickorypier/daemon/cluster/FleetWork.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/cluster/FleetWork.java
@@ -3,8 +3,10 @@
 import io.smallrye.mutiny.Uni;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.hickorypier.core.journal.AttemptKey;
 import org.hickorypier.core.journal.JournalEntry;
 import org.hickorypier.core.model.WorkItem;
@@ -88,10 +90,13 @@
   }
 
   private boolean cancelHere(WorkKey key) {
-    boolean found = work.cancel(key, DETAIL);
-    for (WorkItem item : scheduler.queued()) {
-      boolean isAttempt = AttemptKey.workOf(item.key()).equals(key);
-      found |= isAttempt && work.cancel(item.key(), DETAIL);
+    Set<WorkKey> keys = new HashSet<>();
+    keys.add(key);
+    scheduler.queued().forEach(item -> keys.add(item.key()));
+    scheduler.placed().forEach(task -> keys.add(task.taskId().key()));
+    boolean found = false;
+    for (WorkKey known : keys) {
+      found |= AttemptKey.workOf(known).equals(key) && work.cancel(known, DETAIL);
     }
     return found;
   }
--- a/daemon/src/main/java/org/hickorypier/daemon/cluster/LocalRows.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/cluster/LocalRows.java
@@ -5,10 +5,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.hickorypier.core.journal.AttemptKey;
 import org.hickorypier.core.model.WorkItem;
 import org.hickorypier.core.model.WorkerDescription;
+import org.hickorypier.core.scheduling.PlacedTask;
 import org.hickorypier.core.scheduling.Scheduler;
 import org.hickorypier.core.scheduling.WorkerRoom;
 import org.hickorypier.daemon.operator.InstanceRow;
@@ -36,6 +38,7 @@
   private final String dataCentre;
   private final Scheduler scheduler;
   private final TimerService timers;
+  private final Predicate<PlacedTask> isOurs;
   private final Deque<KeptRefusal> refusals = new ArrayDeque<>();
 
   /**
@@ -45,12 +48,19 @@
    * @param dataCentre its data centre
    * @param scheduler the decisions
    * @param timers the time
+   * @param isOurs whether a placed task counts as this instance's; its owner tells of the others
    */
-  public LocalRows(String name, String dataCentre, Scheduler scheduler, TimerService timers) {
+  public LocalRows(
+      String name,
+      String dataCentre,
+      Scheduler scheduler,
+      TimerService timers,
+      Predicate<PlacedTask> isOurs) {
     this.name = name;
     this.dataCentre = dataCentre;
     this.scheduler = scheduler;
     this.timers = timers;
+    this.isOurs = isOurs;
   }
 
   /**
@@ -62,6 +72,7 @@
     Map<String, WorkerDescription> workers = new HashMap<>();
     scheduler.workers().forEach(room -> workers.put(room.worker().name(), room.worker()));
     return scheduler.placed().stream()
+        .filter(isOurs)
         .map(
             task -> {
               WorkerDescription worker = workers.get(task.worker());
@@ -157,7 +168,7 @@
         state.get(),
         offset,
         fleet.held().size(),
-        scheduler.placed().size(),
+        running().size(),
         scheduler.queued().size());
   }
 
--- a/daemon/src/main/java/org/hickorypier/daemon/entry/ReadinessCheck.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/entry/ReadinessCheck.java
@@ -16,6 +16,7 @@
 
   private final BooleanSupplier caughtUp;
   private final LongSupplier configurationAgeMillis;
+  private final BooleanSupplier draining;
   private final long freshnessMillis;
   private boolean shuttingDown;
 
@@ -24,12 +25,17 @@
    *
    * @param caughtUp whether the configuration was once read to its end
    * @param configurationAgeMillis for how long changes may have been missed
+   * @param draining whether an operator drains this instance
    * @param freshnessMillis the longest such time
    */
   public ReadinessCheck(
-      BooleanSupplier caughtUp, LongSupplier configurationAgeMillis, long freshnessMillis) {
+      BooleanSupplier caughtUp,
+      LongSupplier configurationAgeMillis,
+      BooleanSupplier draining,
+      long freshnessMillis) {
     this.caughtUp = caughtUp;
     this.configurationAgeMillis = configurationAgeMillis;
+    this.draining = draining;
     this.freshnessMillis = freshnessMillis;
   }
 
@@ -43,6 +49,19 @@
     if (shuttingDown) {
       return Optional.of("this instance is shutting down");
     }
+    if (draining.getAsBoolean()) {
+      return Optional.of("this instance is being drained");
+    }
+    return configurationObstacle();
+  }
+
+  /**
+   * Returns why the configuration cannot be relied on. Operators are served while an instance is
+   * drained, or nobody could end the draining.
+   *
+   * @return a sentence, or empty if it can
+   */
+  public Optional<String> configurationObstacle() {
     if (!caughtUp.getAsBoolean()) {
       return Optional.of("this instance has not read the configuration yet");
     }
--- a/daemon/src/main/java/org/hickorypier/daemon/job/JobRunner.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/job/JobRunner.java
@@ -104,6 +104,7 @@
    *
    * @param entry the accepted work
    * @param key the attempt
+   * @param deadlineMillis the latest start that is of use
    * @param payload what the tasks are given
    * @param answer is given the result before it is journaled
    */
@@ -157,7 +158,7 @@
   boolean join(JournalEntry entry, AttemptKey key, Consumer<WorkResult> answer) {
     boolean known = work.knows(key.workKey());
     if (known) {
-      work.submit(new Submission(item(entry, key), entry.accepted().payload()), answer);
+      work.submit(new Submission(item(entry, key, 0), entry.accepted().payload()), answer);
     }
     return known;
   }
@@ -216,9 +217,13 @@
   }
 
   private void submitAttempt(JournalEntry entry, int index, int attempt) {
+    // The time of acceptance is in no instance's clock but that of the one which accepted it. A new
+    // home counts the deadline from when it first saw the work: a job may start late, never twice.
+    long deadline = openJob(entry).firstSeenMillis + entry.accepted().deadlineMillis();
     submit(
         entry,
         new AttemptKey(entry.key(), index, attempt),
+        deadline,
         entry.accepted().payload(),
         result -> {});
   }
@@ -282,12 +287,9 @@
     journal.append(record).subscribe().with(offset -> {}, error -> {});
   }
 
-  private WorkItem item(JournalEntry entry, AttemptKey key) {
+  private WorkItem item(JournalEntry entry, AttemptKey key, long deadlineMillis) {
     Accepted accepted = entry.accepted();
     long now = timers.nowMillis();
-    // The time of acceptance is in no instance's clock but that of the one which accepted it. A new
-    // home counts the deadline from when it first saw the work: a job may start late, never twice.
-    long seen = openJob(entry).firstSeenMillis;
     return new WorkItem(
         key.workKey(),
         WorkClass.valueOf(accepted.workClass()),
@@ -297,7 +299,7 @@
         key.index() == AttemptKey.WHOLE_GANG ? accepted.tasks() : 1,
         accepted.idempotent(),
         now,
-        seen + accepted.deadlineMillis(),
+        deadlineMillis,
         accepted.runMillis());
   }
 
--- a/daemon/src/main/java/org/hickorypier/daemon/job/JobService.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/job/JobService.java
@@ -39,6 +39,7 @@
 
   private final JournalService journal;
   private final JobRunner runner;
+  private final KeptAnswers kept;
   private final TimerService timers;
   private final BooleanSupplier logAnswers;
 
@@ -47,13 +48,19 @@
    *
    * @param journal the journal
    * @param runner runs the attempts
+   * @param kept fetches answers that workers still hold
    * @param timers the time
    * @param logAnswers whether the log has been heard of late
    */
   public JobService(
-      JournalService journal, JobRunner runner, TimerService timers, BooleanSupplier logAnswers) {
+      JournalService journal,
+      JobRunner runner,
+      KeptAnswers kept,
+      TimerService timers,
+      BooleanSupplier logAnswers) {
     this.journal = journal;
     this.runner = runner;
+    this.kept = kept;
     this.timers = timers;
     this.logAnswers = logAnswers;
   }
@@ -144,20 +151,22 @@
           new WorkResult.Refused(
               new Refusal(RefusalReason.CANCELLED, "a job has this id already", 0)));
     } else if (task.outcome().isPresent()) {
-      answer.accept(
-          new WorkResult.Answered(
-              task.outcome().get(),
-              "it ran before as " + task.outcome().get().text() + "; its answer is not kept",
-              new byte[0]));
+      kept.fetch(last, task, body -> answer.accept(ranBefore(task.outcome().get(), body)));
     } else if (task.open().isPresent()) {
       answer.accept(
           new WorkResult.Answered(
               Outcome.UNKNOWN, "an earlier attempt may be running", new byte[0]));
     } else {
-      runner.submit(entry, next, submission.payload(), answer);
+      runner.submit(entry, next, submission.item().deadlineMillis(), submission.payload(), answer);
     }
   }
 
+  private static WorkResult ranBefore(Outcome outcome, Optional<byte[]> body) {
+    String detail =
+        body.isPresent() ? "" : "it ran before as " + outcome.text() + "; its answer is not kept";
+    return new WorkResult.Answered(outcome, detail, body.orElse(new byte[0]));
+  }
+
   private Uni<Long> withinWait(Uni<Long> appended, JournalRecord record) {
     return Uni.createFrom()
         .emitter(
