Show that callers wait for a dead home without an answer (red)

Cause: PeerLink keeps an open request until the peer links again under another incarnation, or until the request's deadline plus ten minutes (Cluster.RUN_ALLOWANCE_MILLIS). A home killed for good does neither, so a caller whose request another instance had forwarded there hears nothing.

--- /dev/null
+++ b/acceptance/src/test/java/org/hickorypier/acceptance/process/HomeFailureTest.java
@@ -0,0 +1,60 @@
+package org.hickorypier.acceptance.process;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.hickorypier.measure.fleet.CallerAnswer;
+import org.hickorypier.measure.fleet.EntryProcess;
+import org.hickorypier.measure.fleet.Fleet;
+import org.hickorypier.measure.fleet.FleetException;
+import org.hickorypier.measure.fleet.FleetSettings;
+import org.hickorypier.measure.fleet.RequestForm;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The home of a request dies while another instance holds the caller's connection. */
+class HomeFailureTest {
+
+  private static final String TEAM = "labels";
+
+  /**
+   * Every caller of a live instance hears something, on its first and only try: the answer, or what
+   * is known of it. A third of the requests has its home at the instance that is killed.
+   */
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void callersOfLiveInstancesAreAnsweredWhenTheHomeDies(boolean idempotent) throws FleetException {
+    try (Fleet fleet = Fleet.start(FleetSettings.quick(3, 1, 6))) {
+      fleet.awaitControl();
+      Callers callers = new Callers(fleet, fleet.createTeam(TEAM, 48));
+      List<EntryProcess> entries = fleet.entries();
+      List<RequestForm> forms = new ArrayList<>();
+      List<CompletableFuture<CallerAnswer>> answers = new ArrayList<>();
+      for (int number = 0; number < 40; number++) {
+        forms.add(RequestForm.request("r" + number, idempotent, 3_000, 500));
+        answers.add(callers.post(entries.get(number % 2), forms.get(number)));
+      }
+      fleet.until(
+          "they run",
+          Duration.ofSeconds(20),
+          () -> fleet.workers().history().starts().size() >= 40);
+
+      fleet.killEntry(entries.get(2));
+      fleet.unlist(entries.get(2).name());
+
+      List<String> wrong = new ArrayList<>();
+      for (int number = 0; number < forms.size(); number++) {
+        CallerAnswer answer = answers.get(number).join();
+        boolean whole = !answer.completed() || answer.answers(TEAM, forms.get(number));
+        if (answer.status() == 0 || !whole) {
+          wrong.add(forms.get(number).requestId() + ": " + answer.text());
+        }
+      }
+      callers.close();
+      assertThat(wrong).isEmpty();
+    }
+  }
+}
