--- a/daemon/src/main/java/org/hickorypier/daemon/job/JobRunner.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/job/JobRunner.java
@@ -108,11 +108,16 @@
    * @param payload what the tasks are given
    * @param answer is given the result before it is journaled
    */
-  void submit(JournalEntry entry, AttemptKey key, byte[] payload, Consumer<WorkResult> answer) {
+  void submit(
+      JournalEntry entry,
+      AttemptKey key,
+      long deadlineMillis,
+      byte[] payload,
+      Consumer<WorkResult> answer) {
     WorkKey attemptKey = key.workKey();
     OpenJob job = openJob(entry);
     if (job.submitted.add(attemptKey)) {
-      Submission submission = new Submission(item(entry, key), payload);
+      Submission submission = new Submission(item(entry, key, deadlineMillis), payload);
       work.submit(
           submission,
           result -> {
