Try the next attempt of a request within its deadline

Cause: an attempt of a request that is not idempotent which had certainly not started ended the request; its caller was sent away although the deadline had not passed.

--- a/daemon/src/main/java/org/hickorypier/daemon/job/JobService.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/job/JobService.java
@@ -34,6 +34,9 @@
 
   private static final long RETRY_AFTER_MILLIS = 2_000;
 
+  /** Longer than an append and its reading back; a worker that changes hands needs no less. */
+  private static final Duration NEXT_ATTEMPT = Duration.ofMillis(100);
+
   /** Past this the caller is told that nobody knows yet, and asks after the job instead. */
   private static final Duration ACCEPT_WAIT = Duration.ofSeconds(10);
 
@@ -157,8 +160,37 @@
           new WorkResult.Answered(
               Outcome.UNKNOWN, "an earlier attempt may be running", new byte[0]));
     } else {
-      runner.submit(entry, next, submission.item().deadlineMillis(), submission.payload(), answer);
+      runner.submit(
+          entry,
+          next,
+          submission.item().deadlineMillis(),
+          submission.payload(),
+          result -> attemptAnswered(entry, submission, result, answer));
+    }
+  }
+
+  // An attempt that certainly did not start, since its worker changed hands or filled up in the
+  // same moment, is no reason to send the caller away before its deadline. The next one may only go
+  // out after the journal has closed this one, or it would find it open and not know its fate.
+  private void attemptAnswered(
+      JournalEntry entry, Submission submission, WorkResult result, Consumer<WorkResult> answer) {
+    boolean notStarted =
+        result instanceof WorkResult.Refused refused
+            && refused.refusal().reason() == RefusalReason.NO_ROOM;
+    if (!notStarted || timers.nowMillis() >= submission.item().deadlineMillis()) {
+      answer.accept(result);
+      return;
     }
+    timers.after(
+        NEXT_ATTEMPT,
+        () -> {
+          boolean closed = entry.tasks().get(0).open().isEmpty();
+          if (closed && logAnswers.getAsBoolean()) {
+            again(entry, submission, answer);
+          } else {
+            attemptAnswered(entry, submission, result, answer);
+          }
+        });
   }
 
   private static WorkResult ranBefore(Outcome outcome, Optional<byte[]> body) {
--- a/daemon/src/main/java/org/hickorypier/daemon/work/WorkService.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/work/WorkService.java
@@ -376,7 +376,10 @@
     } else if (canRetry(entry)) {
       retry(entry);
     } else {
-      refuse(entry, new Refusal(RefusalReason.DEADLINE_PASSED, detail, RETRY_AFTER_MILLIS));
+      // Of journaled work only this attempt has ended; the journal's side decides on the next.
+      RefusalReason reason =
+          entry.submission().isJournaled() ? RefusalReason.NO_ROOM : RefusalReason.DEADLINE_PASSED;
+      refuse(entry, new Refusal(reason, detail, RETRY_AFTER_MILLIS));
     }
   }
 
