Count calls to the log and to workers

Cause: bin/measure control needs the log's appends and the calls to workers by kind; the daemon counted only peer messages. Change: MeteredLogService (hickorypier.log.calls, records, bytes by stream and call) and MeteredWorkerService (hickorypier.worker.calls by call) wrap the two services in Hickoryd. The series are bounded: three streams and eight calls. Ruled out: bytes of worker calls, which the kernel's socket counters give.

--- a/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
@@ -52,6 +52,7 @@
 import org.hickorypier.daemon.job.JobService;
 import org.hickorypier.daemon.job.JournalService;
 import org.hickorypier.daemon.job.OrphanResolver;
+import org.hickorypier.daemon.log.MeteredLogService;
 import org.hickorypier.daemon.membership.Membership;
 import org.hickorypier.daemon.metrics.WorkMetrics;
 import org.hickorypier.daemon.operator.ConfiguredOperators;
@@ -73,6 +74,7 @@
 import org.hickorypier.daemon.work.WorkObserver;
 import org.hickorypier.daemon.work.WorkService;
 import org.hickorypier.daemon.work.WorkSettings;
+import org.hickorypier.daemon.worker.MeteredWorkerService;
 import org.hickorypier.daemon.worker.WorkerFleet;
 import org.hickorypier.daemon.worker.WorkerLeaseSettings;
 import org.hickorypier.platform.http.ServiceAddress;
@@ -149,7 +151,8 @@
     vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(settings.eventLoops()));
     front = new HttpFront(vertx);
     SplittableRandom random = new SplittableRandom();
-    LogService log = new HttpLogService(vertx, address(settings.logService()));
+    LogService log =
+        new MeteredLogService(new HttpLogService(vertx, address(settings.logService())), registry);
     LogStreams streams = new LogStreams(log, control, control, random);
     configurationStream =
         streams.open(
@@ -197,8 +200,10 @@
             control,
             control,
             address ->
-                new HttpWorkerService(
-                    vertx, ServiceAddress.parse(address), settings.connectionsPerWorker()),
+                new MeteredWorkerService(
+                    new HttpWorkerService(
+                        vertx, ServiceAddress.parse(address), settings.connectionsPerWorker()),
+                    registry),
             cluster,
             self);
     dispatcher =
