--- a/measure/src/main/java/org/hickorypier/measure/CommandRegistry.java
+++ b/measure/src/main/java/org/hickorypier/measure/CommandRegistry.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.hickorypier.measure.control.ControlCommand;
 import org.hickorypier.measure.delivery.DeliveryCommand;
 import org.hickorypier.measure.takeover.TakeoverCommand;
 
@@ -19,7 +20,8 @@
           new PackingCommand(),
           new FairnessCommand(),
           new DeliveryCommand(),
-          new TakeoverCommand());
+          new TakeoverCommand(),
+          new ControlCommand());
 
   private CommandRegistry() {}
 
--- a/measure/src/main/java/org/hickorypier/measure/fleet/Fleet.java
+++ b/measure/src/main/java/org/hickorypier/measure/fleet/Fleet.java
@@ -89,6 +89,35 @@
     return workers;
   }
 
+  /**
+   * Returns where the log service listens.
+   *
+   * @return its address
+   */
+  public ServiceAddress logAddress() {
+    return log;
+  }
+
+  /**
+   * Returns where the instance list is served.
+   *
+   * @return its address
+   */
+  public ServiceAddress listAddress() {
+    return list;
+  }
+
+  /**
+   * Reads a daemon's own metrics.
+   *
+   * @param entry the daemon
+   * @return the text of its page of metrics
+   * @throws FleetException if it does not answer
+   */
+  public String metrics(EntryProcess entry) throws FleetException {
+    return client.call(HttpMethod.GET, entry.http(), "/metrics", null).toString();
+  }
+
   /**
    * Starts a daemon under a name, lists it, and waits until it is ready.
    *
--- a/measure/src/main/java/org/hickorypier/measure/fleet/JavaProcess.java
+++ b/measure/src/main/java/org/hickorypier/measure/fleet/JavaProcess.java
@@ -111,6 +111,15 @@
     }
   }
 
+  /**
+   * Returns the number under which the operating system knows the process.
+   *
+   * @return the process id
+   */
+  public long id() {
+    return process.pid();
+  }
+
   /**
    * Tells whether the process runs.
    *
