Count the instance list's bytes in bin/measure control; tests

Cause: every daemon reads the whole list each second, and a fleet's list grows with its workers. Change: the sockets' bytes to the list are a figure of their own.

--- a/measure/src/main/java/org/hickorypier/measure/control/ControlCommand.java
+++ b/measure/src/main/java/org/hickorypier/measure/control/ControlCommand.java
@@ -36,6 +36,7 @@
           ControlRun.IDLE + ControlRun.LIVE,
           ControlRun.IDLE + ControlRun.PEER_SOCKETS,
           ControlRun.IDLE + ControlRun.LOG_SOCKETS,
+          ControlRun.IDLE + ControlRun.LIST_SOCKETS,
           ControlRun.IDLE + ControlRun.WORKER_SOCKETS,
           ControlRun.IDLE + "worker.calls.renew",
           ControlRun.IDLE + "worker.calls.status",
--- a/measure/src/main/java/org/hickorypier/measure/control/ControlRun.java
+++ b/measure/src/main/java/org/hickorypier/measure/control/ControlRun.java
@@ -26,6 +26,7 @@
   static final String PROCESSOR = "processor";
   static final String PEER_SOCKETS = "sockets.peer";
   static final String LOG_SOCKETS = "sockets.log";
+  static final String LIST_SOCKETS = "sockets.list";
   static final String WORKER_SOCKETS = "sockets.worker";
   static final String STARTS = "starts";
   static final String PER_START = "processor.per.start";
@@ -61,7 +62,7 @@
             SHUTDOWN_MILLIS);
     try (Fleet fleet = Fleet.start(size)) {
       fleet.awaitControl();
-      String key = fleet.createTeam("control", TEAM_LIMIT);
+      final String key = fleet.createTeam("control", TEAM_LIMIT);
       DaemonProbe probe = new DaemonProbe(fleet);
       live(IDLE, fleet, probe);
       pause(SETTLE_SECONDS);
@@ -96,6 +97,7 @@
     List<DaemonReading> after = probe.readAll();
     Set<Integer> peers = ports(fleet.entries().stream().map(entry -> entry.peer().port()).toList());
     Set<Integer> log = Set.of(fleet.logAddress().port());
+    Set<Integer> list = Set.of(fleet.listAddress().port());
     Set<Integer> workers = new TreeSet<>();
     fleet
         .workers()
@@ -111,6 +113,7 @@
       SocketCounters sockets = last.sockets();
       average(phase + PEER_SOCKETS, sockets.bytesSince(first.sockets(), peers) / seconds);
       average(phase + LOG_SOCKETS, sockets.bytesSince(first.sockets(), log) / seconds);
+      average(phase + LIST_SOCKETS, sockets.bytesSince(first.sockets(), list) / seconds);
       average(phase + WORKER_SOCKETS, sockets.bytesSince(first.sockets(), workers) / seconds);
       last.counters()
           .forEach(
--- a/measure/src/test/java/org/hickorypier/measure/MeasureTest.java
+++ b/measure/src/test/java/org/hickorypier/measure/MeasureTest.java
@@ -34,6 +34,7 @@
         "waiting --seconds 4            | '--seconds is '4', allowed is 5 to 3600'",
         "packing --seeds 101            | '--seeds is '101', allowed is 1 to 100'",
         "fairness --workers 7           | '--workers is '7', allowed is 8 to 5000'",
+        "control --workers 601          | '--workers is '601', allowed is 1 to 600'",
         "fairness here                  | 'here' is not an option",
         "nothing                        | 'nothing' is not a command"
       },
