Keep more output lines of a fleet's processes

Cause: bin/measure control at 4 instances and 300 workers failed with 'entry-2 printed no listening': a daemon logs a line or more for each worker that changes hands, and the line was dropped from the last 400 before it was looked for. Change: 4,000 lines are kept. Ruled out for now: fewer log lines.

--- a/measure/src/main/java/org/hickorypier/measure/fleet/JavaProcess.java
+++ b/measure/src/main/java/org/hickorypier/measure/fleet/JavaProcess.java
@@ -18,7 +18,7 @@
  */
 public final class JavaProcess implements AutoCloseable {
 
-  private static final int KEPT_LINES = 400;
+  private static final int KEPT_LINES = 4_000;
   private static final long START_SECONDS = 30;
   private static final String STOP_SIGNAL = "-STOP";
   private static final String CONTINUE_SIGNAL = "-CONT";
