--- a/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
@@ -53,6 +53,7 @@
 import org.hickorypier.daemon.job.JournalService;
 import org.hickorypier.daemon.job.KeptAnswers;
 import org.hickorypier.daemon.job.OrphanResolver;
+import org.hickorypier.daemon.log.MeteredLogService;
 import org.hickorypier.daemon.membership.Membership;
 import org.hickorypier.daemon.metrics.WorkMetrics;
 import org.hickorypier.daemon.operator.ConfiguredOperators;
@@ -74,6 +75,7 @@
 import org.hickorypier.daemon.work.WorkObserver;
 import org.hickorypier.daemon.work.WorkService;
 import org.hickorypier.daemon.work.WorkSettings;
+import org.hickorypier.daemon.worker.MeteredWorkerService;
 import org.hickorypier.daemon.worker.WorkerFleet;
 import org.hickorypier.daemon.worker.WorkerLeaseSettings;
 import org.hickorypier.platform.http.ServiceAddress;
@@ -150,7 +152,8 @@
     vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(settings.eventLoops()));
     front = new HttpFront(vertx);
     SplittableRandom random = new SplittableRandom();
-    LogService log = new HttpLogService(vertx, address(settings.logService()));
+    LogService log =
+        new MeteredLogService(new HttpLogService(vertx, address(settings.logService())), registry);
     LogStreams streams = new LogStreams(log, control, control, random);
     configurationStream =
         streams.open(
@@ -203,8 +206,10 @@
             control,
             control,
             address ->
-                new HttpWorkerService(
-                    vertx, ServiceAddress.parse(address), settings.connectionsPerWorker()),
+                new MeteredWorkerService(
+                    new HttpWorkerService(
+                        vertx, ServiceAddress.parse(address), settings.connectionsPerWorker()),
+                    registry),
             cluster,
             self);
     dispatcher =
--- a/measure/src/main/java/org/hickorypier/measure/fleet/JavaProcess.java
+++ b/measure/src/main/java/org/hickorypier/measure/fleet/JavaProcess.java
@@ -18,7 +18,7 @@
  */
 public final class JavaProcess implements AutoCloseable {
 
-  private static final int KEPT_LINES = 400;
+  private static final int KEPT_LINES = 4_000;
   private static final long START_SECONDS = 30;
   private static final String STOP_SIGNAL = "-STOP";
   private static final String CONTINUE_SIGNAL = "-CONT";
@@ -111,6 +111,15 @@
     }
   }
 
+  /**
+   * Returns the number under which the operating system knows the process.
+   *
+   * @return the process id
+   */
+  public long id() {
+    return process.pid();
+  }
+
   /**
    * Tells whether the process runs.
    *
