--- a/daemon/src/main/java/org/hickorypier/daemon/work/WorkService.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/work/WorkService.java
@@ -224,20 +224,6 @@
     return true;
   }
 
-  /**
-   * Gives up every waiting piece of work that a rule picks out.
-   *
-   * @param rule the refusal for an item, or empty to let it wait
-   */
-  public void refuseQueued(Function<WorkItem, Optional<Refusal>> rule) {
-    for (WorkItem item : scheduler.queued()) {
-      Optional<Refusal> refusal = rule.apply(item);
-      if (refusal.isPresent() && scheduler.cancelQueued(item.key())) {
-        refuse(entries.get(item.key()), refusal.get());
-      }
-    }
-  }
-
   /**
    * Returns the number of pieces of work without a final answer.
    *
