--- a/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
@@ -469,14 +469,15 @@
           control.every(
               Duration.ofMillis(DaemonConstants.TICK_MILLIS),
               () -> {
-                if (work.open() == 0) {
+                if (work.openRequests() == 0) {
                   idle.countDown();
                 }
               });
         });
     try {
       if (!idle.await(settings.shutdownMillis(), TimeUnit.MILLISECONDS)) {
-        LOGGER.log(Level.WARNING, "daemon: work was still open at the end of the shutdown time");
+        LOGGER.log(
+            Level.WARNING, "daemon: requests were still open at the end of the shutdown time");
       }
     } catch (InterruptedException error) {
       Thread.currentThread().interrupt();
--- a/daemon/src/main/java/org/hickorypier/daemon/permit/PermitService.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/permit/PermitService.java
@@ -14,6 +14,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.Executor;
 import java.util.function.LongConsumer;
+import java.util.function.LongSupplier;
 import org.hickorypier.core.configuration.Configuration;
 import org.hickorypier.core.configuration.Team;
 import org.hickorypier.core.fold.FoldResult;
@@ -50,6 +51,9 @@
   /** Between the events that plan at once, this brings back idle permits and follows digests. */
   private static final Duration PLAN_PERIOD = Duration.ofSeconds(1);
 
+  /** A long poll of the log is answered within two seconds; past this age it is silent. */
+  private static final long LOG_SILENT_MILLIS = 3_000;
+
   private final LocalPermits local;
   private final PermitWork work;
   private final TimerService timers;
@@ -59,6 +63,7 @@
   private final Map<String, Long> pendingWords = new HashMap<>();
   private LogAppender<PermitRecord> appender;
   private LongConsumer seek = offset -> {};
+  private LongSupplier logAgeMillis = () -> 0;
 
   /**
    * Creates the service.
@@ -84,6 +89,7 @@
   public void connect(LogAppender<PermitRecord> log, LogFollower<PermitRecord> follower) {
     appender = log;
     seek = follower::seek;
+    logAgeMillis = follower::millisSinceHeard;
   }
 
   /** Starts to plan regularly. */
@@ -254,7 +260,14 @@
     toPlan.forEach(this::plan);
   }
 
+  // While the log is silent nothing is asked for. A request for fewer permits binds from the moment
+  // of asking, whether it arrives or not; an instance that gave idle permits up in an outage could
+  // start nothing until its end.
   private void plan(String team) {
+    if (logAgeMillis.getAsLong() > LOG_SILENT_MILLIS) {
+      use(team);
+      return;
+    }
     PlannedPermits planned =
         local.plan(team, work.demand(team), work.others(team), timers.nowMillis());
     planned.records().forEach(this::append);
--- a/daemon/src/main/java/org/hickorypier/daemon/work/WorkService.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/work/WorkService.java
@@ -225,12 +225,15 @@
   }
 
   /**
-   * Returns the number of pieces of work without a final answer.
+   * Returns the number of synchronous requests without a final answer. Jobs are not counted: they
+   * outlive an instance, and a shutdown that waited for a service would never end.
    *
-   * @return waiting and running work
+   * @return waiting and running requests
    */
-  public int open() {
-    return entries.size();
+  public long openRequests() {
+    return entries.values().stream()
+        .filter(entry -> entry.item().workClass().isSynchronous())
+        .count();
   }
 
   /**
