Ask several instances in one place, read holders in one place

Cause: five classes each put a question to several instances, gathered the answers and made up for the missing ones; two classes read a holder from a controller's text.

--- a/daemon/src/main/java/org/hickorypier/daemon/cluster/Cluster.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/cluster/Cluster.java
@@ -6,9 +6,12 @@
 import java.lang.System.Logger.Level;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.stream.Collectors;
 import org.hickorypier.core.configuration.Configuration;
@@ -172,6 +175,40 @@
     return network.request(instance, question, QUESTION_TIMEOUT).map(Cluster::data);
   }
 
+  /**
+   * Asks several instances the same question.
+   *
+   * @param instances their names
+   * @param kind what is asked
+   * @param text what it is asked about
+   * @return one reply for each instance, once all have answered or failed to; it never fails
+   */
+  public Uni<List<PeerReply>> askAll(Collection<String> instances, QuestionKind kind, String text) {
+    if (instances.isEmpty()) {
+      return Uni.createFrom().item(List.of());
+    }
+    List<Uni<PeerReply>> questions = new ArrayList<>();
+    for (String instance : instances) {
+      questions.add(
+          ask(instance, kind, text)
+              .map(data -> new PeerReply(instance, Optional.of(data)))
+              .onFailure()
+              .recoverWithItem(new PeerReply(instance, Optional.empty())));
+    }
+    return Uni.join().all(questions).andCollectFailures();
+  }
+
+  /**
+   * Returns the other instances that look live.
+   *
+   * @return their names
+   */
+  public Set<String> liveOthers() {
+    Set<String> others = new TreeSet<>(live());
+    others.remove(own.name());
+    return others;
+  }
+
   private static byte[] data(Answer answer) {
     return answer instanceof Reply reply ? reply.data() : new byte[0];
   }
--- a/daemon/src/main/java/org/hickorypier/daemon/cluster/ClusterJobScope.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/cluster/ClusterJobScope.java
@@ -53,13 +53,9 @@
   @Override
   public void stop(TaskId taskId) {
     dispatcher.stop(taskId, false);
-    for (String instance : cluster.live()) {
-      if (!instance.equals(cluster.own().name())) {
-        cluster
-            .ask(instance, QuestionKind.STOP, taskId.text())
-            .subscribe()
-            .with(done -> {}, error -> {});
-      }
-    }
+    cluster
+        .askAll(cluster.liveOthers(), QuestionKind.STOP, taskId.text())
+        .subscribe()
+        .with(replies -> {});
   }
 }
--- a/daemon/src/main/java/org/hickorypier/daemon/cluster/FleetQueries.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/cluster/FleetQueries.java
@@ -97,18 +97,26 @@
   }
 
   private <T extends TableRow> Uni<FleetRows<T>> gather(String subject, Class<T> type) {
-    List<Uni<Part<T>>> parts = new ArrayList<>();
-    for (String instance : cluster.live()) {
-      Uni<byte[]> rows =
-          instance.equals(cluster.own().name())
-              ? answer(subject)
-              : cluster.ask(instance, QuestionKind.QUERY, subject);
-      parts.add(
-          rows.map(data -> decode(instance, data, type))
-              .onFailure()
-              .recoverWithItem(new Part<T>(List.of(), List.of(instance))));
-    }
-    return Uni.join().all(parts).andCollectFailures().map(FleetQueries::merge);
+    Uni<Part<T>> here = answer(subject).map(data -> decode(cluster.own().name(), data, type));
+    Uni<List<PeerReply>> elsewhere =
+        cluster.askAll(cluster.liveOthers(), QuestionKind.QUERY, subject);
+    return Uni.combine()
+        .all()
+        .unis(here, elsewhere)
+        .with(
+            (own, replies) -> {
+              List<Part<T>> parts = new ArrayList<>();
+              parts.add(own);
+              replies.forEach(reply -> parts.add(decode(reply, type)));
+              return merge(parts);
+            });
+  }
+
+  private static <T> Part<T> decode(PeerReply reply, Class<T> type) {
+    return reply
+        .data()
+        .map(data -> FleetQueries.<T>decode(reply.instance(), data, type))
+        .orElseGet(() -> new Part<>(List.of(), List.of(reply.instance())));
   }
 
   private static <T> Part<T> decode(String instance, byte[] data, Class<T> type) {
--- a/daemon/src/main/java/org/hickorypier/daemon/cluster/FleetWork.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/cluster/FleetWork.java
@@ -1,10 +1,7 @@
 package org.hickorypier.daemon.cluster;
 
 import io.smallrye.mutiny.Uni;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.hickorypier.core.journal.AttemptKey;
@@ -110,24 +107,14 @@
   }
 
   private Uni<Optional<String>> firstAnswer(QuestionKind kind, WorkKey key) {
-    List<Uni<String>> questions = new ArrayList<>();
-    for (String instance : cluster.live()) {
-      if (!instance.equals(cluster.own().name())) {
-        questions.add(
-            cluster
-                .ask(instance, kind, key.toString())
-                .map(data -> new String(data, StandardCharsets.UTF_8))
-                .onFailure()
-                .recoverWithItem(""));
-      }
-    }
-    if (questions.isEmpty()) {
-      return Uni.createFrom().item(Optional.empty());
-    }
-    return Uni.join()
-        .all(questions)
-        .andCollectFailures()
-        .map(answers -> answers.stream().filter(text -> !text.isEmpty()).findFirst());
+    return cluster
+        .askAll(cluster.liveOthers(), kind, key.toString())
+        .map(
+            replies ->
+                replies.stream()
+                    .flatMap(reply -> reply.text().stream())
+                    .filter(text -> !text.isEmpty())
+                    .findFirst());
   }
 
   private static Uni<byte[]> reply(String text) {
--- a/daemon/src/main/java/org/hickorypier/daemon/cluster/FreshnessService.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/cluster/FreshnessService.java
@@ -1,9 +1,7 @@
 package org.hickorypier.daemon.cluster;
 
 import io.smallrye.mutiny.Uni;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -99,31 +97,25 @@
     }
     roundOpen = true;
     long sentMillis = timers.nowMillis();
-    List<Uni<Optional<PeerFreshness>>> questions = new ArrayList<>();
-    for (String instance : others) {
-      questions.add(
-          cluster
-              .ask(instance, QuestionKind.FRESHNESS, "")
-              .map(FreshnessService::parse)
-              .onFailure()
-              .recoverWithItem(Optional.empty()));
-    }
-    Uni.join()
-        .all(questions)
-        .andCollectFailures()
+    cluster
+        .askAll(others, QuestionKind.FRESHNESS, "")
         .subscribe()
-        .with(answers -> control.execute(() -> answered(sentMillis, answers)));
+        .with(replies -> control.execute(() -> answered(sentMillis, replies)));
   }
 
-  private void answered(long sentMillis, List<Optional<PeerFreshness>> answers) {
+  private void answered(long sentMillis, List<PeerReply> replies) {
     roundOpen = false;
-    List<PeerFreshness> came = answers.stream().flatMap(Optional::stream).toList();
-    proof.round(sentMillis, offset.getAsLong(), true, came, answers.size());
+    List<PeerFreshness> came =
+        replies.stream()
+            .flatMap(reply -> reply.text().stream())
+            .flatMap(text -> parse(text).stream())
+            .toList();
+    proof.round(sentMillis, offset.getAsLong(), true, came, replies.size());
   }
 
-  private static Optional<PeerFreshness> parse(byte[] data) {
+  private static Optional<PeerFreshness> parse(String text) {
     try {
-      return Optional.of(PeerFreshness.parse(new String(data, StandardCharsets.UTF_8)));
+      return Optional.of(PeerFreshness.parse(text));
     } catch (NumberFormatException error) {
       return Optional.empty();
     }
--- a/daemon/src/main/java/org/hickorypier/daemon/cluster/HomeIntake.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/cluster/HomeIntake.java
@@ -1,8 +1,6 @@
 package org.hickorypier.daemon.cluster;
 
 import io.smallrye.mutiny.Uni;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
@@ -119,38 +117,26 @@
     if (live.containsAll(former)) {
       return former;
     }
-    List<String> others = new ArrayList<>(live);
-    others.remove(cluster.own().name());
-    return others;
+    return cluster.liveOthers();
   }
 
-  private void ask(WorkKey key, Collection<String> instances, Consumer<List<Told>> told) {
-    if (instances.isEmpty()) {
-      told.accept(List.of());
-      return;
-    }
-    List<Uni<Told>> questions = new ArrayList<>();
-    for (String instance : instances) {
-      questions.add(
-          cluster
-              .ask(instance, QuestionKind.KNOWS, key.toString())
-              .map(data -> new Told(instance, new String(data, StandardCharsets.UTF_8)))
-              .onFailure()
-              .recoverWithItem(new Told(instance, INCOMPLETE)));
-    }
-    Uni.join()
-        .all(questions)
-        .andCollectFailures()
+  private void ask(WorkKey key, Collection<String> instances, Consumer<List<PeerReply>> told) {
+    cluster
+        .askAll(instances, QuestionKind.KNOWS, key.toString())
         .subscribe()
-        .with(answers -> control.execute(() -> told.accept(answers)));
+        .with(replies -> control.execute(() -> told.accept(replies)));
   }
 
-  private void decide(Submission submission, Consumer<WorkResult> answer, List<Told> told) {
+  private void decide(Submission submission, Consumer<WorkResult> answer, List<PeerReply> replies) {
     Optional<String> holder =
-        told.stream().filter(one -> one.text().equals(KNOWN)).map(Told::instance).findFirst();
+        replies.stream()
+            .filter(reply -> reply.text().orElse("").equals(KNOWN))
+            .map(PeerReply::instance)
+            .findFirst();
     boolean incomplete =
-        told.stream().anyMatch(one -> one.text().equals(INCOMPLETE))
-            || !workersComplete.getAsBoolean();
+        !workersComplete.getAsBoolean()
+            || replies.stream()
+                .anyMatch(reply -> reply.text().orElse(INCOMPLETE).equals(INCOMPLETE));
     if (holder.isPresent()) {
       cluster
           .join(holder.get(), submission)
@@ -167,6 +153,4 @@
       run(submission, answer);
     }
   }
-
-  private record Told(String instance, String text) {}
 }
--- a/daemon/src/main/java/org/hickorypier/daemon/cluster/WorkerSightings.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/cluster/WorkerSightings.java
@@ -9,7 +9,7 @@
 import java.util.function.Consumer;
 import org.hickorypier.core.permits.Holder;
 import org.hickorypier.core.permits.WorkerSighting;
-import org.hickorypier.daemon.peer.PeerIdentity;
+import org.hickorypier.daemon.permit.Holders;
 import org.hickorypier.daemon.worker.WorkerFleet;
 import org.hickorypier.platform.worker.TaskState;
 import org.hickorypier.platform.worker.TaskStatus;
@@ -48,14 +48,9 @@
     Set<Holder> owners = new HashSet<>();
     for (TaskStatus task : status.tasks()) {
       if (task.state() == TaskState.RUNNING) {
-        holder(task.owner()).ifPresent(owners::add);
+        Holders.of(task.owner()).ifPresent(owners::add);
       }
     }
-    return new WorkerSighting(status.name(), holder(status.controller()), owners);
-  }
-
-  private static Optional<Holder> holder(String controller) {
-    return PeerIdentity.parse(controller)
-        .map(identity -> new Holder(identity.name(), identity.incarnation()));
+    return new WorkerSighting(status.name(), Holders.of(status.controller()), owners);
   }
 }
--- a/daemon/src/main/java/org/hickorypier/daemon/permit/PermitService.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/permit/PermitService.java
@@ -9,7 +9,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.Executor;
@@ -29,7 +28,6 @@
 import org.hickorypier.daemon.log.LogAppender;
 import org.hickorypier.daemon.log.LogConsumer;
 import org.hickorypier.daemon.log.LogFollower;
-import org.hickorypier.daemon.peer.PeerIdentity;
 import org.hickorypier.daemon.time.TimerService;
 import org.hickorypier.platform.worker.TaskState;
 import org.hickorypier.platform.worker.TaskStatus;
@@ -150,7 +148,7 @@
    * @return true if they count as ours
    */
   public boolean covers(String worker, String owner) {
-    return holder(owner).map(known -> local.covers(worker, known)).orElse(false);
+    return Holders.of(owner).map(known -> local.covers(worker, known)).orElse(false);
   }
 
   /**
@@ -282,7 +280,7 @@
     Map<Holder, Map<String, Integer>> counts = new TreeMap<>();
     for (TaskStatus task : tasks) {
       if (task.state() == TaskState.RUNNING) {
-        holder(task.owner())
+        Holders.of(task.owner())
             .filter(owner -> isFenced(worker, owner))
             .ifPresent(
                 owner ->
@@ -304,9 +302,4 @@
   private boolean isFenced(String worker, Holder owner) {
     return local.state().isFenced(local.state().worker(worker).holderOf(owner));
   }
-
-  private static Optional<Holder> holder(String controller) {
-    return PeerIdentity.parse(controller)
-        .map(identity -> new Holder(identity.name(), identity.incarnation()));
-  }
 }
