Part the daemon's wiring: shutdown, health, operators

Change: GracefulShutdown, HealthRoutes, OperatorDesk; no behaviour changed, no test touched. Conclusion: the wiring is left in one class, the rest has classes of its own.

--- a/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
@@ -9,16 +9,9 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.nio.charset.StandardCharsets;
-import java.security.SecureRandom;
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Optional;
-import java.util.Set;
 import java.util.SplittableRandom;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
-import org.hickorypier.core.keys.KeyIssuer;
 import org.hickorypier.core.membership.HomeHistory;
 import org.hickorypier.core.model.WorkItem;
 import org.hickorypier.core.permits.Holder;
@@ -56,9 +49,6 @@
 import org.hickorypier.daemon.log.MeteredLogService;
 import org.hickorypier.daemon.membership.Membership;
 import org.hickorypier.daemon.metrics.WorkMetrics;
-import org.hickorypier.daemon.operator.ConfiguredOperators;
-import org.hickorypier.daemon.operator.OperatorApi;
-import org.hickorypier.daemon.operator.StatementExecutor;
 import org.hickorypier.daemon.peer.MeterPeerCounters;
 import org.hickorypier.daemon.peer.PeerIdentity;
 import org.hickorypier.daemon.peer.PeerNetwork;
@@ -315,10 +305,8 @@
             settings.requestBytesLimit(),
             DaemonConstants.SENDER_MILLIS)
         .mount(router);
-    operators().mount(router);
-    router.get("/health/live").handler(context -> context.end("live\n"));
-    router.get("/health/ready").handler(context -> control.execute(() -> ready(context)));
-    router.get("/metrics").handler(context -> context.end(registry.scrape()));
+    mountOperators(router);
+    new HealthRoutes(control, readiness, registry).mount(router);
     int peerPort = network.start().await().atMost(START_TIMEOUT);
     control.execute(this::startControl);
     int httpPort = front.listen(router, settings.host(), settings.httpPort());
@@ -330,7 +318,9 @@
     return text;
   }
 
-  private OperatorApi operators() {
+  private void mountOperators(Router router) {
+    OperatorDesk desk =
+        new OperatorDesk(settings, control, cluster, digests, configuration, readiness);
     FleetQueries queries =
         new FleetQueries(
             cluster,
@@ -339,30 +329,9 @@
             rows::waiting,
             rows::refused,
             () -> rows.workers(fleet),
-            () -> List.of(rows.instance(this::state, configuration.current().offset(), fleet)));
+            () -> List.of(rows.instance(desk::state, configuration.current().offset(), fleet)));
     FleetWork fleetWork = new FleetWork(cluster, requests, journal, jobs, work, scheduler, control);
-    StatementExecutor executor =
-        new StatementExecutor(
-            configuration::current,
-            queries,
-            fleetWork,
-            fleetWork,
-            configuration,
-            this::behind,
-            new KeyIssuer(new SecureRandom()),
-            control);
-    return new OperatorApi(
-        executor,
-        new ConfiguredOperators(configuration::current, settings.operatorKey()),
-        readiness::configurationObstacle,
-        control,
-        DaemonConstants.SENDER_MILLIS);
-  }
-
-  private List<String> behind(long offset) {
-    Set<String> others = new HashSet<>(cluster.live());
-    others.remove(settings.name());
-    return digests.behind(others, offset);
+    desk.mount(router, queries, fleetWork);
   }
 
   private HolderRetirement retirement() {
@@ -400,13 +369,6 @@
     return keeper.configurationObstacle().isEmpty();
   }
 
-  private String state() {
-    if (configuration.current().isDraining(settings.name())) {
-      return "draining";
-    }
-    return readiness.obstacle().isEmpty() ? "ready" : "not ready";
-  }
-
   private void sendDigest() {
     network.broadcast(
         digests.own(
@@ -449,43 +411,10 @@
     fleet.onInstanceList(instances);
   }
 
-  private void ready(io.vertx.ext.web.RoutingContext context) {
-    Optional<String> obstacle = readiness.obstacle();
-    context
-        .response()
-        .setStatusCode(obstacle.isEmpty() ? 200 : 503)
-        .end(obstacle.orElse("ready") + "\n");
-  }
-
-  /** Takes no new work, waits for work in progress, then stops. Idempotent. */
+  /** Takes no new work, waits for requests in progress, then stops. Idempotent. */
   @Override
   public void close() {
-    LOGGER.log(Level.INFO, "daemon: shutting down");
-    long until = control.nowMillis() + settings.shutdownMillis();
-    CountDownLatch idle = new CountDownLatch(1);
-    control.execute(
-        () -> {
-          readiness.shutDown();
-          control.every(
-              Duration.ofMillis(DaemonConstants.TICK_MILLIS),
-              () -> {
-                if (work.openRequests() == 0) {
-                  idle.countDown();
-                }
-              });
-        });
-    try {
-      if (!idle.await(settings.shutdownMillis(), TimeUnit.MILLISECONDS)) {
-        LOGGER.log(
-            Level.WARNING, "daemon: requests were still open at the end of the shutdown time");
-      }
-    } catch (InterruptedException error) {
-      Thread.currentThread().interrupt();
-    }
-    long left = Math.max(DaemonConstants.TICK_MILLIS, until - control.nowMillis());
-    front.stop(Duration.ofMillis(left));
-    control.close();
-    LOGGER.log(Level.INFO, "daemon: stopped");
+    new GracefulShutdown(control, readiness, work, front, settings.shutdownMillis()).run();
   }
 
   private static ServiceAddress address(HostAndPort from) {
