--- a/daemon/src/main/java/org/hickorypier/daemon/caller/CallerApi.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/caller/CallerApi.java
@@ -31,6 +31,10 @@
   private static final List<WorkClass> JOB_CLASSES =
       List.of(WorkClass.BATCH, WorkClass.GANG, WorkClass.SERVICE);
   private static final String BEARER = "Bearer ";
+
+  /** A takeover, after which more is known of lost work, takes some seconds. */
+  private static final String ASK_AGAIN_SECONDS = "2";
+
   private static final int STATUS_GONE = 410;
   private static final int STATUS_FAILED = 502;
   private static final int STATUS_UNKNOWN = 504;
@@ -156,6 +160,9 @@
       end(response, 200, Buffer.buffer(answered.body()));
     } else {
       int status = answered.outcome() == Outcome.FAILED ? STATUS_FAILED : STATUS_UNKNOWN;
+      if (answered.outcome() == Outcome.UNKNOWN) {
+        response.putHeader("Retry-After", ASK_AGAIN_SECONDS);
+      }
       boolean hasBody = answered.body().length > 0;
       end(response, status, hasBody ? Buffer.buffer(answered.body()) : message(answered.detail()));
     }
--- a/daemon/src/main/java/org/hickorypier/daemon/caller/CallerRequestParser.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/caller/CallerRequestParser.java
@@ -103,7 +103,7 @@
       String name = names.next();
       if (!FIELDS.contains(name)) {
         String known = String.join(", ", FIELDS.stream().sorted().toList());
-        throw new BadRequestException(name, root.get(name), "no such field; known: " + known);
+        throw new BadRequestException("body", "field " + name, "only " + known);
       }
     }
   }
