Remove two accessors that nothing calls

Cause: Dispatcher.followed and WorkEntry.result were left from the first wiring. Ruled out: one back-off for both BackOff and JitteredBackoff (their jitter differs, so waits would change), noted as left. Change: the two methods. Conclusion: behaviour as before.

--- a/daemon/src/main/java/org/hickorypier/daemon/work/Dispatcher.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/work/Dispatcher.java
@@ -114,15 +114,6 @@
     return runs.containsKey(taskId);
   }
 
-  /**
-   * Returns how many tasks are being followed.
-   *
-   * @return the number of tasks whose fate is open
-   */
-  public int followed() {
-    return runs.size();
-  }
-
   /**
    * Orders a running task to stop. Its end is reported as usual.
    *
--- a/daemon/src/main/java/org/hickorypier/daemon/work/WorkEntry.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/work/WorkEntry.java
@@ -72,10 +72,6 @@
     return result != null;
   }
 
-  WorkResult result() {
-    return result;
-  }
-
   boolean isQueued() {
     return queued;
   }
