The strongest machines own the cell

Cause: on sites with uneven machines (0.36 to 1.5 cores, links of 7 to 200 Mbit/s) any instance could become the owner. Change: an instance's strength follows from processor and link, whichever binds. It travels in the owner record and over links. A far stronger instance takes over from a weaker owner; a weak one stays out of the group and steps in later; an owner that leaves asks the strongest first.

--- a/daemon/src/main/java/org/hickorypier/daemon/link/LinkCodec.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/link/LinkCodec.java
@@ -25,6 +25,7 @@
   private static final int PROVE_OWNERSHIP = 6;
   private static final int TAKE_OVER = 7;
   private static final int EXPLAIN = 8;
+  private static final int INTRODUCE = 9;
   private static final int ACCEPTED = 11;
   private static final int REFUSED = 12;
   private static final int STATE = 13;
@@ -73,6 +74,8 @@
       packTexts(packer, advise.workers());
     } else if (request instanceof LinkRequest.Explain explain) {
       packer.packInt(EXPLAIN).packString(explain.id());
+    } else if (request instanceof LinkRequest.Introduce introduce) {
+      packer.packInt(INTRODUCE).packInt(introduce.strength());
     } else if (request instanceof LinkRequest.ProveOwnership) {
       packer.packInt(PROVE_OWNERSHIP);
     } else {
@@ -164,6 +167,8 @@
         return new LinkRequest.Explain(unpacker.unpackString());
       case PROVE_OWNERSHIP:
         return new LinkRequest.ProveOwnership();
+      case INTRODUCE:
+        return new LinkRequest.Introduce(unpacker.unpackInt());
       case TAKE_OVER:
         return new LinkRequest.TakeOver();
       default:
--- a/daemon/src/main/java/org/hickorypier/daemon/link/LinkRequest.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/link/LinkRequest.java
@@ -62,6 +62,13 @@
   /** Tell whether you are the owner and can prove it. */
   record ProveOwnership() implements LinkRequest {}
 
+  /**
+   * Know what the machine of the asking instance can carry as an owner.
+   *
+   * @param strength its score, in thousandths of a core
+   */
+  record Introduce(int strength) implements LinkRequest {}
+
   /** Take the cell over: the owner is leaving, or the store refuses it. */
   record TakeOver() implements LinkRequest {}
 }
--- a/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
@@ -7,14 +7,16 @@
 import io.vertx.core.net.NetClientOptions;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
-import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.stream.Collectors;
 import org.hickorypier.core.cell.EventLog;
 import org.hickorypier.core.cluster.ClusterConfiguration;
 import org.hickorypier.daemon.front.FrontServer;
 import org.hickorypier.daemon.link.Link;
 import org.hickorypier.daemon.link.LinkReply;
 import org.hickorypier.daemon.link.LinkRequest;
+import org.hickorypier.daemon.owner.Candidate;
 import org.hickorypier.daemon.owner.ConfigurationWatch;
 import org.hickorypier.daemon.owner.Directory;
 import org.hickorypier.daemon.owner.Gateway;
@@ -76,7 +78,7 @@
   private volatile FrontServer front;
   private volatile boolean stopping;
   private volatile long ownerlessMillis;
-  private final List<Link> links = new CopyOnWriteArrayList<>();
+  private final List<Peer> peers = new ArrayList<>();
   private AdviceClient advisor;
   private boolean handingOver;
   private ContextTimers timers;
@@ -112,11 +114,12 @@
             settings.cell());
     String peerAddress = settings.address() + ":" + settings.peerPort();
     Directory directory = new Directory(store, timers, log, this::ownerChanged);
+    Candidate self = new Candidate(peerAddress, settings.strength());
     ownership =
         new Ownership(
             instruments,
             settings.name() + "@" + peerAddress,
-            peerAddress,
+            self,
             settings.groupLifetimeMillis(),
             directory);
     ownership.addAsker((request, timeout) -> advise(request));
@@ -130,7 +133,7 @@
             directory,
             ownership,
             this::answerPeer,
-            peerAddress);
+            self);
     timers.every(Duration.ofMillis(100), () -> ownerlessMillis = gateway.ownerlessMillis());
     configuration.start();
     directory.start();
@@ -138,19 +141,21 @@
         .createNetServer()
         .connectHandler(
             socket -> {
-              Link link = new Link(socket, this::answerPeer, timers);
-              links.add(link);
+              Peer peer = new Peer();
+              Link link = new Link(socket, request -> answerPeer(peer, request), timers);
+              peer.link = link;
+              peers.add(peer);
               Runnable forget = ownership.addAsker(link::ask);
               link.onClose(
                   () -> {
-                    links.remove(link);
+                    peers.remove(peer);
                     forget.run();
                   });
             })
         .listen(settings.peerPort(), settings.address())
         .onSuccess(
             listening -> {
-              ownership.start(gateway::ownerAlive);
+              ownership.start(gateway::ownerAlive, gateway::silentMillis);
               timers.every(HANDOVER_PERIOD, this::handOverIfRefused);
             })
         .compose(listening -> startTraffic(context));
@@ -191,6 +196,20 @@
     gateway.ownerChanged();
   }
 
+  /** An instance that has opened a link to this one. */
+  private static final class Peer {
+    private Link link;
+    private int strength;
+  }
+
+  private Future<LinkReply> answerPeer(Peer peer, LinkRequest request) {
+    if (request instanceof LinkRequest.Introduce introduce) {
+      peer.strength = introduce.strength();
+      return Future.succeededFuture(new LinkReply.Noted());
+    }
+    return answerPeer(request);
+  }
+
   private Future<LinkReply> answerPeer(LinkRequest request) {
     if (request instanceof LinkRequest.Advise advise) {
       return advise(advise);
@@ -225,10 +244,18 @@
   /** The store may refuse this machine and serve the others: another instance should try. */
   private void handOverIfRefused() {
     if (ownership.refusedFor(REFUSED_MILLIS) && !handingOver) {
-      handOver(new ArrayList<>(links));
+      handOver(successors());
     }
   }
 
+  /** The instances that are linked to this one, the strongest machine first. */
+  private List<Link> successors() {
+    return peers.stream()
+        .sorted(Comparator.comparingInt((Peer peer) -> -peer.strength))
+        .map(peer -> peer.link)
+        .collect(Collectors.toCollection(ArrayList::new));
+  }
+
   /** Asks one instance after another to take over, until one has. */
   private Future<Void> handOver(List<Link> candidates) {
     if (candidates.isEmpty() || !ownership.owns()) {
@@ -284,7 +311,7 @@
         none ->
             ownership
                 .leave()
-                .compose(written -> handOver(new ArrayList<>(links)))
+                .compose(written -> handOver(successors()))
                 .onComplete(
                     done -> {
                       ownership.abdicate();
--- a/daemon/src/main/java/org/hickorypier/daemon/node/NodeSettings.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/NodeSettings.java
@@ -6,6 +6,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import org.hickorypier.core.cell.CellTerms;
+import org.hickorypier.daemon.owner.Strength;
 import org.hickorypier.platform.http.ServiceAddress;
 
 /**
@@ -22,6 +23,7 @@
  * @param store where the platform's store listens
  * @param advisor where the advisor listens, or null where there is none
  * @param cell the figures for the owner of a cell
+ * @param strength what the machine can carry as an owner
  * @param groupLifetimeMillis after so long without a sign a member loses its partitions
  * @param graceMillis how long a process may take to end after SIGTERM
  */
@@ -35,6 +37,7 @@
     ServiceAddress store,
     ServiceAddress advisor,
     CellTerms cell,
+    Strength strength,
     long groupLifetimeMillis,
     long graceMillis) {
 
@@ -44,6 +47,8 @@
    */
   private static final long WANTED_LIFETIME_MILLIS = 1_500;
 
+  private static final double LEAST_PROCESSOR_SHARE = 0.01;
+  private static final double LEAST_LINK_MEGABITS = 0.1;
   private static final long SECOND_MILLIS = 1_000;
 
   /**
@@ -87,6 +92,10 @@
             (long) reader.number("longestLeaseMillis", 1),
             (long) reader.number("gangMillis", 1),
             kept),
+        Strength.of(
+            reader.number("processorShare", LEAST_PROCESSOR_SHARE)
+                * reader.number("processorSpeed", LEAST_PROCESSOR_SHARE),
+            reader.number("linkMegabits", LEAST_LINK_MEGABITS)),
         lifetime,
         grace);
   }
--- a/daemon/src/main/java/org/hickorypier/daemon/node/Rehearsal.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Rehearsal.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.hickorypier.core.cell.CellTerms;
+import org.hickorypier.daemon.owner.Strength;
 import org.hickorypier.platform.http.HttpCalls;
 import org.hickorypier.platform.http.ServiceAddress;
 
@@ -72,6 +73,7 @@
         closed,
         closed,
         CellTerms.of(6_000, 3_000, 60_000),
+        Strength.UNKNOWN,
         1_500,
         1_000);
   }
--- /dev/null
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Candidate.java
@@ -0,0 +1,16 @@
+package org.hickorypier.daemon.owner;
+
+/**
+ * An instance that may own the cell.
+ *
+ * <p>Immutable.
+ *
+ * @param address where other instances reach it
+ * @param strength what its machine can carry
+ */
+public record Candidate(String address, Strength strength) {
+
+  OwnerRecord ownerOf(int epoch) {
+    return new OwnerRecord(epoch, address, strength);
+  }
+}
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Gateway.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Gateway.java
@@ -48,6 +48,9 @@
   /** Instances step in one after another, so that one takes over before the next tries. */
   private static final int STEP_IN_SPREAD_MILLIS = 250;
 
+  /** A weak machine leaves the first tries to stronger ones: three of their spreads. */
+  private static final int WEAK_DELAY_MILLIS = 750;
+
   /** Waiting for a successor longer than this is worse for a caller than coming back. */
   private static final long OWNERLESS_MILLIS = 1_800;
 
@@ -59,7 +62,7 @@
   private final Directory directory;
   private final Ownership ownership;
   private final LinkHandler handler;
-  private final String ownAddress;
+  private final Candidate self;
   private final Set<Pending> pending = new LinkedHashSet<>();
   private Link link;
   private OwnerRecord linkedTo = OwnerRecord.NONE;
@@ -68,6 +71,9 @@
   private int denials;
   private long ownerlessSince;
 
+  /** When the owner last answered, or when something was first asked of it after a rest. */
+  private long repliedAt;
+
   /**
    * Creates the gateway.
    *
@@ -77,7 +83,7 @@
    * @param directory knows the owner
    * @param ownership answers if this instance is the owner
    * @param handler answers what the owner asks over the link
-   * @param ownAddress where other instances reach this one
+   * @param self this instance
    */
   public Gateway(
       NetClient client,
@@ -86,15 +92,16 @@
       Directory directory,
       Ownership ownership,
       LinkHandler handler,
-      String ownAddress) {
+      Candidate self) {
     this.client = client;
     this.timers = timers;
     this.log = log;
     this.directory = directory;
     this.ownership = ownership;
     this.handler = handler;
-    this.ownAddress = ownAddress;
+    this.self = self;
     this.ownerlessSince = timers.nowMillis();
+    this.repliedAt = ownerlessSince;
   }
 
   /**
@@ -106,6 +113,9 @@
    */
   public Future<LinkReply> ask(LinkRequest request, long timeoutMillis) {
     Pending next = new Pending(request, timers.nowMillis() + timeoutMillis);
+    if (pending.isEmpty()) {
+      repliedAt = timers.nowMillis();
+    }
     pending.add(next);
     next.timer = timers.after(Duration.ofMillis(timeoutMillis), () -> giveUp(next, "deadline"));
     if (!reachable() && timers.nowMillis() - ownerlessSince > OWNERLESS_MILLIS) {
@@ -121,7 +131,7 @@
   public void ownerChanged() {
     OwnerRecord present = directory.owner();
     denials = 0;
-    if (present.address().equals(ownAddress)) {
+    if (present.address().equals(self.address())) {
       closeLink();
       if (!ownership.owns()) {
         // This process was the owner before its restart; nobody has taken over since.
@@ -148,7 +158,7 @@
       // again.
       return Future.succeededFuture(
           directory.owner().epoch() > 0
-              && !directory.owner().address().equals(ownAddress)
+              && !directory.owner().address().equals(self.address())
               && timers.nowMillis() - ownerlessSince < LINKING_MILLIS);
     }
     return link.ask(new LinkRequest.ProveOwnership(), PROOF_REPLY_MILLIS)
@@ -188,9 +198,21 @@
     return reachable() ? 0 : timers.nowMillis() - ownerlessSince;
   }
 
+  /**
+   * Returns for how long no owner has answered anything.
+   *
+   * @return milliseconds; 0 while an owner answers or nobody asks one
+   */
+  public long silentMillis() {
+    if (ownership.owns() || pending.isEmpty() && link != null) {
+      return 0;
+    }
+    return timers.nowMillis() - (link == null ? Math.max(repliedAt, ownerlessSince) : repliedAt);
+  }
+
   private void connect() {
     OwnerRecord target = directory.owner();
-    if (connecting || target.epoch() == 0 || target.address().equals(ownAddress)) {
+    if (connecting || target.epoch() == 0 || target.address().equals(self.address())) {
       return;
     }
     connecting = true;
@@ -207,6 +229,7 @@
               }
               Link opened = new Link(socket, handler, timers);
               opened.onClose(() -> broken(opened));
+              opened.ask(new LinkRequest.Introduce(self.strength().score()), PROOF_REPLY_MILLIS);
               link = opened;
               refusals = 0;
               linkedTo = target;
@@ -233,7 +256,9 @@
   }
 
   private Duration stepInDelay() {
-    return Duration.ofMillis(1 + Math.floorMod(ownAddress.hashCode(), STEP_IN_SPREAD_MILLIS));
+    boolean weak = directory.owner().strength().farAbove(self.strength());
+    int spread = 1 + Math.floorMod(self.address().hashCode(), STEP_IN_SPREAD_MILLIS);
+    return Duration.ofMillis(spread + (weak ? WEAK_DELAY_MILLIS : 0));
   }
 
   private void stepIn(OwnerRecord dead) {
@@ -289,6 +314,7 @@
   }
 
   private void replied(Pending next, LinkReply reply) {
+    repliedAt = timers.nowMillis();
     if (reply instanceof LinkReply.NotOwner) {
       unanswered(next);
       return;
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Ownership.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Ownership.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.LongSupplier;
 import org.hickorypier.core.cell.CustomerTerms;
 import org.hickorypier.daemon.link.LinkReply;
 import org.hickorypier.daemon.link.LinkRequest;
@@ -43,16 +44,28 @@
    */
   private static final long STEP_IN_MILLIS = 5_000;
 
+  /**
+   * A weak machine joins the group only when no owner has answered for so long: the stronger ones
+   * have had their chance by then, and the lifetime of a lost member is over.
+   */
+  private static final long WEAK_PATIENCE_MILLIS = 3_000;
+
+  /** How often an instance compares its machine with the owner's; instances differ a little. */
+  private static final int COMPARE_MILLIS = 1_000;
+
+  private static final int COMPARE_SPREAD_MILLIS = 500;
+
   /** What is under way is written within some 20 ms, unless the store is away. */
   private static final Duration LEAVE_PATIENCE = Duration.ofMillis(300);
 
   private final Instruments instruments;
   private final String member;
-  private final String address;
+  private final Candidate self;
   private final long lifetimeMillis;
   private final Directory directory;
   private final AdviceDesk advice = new AdviceDesk();
   private OwnerCheck ownerCheck;
+  private LongSupplier silentMillis = () -> 0;
   private Collection<CustomerTerms> customers = List.of();
   private Owner owner;
   private long generation;
@@ -66,19 +79,19 @@
    *
    * @param instruments what the parts work with
    * @param member this instance's name in the group
-   * @param address where other instances reach it
+   * @param self this instance and what its machine can carry
    * @param lifetimeMillis the lifetime of a member without a sign, in milliseconds
    * @param directory learns of a new owner
    */
   public Ownership(
       Instruments instruments,
       String member,
-      String address,
+      Candidate self,
       long lifetimeMillis,
       Directory directory) {
     this.instruments = instruments;
     this.member = member;
-    this.address = address;
+    this.self = self;
     this.lifetimeMillis = lifetimeMillis;
     this.directory = directory;
   }
@@ -99,15 +112,33 @@
    * Joins the group and stays in it.
    *
    * @param check asks the present owner
+   * @param ownerSilentMillis tells for how long no owner has answered, in milliseconds
    */
-  public void start(OwnerCheck check) {
+  public void start(OwnerCheck check, LongSupplier ownerSilentMillis) {
     ownerCheck = check;
+    silentMillis = ownerSilentMillis;
     instruments.timers().every(Duration.ofMillis(lifetimeMillis / SIGNS_A_LIFETIME), this::joinNow);
+    int spread = Math.floorMod(member.hashCode(), COMPARE_SPREAD_MILLIS);
+    instruments.timers().every(Duration.ofMillis(COMPARE_MILLIS + spread), this::compare);
     joinNow();
   }
 
+  /** A machine that is far stronger than the owner's takes over, whatever made that one owner. */
+  private void compare() {
+    OwnerRecord present = directory.owner();
+    if (!leaving && self.strength().farAbove(present.strength())) {
+      stepIn("the owner's machine is weaker");
+    }
+  }
+
+  private boolean tooWeakToJoin() {
+    return directory.owner().strength().farAbove(self.strength())
+        && directory.owner().epoch() > 0
+        && silentMillis.getAsLong() < WEAK_PATIENCE_MILLIS;
+  }
+
   private void joinNow() {
-    if (leaving || joining) {
+    if (leaving || joining || tooWeakToJoin()) {
       return;
     }
     joining = true;
@@ -239,7 +270,7 @@
     }
     takingOver = true;
     instruments.log().event(PART, "taking-over", "reason", reason, "generation", generation);
-    return new Takeover(instruments.store(), instruments.log(), address, firstSequence())
+    return new Takeover(instruments.store(), instruments.log(), self, firstSequence())
         .run()
         .transform(
             (taken, error) -> {
@@ -252,7 +283,7 @@
                 return Future.succeededFuture(false);
               }
               owner = new Owner(instruments, taken, advice, customers, this::lost);
-              announce(new OwnerRecord(taken.epoch(), address));
+              announce(self.ownerOf(taken.epoch()));
               return Future.succeededFuture(true);
             });
   }
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Takeover.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Takeover.java
@@ -32,19 +32,20 @@
 
   private final StoreClient store;
   private final EventLog log;
-  private final String address;
+  private final Candidate candidate;
   private final long sequence;
   private OwnerRecord predecessor;
 
   /**
    * Creates a takeover.
    *
+   * @param candidate the instance that takes over
    * @param sequence the number to begin at; no other candidate may have the same
    */
-  Takeover(StoreClient store, EventLog log, String address, long sequence) {
+  Takeover(StoreClient store, EventLog log, Candidate candidate, long sequence) {
     this.store = store;
     this.log = log;
-    this.address = address;
+    this.candidate = candidate;
     this.sequence = sequence;
   }
 
@@ -93,8 +94,7 @@
           .append(append(List.of(), OptionalLong.empty(), epoch, sequence))
           .compose(done -> readOn(end, values, tries + 1, epoch));
     }
-    KeyedRecord owner =
-        new KeyedRecord(JournalKeys.OWNER, new OwnerRecord(epoch, address).encode());
+    KeyedRecord owner = new KeyedRecord(JournalKeys.OWNER, candidate.ownerOf(epoch).encode());
     return store
         .append(append(List.of(owner), OptionalLong.of(end), epoch, sequence))
         .map(newEnd -> new Taken(epoch, sequence, values))
--- a/daemon/src/test/java/org/hickorypier/daemon/node/NodeSettingsTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/NodeSettingsTest.java
@@ -4,6 +4,7 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import io.vertx.core.json.JsonObject;
+import org.hickorypier.daemon.owner.Strength;
 import org.junit.jupiter.api.Test;
 
 class NodeSettingsTest {
@@ -18,6 +19,9 @@
         .put("ready", "10.1.0.17:8184")
         .put("store", "10.200.1.7:8182")
         .put("advisor", "")
+        .put("processorShare", 0.36)
+        .put("processorSpeed", 1)
+        .put("linkMegabits", 7.0)
         .put("longestLeaseMillis", 10_000)
         .put("gangMillis", 3_000)
         .put("stateKeptSeconds", 120)
@@ -32,6 +36,7 @@
     assertThat(settings.graceMillis()).isEqualTo(6_000);
     assertThat(settings.groupLifetimeMillis()).isEqualTo(1_500);
     assertThat(settings.cell().leaseMillis()).isEqualTo(3_500);
+    assertThat(settings.strength()).isEqualTo(Strength.of(0.36, 7));
   }
 
   @Test
--- a/daemon/src/test/java/org/hickorypier/daemon/node/NodeTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/NodeTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.vertx.core.http.HttpMethod;
+import org.hickorypier.daemon.owner.Strength;
 import org.hickorypier.standins.fault.Fault;
 import org.hickorypier.standins.fault.FaultPlan;
 import org.junit.jupiter.api.Test;
@@ -45,6 +46,29 @@
     }
   }
 
+  /**
+   * A weak machine is the first to own the cell. When a strong one starts, it takes the cell over;
+   * the caller's submission, accepted by the weak one, completes there. When the strong one is
+   * killed, the weak one owns the cell again, so that callers are served by what is left.
+   */
+  @Test
+  void strongMachineTakesTheCellOverAndWeakOneStepsInWhenItIsLost() throws Exception {
+    try (SmallCluster cluster = new SmallCluster(2, 300)) {
+      SmallCluster.Instance weak = cluster.start(Strength.of(0.36, 7));
+      String id = ID.formatted(1);
+      assertThat(cluster.submit(weak, id, 3).status()).isEqualTo(200);
+      SmallCluster.Instance strong = cluster.start(Strength.of(1.5, 140));
+      cluster.until(() -> cluster.told(strong, "owner-gained"));
+      cluster.until(() -> cluster.state(weak, id).equals("completed"));
+      cluster.until(() -> cluster.told(weak, "owner-lost"));
+      cluster.kill(strong);
+      String later = ID.formatted(2);
+      cluster.until(() -> cluster.submit(weak, later, 2).status() == 200);
+      cluster.until(() -> cluster.state(weak, later).equals("completed"));
+      assertThat(cluster.starts()).hasSize(5).doesNotHaveDuplicates();
+    }
+  }
+
   /**
    * The store carries out an append and its answer is lost. The caller is not told anything untrue:
    * the append is repeated under its number, and the submission is accepted once.
--- a/daemon/src/test/java/org/hickorypier/daemon/node/SmallCluster.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/SmallCluster.java
@@ -19,6 +19,7 @@
 import java.util.function.BooleanSupplier;
 import org.hickorypier.core.cell.CellTerms;
 import org.hickorypier.core.cell.EventLog;
+import org.hickorypier.daemon.owner.Strength;
 import org.hickorypier.platform.http.HttpCalls;
 import org.hickorypier.platform.http.HttpReply;
 import org.hickorypier.platform.http.ServiceAddress;
@@ -114,6 +115,10 @@
   }
 
   Instance start() throws Exception {
+    return start(Strength.UNKNOWN);
+  }
+
+  Instance start(Strength strength) throws Exception {
     String host = InetAddress.getLoopbackAddress().getHostAddress();
     NodeSettings settings =
         new NodeSettings(
@@ -126,6 +131,7 @@
             storeAddress,
             null,
             CellTerms.of(10_000, 3_000, 60_000),
+            strength,
             1_000,
             3_000);
     Node node =
@@ -141,6 +147,14 @@
     return instance;
   }
 
+  /** Tells whether an instance has logged an event. */
+  boolean told(Instance instance, String event) {
+    synchronized (events) {
+      return events.stream()
+          .anyMatch(line -> line.startsWith(instance.settings().name()) && line.contains(event));
+    }
+  }
+
   /** Takes an instance's process away: its sockets close, nothing is handed over. */
   void kill(Instance instance) throws Exception {
     await(vertx.undeploy(instance.deployment()));
--- a/daemon/src/test/java/org/hickorypier/daemon/owner/TakeoverTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/owner/TakeoverTest.java
@@ -47,7 +47,8 @@
   }
 
   private Takeover candidate(String address, long sequence) {
-    return new Takeover(store, (part, event, fields) -> {}, address, sequence);
+    return new Takeover(
+        store, (part, event, fields) -> {}, new Candidate(address, Strength.UNKNOWN), sequence);
   }
 
   private static <T> T await(Future<T> future) throws Exception {
