A randomized soak of real instances, disturbed from outside

Change: bin/soak starts instances as processes over the stand-ins, each connection through a loopback proxy that delays, resets, silences or loses answers; signals kill, stop, pause; the store and workers lose, delay and carry out late; time of day steps; keys are withdrawn. The promises are checked from what callers and workers see. Promises, the model's checker, moved to core.verification and serves both; it also checks that what was refused never runs.

--- a/core/src/test/java/org/hickorypier/core/cell/model/CellModelTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/model/CellModelTest.java
@@ -32,7 +32,7 @@
           world.story(broken.replaceAll(".*([0-9a-f]{16}).*", "$1")).forEach(System.out::println);
         }
       }
-      starts += world.promises.starts;
+      starts += world.promises.starts();
       steps += world.time.steps;
     }
     System.out.println(
--- a/core/src/test/java/org/hickorypier/core/cell/model/ModelRun.java
+++ b/core/src/test/java/org/hickorypier/core/cell/model/ModelRun.java
@@ -2,6 +2,7 @@
 
 import org.hickorypier.core.cell.RunKey;
 import org.hickorypier.core.model.Resources;
+import org.hickorypier.core.verification.ObservedRun;
 
 /** A run on a worker of the model. */
 final class ModelRun {
@@ -13,6 +14,11 @@
   boolean stopping;
   boolean working;
 
+  /** Returns the run as the worker's record shows it. */
+  ObservedRun observed() {
+    return new ObservedRun(key, worker.id, worker.born);
+  }
+
   ModelRun(RunKey key, ModelWorker worker, Resources size, int gangWidth) {
     this.key = key;
     this.worker = worker;
--- a/core/src/test/java/org/hickorypier/core/cell/model/ModelWorker.java
+++ b/core/src/test/java/org/hickorypier/core/cell/model/ModelWorker.java
@@ -15,6 +15,8 @@
 import org.hickorypier.core.cell.WorkerEntry;
 import org.hickorypier.core.model.Resources;
 import org.hickorypier.core.submission.StepSpec;
+import org.hickorypier.core.verification.ObservedRun;
+import org.hickorypier.core.verification.PromiseChecker;
 
 /** A worker as the platform's protocol describes it: fencing, leases, runs, ends, gangs. */
 final class ModelWorker {
@@ -22,11 +24,11 @@
   static final long LONGEST_LEASE = 10_000;
   private static final long STOP_MILLIS = 300;
   private static final long GANG_MILLIS = 3_000;
-  private static final Resources CAPACITY = new Resources(16_000, 64_000, 0);
+  static final Resources CAPACITY = new Resources(16_000, 64_000, 0);
 
   final String id;
   private final ModelTime time;
-  private final Promises promises;
+  private final PromiseChecker promises;
   private final Map<String, List<ModelRun>> gangs;
   private final double clockRate;
   private final Map<RunKey, ModelRun> runs = new LinkedHashMap<>();
@@ -41,7 +43,8 @@
   private long downUntil;
   double failShare;
 
-  ModelWorker(String id, ModelTime time, Promises promises, Map<String, List<ModelRun>> gangs) {
+  ModelWorker(
+      String id, ModelTime time, PromiseChecker promises, Map<String, List<ModelRun>> gangs) {
     this.id = id;
     this.time = time;
     this.promises = promises;
@@ -79,14 +82,7 @@
     }
     ModelRun run = new ModelRun(key, this, step.each(), step.flags().gang() ? step.count() : 1);
     runs.put(key, run);
-    long sum = 0;
-    for (ModelRun other : runs.values()) {
-      sum += other.size.milliProcessors();
-    }
-    if (sum > CAPACITY.milliProcessors()) {
-      promises.overCapacity(run, sum);
-    }
-    promises.started(run);
+    promises.started(run.observed());
     if (run.gangWidth == 1) {
       work(run, workMillis);
     } else {
@@ -142,7 +138,7 @@
     runs.remove(run.key);
     closed.merge(run.key.task(), run.key.number(), Math::max);
     ended.add(new EndedRun(++number, run.key, how, ""));
-    promises.ended(run, how);
+    promises.ended(run.observed(), how);
     breakGang(run, how);
   }
 
@@ -187,7 +183,7 @@
     }
     while (!ended.isEmpty() && ended.get(0).number() <= seen) {
       EndedRun forgotten = ended.remove(0);
-      promises.noted(this, forgotten.run(), forgotten.how());
+      promises.noted(new ObservedRun(forgotten.run(), id, born), forgotten.how());
     }
     List<RunningTask> running = new ArrayList<>();
     for (ModelRun run : runs.values()) {
@@ -207,12 +203,12 @@
 
   private void expire() {
     if (clock() > lease && !runs.isEmpty()) {
-      promises.lapsed(this);
+      promises.lapsed(id);
       for (ModelRun run : List.copyOf(runs.values())) {
         end(run, RunEnd.LAPSED);
       }
     } else if (clock() > lease) {
-      promises.lapsed(this);
+      promises.lapsed(id);
     }
   }
 
@@ -229,7 +225,7 @@
     up = false;
     for (ModelRun run : List.copyOf(runs.values())) {
       runs.remove(run.key);
-      promises.ended(run, RunEnd.LAPSED);
+      promises.ended(run.observed(), RunEnd.LAPSED);
       breakGang(run, RunEnd.LAPSED);
     }
   }
--- a/core/src/test/java/org/hickorypier/core/cell/model/ModelWorld.java
+++ b/core/src/test/java/org/hickorypier/core/cell/model/ModelWorld.java
@@ -18,6 +18,7 @@
 import org.hickorypier.core.submission.StepSpec;
 import org.hickorypier.core.submission.SubmissionSpec;
 import org.hickorypier.core.submission.SubmissionState;
+import org.hickorypier.core.verification.PromiseChecker;
 
 /**
  * A small cluster under seeded faults: owners that come and go, workers, a journal, callers.
@@ -32,7 +33,7 @@
       new QueueTerms("queue", "service", 0, 3, 2, 1_000, Optional.empty());
 
   final ModelTime time;
-  final Promises promises;
+  final PromiseChecker promises;
   final ModelFaults faults = new ModelFaults();
   final ModelJournal journal = new ModelJournal();
   final List<ModelWorker> workers = new ArrayList<>();
@@ -44,12 +45,13 @@
 
   ModelWorld(long seed) {
     this.time = new ModelTime(seed);
-    this.promises = new Promises(time);
+    this.promises = new PromiseChecker(time::now);
     Map<String, List<ModelRun>> gangs = new HashMap<>();
     for (int index = 0; index < 4; index++) {
       workers.add(new ModelWorker("w" + index, time, promises, gangs));
+      promises.capacity("w" + index, ModelWorker.CAPACITY);
     }
-    promises.limits.put("small", new Resources(12_000, 0, 0));
+    promises.limit("small", new Resources(12_000, 0, 0));
     takeOver();
     for (int index = 0; index < 40; index++) {
       String id = "%016x".formatted(index);
@@ -74,11 +76,11 @@
       SubmissionStatus status = owner.cell.status(id);
       SubmissionState state = status == null ? null : status.state();
       if (state == null || !state.terminal()) {
-        promises.lost(id, state);
+        promises.lost(id, "" + state);
         notes.addAll(owner.cell.explain(id, time.now()));
       }
     }
-    return promises.broken;
+    return promises.broken();
   }
 
   void note(int epoch, String event, Object[] fields) {
--- a/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
 import org.hickorypier.core.cell.EventLog;
 import org.hickorypier.core.cluster.ClusterConfiguration;
@@ -72,6 +73,7 @@
 
   private final NodeSettings settings;
   private final EventLog log;
+  private final LongSupplier wall;
   private ConfigurationWatch configuration;
   private Ownership ownership;
   private Gateway gateway;
@@ -88,16 +90,18 @@
    *
    * @param settings its settings
    * @param log takes the events
+   * @param wall the time of day, milliseconds since 1970
    */
-  public Node(NodeSettings settings, EventLog log) {
+  public Node(NodeSettings settings, EventLog log, LongSupplier wall) {
     this.settings = settings;
     this.log = log;
+    this.wall = wall;
   }
 
   @Override
   public Future<?> start() {
     timers = new ContextTimers(vertx, context);
-    PauseGuard pauses = new PauseGuard(timers::nowMillis, System::currentTimeMillis);
+    PauseGuard pauses = new PauseGuard(timers::nowMillis, wall);
     StoreClient store = new StoreClient(new HttpCalls(vertx, STORE_CONNECTIONS), settings.store());
     advisor =
         settings.advisor() == null
@@ -108,11 +112,11 @@
             store,
             new WorkerClient(new HttpCalls(vertx, WORKER_CONNECTIONS)),
             timers,
-            System::currentTimeMillis,
+            wall,
             pauses,
             log,
             settings.cell());
-    String peerAddress = settings.address() + ":" + settings.peerPort();
+    String peerAddress = "" + settings.advertisedPeer();
     Directory directory = new Directory(store, timers, log, this::ownerChanged);
     Candidate self = new Candidate(peerAddress, settings.strength());
     ownership =
@@ -168,13 +172,7 @@
           public Future<?> start() {
             front =
                 new FrontServer(
-                    vertx,
-                    control,
-                    configuration,
-                    gateway,
-                    Node.this::ready,
-                    System::currentTimeMillis,
-                    log);
+                    vertx, control, configuration, gateway, Node.this::ready, wall, log);
             return front.listen(settings.front(), settings.ready());
           }
         });
--- a/daemon/src/main/java/org/hickorypier/daemon/node/NodeMain.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/NodeMain.java
@@ -9,6 +9,7 @@
 import io.vertx.core.file.FileSystemOptions;
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Option;
@@ -59,7 +60,7 @@
       System.exit(CANNOT_USE);
       return;
     }
-    Started started = start(settings);
+    Started started = start(settings, System::currentTimeMillis);
     try {
       Path file = Path.of(line.getOptionValue("settings"));
       HangupSignal.onHangup(() -> reload(file, settings, started.log()));
@@ -83,9 +84,16 @@
    * @param log takes the events
    * @param deployed done when the instance listens
    */
-  record Started(Vertx vertx, LineLog log, Future<String> deployed) {}
+  public record Started(Vertx vertx, LineLog log, Future<String> deployed) {}
 
-  static Started start(NodeSettings settings) {
+  /**
+   * Starts an instance in this process.
+   *
+   * @param settings its settings
+   * @param wall the time of day, milliseconds since 1970
+   * @return the instance
+   */
+  public static Started start(NodeSettings settings, LongSupplier wall) {
     LineLog lines = new LineLog(settings.name(), System::currentTimeMillis, System.out);
     PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     EventLog log = new MeteredLog(lines, registry);
@@ -96,7 +104,7 @@
         (thread, error) -> log.event(PART, "fault", "thread", thread.getName(), "error", error));
     Vertx vertx = vertx();
     vertx.exceptionHandler(error -> log.event(PART, "fault", "error", describe(error)));
-    Node node = new Node(settings, log);
+    Node node = new Node(settings, log, wall);
     log.event(PART, "starting", "front", settings.front(), "store", settings.store());
     Runtime.getRuntime().addShutdownHook(new Thread(() -> end(node, settings, lines), "shutdown"));
     Future<String> deployed =
--- a/daemon/src/main/java/org/hickorypier/daemon/node/NodeSettings.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/NodeSettings.java
@@ -16,7 +16,8 @@
  *
  * @param name the instance's name
  * @param address its address
- * @param peerPort where other instances reach it
+ * @param peerPort where it listens for other instances
+ * @param advertisedPeer where other instances reach it, which differs behind a forwarder
  * @param metricsPort where metrics are served as text, or 0 for nowhere
  * @param front where callers reach it
  * @param ready where the balancer asks whether it takes connections
@@ -31,6 +32,7 @@
     String name,
     String address,
     int peerPort,
+    ServiceAddress advertisedPeer,
     int metricsPort,
     ServiceAddress front,
     ServiceAddress ready,
@@ -83,6 +85,9 @@
         reader.text("name"),
         reader.text("address"),
         (int) reader.number("peerPort", 1),
+        json.containsKey("advertisedPeer")
+            ? reader.service("advertisedPeer")
+            : new ServiceAddress(reader.text("address"), (int) reader.number("peerPort", 1)),
         (int) reader.number("metricsPort", 0),
         reader.service("front"),
         reader.service("ready"),
--- a/daemon/src/main/java/org/hickorypier/daemon/node/Rehearsal.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Rehearsal.java
@@ -36,7 +36,7 @@
    */
   public static void main(String[] arguments) throws IOException, InterruptedException {
     NodeSettings settings = settings();
-    NodeMain.Started started = NodeMain.start(settings);
+    NodeMain.Started started = NodeMain.start(settings, System::currentTimeMillis);
     CountDownLatch answered = new CountDownLatch(CALLS);
     HttpCalls calls = new HttpCalls(started.vertx(), 2);
     started.deployed().onSuccess(id -> call(calls, settings, answered, CALLS));
@@ -67,6 +67,7 @@
         "rehearsal",
         host,
         freePort(),
+        closed,
         freePort(),
         new ServiceAddress(host, freePort()),
         new ServiceAddress(host, freePort()),
--- a/daemon/src/test/java/org/hickorypier/daemon/node/SmallCluster.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/SmallCluster.java
@@ -24,6 +24,8 @@
 import org.hickorypier.platform.http.HttpReply;
 import org.hickorypier.platform.http.ServiceAddress;
 import org.hickorypier.standins.executor.InMemoryExecutor;
+import org.hickorypier.standins.executor.RunObserver;
+import org.hickorypier.standins.executor.Workload;
 import org.hickorypier.standins.http.ExecutorServer;
 import org.hickorypier.standins.http.StoreServer;
 import org.hickorypier.standins.store.InMemoryStore;
@@ -60,7 +62,8 @@
           new InMemoryExecutor(
               "w" + index,
               System.currentTimeMillis(),
-              workMillis,
+              Workload.steady(workMillis),
+              RunObserver.NONE,
               () -> now() - started,
               (millis, task) -> vertx.setTimer(Math.max(1, millis), id -> task.run()));
       ExecutorServer server = new ExecutorServer(vertx, worker);
@@ -120,11 +123,13 @@
 
   Instance start(Strength strength) throws Exception {
     String host = InetAddress.getLoopbackAddress().getHostAddress();
+    int peerPort = freePort();
     NodeSettings settings =
         new NodeSettings(
             "instance-" + instances.size(),
             host,
-            freePort(),
+            peerPort,
+            new ServiceAddress(host, peerPort),
             0,
             new ServiceAddress(host, freePort()),
             new ServiceAddress(host, freePort()),
@@ -140,7 +145,8 @@
             (part, event, fields) -> {
               events.add(settings.name() + " " + part + " " + event + " " + List.of(fields));
               log.event(part, event, fields);
-            });
+            },
+            System::currentTimeMillis);
     Instance instance = new Instance(settings, node, await(vertx.deployVerticle(node)));
     instances.add(instance);
     until(() -> ready(instance));
--- a/measure/src/main/java/org/hickorypier/measure/fleet/JavaProcess.java
+++ b/measure/src/main/java/org/hickorypier/measure/fleet/JavaProcess.java
@@ -139,6 +139,21 @@
     awaitExit();
   }
 
+  /**
+   * Writes a line to the standard input of the process.
+   *
+   * @param line the line
+   * @throws FleetException if the process does not take it
+   */
+  public void send(String line) throws FleetException {
+    try {
+      process.getOutputStream().write((line + "\n").getBytes(StandardCharsets.UTF_8));
+      process.getOutputStream().flush();
+    } catch (IOException error) {
+      throw new FleetException(name + " does not read", error);
+    }
+  }
+
   /** Asks the process to shut down (SIGTERM). */
   public void terminate() {
     process.destroy();
--- /dev/null
+++ b/measure/src/main/java/org/hickorypier/measure/soak/DisturbanceKind.java
@@ -0,0 +1,47 @@
+package org.hickorypier.measure.soak;
+
+/** What a soak does to the processes, connections, clocks and services of a small cluster. */
+enum DisturbanceKind {
+  /** An instance is killed, and starts again after the length. */
+  KILL_INSTANCE,
+  /** All instances are killed at once, and start again after the length. */
+  KILL_ALL,
+  /** An instance is told to shut down; callers go on using it until it is gone. */
+  TERMINATE_INSTANCE,
+  /** An instance is stopped and goes on after the length. */
+  PAUSE_INSTANCE,
+  /** The time of day of an instance jumps, and back after the length. */
+  STEP_CLOCK,
+  /** The store refuses the connections of one instance. */
+  STORE_REFUSES_INSTANCE,
+  /** The store's connections to one instance go silent. */
+  STORE_SILENT_FOR_INSTANCE,
+  /** The store answers no instance. */
+  STORE_SILENT,
+  /** The store carries appends out and loses the answers. */
+  STORE_LOSES_ANSWERS,
+  /** The store breaks appends off and carries them out seconds later. */
+  STORE_LATE,
+  /** The store takes long. */
+  STORE_SLOW,
+  /** The store forgets its history; the newest record of each key stays. */
+  STORE_FORGETS,
+  /** A worker crashes and comes back under its id, empty. */
+  CRASH_WORKER,
+  /** A worker can be reached by nobody, and runs on. */
+  CUT_WORKER,
+  /** A worker hears orders, and its answers are lost. */
+  CUT_ANSWERS_OF_WORKER,
+  /** A worker breaks orders off and carries them out seconds later. */
+  WORKER_LATE,
+  /** A worker fails all that it starts. */
+  WORKER_FAILS_ALL,
+  /** The other instances cannot reach one over its links. */
+  CUT_LINKS,
+  /** The links to an instance are slow. */
+  DELAY_LINKS,
+  /** The callers' connections to an instance are reset. */
+  RESET_CALLERS,
+  /** The operator withdraws a customer's key and gives another. */
+  CHANGE_KEY
+}
--- /dev/null
+++ b/measure/src/main/java/org/hickorypier/measure/soak/SoakCallers.java
@@ -0,0 +1,264 @@
+package org.hickorypier.measure.soak;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
+import org.hickorypier.core.model.Resources;
+import org.hickorypier.core.submission.QueueTerms;
+import org.hickorypier.core.submission.StepFlags;
+import org.hickorypier.core.submission.StepSpec;
+import org.hickorypier.core.submission.SubmissionSpec;
+import org.hickorypier.core.submission.SubmissionState;
+import org.hickorypier.core.verification.PromiseChecker;
+import org.hickorypier.platform.http.HttpCalls;
+import org.hickorypier.platform.http.HttpReply;
+import org.hickorypier.platform.http.ServiceAddress;
+
+/**
+ * The callers of a soak: they hand in, try again elsewhere, ask, cancel, and hold a withdrawn key.
+ *
+ * <p>All of it runs on one event loop of its own, so nothing here is shared between threads but
+ * what the constructor is given.
+ */
+final class SoakCallers {
+
+  private static final QueueTerms QUEUE =
+      new QueueTerms(
+          "queue",
+          StandInPlatform.SERVICE,
+          0,
+          StandInPlatform.ATTEMPTS,
+          StandInPlatform.STRETCH,
+          StandInPlatform.OBJECTIVE_MILLIS,
+          Optional.empty());
+  private static final int CONNECTIONS = 8;
+  private static final long CALL_MILLIS = 3_000;
+  private static final long TRY_AGAIN_MILLIS = 300;
+  private static final int MOST_TRIES = 5;
+  private static final int HAND_IN_SPREAD_MILLIS = 220;
+  private static final long ASK_MILLIS = 400;
+
+  /** One submission in eight is cancelled. */
+  private static final int CANCEL_SHARE = 8;
+
+  /** An accepted submission must be known everywhere after this time. */
+  private static final long VISIBLE_MILLIS = 3_000;
+
+  /** A withdrawn key must not work any more after this time. */
+  private static final long WITHDRAWN_MILLIS = 5_000;
+
+  private final Vertx vertx;
+  private final HttpCalls calls;
+  private final StandInPlatform platform;
+  private final List<ServiceAddress> fronts;
+  private final PromiseChecker checker;
+  private final Random random;
+  private final Set<String> open = new TreeSet<>();
+  private final List<String> unlawful = new ArrayList<>();
+  private int handedIn;
+  private int accepted;
+  private int refused;
+  private boolean handingIn = true;
+  private boolean stopped;
+
+  SoakCallers(
+      Vertx vertx,
+      StandInPlatform platform,
+      List<ServiceAddress> fronts,
+      PromiseChecker checker,
+      long seed) {
+    this.vertx = vertx;
+    this.calls = new HttpCalls(vertx, CONNECTIONS);
+    this.platform = platform;
+    this.fronts = List.copyOf(fronts);
+    this.checker = checker;
+    this.random = new Random(seed);
+  }
+
+  /** Hands in one submission after another until {@link #rest}. */
+  void begin() {
+    if (handingIn) {
+      handIn("%016x".formatted(++handedIn));
+      vertx.setTimer(1 + random.nextInt(HAND_IN_SPREAD_MILLIS), timer -> begin());
+    }
+  }
+
+  void rest() {
+    handingIn = false;
+  }
+
+  /** Makes no call any more; what was under way may still end. */
+  void stop() {
+    stopped = true;
+  }
+
+  /** Returns the accepted submissions that have not come to an end. */
+  Set<String> open() {
+    return new TreeSet<>(open);
+  }
+
+  List<String> unlawful() {
+    return List.copyOf(unlawful);
+  }
+
+  String summary() {
+    return handedIn + " handed in, " + accepted + " accepted, " + refused + " refused";
+  }
+
+  private void handIn(String id) {
+    String customer = random.nextBoolean() ? StandInPlatform.SMALL : StandInPlatform.LARGE;
+    SubmissionSpec spec = spec(id, customer);
+    checker.handedIn(spec);
+    attempt(spec, MOST_TRIES, true);
+  }
+
+  private SubmissionSpec spec(String id, String customer) {
+    StepSpec first = step(List.of());
+    List<StepSpec> steps =
+        random.nextInt(3) == 0 ? List.of(first, step(List.of(0))) : List.of(first);
+    return new SubmissionSpec(id, customer, QUEUE, "text", steps, 0, 0, 0, 0);
+  }
+
+  private StepSpec step(List<Integer> dependsOn) {
+    Resources each = new Resources(1_000 + 500L * random.nextInt(7), 1_000, 0);
+    return new StepSpec(
+        1 + random.nextInt(4), each, 500, dependsOn, StepFlags.PLAIN, "", "", 0, "", 0, 0);
+  }
+
+  private void attempt(SubmissionSpec spec, int triesLeft, boolean allRefused) {
+    call(HttpMethod.POST, spec, body(spec))
+        .onSuccess(
+            reply -> {
+              boolean refusal = reply.status() == 429 || reply.status() == 503;
+              if (reply.status() / 100 == 2) {
+                accepted(spec);
+              } else if (triesLeft > 1) {
+                vertx.setTimer(
+                    TRY_AGAIN_MILLIS, timer -> attempt(spec, triesLeft - 1, allRefused && refusal));
+              } else if (allRefused && refusal) {
+                refused++;
+                checker.refused(spec.id());
+              }
+            });
+  }
+
+  private void accepted(SubmissionSpec spec) {
+    accepted++;
+    open.add(spec.id());
+    long acceptedAt = now();
+    if (random.nextInt(CANCEL_SHARE) == 0) {
+      vertx.setTimer(1 + random.nextInt(2_000), timer -> cancel(spec));
+    }
+    vertx.setTimer(ASK_MILLIS, timer -> ask(spec, acceptedAt));
+  }
+
+  private void ask(SubmissionSpec spec, long acceptedAt) {
+    long sentAt = now();
+    call(HttpMethod.GET, spec, null)
+        .onSuccess(
+            reply -> {
+              if (reply.status() == 410 && sentAt > acceptedAt + VISIBLE_MILLIS) {
+                checker.lost(spec.id(), "not known");
+                open.remove(spec.id());
+                return;
+              }
+              SubmissionState state = reply.status() == 200 ? state(reply) : null;
+              if (state != null) {
+                checker.shown(spec.id(), state);
+              }
+              if (state != null && state.terminal()) {
+                open.remove(spec.id());
+              } else {
+                vertx.setTimer(ASK_MILLIS, timer -> ask(spec, acceptedAt));
+              }
+            });
+  }
+
+  private static SubmissionState state(HttpReply reply) {
+    String word = new JsonObject(reply.body()).getString("State");
+    return SubmissionState.valueOf(word.toUpperCase(Locale.ROOT));
+  }
+
+  private void cancel(SubmissionSpec spec) {
+    call(HttpMethod.DELETE, spec, null)
+        .onSuccess(
+            reply -> {
+              if (reply.status() == 200 && state(reply) == SubmissionState.CANCELLED) {
+                checker.cancelAcknowledged(spec.id());
+              } else if (reply.status() != 200) {
+                vertx.setTimer(TRY_AGAIN_MILLIS, timer -> cancel(spec));
+              }
+            });
+  }
+
+  /** Goes on using a key that was withdrawn; late uses must all be turned away. */
+  void useWithdrawn(String key) {
+    vertx.setTimer(
+        WITHDRAWN_MILLIS,
+        timer -> {
+          for (ServiceAddress front : fronts) {
+            send(front, HttpMethod.GET, StandInPlatform.PREFIX + "f".repeat(16), key, null)
+                .onSuccess(
+                    reply -> {
+                      if (reply.status() == 200 || reply.status() == 410) {
+                        unlawful.add("a withdrawn key was taken at " + front + ": " + key);
+                      }
+                    });
+          }
+        });
+  }
+
+  private Future<HttpReply> call(HttpMethod method, SubmissionSpec spec, Buffer body) {
+    ServiceAddress front = fronts.get(random.nextInt(fronts.size()));
+    String key = platform.key(spec.customer());
+    return send(front, method, StandInPlatform.PREFIX + spec.id(), key, body);
+  }
+
+  private Future<HttpReply> send(
+      ServiceAddress front, HttpMethod method, String path, String key, Buffer body) {
+    if (stopped) {
+      return Promise.<HttpReply>promise().future();
+    }
+    Map<String, String> headers =
+        Map.of(
+            "Host",
+            StandInPlatform.HOST,
+            "Authorization",
+            "Bearer " + key,
+            "Hickorypier-Deadline-Ms",
+            "" + CALL_MILLIS);
+    return calls
+        .call(front, method, path, headers, body, CALL_MILLIS)
+        .otherwise(new HttpReply(0, Buffer.buffer()));
+  }
+
+  private static Buffer body(SubmissionSpec spec) {
+    JsonArray steps = new JsonArray();
+    for (StepSpec step : spec.steps()) {
+      steps.add(
+          new JsonObject()
+              .put("Count", step.count())
+              .put("Cpu", step.each().milliProcessors())
+              .put("MemMb", step.each().memoryMebibytes())
+              .put("EstimateMs", step.estimateMillis())
+              .put("DependsOn", new JsonArray(step.dependsOn())));
+    }
+    return new JsonObject().put("Spec", "text").put("Phases", steps).toBuffer();
+  }
+
+  private static long now() {
+    return System.nanoTime() / 1_000_000;
+  }
+}
--- /dev/null
+++ b/measure/src/main/java/org/hickorypier/measure/soak/StandInWorker.java
@@ -0,0 +1,169 @@
+package org.hickorypier.measure.soak;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.json.JsonObject;
+import java.util.Locale;
+import org.hickorypier.core.cell.RunEnd;
+import org.hickorypier.core.cell.RunKey;
+import org.hickorypier.core.verification.ObservedRun;
+import org.hickorypier.core.verification.PromiseChecker;
+import org.hickorypier.platform.execution.TaskNames;
+import org.hickorypier.platform.http.ServiceAddress;
+import org.hickorypier.standins.executor.InMemoryExecutor;
+import org.hickorypier.standins.executor.RunObserver;
+import org.hickorypier.standins.executor.Workload;
+import org.hickorypier.standins.fault.FaultPlan;
+import org.hickorypier.standins.http.ExecutorServer;
+import org.hickorypier.standins.store.InMemoryStore;
+import org.hickorypier.wire.UndecodableException;
+
+/**
+ * A worker through all its lives, behind a proxy, with its entry in the store.
+ *
+ * <p>Thread safe.
+ */
+final class StandInWorker {
+
+  private static final String LOOPBACK = "127.0.0.1";
+  private static final String ENTRIES = "keyed.servers";
+
+  /** Each worker writes its entry about so often. */
+  private static final long HEARTBEAT_MILLIS = 1_500;
+
+  /** After three heartbeats without a sign the entry is dropped. */
+  private static final long LAPSE_MILLIS = 3 * HEARTBEAT_MILLIS;
+
+  /** A clock may be 2% slow. */
+  private static final double SLOWEST_CLOCK = 0.98;
+
+  final LoopbackProxy proxy;
+  private final Vertx vertx;
+  private final String id;
+  private final InMemoryStore store;
+  private final PromiseChecker checker;
+  private final long workUnitMillis;
+  private ServiceAddress address;
+  private InMemoryExecutor executor;
+  private ExecutorServer server;
+  private volatile boolean failsAll;
+  private long sequence;
+  private boolean up;
+
+  StandInWorker(
+      Vertx vertx, String id, InMemoryStore store, PromiseChecker checker, long workUnitMillis) {
+    this.vertx = vertx;
+    this.id = id;
+    this.store = store;
+    this.checker = checker;
+    this.workUnitMillis = workUnitMillis;
+    this.proxy = new LoopbackProxy(vertx);
+  }
+
+  void begin() throws SoakException {
+    address = Waiting.forResult(proxy.listen());
+    Waiting.forResult(live());
+    vertx.setPeriodic(HEARTBEAT_MILLIS, timer -> heartbeat());
+  }
+
+  /** Begins a life: nothing runs, and nothing is known of earlier ones. */
+  private synchronized Future<HttpServer> live() {
+    long born = System.currentTimeMillis();
+    long began = System.nanoTime();
+    executor =
+        new InMemoryExecutor(
+            id,
+            born,
+            this::plan,
+            new Record(born),
+            () -> (long) ((System.nanoTime() - began) / 1_000_000 * SLOWEST_CLOCK),
+            (millis, task) -> vertx.setTimer(Math.max(1, millis), timer -> task.run()));
+    server = new ExecutorServer(vertx, executor);
+    return server
+        .listen(0)
+        .onSuccess(
+            listening -> {
+              proxy.target(new ServiceAddress(LOOPBACK, listening.actualPort()));
+              proxy.mode(ProxyMode.PASS);
+              up = true;
+              heartbeat();
+            });
+  }
+
+  synchronized void crash(long downMillis) {
+    if (!up) {
+      return;
+    }
+    up = false;
+    executor.crash();
+    proxy.mode(ProxyMode.REFUSE);
+    vertx.setTimer(LAPSE_MILLIS, timer -> dropEntryWhileDown());
+    vertx.setTimer(downMillis, timer -> live());
+  }
+
+  private synchronized void dropEntryWhileDown() {
+    if (!up) {
+      store.put(ENTRIES, id, null);
+    }
+  }
+
+  void failAll(boolean fails) {
+    failsAll = fails;
+  }
+
+  synchronized void faults(FaultPlan plan) {
+    server.gate().plan(plan);
+  }
+
+  private Workload.Planned plan(String task, int run) {
+    // Lengths from one to four units, and the same at each try.
+    return new Workload.Planned(workUnitMillis * (1 + Math.floorMod(task.hashCode(), 4)), failsAll);
+  }
+
+  private synchronized void heartbeat() {
+    if (up) {
+      JsonObject entry = executor.entry(StandInPlatform.SERVICE, "" + address);
+      entry.put("Sequence", ++sequence);
+      store.put(ENTRIES, id, entry.toBuffer().getBytes());
+    }
+  }
+
+  /** Tells the checker what this life of the worker sees. */
+  private final class Record implements RunObserver {
+
+    private final long born;
+
+    Record(long born) {
+      this.born = born;
+    }
+
+    private ObservedRun observed(String task, int run) {
+      try {
+        return new ObservedRun(new RunKey(TaskNames.parse(task), run), id, born);
+      } catch (UndecodableException error) {
+        throw new IllegalArgumentException("a worker was told to start " + task, error);
+      }
+    }
+
+    @Override
+    public void started(String task, int run) {
+      checker.started(observed(task, run));
+    }
+
+    @Override
+    public void ended(String task, int run, String how) {
+      checker.ended(observed(task, run), RunEnd.valueOf(how.toUpperCase(Locale.ROOT)));
+    }
+
+    @Override
+    public void forgotten(String task, int run, String how) {
+      checker.noted(observed(task, run), RunEnd.valueOf(how.toUpperCase(Locale.ROOT)));
+    }
+
+    @Override
+    public void lapsed() {
+      checker.lapsed(id);
+    }
+  }
+}
--- /dev/null
+++ b/measure/src/test/java/org/hickorypier/measure/soak/SoakTest.java
@@ -0,0 +1,22 @@
+package org.hickorypier.measure.soak;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Path;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Callers hand in work at three real instances while those are killed, paused and cut off, and the
+ * store and workers misbehave. What was accepted comes to an end, once; nothing that was refused
+ * runs; no limit is passed. The seeds are fixed; {@code bin/soak} plays fresh ones.
+ */
+class SoakTest {
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 11})
+  void promisesHoldUnderDisturbances(long seed) throws Exception {
+    SoakResult result = new SoakRun(seed, SoakSettings.usual(Path.of("target", "soak"))).play();
+    assertThat(result.broken()).as("%s", result.disturbances()).isEmpty();
+  }
+}
--- a/standins/src/main/java/org/hickorypier/standins/executor/InMemoryExecutor.java
+++ b/standins/src/main/java/org/hickorypier/standins/executor/InMemoryExecutor.java
@@ -11,7 +11,7 @@
 import org.hickorypier.standins.fault.Delays;
 
 /**
- * A worker in memory: each run works for a fixed time and ends as done, unless told otherwise.
+ * A worker in memory: runs, ends, fencing, and a lease that ends everything when it runs out.
  *
  * <p>Thread safe. Gangs and checkpoints are not modelled here; the seeded model of the cell has the
  * gangs.
@@ -21,9 +21,13 @@
   private static final int OK = 200;
   private static final int CONFLICT = 409;
 
+  /** A longer lease is shortened to this, in milliseconds. */
+  private static final long LONGEST_LEASE_MILLIS = 10_000;
+
   private final String id;
   private final long bornMillis;
-  private final long workMillis;
+  private final Workload workload;
+  private final RunObserver observer;
   private final LongSupplier clock;
   private final Delays delays;
   private final Map<String, JsonArray> running = new LinkedHashMap<>();
@@ -33,21 +37,29 @@
   private long token;
   private long lease;
   private long number;
+  private boolean crashed;
 
   /**
    * Creates a worker that runs nothing.
    *
    * @param id its id
    * @param bornMillis its start, milliseconds since 1970
-   * @param workMillis how long each run works
+   * @param workload decides what runs do
+   * @param observer hears what happens to the runs
    * @param clock its steady clock
    * @param delays runs what is due later
    */
   public InMemoryExecutor(
-      String id, long bornMillis, long workMillis, LongSupplier clock, Delays delays) {
+      String id,
+      long bornMillis,
+      Workload workload,
+      RunObserver observer,
+      LongSupplier clock,
+      Delays delays) {
     this.id = id;
     this.bornMillis = bornMillis;
-    this.workMillis = workMillis;
+    this.workload = workload;
+    this.observer = observer;
     this.clock = clock;
     this.delays = delays;
   }
@@ -105,11 +117,14 @@
     expire();
     final String task = order.getString("Task");
     final int run = order.getInteger("Run");
+    if (crashed) {
+      return refused("late");
+    }
     if (order.getLong("FencingToken", 0L) < token) {
       return refused("fence");
     }
     token = order.getLong("FencingToken", 0L);
-    lease = Math.max(lease, order.getLong("DeadlineMs", 0L));
+    extend(order.getLong("DeadlineMs", 0L));
     if (running.containsKey(key(task, run))) {
       return new Answer(OK, clockBody());
     }
@@ -121,7 +136,10 @@
     }
     running.put(key(task, run), new JsonArray().add(task).add(run).add("").add(0).add(0));
     history.add(key(task, run));
-    delays.after(workMillis, () -> end(task, run, "done"));
+    observer.started(task, run);
+    Workload.Planned planned = workload.plan(task, run);
+    delays.after(
+        Math.max(1, planned.millis()), () -> end(task, run, planned.fails() ? "failed" : "done"));
     return new Answer(OK, clockBody());
   }
 
@@ -156,9 +174,8 @@
       return refused("fence");
     }
     token = order.getLong("FencingToken", 0L);
-    lease = Math.max(lease, order.getLong("DeadlineMs", 0L));
-    long seen = order.getLong("SeenUpto", 0L);
-    ended.removeIf(row -> row.getLong(0) <= seen);
+    extend(order.getLong("DeadlineMs", 0L));
+    forget(order.getLong("SeenUpto", 0L));
     JsonArray present = new JsonArray();
     running.values().forEach(present::add);
     JsonArray ends = new JsonArray();
@@ -178,8 +195,35 @@
     return ended.stream().anyMatch(row -> row.getLong(0) > seen);
   }
 
-  private void expire() {
-    if (clock.getAsLong() > lease) {
+  /** Ends this life of the worker: everything on it is gone, and nothing is told any more. */
+  public synchronized void crash() {
+    for (JsonArray row : new ArrayList<>(running.values())) {
+      end(row.getString(0), row.getInteger(1), "lapsed");
+    }
+    crashed = true;
+  }
+
+  private void forget(long seen) {
+    while (!ended.isEmpty() && ended.get(0).getLong(0) <= seen) {
+      JsonArray row = ended.remove(0);
+      observer.forgotten(row.getString(1), row.getInteger(2), row.getString(3));
+    }
+  }
+
+  private void extend(long deadline) {
+    long wanted = Math.min(deadline, clock.getAsLong() + LONGEST_LEASE_MILLIS);
+    if (wanted > lease) {
+      lease = wanted;
+      delays.after(Math.max(1, lease - clock.getAsLong() + 1), this::expire);
+    }
+  }
+
+  private synchronized void expire() {
+    if (crashed || clock.getAsLong() <= lease) {
+      return;
+    }
+    observer.lapsed();
+    if (!running.isEmpty()) {
       for (JsonArray row : new ArrayList<>(running.values())) {
         end(row.getString(0), row.getInteger(1), "lapsed");
       }
@@ -190,6 +234,7 @@
     if (running.remove(key(task, run)) != null) {
       closed.merge(task, run, Math::max);
       ended.add(new JsonArray().add(++number).add(task).add(run).add(how).add(""));
+      observer.ended(task, run, how);
     }
   }
 
--- a/standins/src/main/java/org/hickorypier/standins/http/ExecutorServer.java
+++ b/standins/src/main/java/org/hickorypier/standins/http/ExecutorServer.java
@@ -82,12 +82,12 @@
         context,
         "hold",
         () -> executor.hold(body),
-        first -> poll(context, body, seen, body.getLong("WaitMs", 0L)));
+        first -> poll(context, body, seen, StandInServer.endOf(body.getLong("WaitMs", 0L))));
   }
 
-  private void poll(RoutingContext context, JsonObject body, long seen, long left) {
-    if (left > 0 && !executor.hasEnds(seen)) {
-      vertx.setTimer(POLL_MILLIS, id -> poll(context, body, seen, left - POLL_MILLIS));
+  private void poll(RoutingContext context, JsonObject body, long seen, long until) {
+    if (System.nanoTime() < until && !executor.hasEnds(seen)) {
+      vertx.setTimer(POLL_MILLIS, id -> poll(context, body, seen, until));
     } else {
       answer(context, executor.hold(body));
     }
--- a/standins/src/main/java/org/hickorypier/standins/http/StandInServer.java
+++ b/standins/src/main/java/org/hickorypier/standins/http/StandInServer.java
@@ -8,6 +8,7 @@
 import io.vertx.ext.web.RoutingContext;
 import io.vertx.ext.web.handler.BodyHandler;
 import java.io.IOException;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.hickorypier.platform.http.JsonCodec;
@@ -92,6 +93,14 @@
     action.accept(value);
   }
 
+  /**
+   * Returns when a wait ends; timers fire late on a busy machine, so counting them would make it
+   * longer.
+   */
+  static long endOf(long waitMillis) {
+    return System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(waitMillis);
+  }
+
   static long number(RoutingContext context, String name, long otherwise) {
     String text = context.request().getParam(name);
     return text == null ? otherwise : Long.parseLong(text);
--- a/standins/src/main/java/org/hickorypier/standins/http/StoreServer.java
+++ b/standins/src/main/java/org/hickorypier/standins/http/StoreServer.java
@@ -94,10 +94,11 @@
   private void read(RoutingContext context) {
     long from = StandInServer.number(context, "From", 0);
     long wait = StandInServer.number(context, "WaitMs", 0);
-    gated.call(context, "read", () -> wait, left -> poll(context, from, left));
+    gated.call(
+        context, "read", () -> StandInServer.endOf(wait), until -> poll(context, from, until));
   }
 
-  private void poll(RoutingContext context, long from, long left) {
+  private void poll(RoutingContext context, long from, long until) {
     List<byte[]> records;
     try {
       records = store.read(topic(context), partition(context), from);
@@ -105,8 +106,8 @@
       refuse(context, refusal);
       return;
     }
-    if (records.isEmpty() && left > 0) {
-      vertx.setTimer(POLL_MILLIS, id -> poll(context, from, left - POLL_MILLIS));
+    if (records.isEmpty() && System.nanoTime() < until) {
+      vertx.setTimer(POLL_MILLIS, id -> poll(context, from, until));
       return;
     }
     Buffer body = Buffer.buffer();
