One successor for a lost owner, and no short check behind a silent instance

Ruled out: the store's outage itself (the owner wrote again 0.07 s after it). Change: a candidate replaces only the owner it found lost, else it learns of the newer one; a takeover that was asked for is given up after 0.7 s of reading; a refused owner asks three instances every 0.3 s, not all, and stops when it is served. A short call for advice without an answer 150 ms after its time is asked again through another instance, and the silent one is the last choice until it answers. TakeoverTest and AdviceDeskTest have the cases; they did not compile against the old code, so they were not seen failing on it.

--- a/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
@@ -7,8 +7,10 @@
 import io.vertx.core.net.NetClientOptions;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
 import org.hickorypier.core.cell.EventLog;
@@ -56,6 +58,16 @@
 
   private static final Duration HANDOVER_PERIOD = Duration.ofMillis(100);
 
+  /**
+   * Instances that a refused owner asks in a row. Where the store serves two thirds of the
+   * machines, three find one of those 24 times in 25; where it is away for all, every further
+   * question only adds to its load.
+   */
+  private static final int ASKED_IN_A_ROW = 3;
+
+  /** Pause after so many, in milliseconds; the store is back in seconds if it is away for all. */
+  private static final long ASK_ON_MILLIS = 300;
+
   /** One refused or lost append is repeated; after this time it is no chance any more. */
   private static final long REFUSED_MILLIS = 150;
 
@@ -83,6 +95,8 @@
   private final List<Peer> peers = new ArrayList<>();
   private AdviceClient advisor;
   private boolean handingOver;
+  private long askOnAt;
+  private int asked;
   private ContextTimers timers;
 
   /**
@@ -218,7 +232,7 @@
     }
     if (request instanceof LinkRequest.TakeOver) {
       return ownership
-          .takeOver("the owner asked for it")
+          .takeOverAsAsked()
           .map(taken -> taken ? new LinkReply.Noted() : new LinkReply.Failed());
     }
     return ownership.answer(request);
@@ -241,11 +255,22 @@
 
   /** The store may refuse this machine and serve the others: another instance should try. */
   private void handOverIfRefused() {
-    if (ownership.refusedFor(REFUSED_MILLIS) && !handingOver) {
-      handOver(successors());
+    if (!refused()) {
+      asked = 0;
+    } else if (!handingOver && timers.nowMillis() >= askOnAt) {
+      askOnAt = timers.nowMillis() + ASK_ON_MILLIS;
+      List<Link> all = successors();
+      Collections.rotate(all, -asked);
+      asked += ASKED_IN_A_ROW;
+      handOver(
+          new ArrayList<>(all.subList(0, Math.min(ASKED_IN_A_ROW, all.size()))), this::refused);
     }
   }
 
+  private boolean refused() {
+    return ownership.refusedFor(REFUSED_MILLIS);
+  }
+
   /** The instances that are linked to this one, the strongest machine first. */
   private List<Link> successors() {
     return peers.stream()
@@ -254,9 +279,14 @@
         .collect(Collectors.toCollection(ArrayList::new));
   }
 
-  /** Asks one instance after another to take over, until one has. */
-  private Future<Void> handOver(List<Link> candidates) {
-    if (candidates.isEmpty() || !ownership.owns()) {
+  /**
+   * Asks one instance after another to take over, until one has.
+   *
+   * @param candidates the instances, in order
+   * @param wanted tells whether a successor is still wanted
+   */
+  private Future<Void> handOver(List<Link> candidates, BooleanSupplier wanted) {
+    if (candidates.isEmpty() || !ownership.owns() || !wanted.getAsBoolean()) {
       handingOver = false;
       return Future.succeededFuture();
     }
@@ -279,9 +309,9 @@
               if (error != null) {
                 // An instance that has taken over closes its link to the former owner, often before
                 // its reply. Its orders tell so in a moment; asking the next one would make two.
-                return pause().compose(paused -> handOver(candidates));
+                return pause().compose(paused -> handOver(candidates, wanted));
               }
-              return handOver(candidates);
+              return handOver(candidates, wanted);
             });
   }
 
@@ -309,7 +339,7 @@
         none ->
             ownership
                 .leave()
-                .compose(written -> handOver(successors()))
+                .compose(written -> handOver(successors(), () -> true))
                 .onComplete(
                     done -> {
                       ownership.abdicate();
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/AdviceDesk.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/AdviceDesk.java
@@ -1,11 +1,15 @@
 package org.hickorypier.daemon.owner;
 
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import org.hickorypier.daemon.link.LinkReply;
 import org.hickorypier.daemon.link.LinkRequest;
+import org.hickorypier.daemon.time.TimerService;
+import org.hickorypier.daemon.time.TimerSubscription;
 
 /**
  * Spreads the owner's questions to the advisor over the instances.
@@ -13,7 +17,12 @@
  * <p>The advisor serves one call at a time for each instance, in turn, so one instance alone can
  * ask less than the cell needs: 1.6 s of calls a second on the users' sites in calm. Short calls
  * must not wait behind long ones, since the work that they are for is short as well: some instances
- * are kept free of long calls. Belongs to the control thread.
+ * are kept free of long calls.
+ *
+ * <p>An instance that has lost power or path answers nothing, and nothing tells so. A short check
+ * would wait some 3 s for its call to time out, five times its own length. So a short call without
+ * an answer in time is asked again through another instance, and the silent one is the last choice
+ * until it answers. Belongs to the control thread.
  */
 final class AdviceDesk {
 
@@ -40,7 +49,18 @@
   /** One in three instances is kept for short calls. */
   private static final int SHORT_SHARE = 3;
 
+  /**
+   * A short call may be so much late before it is asked again elsewhere: ten times an answer's
+   * usual time on the wire.
+   */
+  private static final long PATIENCE_MILLIS = 150;
+
   private final List<Helper> helpers = new ArrayList<>();
+  private final TimerService timers;
+
+  AdviceDesk(TimerService timers) {
+    this.timers = timers;
+  }
 
   /** An instance that can ask. */
   interface Asker {
@@ -59,6 +79,18 @@
     helpers.remove(helper);
   }
 
+  /**
+   * Asks the advisor through some instance.
+   *
+   * @param step the step's name
+   * @param workers the workers to name
+   * @param callMillis how long the advisor works on it, in milliseconds
+   * @return the reply, or empty if all instances have too much ahead
+   */
+  Optional<Future<LinkReply>> ask(String step, List<String> workers, double callMillis) {
+    return choose(callMillis).map(helper -> new Question(step, workers, callMillis).begin(helper));
+  }
+
   /** Returns the instance to ask, or empty if all have too much ahead. */
   Optional<Helper> choose(double callMillis) {
     int kept = helpers.size() / SHORT_SHARE;
@@ -66,7 +98,7 @@
     Helper best = null;
     for (int index = helpers.size() - 1; index >= 0; index--) {
       Helper helper = helpers.get(index);
-      if (index < usable && (best == null || helper.aheadMillis < best.aheadMillis)) {
+      if (index < usable && (best == null || helper.before(best))) {
         best = helper;
       }
     }
@@ -74,17 +106,90 @@
         .filter(helper -> helper.aheadMillis < MOST_AHEAD_MILLIS && helper.calls < MOST_CALLS);
   }
 
+  /** One question, asked at most twice. */
+  private final class Question {
+
+    private final String step;
+    private final List<String> workers;
+    private final double callMillis;
+    private final Promise<LinkReply> answer = Promise.promise();
+    private TimerSubscription patience = () -> {};
+    private boolean repeated;
+    private int open;
+
+    Question(String step, List<String> workers, double callMillis) {
+      this.step = step;
+      this.workers = workers;
+      this.callMillis = callMillis;
+    }
+
+    Future<LinkReply> begin(Helper helper) {
+      put(helper);
+      if (callMillis <= LONG_CALL_MILLIS) {
+        long expected = Math.round(helper.aheadMillis) + PATIENCE_MILLIS;
+        patience = timers.after(Duration.ofMillis(expected), () -> overdue(helper));
+      }
+      return answer.future().onComplete(done -> patience.cancel());
+    }
+
+    private void overdue(Helper helper) {
+      helper.silent = true;
+      repeat();
+    }
+
+    private void repeat() {
+      if (!repeated) {
+        repeated = true;
+        choose(callMillis).ifPresent(this::put);
+      }
+    }
+
+    private void put(Helper helper) {
+      open++;
+      helper
+          .ask(step, workers, callMillis)
+          .onComplete(
+              reply -> {
+                helper.silent = false;
+                replied(reply);
+              },
+              error -> {
+                helper.silent = true;
+                replied(new LinkReply.Failed());
+              });
+    }
+
+    private void replied(LinkReply reply) {
+      open--;
+      if (!(reply instanceof LinkReply.Failed)) {
+        answer.tryComplete(reply);
+        return;
+      }
+      if (!answer.future().isComplete()) {
+        repeat();
+      }
+      if (open == 0) {
+        answer.tryComplete(reply);
+      }
+    }
+  }
+
   /** One instance with the calls that it has in hand. */
   static final class Helper {
 
     private final Asker asker;
     private double aheadMillis;
+    private boolean silent;
     private int calls;
 
     private Helper(Asker asker) {
       this.asker = asker;
     }
 
+    private boolean before(Helper other) {
+      return silent == other.silent ? aheadMillis < other.aheadMillis : other.silent;
+    }
+
     Future<LinkReply> ask(String step, List<String> workers, double callMillis) {
       long timeout = Math.round(aheadMillis + callMillis) + SLACK_MILLIS;
       aheadMillis += callMillis;
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/OrderSender.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/OrderSender.java
@@ -1,5 +1,6 @@
 package org.hickorypier.daemon.owner;
 
+import io.vertx.core.Future;
 import java.util.List;
 import java.util.Optional;
 import org.hickorypier.core.cell.Cell;
@@ -116,21 +117,13 @@
   public boolean advise(StepRun step, List<WorkerView> workers) {
     AdviceTerms terms = step.submission().spec().queue().advice().orElseThrow();
     double call = terms.callMillis(workers.size());
-    Optional<AdviceDesk.Helper> helper = advice.choose(call);
-    if (helper.isEmpty()) {
-      return false;
-    }
     String name =
         TaskNames.formatStep(step.submission().spec().id(), step.occurrence(), step.index());
     List<String> ids = workers.stream().map(WorkerView::id).toList();
     long asked = now();
-    helper
-        .get()
-        .ask(name, ids, call)
-        .onComplete(
-            reply -> advised(step, workers, reply, asked),
-            error -> advised(step, workers, new LinkReply.Failed(), asked));
-    return true;
+    Optional<Future<LinkReply>> question = advice.ask(name, ids, call);
+    question.ifPresent(answer -> answer.onSuccess(reply -> advised(step, workers, reply, asked)));
+    return question.isPresent();
   }
 
   private void advised(StepRun step, List<WorkerView> workers, LinkReply reply, long askedAt) {
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Ownership.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Ownership.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import org.hickorypier.core.cell.CustomerTerms;
 import org.hickorypier.daemon.link.LinkReply;
@@ -55,6 +56,9 @@
 
   private static final int COMPARE_SPREAD_MILLIS = 500;
 
+  /** An owner that asked for a takeover turns to another instance after some more than this. */
+  private static final long ASKED_MILLIS = 700;
+
   /** What is under way is written within some 20 ms, unless the store is away. */
   private static final Duration LEAVE_PATIENCE = Duration.ofMillis(300);
 
@@ -63,7 +67,7 @@
   private final Candidate self;
   private final long lifetimeMillis;
   private final Directory directory;
-  private final AdviceDesk advice = new AdviceDesk();
+  private final AdviceDesk advice;
   private OwnerCheck ownerCheck;
   private LongSupplier silentMillis = () -> 0;
   private Collection<CustomerTerms> customers = List.of();
@@ -90,6 +94,7 @@
       long lifetimeMillis,
       Directory directory) {
     this.instruments = instruments;
+    this.advice = new AdviceDesk(instruments.timers());
     this.member = member;
     this.self = self;
     this.lifetimeMillis = lifetimeMillis;
@@ -251,17 +256,22 @@
     long now = instruments.timers().nowMillis();
     if (owner == null && now - steppedInAt > STEP_IN_MILLIS) {
       steppedInAt = now;
-      takeOver(reason);
+      takeOver(reason, () -> true);
     }
   }
 
   /**
-   * Takes the cell over.
+   * Takes the cell over for an owner that asks for it, unless that takes too long: the owner has
+   * asked another instance by then.
    *
-   * @param reason why, for the log
    * @return true if this instance is the owner afterwards
    */
-  public Future<Boolean> takeOver(String reason) {
+  public Future<Boolean> takeOverAsAsked() {
+    long until = instruments.timers().nowMillis() + ASKED_MILLIS;
+    return takeOver("the owner asked for it", () -> instruments.timers().nowMillis() <= until);
+  }
+
+  private Future<Boolean> takeOver(String reason, BooleanSupplier wanted) {
     if (owner != null) {
       return Future.succeededFuture(true);
     }
@@ -270,14 +280,22 @@
     }
     takingOver = true;
     instruments.log().event(PART, "taking-over", "reason", reason, "generation", generation);
-    return new Takeover(instruments.store(), instruments.log(), self, firstSequence())
+    return new Takeover(
+            instruments.store(),
+            instruments.log(),
+            self,
+            firstSequence(),
+            directory.owner().epoch(),
+            wanted)
         .run()
         .transform(
             (taken, error) -> {
               takingOver = false;
               if (error != null) {
                 instruments.log().event(PART, "takeover-failed", "error", error.getMessage());
-                return Future.succeededFuture(false);
+                return error instanceof SupersededException newer
+                    ? superseded(newer.owner(), reason, wanted)
+                    : Future.succeededFuture(false);
               }
               if (leaving) {
                 return Future.succeededFuture(false);
@@ -288,6 +306,14 @@
             });
   }
 
+  private Future<Boolean> superseded(OwnerRecord newer, String reason, BooleanSupplier wanted) {
+    directory.learn(newer);
+    // A claim of this instance may have succeeded while its answer was lost.
+    return newer.address().equals(self.address())
+        ? takeOver(reason, wanted)
+        : Future.succeededFuture(false);
+  }
+
   /** Far apart for two candidates, and far from the end of the range. */
   private static long firstSequence() {
     return ThreadLocalRandom.current().nextLong(1, Integer.MAX_VALUE);
@@ -339,7 +365,7 @@
           .onSuccess(
               alive -> {
                 if (!alive) {
-                  takeOver("the group named this instance, and no owner proves itself");
+                  takeOver("the group named this instance, and no owner proves itself", () -> true);
                 }
               });
     }
--- /dev/null
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/SupersededException.java
@@ -0,0 +1,18 @@
+package org.hickorypier.daemon.owner;
+
+/** The journal has a newer owner than the one that was to be replaced. */
+final class SupersededException extends Exception {
+
+  private static final long serialVersionUID = 1L;
+
+  private final transient OwnerRecord owner;
+
+  SupersededException(OwnerRecord owner) {
+    super(owner.address() + " has taken over with epoch " + owner.epoch());
+    this.owner = owner;
+  }
+
+  OwnerRecord owner() {
+    return owner;
+  }
+}
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Takeover.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Takeover.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.function.BooleanSupplier;
 import org.hickorypier.core.cell.EventLog;
 import org.hickorypier.platform.store.Append;
 import org.hickorypier.platform.store.KeyedRecord;
@@ -20,8 +21,11 @@
  *
  * <p>The store answers a repeated append, one with the same epoch and sequence number, as it did
  * the first time. Two candidates with equal numbers would both be told that they had succeeded, and
- * two owners would order under one token. So each candidate begins at a number of its own. Belongs
- * to the control thread.
+ * two owners would order under one token. So each candidate begins at a number of its own.
+ *
+ * <p>A candidate replaces the owner that it has reason to replace, and no other: of several that
+ * step in for one lost owner, one after another, the later ones would else replace each other.
+ * Belongs to the control thread.
  */
 final class Takeover {
 
@@ -34,6 +38,8 @@
   private final EventLog log;
   private final Candidate candidate;
   private final long sequence;
+  private final int replacedEpoch;
+  private final BooleanSupplier wanted;
   private OwnerRecord predecessor;
 
   /**
@@ -41,12 +47,22 @@
    *
    * @param candidate the instance that takes over
    * @param sequence the number to begin at; no other candidate may have the same
+   * @param replacedEpoch the epoch of the owner to replace, or 0 if none is known
+   * @param wanted tells, just before the claim, whether the cell is still to be taken over
    */
-  Takeover(StoreClient store, EventLog log, Candidate candidate, long sequence) {
+  Takeover(
+      StoreClient store,
+      EventLog log,
+      Candidate candidate,
+      long sequence,
+      int replacedEpoch,
+      BooleanSupplier wanted) {
     this.store = store;
     this.log = log;
     this.candidate = candidate;
     this.sequence = sequence;
+    this.replacedEpoch = replacedEpoch;
+    this.wanted = wanted;
   }
 
   /**
@@ -82,10 +98,12 @@
 
   private Future<Taken> claim(long end, Map<String, byte[]> values, int tries, int fenced) {
     OwnerRecord present = new Estate(values, log).owner();
-    if (predecessor != null && !present.equals(predecessor)) {
-      return Future.failedFuture(
-          new StoreException(
-              StoreError.FENCED, -1, present.address() + " has taken over meanwhile", null));
+    boolean newer = replacedEpoch > 0 && present.epoch() > replacedEpoch;
+    if (newer || predecessor != null && !present.equals(predecessor)) {
+      return Future.failedFuture(new SupersededException(present));
+    }
+    if (!wanted.getAsBoolean()) {
+      return Future.failedFuture(new AbandonedException());
     }
     predecessor = present;
     int epoch = Math.max(present.epoch(), fenced) + 1;
--- a/daemon/src/test/java/org/hickorypier/daemon/owner/AdviceDeskTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/owner/AdviceDeskTest.java
@@ -2,12 +2,16 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.vertx.core.Future;
 import io.vertx.core.Promise;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.hickorypier.daemon.link.LinkReply;
+import org.hickorypier.daemon.time.ManualTimerService;
 import org.junit.jupiter.api.Test;
 
 /** Gangs ask for 0.6 s, short checks for 9 ms; the advisor serves each instance in turn. */
@@ -16,7 +20,8 @@
   private static final double LONG = 630;
   private static final double SHORT = 9;
 
-  private final AdviceDesk desk = new AdviceDesk();
+  private final ManualTimerService timers = new ManualTimerService();
+  private final AdviceDesk desk = new AdviceDesk(timers);
   private final List<Promise<LinkReply>> open = new ArrayList<>();
   private final List<AdviceDesk.Helper> helpers = new ArrayList<>();
 
@@ -75,6 +80,37 @@
     assertThat(desk.choose(SHORT)).isPresent();
   }
 
+  /**
+   * A caller's short check came 3 s late. The instance through which its ticket was asked for had
+   * lost power; nothing told so until the call timed out. Now another one is asked after a moment,
+   * and the silent one gets no further calls while others answer.
+   */
+  @Test
+  void shortCallThatStaysUnansweredIsAskedThroughAnotherInstance() {
+    instances(3);
+    Future<LinkReply> reply = desk.ask("step", List.of("w"), SHORT).orElseThrow();
+    assertThat(open).hasSize(1);
+    timers.advance(Duration.ofMillis(400));
+    assertThat(open).hasSize(2);
+    open.get(1).complete(new LinkReply.Tickets(Map.of("w", "ticket"), 2_500));
+    assertThat(reply.result()).isInstanceOf(LinkReply.Tickets.class);
+    Set<AdviceDesk.Helper> chosen = new HashSet<>();
+    for (int call = 0; call < 6; call++) {
+      chosen.add(ask(SHORT));
+    }
+    assertThat(chosen).hasSize(2);
+  }
+
+  @Test
+  void callThroughABrokenLinkIsAskedElsewhereAtOnce() {
+    instances(2);
+    Future<LinkReply> reply = desk.ask("step", List.of("w"), SHORT).orElseThrow();
+    open.get(0).fail("the link broke");
+    assertThat(open).hasSize(2);
+    open.get(1).fail("the link broke");
+    assertThat(reply.result()).isInstanceOf(LinkReply.Failed.class);
+  }
+
   @Test
   void goneInstanceIsNotAsked() {
     instances(2);
--- a/daemon/src/test/java/org/hickorypier/daemon/owner/TakeoverTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/owner/TakeoverTest.java
@@ -47,8 +47,17 @@
   }
 
   private Takeover candidate(String address, long sequence) {
+    return candidate(address, sequence, 0, true);
+  }
+
+  private Takeover candidate(String address, long sequence, int replacedEpoch, boolean wanted) {
     return new Takeover(
-        store, (part, event, fields) -> {}, new Candidate(address, Strength.UNKNOWN), sequence);
+        store,
+        (part, event, fields) -> {},
+        new Candidate(address, Strength.UNKNOWN),
+        sequence,
+        replacedEpoch,
+        () -> wanted);
   }
 
   private static <T> T await(Future<T> future) throws Exception {
@@ -85,6 +94,38 @@
     await(store.append(write(second, 1, "s.3")));
   }
 
+  /**
+   * Callers waited for seconds while thirteen owners followed one another. Several instances found
+   * the same owner lost; each read the journal after another had taken over, and replaced that one
+   * as well. Now each replaces only the owner that it found lost.
+   */
+  @Test
+  void laterCandidateDoesNotReplaceTheSuccessorOfTheLostOwner() throws Exception {
+    Takeover.Taken lost = await(candidate("10.0.0.1:1", 17).run());
+    Takeover.Taken successor = await(candidate("10.0.0.2:1", 4, lost.epoch(), true).run());
+    Future<Takeover.Taken> later = candidate("10.0.0.3:1", 90, lost.epoch(), true).run();
+    await(later.otherwiseEmpty());
+
+    assertThat(later.cause()).isInstanceOf(SupersededException.class);
+    assertThat(((SupersededException) later.cause()).owner())
+        .isEqualTo(new OwnerRecord(successor.epoch(), "10.0.0.2:1", Strength.UNKNOWN));
+    await(store.append(write(successor, 1, "s.1")));
+  }
+
+  /**
+   * The store refuses the owner for a moment, and it asks another instance to take over. That one
+   * reads for seconds over a narrow link; meanwhile the owner is served again. It must not be
+   * replaced then.
+   */
+  @Test
+  void takeoverThatTookTooLongClaimsNothing() throws Exception {
+    Takeover.Taken owner = await(candidate("10.0.0.1:1", 17).run());
+    Future<Takeover.Taken> late = candidate("10.0.0.2:1", 4, owner.epoch(), false).run();
+    await(late.otherwiseEmpty());
+    assertThat(late.cause()).hasMessageContaining("took too long");
+    await(store.append(write(owner, 1, "s.1")));
+  }
+
   private static Append write(Takeover.Taken by, int offset, String key) {
     return new Append(
         JournalKeys.TOPIC,
