One reader of keyed topics for the directory, the configuration and the workers

Ruled out: one loop for all; how long each waits and when it tries again differ. Change: TopicReader does the step, the three keep their pace. No behaviour is meant to change; NodeTest (forgotten history among it), TakeoverTest, AdviceDeskTest pass.

--- a/daemon/src/main/java/org/hickorypier/daemon/owner/ConfigurationWatch.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/ConfigurationWatch.java
@@ -8,11 +8,7 @@
 import org.hickorypier.daemon.time.TimerService;
 import org.hickorypier.platform.configuration.ConfigurationDecoder;
 import org.hickorypier.platform.store.KeyedRecord;
-import org.hickorypier.platform.store.LogPage;
-import org.hickorypier.platform.store.Snapshot;
 import org.hickorypier.platform.store.StoreClient;
-import org.hickorypier.platform.store.StoreError;
-import org.hickorypier.platform.store.StoreException;
 import org.hickorypier.wire.UndecodableException;
 
 /**
@@ -39,14 +35,13 @@
   /** After so long without a proof the store counts as lost, which is told once. */
   private static final long LOST_MILLIS = 2_500;
 
-  private final StoreClient store;
+  private final TopicReader reader;
   private final TimerService timers;
   private final PauseGuard pauses;
   private final EventLog log;
   private final Consumer<ClusterConfiguration> listener;
   private volatile ClusterConfiguration current;
   private volatile long provenAt = Long.MIN_VALUE / 2;
-  private long next = -1;
   private boolean lost;
 
   /**
@@ -64,7 +59,7 @@
       PauseGuard pauses,
       EventLog log,
       Consumer<ClusterConfiguration> listener) {
-    this.store = store;
+    this.reader = new TopicReader(store, StoreClient.OPERATOR_TOPIC);
     this.timers = timers;
     this.pauses = pauses;
     this.log = log;
@@ -74,17 +69,9 @@
   /** Begins to watch. */
   public void start() {
     long sentAt = timers.nowMillis();
-    if (next < 0) {
-      store
-          .snapshot(StoreClient.OPERATOR_TOPIC, 0)
-          .onComplete(snapshot -> snapshot(snapshot, sentAt), this::failed);
-    } else {
-      // After a suspension or a lost answer a proof is wanted at once, not after a wait.
-      long wait = current != null && proven() ? WAIT_MILLIS : 0;
-      store
-          .read(StoreClient.OPERATOR_TOPIC, 0, next, wait)
-          .onComplete(page -> page(page, sentAt), this::failed);
-    }
+    // After a suspension or a lost answer a proof is wanted at once, not after a wait.
+    long wait = current != null && proven() ? WAIT_MILLIS : 0;
+    reader.next(wait).onComplete(changes -> read(changes, sentAt), this::failed);
   }
 
   /**
@@ -106,21 +93,13 @@
     return pauses.unbroken(proof) && timers.nowMillis() - proof <= PROOF_MILLIS;
   }
 
-  private void snapshot(Snapshot snapshot, long sentAt) {
-    next = snapshot.from();
-    take(snapshot.values().get(StoreClient.CONFIGURATION_KEY));
-    proved(sentAt);
-    start();
-  }
-
-  private void page(LogPage page, long sentAt) {
-    next += page.records().size();
-    for (KeyedRecord entry : page.records()) {
+  private void read(TopicReader.Changes changes, long sentAt) {
+    for (KeyedRecord entry : changes.records()) {
       if (entry.key().equals(StoreClient.CONFIGURATION_KEY)) {
         take(entry.value());
       }
     }
-    if (next >= page.end()) {
+    if (changes.caughtUp()) {
       proved(sentAt);
     }
     start();
@@ -159,9 +138,6 @@
   }
 
   private void failed(Throwable error) {
-    if (error instanceof StoreException failure && failure.error() == StoreError.EXPIRED) {
-      next = -1;
-    }
     if (!lost && timers.nowMillis() - provenAt > LOST_MILLIS) {
       lost = true;
       log.event(PART, "store-lost", "error", error.getMessage());
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Directory.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Directory.java
@@ -5,11 +5,7 @@
 import org.hickorypier.core.cell.EventLog;
 import org.hickorypier.daemon.time.TimerService;
 import org.hickorypier.platform.store.KeyedRecord;
-import org.hickorypier.platform.store.LogPage;
-import org.hickorypier.platform.store.Snapshot;
 import org.hickorypier.platform.store.StoreClient;
-import org.hickorypier.platform.store.StoreError;
-import org.hickorypier.platform.store.StoreException;
 import org.hickorypier.wire.UndecodableException;
 
 /**
@@ -26,12 +22,11 @@
 
   private static final Duration RETRY = Duration.ofMillis(200);
 
-  private final StoreClient store;
+  private final TopicReader reader;
   private final TimerService timers;
   private final EventLog log;
   private final Consumer<OwnerRecord> listener;
   private OwnerRecord owner = OwnerRecord.NONE;
-  private long next = -1;
 
   /**
    * Creates the directory.
@@ -43,7 +38,7 @@
    */
   public Directory(
       StoreClient store, TimerService timers, EventLog log, Consumer<OwnerRecord> listener) {
-    this.store = store;
+    this.reader = new TopicReader(store, JournalKeys.DIRECTORY_TOPIC);
     this.timers = timers;
     this.log = log;
     this.listener = listener;
@@ -51,15 +46,7 @@
 
   /** Begins to watch. */
   public void start() {
-    if (next < 0) {
-      store
-          .snapshot(JournalKeys.DIRECTORY_TOPIC, JournalKeys.PARTITION)
-          .onComplete(this::snapshot, this::failed);
-    } else {
-      store
-          .read(JournalKeys.DIRECTORY_TOPIC, JournalKeys.PARTITION, next, WAIT_MILLIS)
-          .onComplete(this::page, this::failed);
-    }
+    reader.next(WAIT_MILLIS).onComplete(this::read, error -> timers.after(RETRY, this::start));
   }
 
   /**
@@ -92,15 +79,8 @@
     }
   }
 
-  private void snapshot(Snapshot snapshot) {
-    next = snapshot.from();
-    take(snapshot.values().get(JournalKeys.DIRECTORY_KEY));
-    start();
-  }
-
-  private void page(LogPage page) {
-    next += page.records().size();
-    for (KeyedRecord entry : page.records()) {
+  private void read(TopicReader.Changes changes) {
+    for (KeyedRecord entry : changes.records()) {
       if (entry.key().equals(JournalKeys.DIRECTORY_KEY)) {
         take(entry.value());
       }
@@ -118,11 +98,4 @@
       log.event(PART, "unreadable-record", "error", error.getMessage());
     }
   }
-
-  private void failed(Throwable error) {
-    if (error instanceof StoreException failure && failure.error() == StoreError.EXPIRED) {
-      next = -1;
-    }
-    timers.after(RETRY, this::start);
-  }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/TopicReader.java
@@ -0,0 +1,80 @@
+package org.hickorypier.daemon.owner;
+
+import io.vertx.core.Future;
+import java.util.ArrayList;
+import java.util.List;
+import org.hickorypier.platform.store.KeyedRecord;
+import org.hickorypier.platform.store.LogPage;
+import org.hickorypier.platform.store.Snapshot;
+import org.hickorypier.platform.store.StoreClient;
+import org.hickorypier.platform.store.StoreError;
+import org.hickorypier.platform.store.StoreException;
+
+/**
+ * Reads a keyed topic: first the newest record of each key, then what is written after.
+ *
+ * <p>Invariant: no record is passed over. Where the store has forgotten what comes next, the newest
+ * records are read once more. Belongs to the control thread.
+ */
+final class TopicReader {
+
+  private static final int PARTITION = 0;
+  private static final long NOWHERE = -1;
+
+  private final StoreClient store;
+  private final String topic;
+  private long position = NOWHERE;
+
+  TopicReader(StoreClient store, String topic) {
+    this.store = store;
+    this.topic = topic;
+  }
+
+  /**
+   * What one read found.
+   *
+   * <p>Immutable.
+   *
+   * @param whole true if it is the newest record of all keys; a key that is missing is gone
+   * @param caughtUp true if there was nothing further when the store answered
+   * @param records the records, in the order of writing
+   */
+  record Changes(boolean whole, boolean caughtUp, List<KeyedRecord> records) {
+
+    Changes {
+      records = List.copyOf(records);
+    }
+  }
+
+  /**
+   * Reads on.
+   *
+   * @param waitMillis how long the store may wait for a record, in milliseconds
+   * @return what was found; or the store's error, after which the read may be repeated
+   */
+  Future<Changes> next(long waitMillis) {
+    Future<Changes> read =
+        position == NOWHERE
+            ? store.snapshot(topic, PARTITION).map(this::fromSnapshot)
+            : store.read(topic, PARTITION, position, waitMillis).map(this::fromPage);
+    return read.onFailure(this::beginAnewIfForgotten);
+  }
+
+  private Changes fromSnapshot(Snapshot snapshot) {
+    position = snapshot.from();
+    List<KeyedRecord> records = new ArrayList<>();
+    snapshot.values().forEach((key, value) -> records.add(new KeyedRecord(key, value)));
+    return new Changes(true, true, records);
+  }
+
+  private Changes fromPage(LogPage page) {
+    position += page.records().size();
+    return new Changes(false, position >= page.end(), page.records());
+  }
+
+  private void beginAnewIfForgotten(Throwable error) {
+    if (error instanceof StoreException failure && failure.error() == StoreError.EXPIRED) {
+      position = NOWHERE;
+    }
+  }
+}
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/WorkerList.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/WorkerList.java
@@ -9,11 +9,7 @@
 import org.hickorypier.daemon.time.TimerService;
 import org.hickorypier.platform.execution.WorkerEntryDecoder;
 import org.hickorypier.platform.store.KeyedRecord;
-import org.hickorypier.platform.store.LogPage;
-import org.hickorypier.platform.store.Snapshot;
 import org.hickorypier.platform.store.StoreClient;
-import org.hickorypier.platform.store.StoreError;
-import org.hickorypier.platform.store.StoreException;
 import org.hickorypier.wire.UndecodableException;
 
 /**
@@ -31,13 +27,12 @@
    */
   private static final Duration PERIOD = Duration.ofMillis(400);
 
-  private final StoreClient store;
+  private final TopicReader reader;
   private final TimerService timers;
   private final EventLog log;
   private final Consumer<Map<String, WorkerEntry>> listener;
   private final Map<String, WorkerEntry> entries = new HashMap<>();
   private final Map<String, String> spoilt = new HashMap<>();
-  private long next = -1;
   private boolean stopped;
 
   WorkerList(
@@ -45,20 +40,15 @@
       TimerService timers,
       EventLog log,
       Consumer<Map<String, WorkerEntry>> listener) {
-    this.store = store;
+    this.reader = new TopicReader(store, StoreClient.WORKERS_TOPIC);
     this.timers = timers;
     this.log = log;
     this.listener = listener;
   }
 
   void start() {
-    if (stopped) {
-      return;
-    }
-    if (next < 0) {
-      store.snapshot(StoreClient.WORKERS_TOPIC, 0).onComplete(this::snapshot, this::failed);
-    } else {
-      store.read(StoreClient.WORKERS_TOPIC, 0, next, 0).onComplete(this::page, this::failed);
+    if (!stopped) {
+      reader.next(0).onComplete(this::read, error -> again());
     }
   }
 
@@ -66,24 +56,21 @@
     stopped = true;
   }
 
-  private void snapshot(Snapshot snapshot) {
-    next = snapshot.from();
-    entries.clear();
-    snapshot.values().forEach(this::take);
-    tell();
-  }
-
-  private void page(LogPage page) {
-    next += page.records().size();
-    for (KeyedRecord entry : page.records()) {
+  private void read(TopicReader.Changes changes) {
+    if (changes.whole()) {
+      entries.clear();
+    }
+    for (KeyedRecord entry : changes.records()) {
       take(entry.key(), entry.value());
     }
-    tell();
+    if (!stopped) {
+      listener.accept(entries);
+    }
+    again();
   }
 
-  private void tell() {
+  private void again() {
     if (!stopped) {
-      listener.accept(entries);
       timers.after(PERIOD, this::start);
     }
   }
@@ -103,13 +90,4 @@
       }
     }
   }
-
-  private void failed(Throwable error) {
-    if (error instanceof StoreException failure && failure.error() == StoreError.EXPIRED) {
-      next = -1;
-    }
-    if (!stopped) {
-      timers.after(PERIOD, this::start);
-    }
-  }
 }
--- a/daemon/src/test/java/org/hickorypier/daemon/owner/AdviceDeskTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/owner/AdviceDeskTest.java
@@ -88,7 +88,7 @@
   @Test
   void shortCallThatStaysUnansweredIsAskedThroughAnotherInstance() {
     instances(3);
-    Future<LinkReply> reply = desk.ask("step", List.of("w"), SHORT).orElseThrow();
+    final Future<LinkReply> reply = desk.ask("step", List.of("w"), SHORT).orElseThrow();
     assertThat(open).hasSize(1);
     timers.advance(Duration.ofMillis(400));
     assertThat(open).hasSize(2);
@@ -102,9 +102,9 @@
   }
 
   @Test
-  void callThroughABrokenLinkIsAskedElsewhereAtOnce() {
+  void callThroughBrokenLinkIsAskedElsewhereAtOnce() {
     instances(2);
-    Future<LinkReply> reply = desk.ask("step", List.of("w"), SHORT).orElseThrow();
+    final Future<LinkReply> reply = desk.ask("step", List.of("w"), SHORT).orElseThrow();
     open.get(0).fail("the link broke");
     assertThat(open).hasSize(2);
     open.get(1).fail("the link broke");
