--- a/daemon/src/main/java/org/hickorypier/daemon/node/NodeMain.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/NodeMain.java
@@ -16,6 +16,7 @@
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
 import org.hickorypier.core.cell.EventLog;
+import org.hickorypier.daemon.report.LibraryLog;
 import org.hickorypier.daemon.report.LineLog;
 import org.hickorypier.daemon.report.MeteredLog;
 
@@ -100,6 +101,7 @@
     Gauge.builder("hickorypier.log.dropped", lines, LineLog::dropped)
         .description("log lines left out by their budget or a slow reader")
         .register(registry);
+    LibraryLog.install(log);
     Thread.setDefaultUncaughtExceptionHandler(
         (thread, error) -> log.event(PART, "fault", "thread", thread.getName(), "error", error));
     Vertx vertx = vertx();
