The checker of promises: failed only with all attempts used, and a test that it can fail

Cause: the soak and the model accepted any submission shown as failed. Change: one may be shown so only after as many failed runs of one task as it has attempts.

--- a/core/src/main/java/org/hickorypier/core/verification/PromiseChecker.java
+++ b/core/src/main/java/org/hickorypier/core/verification/PromiseChecker.java
@@ -38,6 +38,7 @@
   private final Set<String> begun = new HashSet<>();
   private final Map<TaskName, Set<ObservedRun>> running = new HashMap<>();
   private final Map<TaskName, List<DoneEnd>> done = new HashMap<>();
+  private final Map<TaskName, Set<Integer>> failedSeen = new HashMap<>();
   private final Map<TaskName, Set<Integer>> failedNoted = new HashMap<>();
   private final Map<String, Long> usedByCustomer = new HashMap<>();
   private final Map<String, Long> usedOnWorker = new HashMap<>();
@@ -226,6 +227,10 @@
     }
     if (how == RunEnd.DONE) {
       done.computeIfAbsent(task, key -> new ArrayList<>()).add(new DoneEnd(run));
+    } else if (how == RunEnd.FAILED) {
+      failedSeen
+          .computeIfAbsent(counted(spec, task), key -> new HashSet<>())
+          .add(run.key().number());
     }
   }
 
@@ -275,6 +280,9 @@
    */
   public synchronized void shown(String id, SubmissionState state) {
     SubmissionSpec spec = handedIn.get(id);
+    if (state == SubmissionState.FAILED && !attemptsUsed(spec)) {
+      broken.add(clock.getAsLong() + ": " + id + " is shown as failed before its last attempt");
+    }
     if (state != SubmissionState.COMPLETED) {
       return;
     }
@@ -288,6 +296,14 @@
     }
   }
 
+  private boolean attemptsUsed(SubmissionSpec spec) {
+    return failedSeen.entrySet().stream()
+        .anyMatch(
+            entry ->
+                entry.getKey().submission().equals(spec.id())
+                    && entry.getValue().size() >= spec.queue().attempts());
+  }
+
   /**
    * An accepted submission has not come to an end though all was calm.
    *
--- /dev/null
+++ b/core/src/test/java/org/hickorypier/core/verification/PromiseCheckerTest.java
@@ -0,0 +1,143 @@
+package org.hickorypier.core.verification;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
+import org.hickorypier.core.cell.RunEnd;
+import org.hickorypier.core.cell.RunKey;
+import org.hickorypier.core.cell.TaskName;
+import org.hickorypier.core.model.Resources;
+import org.hickorypier.core.submission.QueueTerms;
+import org.hickorypier.core.submission.StepFlags;
+import org.hickorypier.core.submission.StepSpec;
+import org.hickorypier.core.submission.SubmissionSpec;
+import org.hickorypier.core.submission.SubmissionState;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** A checker that finds nothing proves nothing: each promise is broken here once. */
+class PromiseCheckerTest {
+
+  private static final String ID = "0123456789abcdef";
+
+  private final AtomicLong clock = new AtomicLong();
+  private final PromiseChecker checker = new PromiseChecker(clock::get);
+
+  @BeforeEach
+  void handIn() {
+    StepSpec first = step(List.of());
+    StepSpec second = step(List.of(0));
+    QueueTerms queue = new QueueTerms("q", "service", 0, 2, 1, 0, Optional.empty());
+    checker.handedIn(
+        new SubmissionSpec(ID, "customer", queue, "", List.of(first, second), 0, 0, 0, 0));
+  }
+
+  private static StepSpec step(List<Integer> dependsOn) {
+    Resources each = new Resources(3_000, 100, 0);
+    return new StepSpec(2, each, 100, dependsOn, StepFlags.PLAIN, "", "", 0, "", 0, 0);
+  }
+
+  private static ObservedRun run(int step, int index, int number, String worker) {
+    return new ObservedRun(new RunKey(new TaskName(ID, 0, step, index), number), worker, 1);
+  }
+
+  private void runs(ObservedRun run, RunEnd how) {
+    checker.started(run);
+    checker.ended(run, how);
+  }
+
+  private void breaks(String words) {
+    assertThat(checker.broken()).singleElement().asString().contains(words);
+  }
+
+  @Test
+  void lawfulLifeBreaksNothing() {
+    runs(run(0, 0, 1, "a"), RunEnd.FAILED);
+    runs(run(0, 0, 2, "a"), RunEnd.DONE);
+    runs(run(0, 1, 1, "a"), RunEnd.DONE);
+    runs(run(1, 0, 1, "a"), RunEnd.DONE);
+    runs(run(1, 1, 1, "b"), RunEnd.DONE);
+    checker.shown(ID, SubmissionState.COMPLETED);
+    assertThat(checker.broken()).isEmpty();
+    assertThat(checker.starts()).isEqualTo(5);
+  }
+
+  @Test
+  void twoRunsAtOnce() {
+    checker.started(run(0, 0, 1, "a"));
+    checker.started(run(0, 0, 2, "b"));
+    breaks("two runs at once");
+  }
+
+  @Test
+  void startAfterAcknowledgedEnd() {
+    runs(run(0, 0, 1, "a"), RunEnd.DONE);
+    checker.noted(run(0, 0, 1, "a"), RunEnd.DONE);
+    checker.started(run(0, 0, 2, "b"));
+    breaks("start after an acknowledged end");
+  }
+
+  @Test
+  void startBeforeEarlierStepIsDone() {
+    checker.started(run(1, 0, 1, "a"));
+    breaks("start before step 0 was done");
+  }
+
+  @Test
+  void startBeyondLastAttempt() {
+    for (int number = 1; number <= 2; number++) {
+      runs(run(0, 0, number, "a"), RunEnd.FAILED);
+      checker.noted(run(0, 0, number, "a"), RunEnd.FAILED);
+    }
+    checker.started(run(0, 0, 3, "a"));
+    breaks("start after the last attempt");
+  }
+
+  @Test
+  void workerOverItsCapacity() {
+    checker.capacity("a", new Resources(5_000, 0, 0));
+    checker.started(run(0, 0, 1, "a"));
+    checker.started(run(0, 1, 1, "a"));
+    breaks("worker a has 6000 running");
+  }
+
+  @Test
+  void customerOverItsLimit() {
+    checker.limit("customer", new Resources(2_000, 0, 0));
+    checker.started(run(0, 0, 1, "a"));
+    assertThat(checker.broken()).isEmpty();
+    checker.started(run(0, 1, 1, "b"));
+    breaks("customer customer has 6000 running");
+  }
+
+  @Test
+  void startLongAfterCancellation() {
+    checker.cancelAcknowledged(ID);
+    clock.set(3_001);
+    checker.started(run(0, 0, 1, "a"));
+    breaks("start after the cancellation");
+  }
+
+  @Test
+  void refusedSubmissionThatRuns() {
+    checker.refused(ID);
+    checker.started(run(0, 0, 1, "a"));
+    breaks("start of what was refused");
+  }
+
+  @Test
+  void completedBeforeAllTasksAreDone() {
+    runs(run(0, 0, 1, "a"), RunEnd.DONE);
+    checker.shown(ID, SubmissionState.COMPLETED);
+    breaks("shown as completed too early");
+  }
+
+  @Test
+  void failedWithAttemptsLeft() {
+    runs(run(0, 0, 1, "a"), RunEnd.FAILED);
+    checker.shown(ID, SubmissionState.FAILED);
+    breaks("shown as failed before its last attempt");
+  }
+}
