One listener for the workers' answers, one asker, one token check in the stand-in

Cause, found in a last reading of the whole change: Owner had two listeners with the same two methods, AdviceDesk an interface that Ownership.Asker already was, the stand-in worker its token check three times, the tests and the soak each a search for a free port, and the soak a clock of its own beside MonotonicClock. Change: one piece for each.

--- a/daemon/src/main/java/org/hickorypier/daemon/owner/AdviceDesk.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/AdviceDesk.java
@@ -62,14 +62,7 @@
     this.timers = timers;
   }
 
-  /** An instance that can ask. */
-  interface Asker {
-
-    /** Asks the advisor; the future may fail. */
-    Future<LinkReply> ask(LinkRequest.Advise request, long timeoutMillis);
-  }
-
-  Helper add(Asker asker) {
+  Helper add(Ownership.Asker asker) {
     Helper helper = new Helper(asker);
     helpers.add(helper);
     return helper;
@@ -177,12 +170,12 @@
   /** One instance with the calls that it has in hand. */
   static final class Helper {
 
-    private final Asker asker;
+    private final Ownership.Asker asker;
     private double aheadMillis;
     private boolean silent;
     private int calls;
 
-    private Helper(Asker asker) {
+    private Helper(Ownership.Asker asker) {
       this.asker = asker;
     }
 
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
@@ -62,6 +62,7 @@
   /** Cancellations that wait for the journal. */
   private final List<Promise<LinkReply>> endings = new ArrayList<>();
 
+  private final Answers answers = new Answers();
   private final TimerSubscription ticks;
   private boolean passScheduled;
   private boolean ended;
@@ -76,7 +77,7 @@
     this.epoch = taken.epoch();
     this.lost = lost;
     long now = instruments.timers().nowMillis();
-    OrderSender orders = new OrderSender(instruments, taken.epoch(), advice, new Answers());
+    OrderSender orders = new OrderSender(instruments, taken.epoch(), advice, answers);
     this.cell = new Cell(instruments.terms(), orders, instruments.log(), taken.epoch(), now);
     this.journal =
         new JournalWriter(
@@ -270,8 +271,7 @@
         if (present != null) {
           present.stop();
         }
-        Renewals begun =
-            new Renewals(instruments, cell, worker, epoch, this::mayOrder, new RenewalEvents());
+        Renewals begun = new Renewals(instruments, cell, worker, epoch, this::mayOrder, answers);
         renewals.put(worker.id(), begun);
         begun.start();
       }
@@ -309,8 +309,8 @@
     }
   }
 
-  /** Hears of the answers to orders. */
-  private final class Answers implements OrderSender.Events {
+  /** Hears of the workers' answers to orders and renewals. */
+  private final class Answers implements OrderSender.Events, Renewals.Events {
 
     @Override
     public boolean ended() {
@@ -326,20 +326,6 @@
     public void fenced(String worker) {
       Owner.this.fenced("worker " + worker + " has seen a higher token");
     }
-  }
-
-  /** Hears of the workers' answers to renewals. */
-  private final class RenewalEvents implements Renewals.Events {
-
-    @Override
-    public void answered() {
-      requestPass();
-    }
-
-    @Override
-    public void fenced(String worker) {
-      Owner.this.fenced("worker " + worker + " has seen a higher token");
-    }
 
     @Override
     public void afterSave(Runnable action) {
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Ownership.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Ownership.java
@@ -186,7 +186,7 @@
    * @return what to run when the instance is gone
    */
   public Runnable addAsker(Asker asker) {
-    AdviceDesk.Helper helper = advice.add(asker::ask);
+    AdviceDesk.Helper helper = advice.add(asker);
     return () -> advice.remove(helper);
   }
 
--- a/daemon/src/test/java/org/hickorypier/daemon/node/SmallCluster.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/SmallCluster.java
@@ -9,7 +9,6 @@
 import io.vertx.core.json.JsonObject;
 import java.io.IOException;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -33,6 +32,7 @@
 import org.hickorypier.standins.executor.RunObserver;
 import org.hickorypier.standins.executor.Workload;
 import org.hickorypier.standins.http.ExecutorServer;
+import org.hickorypier.standins.http.LoopbackPort;
 import org.hickorypier.standins.http.StoreServer;
 import org.hickorypier.standins.operator.StandInOperator;
 import org.hickorypier.standins.store.InMemoryStore;
@@ -107,15 +107,15 @@
 
   NodeSettings settings(Strength strength) throws IOException {
     String host = InetAddress.getLoopbackAddress().getHostAddress();
-    int peerPort = freePort();
+    int peerPort = LoopbackPort.free();
     return new NodeSettings(
         "instance-" + instances.size(),
         host,
         peerPort,
         new ServiceAddress(host, peerPort),
         0,
-        new ServiceAddress(host, freePort()),
-        new ServiceAddress(host, freePort()),
+        new ServiceAddress(host, LoopbackPort.free()),
+        new ServiceAddress(host, LoopbackPort.free()),
         storeAddress,
         null,
         CellTerms.of(10_000, 3_000, 60_000),
@@ -217,12 +217,6 @@
     return future.toCompletionStage().toCompletableFuture().get(MOST_SECONDS, TimeUnit.SECONDS);
   }
 
-  private static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return socket.getLocalPort();
-    }
-  }
-
   @Override
   public void close() throws ExecutionException, TimeoutException {
     onClose.run();
--- a/measure/src/main/java/org/hickorypier/measure/soak/InstanceProcess.java
+++ b/measure/src/main/java/org/hickorypier/measure/soak/InstanceProcess.java
@@ -3,7 +3,6 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.json.JsonObject;
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -11,6 +10,7 @@
 import org.hickorypier.measure.fleet.FleetException;
 import org.hickorypier.measure.fleet.JavaProcess;
 import org.hickorypier.platform.http.ServiceAddress;
+import org.hickorypier.standins.http.LoopbackPort;
 
 /**
  * One instance as a process, with a proxy on each side of it: to the store, from the other
@@ -51,9 +51,9 @@
     links = new LoopbackProxy(vertx);
     callers = new LoopbackProxy(vertx);
     try {
-      int peerPort = freePort();
-      front = new ServiceAddress(LOOPBACK, freePort());
-      ready = new ServiceAddress(LOOPBACK, freePort());
+      int peerPort = LoopbackPort.free();
+      front = new ServiceAddress(LOOPBACK, LoopbackPort.free());
+      ready = new ServiceAddress(LOOPBACK, LoopbackPort.free());
       links.target(new ServiceAddress(LOOPBACK, peerPort));
       callers.target(front);
       JsonObject settings =
@@ -84,12 +84,6 @@
     }
   }
 
-  private static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return socket.getLocalPort();
-    }
-  }
-
   ServiceAddress ready() {
     return ready;
   }
--- a/measure/src/main/java/org/hickorypier/measure/soak/StandInPlatform.java
+++ b/measure/src/main/java/org/hickorypier/measure/soak/StandInPlatform.java
@@ -12,6 +12,7 @@
 import org.hickorypier.core.verification.PromiseChecker;
 import org.hickorypier.platform.http.ServiceAddress;
 import org.hickorypier.standins.http.StoreServer;
+import org.hickorypier.standins.main.MonotonicClock;
 import org.hickorypier.standins.operator.StandInOperator;
 import org.hickorypier.standins.store.InMemoryStore;
 
@@ -42,7 +43,7 @@
   private static final int WEIGHT = 100;
   private static final long WORK_UNIT_MILLIS = 200;
 
-  final InMemoryStore store = new InMemoryStore(PARTITIONS, () -> System.nanoTime() / 1_000_000);
+  final InMemoryStore store = new InMemoryStore(PARTITIONS, new MonotonicClock());
   private final StandInOperator operator = new StandInOperator(store, HOST, PREFIX, QUEUE);
   final StoreServer storeServer;
   final List<StandInWorker> workers = new ArrayList<>();
--- a/standins/src/main/java/org/hickorypier/standins/executor/InMemoryExecutor.java
+++ b/standins/src/main/java/org/hickorypier/standins/executor/InMemoryExecutor.java
@@ -120,10 +120,9 @@
     if (crashed) {
       return refused("late");
     }
-    if (order.getLong("FencingToken", 0L) < token) {
+    if (fenced(order)) {
       return refused("fence");
     }
-    token = order.getLong("FencingToken", 0L);
     extend(order.getLong("DeadlineMs", 0L));
     if (running.containsKey(key(task, run))) {
       return new Answer(OK, clockBody());
@@ -151,10 +150,9 @@
    */
   public synchronized Answer stop(JsonObject order) {
     expire();
-    if (order.getLong("FencingToken", 0L) < token) {
+    if (fenced(order)) {
       return refused("fence");
     }
-    token = order.getLong("FencingToken", 0L);
     String task = order.getString("Task");
     int run = order.getInteger("Run");
     closed.merge(task, run, Math::max);
@@ -170,10 +168,9 @@
    */
   public synchronized Answer hold(JsonObject order) {
     expire();
-    if (order.getLong("FencingToken", 0L) < token) {
+    if (fenced(order)) {
       return refused("fence");
     }
-    token = order.getLong("FencingToken", 0L);
     extend(order.getLong("DeadlineMs", 0L));
     forget(order.getLong("SeenUpto", 0L));
     JsonArray present = new JsonArray();
@@ -203,6 +200,14 @@
     crashed = true;
   }
 
+  /** Tells whether a higher token was seen; otherwise the order's is the highest now. */
+  private boolean fenced(JsonObject order) {
+    long present = order.getLong("FencingToken", 0L);
+    boolean lower = present < token;
+    token = Math.max(token, present);
+    return lower;
+  }
+
   private void forget(long seen) {
     while (!ended.isEmpty() && ended.get(0).getLong(0) <= seen) {
       JsonArray row = ended.remove(0);
