Take tasks away from slow workers; a successor waits for no worker that was closed

Workers tell how far each run is, so a run that takes twice as long yet as a new one elsewhere is stopped and started anew, and the worker gets nothing for 1.5 s, doubled while it goes on. Ruled out by traces: tasks that fill (slow because others use the worker), runs that restore a checkpoint, and estimates alone (off by up to nine tenths): all three were moved for nothing at first.

The roster now tells after which submission a worker was closed, and leaves it out once it is empty; submissions are numbered over all owners, so clocks play no part.

Tried and left out: stopping batches that save their progress to make room for checks.

The model plays 300 days more with batches, slow workers and leaving ones: no promise broken.

--- a/core/src/main/java/org/hickorypier/core/cell/Cell.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Cell.java
@@ -45,7 +45,8 @@
   public Cell(CellTerms terms, CellOutput output, EventLog log, int epoch, long now) {
     this.state = new CellState(terms, output, log, epoch, now);
     this.runs = new RunBook(state);
-    this.reports = new WorkerReports(state, runs, new TaskEnds(state, runs));
+    this.reports =
+        new WorkerReports(state, runs, new TaskEnds(state, runs), new Stragglers(state, runs));
     this.workers = new WorkerBook(state, runs);
     this.turns = new Turns(state);
     this.archive = new Archive(state);
@@ -74,7 +75,7 @@
     if (known != null || state.ended.containsKey(spec.id())) {
       return known;
     }
-    Submission submission = new Submission(spec, now, 1);
+    Submission submission = new Submission(spec, state.nextNumber(), now, 1);
     CustomerTerms customer = state.usage.terms(spec.customer());
     submission.beyondShare =
         customer != null
@@ -91,15 +92,17 @@
    * Takes a submission of an earlier owner.
    *
    * @param spec what the caller handed in
+   * @param number the number under which that owner took it, or 0
    * @param progress what was written of it last
    * @param now the time
    * @param wallMillis the time of day, milliseconds since 1970
    */
-  public void restore(SubmissionSpec spec, Progress progress, long now, long wallMillis) {
+  public void restore(
+      SubmissionSpec spec, long number, Progress progress, long now, long wallMillis) {
     // Numbers below the range of this epoch may have been used by a run that nobody knows of.
     int firstRun = RUNS_PER_EPOCH * (state.epoch - 1) + 1;
     long age = Math.max(0, wallMillis - spec.acceptedAtMillis());
-    Submission submission = new Submission(spec, now - age, firstRun);
+    Submission submission = new Submission(spec, number, now - age, firstRun);
     submission.restore(progress);
     state.submissions.put(spec.id(), submission);
     state.reserve.seen(spec.queue().service(), spec.queue().priority());
@@ -227,7 +230,7 @@
    *
    * @param entries the workers that may hold runs
    */
-  public void restoreRoster(Collection<WorkerEntry> entries) {
+  public void restoreRoster(Collection<RosterEntry> entries) {
     workers.restoreRoster(entries);
   }
 
--- a/core/src/main/java/org/hickorypier/core/cell/CellOutput.java
+++ b/core/src/main/java/org/hickorypier/core/cell/CellOutput.java
@@ -58,5 +58,5 @@
    * @param entries the workers
    * @param written what to run once it is durable, on the control thread
    */
-  void saveRoster(List<WorkerEntry> entries, Runnable written);
+  void saveRoster(List<RosterEntry> entries, Runnable written);
 }
--- a/core/src/main/java/org/hickorypier/core/cell/CellState.java
+++ b/core/src/main/java/org/hickorypier/core/cell/CellState.java
@@ -20,10 +20,14 @@
 
   private static final String RUN_PART = "run";
 
+  /** More submissions than any owner takes; so numbers rise from one owner to the next. */
+  private static final long NUMBERS_PER_EPOCH = 1L << 32;
+
   final CellTerms terms;
   final CellOutput output;
   final EventLog log;
   final int epoch;
+  private long lastNumber;
   final long takenOverAt;
   final CustomerUsage usage = new CustomerUsage();
   final LearnedWork learned = new LearnedWork();
@@ -49,6 +53,7 @@
     this.output = output;
     this.log = log;
     this.epoch = epoch;
+    this.lastNumber = epoch * NUMBERS_PER_EPOCH;
     this.takenOverAt = now;
   }
 
@@ -57,9 +62,38 @@
     output.save(submission);
   }
 
-  /** Tells whether a worker may run what nobody else knows of. */
+  /**
+   * Tells whether a worker may run what nobody else knows of. One that no earlier owner had on its
+   * roster got nothing from it.
+   */
   boolean unresolved(WorkerView worker, long now) {
-    return !worker.heard && now < takenOverAt + terms.silentWorkerMillis();
+    return worker.ofEarlierOwner && !worker.heard && now < takenOverAt + terms.silentWorkerMillis();
+  }
+
+  long nextNumber() {
+    return ++lastNumber;
+  }
+
+  long lastNumber() {
+    return lastNumber;
+  }
+
+  /**
+   * Returns the number of the last submission of which a run may be at work that nobody knows of.
+   */
+  long unresolvedUpTo(long now) {
+    long last = 0;
+    for (WorkerView worker : workers.values()) {
+      if (unresolved(worker, now)) {
+        last = Math.max(last, worker.open() ? Long.MAX_VALUE : worker.closedAfter);
+      }
+    }
+    return last;
+  }
+
+  /** Tells whether a submission has to wait, since a run of it may be at work unknown. */
+  boolean waitsForWorkers(Submission submission, long unresolvedUpTo) {
+    return submission.uncertain && submission.number() <= unresolvedUpTo;
   }
 
   boolean anyUnresolved(long now) {
@@ -74,7 +108,7 @@
   Resources unresolvedRoom(long now) {
     Resources room = Resources.NONE;
     for (WorkerView worker : workers.values()) {
-      if (worker.onRoster && unresolved(worker, now)) {
+      if (unresolved(worker, now)) {
         room = room.plus(worker.entry().capacity());
       }
     }
--- a/core/src/main/java/org/hickorypier/core/cell/Dispatch.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Dispatch.java
@@ -36,13 +36,14 @@
 
   void pass(long now) {
     boolean unresolved = cell.anyUnresolved(now);
+    long unresolvedUpTo = cell.unresolvedUpTo(now);
     cell.usage.unheard(unresolved ? cell.unresolvedRoom(now) : Resources.NONE);
     Map<String, List<WorkerView>> takingByService = new HashMap<>();
     for (StepRun step : UrgencyOrder.sorted(cell.open, cell.learned, now)) {
       if (!step.submission.live() || !step.anyWaiting()) {
         releaseClaim(step);
         cell.open.remove(step);
-      } else if (!(step.submission.uncertain && unresolved)) {
+      } else if (!(unresolved && cell.waitsForWorkers(step.submission, unresolvedUpTo))) {
         String service = step.submission.spec().queue().service();
         place(step, takingByService.computeIfAbsent(service, name -> cell.taking(name, now)), now);
       }
--- a/core/src/main/java/org/hickorypier/core/cell/LearnedWork.java
+++ b/core/src/main/java/org/hickorypier/core/cell/LearnedWork.java
@@ -15,12 +15,22 @@
   /** Each end counts so much: some 20 ends make a mean, a few seconds of the rarest queue. */
   private static final double WEIGHT = 0.05;
 
+  /** So many ends tell more of a queue than its callers' estimates. */
+  private static final int ENDS_TO_KNOW = 5;
+
   private final Map<String, Double> means = new HashMap<>();
+  private final Map<String, Integer> counts = new HashMap<>();
 
   void ended(String queue, long millis) {
+    counts.merge(queue, 1, Integer::sum);
     means.merge(queue, (double) millis, (mean, newest) -> mean + WEIGHT * (newest - mean));
   }
 
+  /** Tells whether enough was seen of a queue to say how long its tasks take. */
+  boolean known(String queue) {
+    return counts.getOrDefault(queue, 0) >= ENDS_TO_KNOW;
+  }
+
   /** Returns the larger of an estimate and what tasks of the queue took on average. */
   long atLeast(String queue, long estimateMillis) {
     return Math.max(estimateMillis, Math.round(means.getOrDefault(queue, 0.0)));
--- a/core/src/main/java/org/hickorypier/core/cell/RosterCodec.java
+++ b/core/src/main/java/org/hickorypier/core/cell/RosterCodec.java
@@ -21,10 +21,11 @@
    * @param entries the workers
    * @return its bytes
    */
-  public static byte[] encode(List<WorkerEntry> entries) {
+  public static byte[] encode(List<RosterEntry> entries) {
     try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
       packer.packArrayHeader(entries.size());
-      for (WorkerEntry entry : entries) {
+      for (RosterEntry each : entries) {
+        WorkerEntry entry = each.worker();
         packer.packString(entry.id()).packString(entry.service()).packString(entry.address());
         packer.packLong(entry.capacity().milliProcessors());
         packer.packLong(entry.capacity().memoryMebibytes());
@@ -35,6 +36,10 @@
         }
         packer.packLong(entry.bornMillis());
       }
+      // After all entries, where readers that do not know of it stop.
+      for (RosterEntry each : entries) {
+        packer.packLong(each.closedAfter());
+      }
       return packer.toByteArray();
     } catch (IOException error) {
       throw new IllegalStateException("packing into memory failed", error);
@@ -48,12 +53,17 @@
    * @return the workers, as not draining
    * @throws UndecodableException if the bytes are no roster
    */
-  public static List<WorkerEntry> decode(byte[] bytes) throws UndecodableException {
+  public static List<RosterEntry> decode(byte[] bytes) throws UndecodableException {
     try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
       int count = unpacker.unpackArrayHeader();
-      List<WorkerEntry> entries = new ArrayList<>();
+      List<WorkerEntry> workers = new ArrayList<>();
       for (int index = 0; index < count; index++) {
-        entries.add(unpackEntry(unpacker));
+        workers.add(unpackEntry(unpacker));
+      }
+      List<RosterEntry> entries = new ArrayList<>();
+      for (WorkerEntry worker : workers) {
+        long closedAfter = unpacker.hasNext() ? unpacker.unpackLong() : RosterEntry.OPEN;
+        entries.add(new RosterEntry(worker, closedAfter));
       }
       return entries;
     } catch (IOException | MessagePackException error) {
--- a/core/src/main/java/org/hickorypier/core/cell/Run.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Run.java
@@ -34,6 +34,9 @@
   long stopAnsweredAt;
   int percent = -1;
 
+  /** How it gets on, once its worker has told of it; null before. */
+  RunPace pace;
+
   Run(RunKey key, Task task, WorkerView worker, Resources size, String customer) {
     this.key = key;
     this.task = task;
--- a/core/src/main/java/org/hickorypier/core/cell/StepRun.java
+++ b/core/src/main/java/org/hickorypier/core/cell/StepRun.java
@@ -17,6 +17,9 @@
 
   int doneCount;
 
+  /** The longest that a run of a task that is done took, in milliseconds. */
+  long longestRunMillis;
+
   /** Room set aside while tickets are on their way, or null. */
   Claim claim;
 
--- a/core/src/main/java/org/hickorypier/core/cell/Submission.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Submission.java
@@ -20,6 +20,9 @@
   private final SubmissionSpec spec;
   final StepRun[][] occurrences;
 
+  /** Rises from one submission to the next, over all owners; 0 if its owner gave it none. */
+  private final long number;
+
   /** When it came, on the owner's steady clock. */
   final long acceptedAt;
 
@@ -42,8 +45,9 @@
   /** Counts changes; what was written last tells what may be shown. */
   long version;
 
-  Submission(SubmissionSpec spec, long acceptedAt, int firstRun) {
+  Submission(SubmissionSpec spec, long number, long acceptedAt, int firstRun) {
     this.spec = spec;
+    this.number = number;
     this.acceptedAt = acceptedAt;
     this.firstRun = firstRun;
     this.occurrences = new StepRun[spec.occurrences()][spec.steps().size()];
@@ -67,6 +71,15 @@
     return spec;
   }
 
+  /**
+   * Returns the number under which its owner took it.
+   *
+   * @return the number, or 0 if there is none
+   */
+  public long number() {
+    return number;
+  }
+
   /**
    * Returns what callers may be told.
    *
--- a/core/src/main/java/org/hickorypier/core/cell/Task.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Task.java
@@ -24,6 +24,9 @@
   /** Where it failed or stood still last, so that the next run goes elsewhere; or null. */
   WorkerView avoided;
 
+  /** How often it was taken away from a slow worker. */
+  int moves;
+
   Task(StepRun step, int index) {
     this.step = step;
     this.index = index;
--- a/core/src/main/java/org/hickorypier/core/cell/TaskEnds.java
+++ b/core/src/main/java/org/hickorypier/core/cell/TaskEnds.java
@@ -65,7 +65,10 @@
     worker.failureStreak = 0;
     Submission submission = task.step.submission;
     if (run != null && run.confirmed() && run.copies > 0) {
-      cell.learned.ended(submission.spec().queue().name(), now - run.confirmedAt);
+      long took = now - run.confirmedAt;
+      cell.learned.ended(submission.spec().queue().name(), took);
+      task.step.longestRunMillis = Math.max(task.step.longestRunMillis, took);
+      worker.slowStreak = 0;
     }
     // A persistent task is never done: however it ends, it starts again.
     if (submission.live() && !task.step.spec.flags().persistent()) {
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerBook.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerBook.java
@@ -28,10 +28,13 @@
     this.runs = runs;
   }
 
-  void restoreRoster(Collection<WorkerEntry> entries) {
-    for (WorkerEntry entry : entries) {
+  void restoreRoster(Collection<RosterEntry> entries) {
+    for (RosterEntry restored : entries) {
+      WorkerEntry entry = restored.worker();
       WorkerView worker = new WorkerView(entry);
       worker.onRoster = true;
+      worker.ofEarlierOwner = true;
+      worker.closedAfter = restored.closedAfter();
       cell.workers.put(entry.id(), worker);
     }
   }
@@ -83,6 +86,7 @@
   }
 
   void tick(long now) {
+    closeAndOpen(now);
     writeRoster();
     settleLost(now);
   }
@@ -105,6 +109,35 @@
     }
   }
 
+  /**
+   * Closes workers that get no orders any more, and opens them again.
+   *
+   * <p>Failure: a worker drains and leaves, and the owner is lost soon after. Symptom: the
+   * successor waits for that worker, up to 9.9 s, with all that it took over, since it might run
+   * any of it; all checks of 11 s came too late on one day. Safeguard: the roster tells after which
+   * submission the worker was closed, and leaves it out once it is empty; what came later does not
+   * wait for it. It is enough because a worker gets nothing before the roster that says that it is
+   * open is durable.
+   */
+  private void closeAndOpen(long now) {
+    for (WorkerView worker : cell.workers.values()) {
+      if (!worker.heard) {
+        continue;
+      }
+      boolean closing = worker.closing(now);
+      if (closing == worker.open()) {
+        worker.closedAfter = closing ? cell.lastNumber() : RosterEntry.OPEN;
+        worker.onRoster = false;
+        rosterStale = true;
+      }
+      boolean retired = closing && worker.empty();
+      if (retired != worker.retired) {
+        worker.retired = retired;
+        rosterStale = true;
+      }
+    }
+  }
+
   private void writeRoster() {
     if (!rosterStale || rosterWriting) {
       return;
@@ -112,12 +145,16 @@
     rosterStale = false;
     rosterWriting = true;
     List<WorkerView> written = new ArrayList<>(cell.workers.values());
-    List<WorkerEntry> entries = written.stream().map(WorkerView::entry).toList();
+    written.removeIf(worker -> worker.retired);
+    List<RosterEntry> entries =
+        written.stream()
+            .map(worker -> new RosterEntry(worker.entry(), worker.closedAfter))
+            .toList();
     cell.output.saveRoster(
         entries,
         () -> {
           rosterWriting = false;
-          written.forEach(worker -> worker.onRoster = true);
+          written.forEach(worker -> worker.onRoster = worker.open());
           cell.dirty = true;
         });
   }
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerReports.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerReports.java
@@ -18,11 +18,13 @@
   private final CellState cell;
   private final RunBook runs;
   private final TaskEnds ends;
+  private final Stragglers stragglers;
 
-  WorkerReports(CellState cell, RunBook runs, TaskEnds ends) {
+  WorkerReports(CellState cell, RunBook runs, TaskEnds ends, Stragglers stragglers) {
     this.cell = cell;
     this.runs = runs;
     this.ends = ends;
+    this.stragglers = stragglers;
   }
 
   void take(WorkerView worker, HoldReport report, long sentAt, long now) {
@@ -43,8 +45,9 @@
     Set<RunKey> listed = new HashSet<>();
     for (RunningTask running : report.running()) {
       listed.add(running.run());
-      takeRunning(worker, running, now);
+      takeRunning(worker, running, report.clockMillis(), now);
     }
+    stragglers.look(worker, now);
     if (report.ended().size() < ENDS_PAGE) {
       for (Run run : CellState.copy(worker.runs.values())) {
         if (!listed.contains(run.key)) {
@@ -76,7 +79,7 @@
     }
   }
 
-  private void takeRunning(WorkerView worker, RunningTask running, long now) {
+  private void takeRunning(WorkerView worker, RunningTask running, long clock, long now) {
     Run run = worker.runs.get(running.run());
     if (run == null) {
       run = adopt(worker, running.run(), now);
@@ -85,6 +88,7 @@
       runs.confirmed(run, now);
     }
     run.percent = running.percent();
+    stragglers.seen(run, running.percent(), clock, now);
     if (run.task != null && !running.checkpoint().isEmpty()) {
       run.task.keepCheckpoint(running.checkpoint());
     }
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
@@ -36,6 +36,18 @@
   /** It is on the durable roster, so that a successor knows to ask it. */
   boolean onRoster;
 
+  /** An earlier owner had it on its roster: it may run what only it knows of. */
+  boolean ofEarlierOwner;
+
+  /**
+   * The number of the last submission of which it may hold runs, if it gets no orders any more;
+   * {@link RosterEntry#OPEN} while it may get orders.
+   */
+  long closedAfter = RosterEntry.OPEN;
+
+  /** It runs nothing and gets nothing, so it was taken off the roster. */
+  boolean retired;
+
   /** The last renewal had no answer. */
   boolean silent;
 
@@ -67,6 +79,12 @@
   long quarantinedUntil;
   long fullUntil;
 
+  /** It was found slow: it gets nothing until then. */
+  long shunnedUntil;
+
+  /** How often in a row it was found slow. */
+  int slowStreak;
+
   WorkerView(WorkerEntry entry) {
     this.entry = entry;
     this.bornMillis = entry.bornMillis();
@@ -129,6 +147,8 @@
     highestDeadline = 0;
     failureStreak = 0;
     quarantinedUntil = 0;
+    shunnedUntil = 0;
+    slowStreak = 0;
   }
 
   void update(WorkerEntry newer) {
@@ -206,15 +226,31 @@
     return now - heardAt <= FRESH_MILLIS;
   }
 
+  boolean open() {
+    return closedAfter == RosterEntry.OPEN;
+  }
+
+  /** Tells whether it is to get no orders for a while, which a successor should know. */
+  boolean closing(long now) {
+    return heard && (entry.draining() || silent && !fresh(now));
+  }
+
+  /** Tells whether nothing is there and nothing is on its way. */
+  boolean empty() {
+    return runs.isEmpty() && unanswered.isEmpty() && refusals.isEmpty();
+  }
+
   boolean takesWork(long now) {
     return listed
         && fresh(now)
         && heard
         && onRoster
+        && open()
         && !silent
         && !entry.draining()
         && now >= quarantinedUntil
         && now >= fullUntil
+        && now >= shunnedUntil
         && clockReading != NO_READING;
   }
 }
--- a/core/src/main/java/org/hickorypier/core/submission/SubmissionCodec.java
+++ b/core/src/main/java/org/hickorypier/core/submission/SubmissionCodec.java
@@ -33,20 +33,57 @@
    */
   public static byte[] encode(SubmissionSpec spec) {
     try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
-      packer.packString(spec.id()).packString(spec.customer()).packString(spec.text());
-      packer.packInt(spec.times()).packLong(spec.startAtMillis());
-      packer.packLong(spec.intervalMillis()).packLong(spec.acceptedAtMillis());
-      packQueue(packer, spec.queue());
-      packer.packArrayHeader(spec.steps().size());
-      for (StepSpec step : spec.steps()) {
-        packStep(packer, step);
-      }
+      pack(packer, spec);
+      return packer.toByteArray();
+    } catch (IOException error) {
+      throw new IllegalStateException("packing into memory failed", error);
+    }
+  }
+
+  /**
+   * Encodes a specification with the number under which its owner took it.
+   *
+   * @param spec the specification
+   * @param number the number
+   * @return its bytes, which {@link #decode} reads as well
+   */
+  public static byte[] encode(SubmissionSpec spec, long number) {
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+      pack(packer, spec);
+      packer.packLong(number);
       return packer.toByteArray();
     } catch (IOException error) {
       throw new IllegalStateException("packing into memory failed", error);
     }
   }
 
+  /**
+   * Reads the number under which an owner took a submission.
+   *
+   * @param bytes the specification's bytes
+   * @return the number, or 0 if none was encoded
+   * @throws UndecodableException if the bytes are no specification
+   */
+  public static long numberOf(byte[] bytes) throws UndecodableException {
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+      unpack(unpacker);
+      return unpacker.hasNext() ? unpacker.unpackLong() : 0;
+    } catch (IOException | MessagePackException error) {
+      throw new UndecodableException(bytes.length + " bytes are no submission", error);
+    }
+  }
+
+  private static void pack(MessageBufferPacker packer, SubmissionSpec spec) throws IOException {
+    packer.packString(spec.id()).packString(spec.customer()).packString(spec.text());
+    packer.packInt(spec.times()).packLong(spec.startAtMillis());
+    packer.packLong(spec.intervalMillis()).packLong(spec.acceptedAtMillis());
+    packQueue(packer, spec.queue());
+    packer.packArrayHeader(spec.steps().size());
+    for (StepSpec step : spec.steps()) {
+      packStep(packer, step);
+    }
+  }
+
   /**
    * Decodes a specification.
    *
@@ -56,26 +93,30 @@
    */
   public static SubmissionSpec decode(byte[] bytes) throws UndecodableException {
     try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
-      String id = unpacker.unpackString();
-      String customer = unpacker.unpackString();
-      String text = unpacker.unpackString();
-      int times = unpacker.unpackInt();
-      long startAt = unpacker.unpackLong();
-      long interval = unpacker.unpackLong();
-      long acceptedAt = unpacker.unpackLong();
-      QueueTerms queue = unpackQueue(unpacker);
-      int count = unpacker.unpackArrayHeader();
-      List<StepSpec> steps = new ArrayList<>();
-      for (int index = 0; index < count; index++) {
-        steps.add(unpackStep(unpacker));
-      }
-      return new SubmissionSpec(
-          id, customer, queue, text, steps, times, startAt, interval, acceptedAt);
+      return unpack(unpacker);
     } catch (IOException | MessagePackException error) {
       throw new UndecodableException(bytes.length + " bytes are no submission", error);
     }
   }
 
+  private static SubmissionSpec unpack(MessageUnpacker unpacker) throws IOException {
+    String id = unpacker.unpackString();
+    String customer = unpacker.unpackString();
+    String text = unpacker.unpackString();
+    int times = unpacker.unpackInt();
+    long startAt = unpacker.unpackLong();
+    long interval = unpacker.unpackLong();
+    long acceptedAt = unpacker.unpackLong();
+    QueueTerms queue = unpackQueue(unpacker);
+    int count = unpacker.unpackArrayHeader();
+    List<StepSpec> steps = new ArrayList<>();
+    for (int index = 0; index < count; index++) {
+      steps.add(unpackStep(unpacker));
+    }
+    return new SubmissionSpec(
+        id, customer, queue, text, steps, times, startAt, interval, acceptedAt);
+  }
+
   /**
    * Reads only the customer of a specification.
    *
--- a/core/src/test/java/org/hickorypier/core/cell/CellFixture.java
+++ b/core/src/test/java/org/hickorypier/core/cell/CellFixture.java
@@ -33,6 +33,7 @@
   final List<RunKey> stops = new ArrayList<>();
   final List<Asked> questions = new ArrayList<>();
   final List<Submission> saved = new ArrayList<>();
+  List<RosterEntry> roster = List.of();
   private final List<Runnable> afterSave = new ArrayList<>();
   private final Map<String, WorkerEntry> entries = new HashMap<>();
   final Cell cell;
@@ -81,9 +82,14 @@
   }
 
   void list(String id, long born) {
+    list(id, born, false);
+  }
+
+  void list(String id, long born, boolean draining) {
     entries.put(
         id,
-        new WorkerEntry(id, "service", "10.0.0.1:1", false, 0, CAPACITY, List.of("a", "r1"), born));
+        new WorkerEntry(
+            id, "service", "10.0.0.1:1", draining, 0, CAPACITY, List.of("a", "r1"), born));
     cell.listed(entries, now);
   }
 
@@ -103,6 +109,14 @@
     cell.held(worker, new HoldReport(born, clock, tasks, List.of(ends)), sentAt, now);
   }
 
+  /** Lets a worker tell how far a run is. */
+  void progress(WorkerView worker, RunningTask running) {
+    long sentAt = now;
+    advance(5);
+    cell.held(
+        worker, new HoldReport(worker.bornMillis, clock, List.of(running), List.of()), sentAt, now);
+  }
+
   void advance(long millis) {
     now += millis;
     clock += millis;
@@ -166,7 +180,8 @@
   }
 
   @Override
-  public void saveRoster(List<WorkerEntry> roster, Runnable written) {
-    afterSave.add(written);
+  public void saveRoster(List<RosterEntry> written, Runnable action) {
+    roster = written;
+    afterSave.add(action);
   }
 }
--- a/core/src/test/java/org/hickorypier/core/cell/CellLoadTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/CellLoadTest.java
@@ -131,7 +131,7 @@
       List<RunningTask> running = new ArrayList<>();
       worker.runs.values().stream()
           .filter(run -> ends.get(worker.id()).stream().noneMatch(next -> next.run() == run.key()))
-          .forEach(run -> running.add(new RunningTask(run.key(), "", 0)));
+          .forEach(run -> running.add(new RunningTask(run.key(), "", percent(run))));
       fixture.cell.held(
           worker,
           new HoldReport(1, fixture.now, running, ends.get(worker.id())),
@@ -146,14 +146,22 @@
     fixture.pass();
     for (CellFixture.Started started : fixture.starts) {
       fixture.cell.startAnswered(started.run(), StartOutcome.STARTED, fixture.now);
-      String queue = started.run().submission().spec().queue().name();
-      long work = queue.equals("checks") ? 640 : queue.equals("gangs") ? 6_200 : 3_400;
-      endings.add(new Ending(fixture.now + work, started.run()));
+      endings.add(new Ending(fixture.now + work(started.run()), started.run()));
     }
     fixture.starts.clear();
     note();
   }
 
+  private int percent(Run run) {
+    long work = work(run);
+    return (int) Math.min(99, 100 * (fixture.now - run.confirmedAt) / work);
+  }
+
+  private static long work(Run run) {
+    String queue = run.submission().spec().queue().name();
+    return queue.equals("checks") ? 640 : queue.equals("gangs") ? 6_200 : 3_400;
+  }
+
   private void note() {
     handedIn
         .entrySet()
--- a/core/src/test/java/org/hickorypier/core/cell/CellTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/CellTest.java
@@ -61,7 +61,7 @@
   void firstChangeOfWhatWasTakenOverIsWritten() {
     SubmissionSpec spec = spec("s", QUEUE, step(2, 1_000, 500, false));
     Progress nothing = new Progress(SubmissionState.QUEUED, 0, List.of(new BitSet()), Map.of());
-    cell.restore(spec, nothing, fixture.now, fixture.now);
+    cell.restore(spec, 7, nothing, fixture.now, fixture.now);
     final WorkerView worker = fixture.worker("w");
     RunKey first = new RunKey(new TaskName("s", 0, 0, 0), 1);
     fixture.hear(worker, new EndedRun(1, first, RunEnd.DONE, ""));
@@ -206,10 +206,13 @@
     CellFixture successor = new CellFixture(2);
     successor.cell.restoreRoster(
         List.of(
-            new WorkerEntry(
-                "dark", "service", "10.0.0.2:1", false, 0, CellFixture.CAPACITY, List.of(), 1)));
+            new RosterEntry(
+                new WorkerEntry(
+                    "dark", "service", "10.0.0.2:1", false, 0, CellFixture.CAPACITY, List.of(), 1),
+                RosterEntry.OPEN)));
     successor.cell.restore(
         spec("old", QUEUE, step(1, 1_000, 500, false)),
+        7,
         new Progress(SubmissionState.RUNNING, 0, List.of(new BitSet()), Map.of()),
         successor.now,
         successor.now);
@@ -226,6 +229,81 @@
     assertThat(successor.starts.get(1).run().key().number()).isGreaterThan(1_000);
   }
 
+  /**
+   * A worker drained and left, and the owner was lost soon after. The successor waited for that
+   * worker for 9.9 s with all that it took over, since it might have run any of it. A worker at
+   * rest is off the roster, so nobody waits for it; it gets nothing before it is on it again.
+   */
+  @Test
+  void workerAtRestIsOffTheRosterUntilItMayTakeWorkAgain() {
+    final WorkerView leaving = fixture.worker("leaving");
+    fixture.worker("staying");
+    assertThat(fixture.roster)
+        .extracting(each -> each.worker().id())
+        .containsExactly("leaving", "staying");
+
+    fixture.list("leaving", 1, true);
+    cell.tick(fixture.now, fixture.now);
+    fixture.write();
+    assertThat(fixture.roster).extracting(each -> each.worker().id()).containsExactly("staying");
+
+    fixture.list("leaving", 1, false);
+    assertThat(leaving.takesWork(fixture.now)).isFalse();
+    cell.tick(fixture.now, fixture.now);
+    assertThat(leaving.takesWork(fixture.now)).isFalse();
+    fixture.write();
+    assertThat(fixture.roster)
+        .extracting(each -> each.worker().id())
+        .containsExactly("leaving", "staying");
+    assertThat(leaving.takesWork(fixture.now)).isTrue();
+  }
+
+  /**
+   * A worker drains with a caller's task on it and is gone when the owner is lost. What was
+   * accepted before it drained may run there and waits; a check that came later cannot, and starts
+   * at once.
+   */
+  @Test
+  void takenOverTaskDoesNotWaitForWorkerClosedBeforeItCame() {
+    fixture.worker("leaving");
+    fixture.submit(spec("before", QUEUE, step(1, 1_000, 500, false)));
+    fixture.confirmAll();
+    fixture.list("leaving", 1, true);
+    cell.tick(fixture.now, fixture.now);
+    fixture.write();
+    fixture.submit(spec("after", QUEUE, step(1, 1_000, 500, false)));
+    assertThat(fixture.starts).hasSize(1);
+
+    CellFixture successor = new CellFixture(2);
+    successor.cell.restoreRoster(fixture.roster);
+    for (String id : List.of("before", "after")) {
+      Submission taken = cell.find(id);
+      successor.cell.restore(
+          taken.spec(), taken.number(), taken.progress(), successor.now, successor.now);
+    }
+    successor.worker("staying");
+    successor.pass();
+    assertThat(successor.starts)
+        .extracting(each -> each.run().key().task().submission())
+        .containsExactly("after");
+  }
+
+  /** A worker that no earlier owner had on its roster got nothing from it. */
+  @Test
+  void takenOverTaskDoesNotWaitForWorkersThatGotNothing() {
+    CellFixture successor = new CellFixture(2);
+    successor.cell.restore(
+        spec("old", QUEUE, step(1, 1_000, 500, false)),
+        7,
+        new Progress(SubmissionState.RUNNING, 0, List.of(new BitSet()), Map.of()),
+        successor.now,
+        successor.now);
+    successor.list("dark", 1);
+    successor.worker("w");
+    successor.pass();
+    assertThat(successor.starts).hasSize(1);
+  }
+
   @Test
   void customersLimitCountsWhatIsBeingStopped() {
     fixture.worker("w");
--- a/core/src/test/java/org/hickorypier/core/cell/PlacerTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/PlacerTest.java
@@ -34,7 +34,7 @@
   }
 
   private Map<Task, WorkerView> choose(StepSpec spec) {
-    StepRun run = new Submission(spec("s", QUEUE, spec), 0, 1).occurrences[0][0];
+    StepRun run = new Submission(spec("s", QUEUE, spec), 1, 0, 1).occurrences[0][0];
     return Placer.choose(run, List.of(run.tasks), workers, next -> true, 0);
   }
 
--- /dev/null
+++ b/core/src/test/java/org/hickorypier/core/cell/RunPaceTest.java
@@ -0,0 +1,60 @@
+package org.hickorypier.core.cell;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class RunPaceTest {
+
+  private static final long WINDOW = 200;
+
+  @Test
+  void remainingTimeFollowsTheLatestPace() {
+    RunPace pace = new RunPace(false);
+    pace.seen(0, 0, WINDOW);
+    pace.seen(100, 10, WINDOW);
+    assertThat(pace.known(WINDOW)).isFalse();
+    pace.seen(200, 20, WINDOW);
+    assertThat(pace.known(WINDOW)).isTrue();
+    assertThat(pace.remainingMillis()).isEqualTo(800);
+
+    for (int at = 400; at <= 1_000; at += 200) {
+      pace.seen(at, 20 + (at - 200) / 100, WINDOW);
+    }
+    assertThat(pace.remainingMillis()).isEqualTo(7_200);
+  }
+
+  @Test
+  void runThatStandsStillNeverEnds() {
+    RunPace pace = new RunPace(false);
+    pace.seen(0, 50, WINDOW);
+    pace.seen(300, 50, WINDOW);
+    assertThat(pace.remainingMillis()).isEqualTo(RunPace.NEVER);
+  }
+
+  /**
+   * A resumed run shows no progress for as long as it restores; that says nothing of its worker.
+   */
+  @Test
+  void paceCountsOnlyOnceACheckpointIsRestored() {
+    RunPace pace = new RunPace(true);
+    for (int at = 0; at <= 600; at += 200) {
+      pace.seen(at, 40, WINDOW);
+      assertThat(pace.known(WINDOW)).isFalse();
+    }
+    pace.seen(700, 41, WINDOW);
+    pace.seen(900, 61, WINDOW);
+    assertThat(pace.known(WINDOW)).isTrue();
+    assertThat(pace.remainingMillis()).isEqualTo(390);
+  }
+
+  @Test
+  void restoreThatNeverEndsIsAStandstill() {
+    RunPace pace = new RunPace(true);
+    for (int at = 0; at <= 2_000; at += 250) {
+      pace.seen(at, 40, WINDOW);
+    }
+    assertThat(pace.known(WINDOW)).isTrue();
+    assertThat(pace.remainingMillis()).isEqualTo(RunPace.NEVER);
+  }
+}
--- a/core/src/test/java/org/hickorypier/core/cell/UrgencyOrderTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/UrgencyOrderTest.java
@@ -15,7 +15,7 @@
   private static StepRun waiting(String id, int priority, long acceptedAt, boolean beyond) {
     QueueTerms queue = new QueueTerms("q", "service", priority, 1, 2, 500, Optional.empty());
     Submission submission =
-        new Submission(spec(id, queue, step(1, 1_000, 1_000, false)), acceptedAt, 1);
+        new Submission(spec(id, queue, step(1, 1_000, 1_000, false)), 1, acceptedAt, 1);
     submission.beyondShare = beyond;
     return submission.occurrences[0][0];
   }
@@ -27,7 +27,7 @@
   @Test
   void learnedWorkGoesBeforeAnEstimateThatIsFarOff() {
     QueueTerms queue = new QueueTerms("checks", "service", 0, 1, 1.5, 250, Optional.empty());
-    Submission check = new Submission(spec("check", queue, step(1, 1_000, 70, false)), 0, 1);
+    Submission check = new Submission(spec("check", queue, step(1, 1_000, 70, false)), 1, 0, 1);
     StepRun batch = waiting("batch", 2, 0, false);
     LearnedWork learned = new LearnedWork();
     long now = 1_100;
--- a/core/src/test/java/org/hickorypier/core/cell/model/CellModelTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/model/CellModelTest.java
@@ -20,11 +20,21 @@
 
   @Test
   void promisesHoldOnEachSeededDay() {
+    play(false);
+  }
+
+  /** The same beside batches that make room for urgent work, with slow workers and leaving ones. */
+  @Test
+  void promisesHoldWithUnlikeWork() {
+    play(true);
+  }
+
+  private static void play(boolean unlike) {
     List<String> failures = new ArrayList<>();
     long starts = 0;
     long steps = 0;
     for (int seed = FROM; seed < FROM + SEEDS; seed++) {
-      ModelWorld world = new ModelWorld(seed);
+      ModelWorld world = new ModelWorld(seed, unlike);
       for (String broken : world.play()) {
         failures.add("seed " + seed + ": " + broken);
         if (Boolean.getBoolean("model.trace")) {
--- a/core/src/test/java/org/hickorypier/core/cell/model/ModelJournal.java
+++ b/core/src/test/java/org/hickorypier/core/cell/model/ModelJournal.java
@@ -3,7 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import org.hickorypier.core.cell.WorkerEntry;
+import org.hickorypier.core.cell.RosterEntry;
 import org.hickorypier.core.submission.Progress;
 import org.hickorypier.core.submission.SubmissionSpec;
 
@@ -12,7 +12,8 @@
 
   final Map<String, SubmissionSpec> specs = new HashMap<>();
   final Map<String, Progress> progress = new HashMap<>();
-  List<WorkerEntry> roster = List.of();
+  final Map<String, Long> numbers = new HashMap<>();
+  List<RosterEntry> roster = List.of();
   int epoch;
 
   /** Returns false if a successor has fenced the writer. */
--- a/core/src/test/java/org/hickorypier/core/cell/model/ModelOwner.java
+++ b/core/src/test/java/org/hickorypier/core/cell/model/ModelOwner.java
@@ -11,6 +11,7 @@
 import org.hickorypier.core.cell.CellOutput;
 import org.hickorypier.core.cell.CellTerms;
 import org.hickorypier.core.cell.HoldReport;
+import org.hickorypier.core.cell.RosterEntry;
 import org.hickorypier.core.cell.Run;
 import org.hickorypier.core.cell.RunKey;
 import org.hickorypier.core.cell.StartOutcome;
@@ -34,7 +35,7 @@
   private final ModelTime time;
   private final Set<Submission> dirty = new LinkedHashSet<>();
   private List<Runnable> waiting = new ArrayList<>();
-  private List<WorkerEntry> rosterToWrite;
+  private List<RosterEntry> rosterToWrite;
   private boolean writing;
   private long provenAt;
   boolean ended;
@@ -64,7 +65,7 @@
     for (SubmissionSpec spec : world.journal.specs.values()) {
       Progress progress = world.journal.progress.get(spec.id());
       if (progress != null) {
-        cell.restore(spec, progress, time.now(), time.now());
+        cell.restore(spec, world.journal.numbers.get(spec.id()), progress, time.now(), time.now());
       }
     }
     loop();
@@ -267,7 +268,7 @@
   }
 
   @Override
-  public void saveRoster(List<WorkerEntry> entries, Runnable written) {
+  public void saveRoster(List<RosterEntry> entries, Runnable written) {
     rosterToWrite = List.copyOf(entries);
     waiting.add(written);
   }
@@ -284,7 +285,7 @@
         progress.put(submission.spec().id(), submission.progress());
       }
     }
-    final List<WorkerEntry> roster = rosterToWrite;
+    final List<RosterEntry> roster = rosterToWrite;
     final List<Runnable> actions = waiting;
     dirty.clear();
     rosterToWrite = null;
@@ -297,7 +298,7 @@
       Map<Submission, Long> versions,
       Map<String, SubmissionSpec> specs,
       Map<String, Progress> progress,
-      List<WorkerEntry> roster,
+      List<RosterEntry> roster,
       List<Runnable> actions) {
     if (ended) {
       return;
@@ -314,6 +315,9 @@
                   epoch,
                   () -> {
                     world.journal.specs.putAll(specs);
+                    for (Submission submission : versions.keySet()) {
+                      world.journal.numbers.put(submission.spec().id(), submission.number());
+                    }
                     world.journal.progress.putAll(progress);
                     if (roster != null) {
                       world.journal.roster = roster;
--- a/core/src/test/java/org/hickorypier/core/cell/model/ModelWorker.java
+++ b/core/src/test/java/org/hickorypier/core/cell/model/ModelWorker.java
@@ -43,6 +43,11 @@
   private long downUntil;
   double failShare;
 
+  /** So many times as long does what it begins take. */
+  int slowness = 1;
+
+  boolean draining;
+
   ModelWorker(
       String id, ModelTime time, PromiseChecker promises, Map<String, List<ModelRun>> gangs) {
     this.id = id;
@@ -56,7 +61,7 @@
 
   WorkerEntry entry() {
     return new WorkerEntry(
-        id, "service", "10.0.0.1:1", false, 0, CAPACITY, List.of("a", "r1"), born);
+        id, "service", "10.0.0.1:1", draining, 0, CAPACITY, List.of("a", "r1"), born);
   }
 
   private long clock() {
@@ -91,8 +96,10 @@
     return StartOutcome.STARTED;
   }
 
-  private void work(ModelRun run, long workMillis) {
+  private void work(ModelRun run, long soundMillis) {
+    long workMillis = slowness * soundMillis;
     run.working = true;
+    run.workFrom(time.now(), workMillis);
     boolean fails = time.chance(failShare);
     time.after(
         fails ? workMillis / 2 : workMillis, () -> end(run, fails ? RunEnd.FAILED : RunEnd.DONE));
@@ -109,6 +116,7 @@
     if (gang.size() == run.gangWidth) {
       boolean fails = time.chance(failShare);
       gang.forEach(member -> member.working = true);
+      gang.forEach(member -> member.workFrom(time.now(), workMillis));
       time.after(
           workMillis,
           () -> {
@@ -187,7 +195,7 @@
     }
     List<RunningTask> running = new ArrayList<>();
     for (ModelRun run : runs.values()) {
-      running.add(new RunningTask(run.key, "", 0));
+      running.add(new RunningTask(run.key, "", run.percent(time.now())));
     }
     return new HoldReport(born, clock(), running, List.copyOf(ended));
   }
--- a/core/src/test/java/org/hickorypier/core/cell/model/ModelWorld.java
+++ b/core/src/test/java/org/hickorypier/core/cell/model/ModelWorld.java
@@ -32,6 +32,9 @@
   private static final QueueTerms QUEUE =
       new QueueTerms("queue", "service", 0, 3, 2, 1_000, Optional.empty());
 
+  private static final QueueTerms BATCHES =
+      new QueueTerms("batches", "service", 2, 3, 2, 1_000, Optional.empty());
+
   final ModelTime time;
   final PromiseChecker promises;
   final ModelFaults faults = new ModelFaults();
@@ -43,8 +46,17 @@
   private final Set<String> cancelled = new HashSet<>();
   private ModelOwner owner;
 
-  ModelWorld(long seed) {
+  private final boolean unlike;
+
+  /**
+   * Creates a day.
+   *
+   * @param seed what its course follows from
+   * @param unlike whether there are batches beside urgent work, and workers turn slow or leave
+   */
+  ModelWorld(long seed, boolean unlike) {
     this.time = new ModelTime(seed);
+    this.unlike = unlike;
     this.promises = new PromiseChecker(time::now);
     Map<String, List<ModelRun>> gangs = new HashMap<>();
     for (int index = 0; index < 4; index++) {
@@ -195,12 +207,22 @@
   private SubmissionSpec spec(String id) {
     int kind = Integer.parseInt(id.substring(15), 16);
     boolean gang = kind % 4 == 0;
-    StepFlags flags = new StepFlags(gang, false, false, false, false, false);
-    StepSpec first = step(1 + kind % 4, 1_500 + 500L * (kind % 5), 600, List.of(), flags);
+    boolean batch = unlike && kind % 4 == 1;
+    StepFlags flags = new StepFlags(gang, false, batch, false, false, false);
+    int count = batch ? 4 + kind : 1 + kind % 4;
+    StepSpec first = step(count, 1_500 + 500L * (kind % 5), batch ? 3_000 : 600, List.of(), flags);
     StepSpec second = step(1 + kind % 2, 2_000, 400, List.of(0), StepFlags.PLAIN);
     List<StepSpec> steps = kind % 3 == 0 ? List.of(first, second) : List.of(first);
     return new SubmissionSpec(
-        id, kind % 2 == 0 ? "small" : "large", QUEUE, "text", steps, 0, 0, 0, time.now());
+        id,
+        kind % 2 == 0 ? "small" : "large",
+        batch ? BATCHES : QUEUE,
+        "text",
+        steps,
+        0,
+        0,
+        0,
+        time.now());
   }
 
   private static StepSpec step(
@@ -212,7 +234,7 @@
   private void fault() {
     long length = time.between(1_000, 7_000);
     ModelWorker worker = workers.get(time.random.nextInt(workers.size()));
-    int kind = time.random.nextInt(11);
+    int kind = time.random.nextInt(unlike ? 14 : 11);
     notes.add(time.now() + " fault " + kind + " " + worker.id + " for " + length);
     switch (kind) {
       case 0 -> killOwner(true);
@@ -233,10 +255,28 @@
         worker.failShare = 1;
         time.after(length, () -> worker.failShare = 0);
       }
+      case 11 -> {
+        worker.slowness = 6;
+        time.after(length, () -> worker.slowness = 1);
+      }
+      case 12 -> leave(worker, length);
       default -> splitOwner(worker, length);
     }
   }
 
+  /** The worker drains, leaves while an owner may be lost, and another life of it comes. */
+  private void leave(ModelWorker worker, long length) {
+    worker.draining = true;
+    time.after(
+        2_000 + length,
+        () -> {
+          worker.draining = false;
+          if (worker.up) {
+            worker.crash(2_000);
+          }
+        });
+  }
+
   private void during(long length, Runnable begin, Runnable end) {
     begin.run();
     time.after(length, end);
@@ -289,6 +329,8 @@
     unlistedFrom.clear();
     for (ModelWorker worker : workers) {
       worker.failShare = 0;
+      worker.slowness = 1;
+      worker.draining = false;
       if (!worker.up) {
         worker.reborn();
       }
--- a/core/src/test/java/org/hickorypier/core/submission/SubmissionCodecTest.java
+++ b/core/src/test/java/org/hickorypier/core/submission/SubmissionCodecTest.java
@@ -83,4 +83,12 @@
   void chainFollowsTheDependencies() {
     assertThat(SPEC.longestChainMillis()).isEqualTo(7_900);
   }
+
+  @Test
+  void numberOfItsOwnerGoesWithASpecification() throws UndecodableException {
+    byte[] numbered = SubmissionCodec.encode(SPEC, 4_711);
+    assertThat(SubmissionCodec.numberOf(numbered)).isEqualTo(4_711);
+    assertThat(SubmissionCodec.decode(numbered)).isEqualTo(SPEC);
+    assertThat(SubmissionCodec.numberOf(SubmissionCodec.encode(SPEC))).isZero();
+  }
 }
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Estate.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Estate.java
@@ -6,7 +6,7 @@
 import org.hickorypier.core.cell.EndedSubmission;
 import org.hickorypier.core.cell.EventLog;
 import org.hickorypier.core.cell.RosterCodec;
-import org.hickorypier.core.cell.WorkerEntry;
+import org.hickorypier.core.cell.RosterEntry;
 import org.hickorypier.core.submission.Progress;
 import org.hickorypier.core.submission.SubmissionCodec;
 import org.hickorypier.core.submission.SubmissionState;
@@ -36,7 +36,7 @@
     }
   }
 
-  List<WorkerEntry> roster() {
+  List<RosterEntry> roster() {
     byte[] value = values.get(JournalKeys.ROSTER);
     try {
       return value == null ? List.of() : RosterCodec.decode(value);
@@ -76,7 +76,8 @@
       cell.restoreEnded(
           id, new EndedSubmission(customer, progress.state(), progress.endedAtMillis(), spec));
     } else {
-      cell.restore(SubmissionCodec.decode(spec), progress, now, wallMillis);
+      cell.restore(
+          SubmissionCodec.decode(spec), SubmissionCodec.numberOf(spec), progress, now, wallMillis);
     }
   }
 }
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/OrderSender.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/OrderSender.java
@@ -6,6 +6,7 @@
 import org.hickorypier.core.cell.Cell;
 import org.hickorypier.core.cell.CellOutput;
 import org.hickorypier.core.cell.RosterCodec;
+import org.hickorypier.core.cell.RosterEntry;
 import org.hickorypier.core.cell.Run;
 import org.hickorypier.core.cell.RunKey;
 import org.hickorypier.core.cell.StartOutcome;
@@ -175,7 +176,7 @@
   }
 
   @Override
-  public void saveRoster(List<WorkerEntry> entries, Runnable written) {
+  public void saveRoster(List<RosterEntry> entries, Runnable written) {
     journal.put(JournalKeys.ROSTER, RosterCodec.encode(entries));
     journal.afterSave(written);
   }
--- a/standins/src/main/java/org/hickorypier/standins/executor/InMemoryExecutor.java
+++ b/standins/src/main/java/org/hickorypier/standins/executor/InMemoryExecutor.java
@@ -30,7 +30,7 @@
   private final RunObserver observer;
   private final LongSupplier clock;
   private final Delays delays;
-  private final Map<String, JsonArray> running = new LinkedHashMap<>();
+  private final Map<String, Present> running = new LinkedHashMap<>();
   private final Map<String, Integer> closed = new HashMap<>();
   private final List<JsonArray> ended = new ArrayList<>();
   private final List<String> history = new ArrayList<>();
@@ -133,10 +133,10 @@
     if (order.getLong("DeadlineMs", 0L) < clock.getAsLong()) {
       return refused("late");
     }
-    running.put(key(task, run), new JsonArray().add(task).add(run).add("").add(0).add(0));
+    Workload.Planned planned = workload.plan(task, run);
+    running.put(key(task, run), new Present(task, run, clock.getAsLong(), planned.millis()));
     history.add(key(task, run));
     observer.started(task, run);
-    Workload.Planned planned = workload.plan(task, run);
     delays.after(
         Math.max(1, planned.millis()), () -> end(task, run, planned.fails() ? "failed" : "done"));
     return new Answer(OK, clockBody());
@@ -174,7 +174,7 @@
     extend(order.getLong("DeadlineMs", 0L));
     forget(order.getLong("SeenUpto", 0L));
     JsonArray present = new JsonArray();
-    running.values().forEach(present::add);
+    running.values().forEach(each -> present.add(each.row(clock.getAsLong())));
     JsonArray ends = new JsonArray();
     ended.forEach(ends::add);
     return new Answer(
@@ -194,8 +194,8 @@
 
   /** Ends this life of the worker: everything on it is gone, and nothing is told any more. */
   public synchronized void crash() {
-    for (JsonArray row : new ArrayList<>(running.values())) {
-      end(row.getString(0), row.getInteger(1), "lapsed");
+    for (Present each : new ArrayList<>(running.values())) {
+      end(each.task, each.run, "lapsed");
     }
     crashed = true;
   }
@@ -229,8 +229,8 @@
     }
     observer.lapsed();
     if (!running.isEmpty()) {
-      for (JsonArray row : new ArrayList<>(running.values())) {
-        end(row.getString(0), row.getInteger(1), "lapsed");
+      for (Present each : new ArrayList<>(running.values())) {
+        end(each.task, each.run, "lapsed");
       }
     }
   }
@@ -251,6 +251,17 @@
     return new JsonObject().put("ClockMs", clock.getAsLong());
   }
 
+  /** A task that runs, with its beginning on the worker's clock and its length. */
+  private record Present(String task, int run, long begunAt, long millis) {
+
+    private static final long MOST_PERCENT = 99;
+
+    JsonArray row(long now) {
+      long percent = Math.min(MOST_PERCENT, 100 * (now - begunAt) / Math.max(1, millis));
+      return new JsonArray().add(task).add(run).add("").add(percent).add(0);
+    }
+  }
+
   private static String key(String task, int run) {
     return task + "#" + run;
   }
