Metrics come after a restarted process serves; the front listens first

Cause: a restarted process spent 0.1 s of the way to its first line on the metrics registry, and listened for callers last, while each refused connection uses up one of a caller's few tries. Events are kept until the registry is made, 3 s after the start, and count then; the front listens before the rest.

--- a/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
@@ -158,6 +158,8 @@
     configuration.start();
     directory.start();
     gateway.start();
+    // Callers that find nobody listening use up one of their few tries, so the front comes first.
+    Future<?> traffic = startTraffic(context);
     return vertx
         .createNetServer()
         .connectHandler(
@@ -179,7 +181,7 @@
               ownership.start(gateway::ownerAlive, gateway::silentMillis);
               timers.every(HANDOVER_PERIOD, this::handOverIfRefused);
             })
-        .compose(listening -> startTraffic(context));
+        .compose(listening -> traffic);
   }
 
   private Future<?> startTraffic(Context control) {
--- a/daemon/src/main/java/org/hickorypier/daemon/node/NodeMain.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/NodeMain.java
@@ -16,7 +16,6 @@
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
-import org.hickorypier.core.cell.EventLog;
 import org.hickorypier.daemon.report.LibraryLog;
 import org.hickorypier.daemon.report.LineLog;
 import org.hickorypier.daemon.report.MeteredLog;
@@ -39,6 +38,9 @@
 
   private static final long POLL_MILLIS = 50;
 
+  /** Metrics can wait until a restarted process owns the cell and works off what has waited. */
+  private static final long METRICS_DELAY_MILLIS = 3_000;
+
   /** Closing some hundred connections takes some 10 ms, a slowed machine ten times that. */
   private static final long CLOSE_MILLIS = 400;
 
@@ -110,11 +112,7 @@
    */
   public static Started start(NodeSettings settings, LongSupplier wall) {
     LineLog lines = new LineLog(settings.name(), System::currentTimeMillis, System.out);
-    PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
-    EventLog log = new MeteredLog(lines, registry);
-    Gauge.builder("hickorypier.log.dropped", lines, LineLog::dropped)
-        .description("log lines left out by their budget or a slow reader")
-        .register(registry);
+    MeteredLog log = new MeteredLog(lines);
     LibraryLog.install(log);
     Thread.setDefaultUncaughtExceptionHandler(
         (thread, error) -> log.event(PART, "fault", "thread", thread.getName(), "error", error));
@@ -127,17 +125,18 @@
         vertx
             .deployVerticle(node)
             .onSuccess(id -> log.event(PART, "started", "peer_port", settings.peerPort()));
-    serveOperators(vertx, settings, node, registry, log);
+    vertx.setTimer(METRICS_DELAY_MILLIS, id -> serveOperators(vertx, settings, node, lines, log));
     return new Started(vertx, lines, deployed);
   }
 
   /** Metrics as text at any path, and what a submission waits for at /explain/ID. */
   private static void serveOperators(
-      Vertx vertx,
-      NodeSettings settings,
-      Node node,
-      PrometheusMeterRegistry registry,
-      EventLog log) {
+      Vertx vertx, NodeSettings settings, Node node, LineLog lines, MeteredLog log) {
+    PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    Gauge.builder("hickorypier.log.dropped", lines, LineLog::dropped)
+        .description("log lines left out by their budget or a slow reader")
+        .register(registry);
+    log.countIn(registry);
     if (settings.metricsPort() == 0) {
       return;
     }
--- /dev/null
+++ b/daemon/src/main/java/org/hickorypier/daemon/report/EventMeters.java
@@ -0,0 +1,53 @@
+package org.hickorypier.daemon.report;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.DistributionSummary;
+import io.micrometer.core.instrument.MeterRegistry;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** The counters and histograms of events, made when they are first needed. Thread safe. */
+final class EventMeters {
+
+  /** From one answer of a worker to the longest work that is still of use to its caller. */
+  private static final double[] BUCKETS = {
+    5, 20, 50, 100, 250, 500, 1_000, 2_000, 5_000, 10_000, 30_000, 60_000
+  };
+
+  private final MeterRegistry registry;
+  private final Map<String, Counter> counters = new ConcurrentHashMap<>();
+  private final Map<String, DistributionSummary> histograms = new ConcurrentHashMap<>();
+
+  EventMeters(MeterRegistry registry) {
+    this.registry = registry;
+  }
+
+  void count(EventSample sample) {
+    counter(sample).increment();
+    if (sample.tookMillis() >= 0) {
+      histogram(sample).record(sample.tookMillis());
+    }
+  }
+
+  private Counter counter(EventSample sample) {
+    return counters.computeIfAbsent(
+        sample.part() + '|' + sample.event() + '|' + sample.outcome(),
+        key ->
+            Counter.builder("hickorypier.events")
+                .description("decisions and changes of belief, as in the log")
+                .tags("part", sample.part(), "event", sample.event(), "outcome", sample.outcome())
+                .register(registry));
+  }
+
+  private DistributionSummary histogram(EventSample sample) {
+    return histograms.computeIfAbsent(
+        sample.event() + '|' + sample.customer() + '|' + sample.queue(),
+        key ->
+            DistributionSummary.builder("hickorypier.time")
+                .description("time that an event tells of, in milliseconds")
+                .tags(
+                    "event", sample.event(), "customer", sample.customer(), "queue", sample.queue())
+                .serviceLevelObjectives(BUCKETS)
+                .register(registry));
+  }
+}
--- a/daemon/src/main/java/org/hickorypier/daemon/report/MeteredLog.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/report/MeteredLog.java
@@ -1,88 +1,64 @@
 package org.hickorypier.daemon.report;
 
-import io.micrometer.core.instrument.Counter;
-import io.micrometer.core.instrument.DistributionSummary;
 import io.micrometer.core.instrument.MeterRegistry;
-import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
+import java.util.ArrayList;
+import java.util.List;
 import org.hickorypier.core.cell.EventLog;
 
 /**
- * Counts each event, and keeps histograms of the times that events carry, before it passes them on.
+ * Counts events on their way to the log, and keeps histograms of the times that they tell of.
  *
- * <p>Log and metrics so tell the same story in the same words: an alert on a counter names the
- * event to look for in the log. Lines that the log leaves out are counted all the same. Thread
- * safe.
+ * <p>The registry comes later than the first events: making it takes a restarted process 0.1 s on
+ * the users' machines, in which callers wait for an owner. Until then events are kept, and counted
+ * once it is there. Thread safe.
  */
 public final class MeteredLog implements EventLog {
 
-  /** From one answer of a worker to the longest work that is still of use to its caller. */
-  private static final double[] BUCKETS = {
-    5, 20, 50, 100, 250, 500, 1_000, 2_000, 5_000, 10_000, 30_000, 60_000
-  };
-
-  private static final String NONE = "";
+  /** A start tells of some hundred events, a takeover of some thousand. */
+  private static final int MOST_EARLY = 20_000;
 
   private final EventLog next;
-  private final MeterRegistry registry;
-  private final Map<String, Counter> counters = new ConcurrentHashMap<>();
-  private final Map<String, DistributionSummary> histograms = new ConcurrentHashMap<>();
+  private final List<EventSample> early = new ArrayList<>();
+  private volatile EventMeters meters;
 
   /**
    * Creates the log.
    *
-   * @param next takes the events
-   * @param registry takes the counters and histograms
+   * @param next takes all events
    */
-  public MeteredLog(EventLog next, MeterRegistry registry) {
+  public MeteredLog(EventLog next) {
     this.next = next;
-    this.registry = registry;
+  }
+
+  /**
+   * Counts from here on, and what was kept until now.
+   *
+   * @param registry holds the meters
+   */
+  public synchronized void countIn(MeterRegistry registry) {
+    EventMeters opened = new EventMeters(registry);
+    early.forEach(opened::count);
+    early.clear();
+    meters = opened;
   }
 
   @Override
   public void event(String part, String event, Object... fields) {
     next.event(part, event, fields);
-    String outcome = NONE;
-    String customer = NONE;
-    String queue = NONE;
-    long tookMillis = -1;
-    for (int index = 0; index + 1 < fields.length; index += 2) {
-      Object value = fields[index + 1];
-      switch (String.valueOf(fields[index])) {
-        case "outcome", "how", "status" -> outcome = String.valueOf(value);
-        case "customer" -> customer = String.valueOf(value);
-        case "queue" -> queue = String.valueOf(value);
-        case "took_ms", "waited_ms" ->
-            tookMillis = value instanceof Number time ? time.longValue() : -1;
-        default -> {
-          // Ids and texts would make a series of their own each; they stand in the log.
-        }
-      }
-    }
-    counter(part, event, outcome).increment();
-    if (tookMillis >= 0) {
-      histogram(event, customer, queue).record(tookMillis);
+    EventSample sample = EventSample.of(part, event, fields);
+    EventMeters present = meters;
+    if (present != null) {
+      present.count(sample);
+    } else {
+      keep(sample);
     }
   }
 
-  private Counter counter(String part, String event, String outcome) {
-    return counters.computeIfAbsent(
-        part + '|' + event + '|' + outcome,
-        key ->
-            Counter.builder("hickorypier.events")
-                .description("decisions and changes of belief, as in the log")
-                .tags("part", part, "event", event, "outcome", outcome)
-                .register(registry));
-  }
-
-  private DistributionSummary histogram(String event, String customer, String queue) {
-    return histograms.computeIfAbsent(
-        event + '|' + customer + '|' + queue,
-        key ->
-            DistributionSummary.builder("hickorypier.time")
-                .description("time that an event tells of, in milliseconds")
-                .tags("event", event, "customer", customer, "queue", queue)
-                .serviceLevelObjectives(BUCKETS)
-                .register(registry));
+  private synchronized void keep(EventSample sample) {
+    if (meters != null) {
+      meters.count(sample);
+    } else if (early.size() < MOST_EARLY) {
+      early.add(sample);
+    }
   }
 }
