The advisor is asked ahead of urgent steps

Cause: each step of a check asked the advisor when its turn had come: 70 ms from turn to first start, of some 0.4 s that a check has to spare for each step. Tickets last longer than a check's step, so the question goes out while the submission is written, and while the step before is at work. What is not urgent has time to spare and is not asked for in advance: its calls take half a second.

--- a/core/src/main/java/org/hickorypier/core/cell/Cell.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Cell.java
@@ -31,6 +31,7 @@
   private final Turns turns;
   private final Archive archive;
   private final Dispatch dispatch;
+  private final Foresight foresight;
   private final Map<String, ShareMeter> shares = new HashMap<>();
 
   /**
@@ -50,7 +51,8 @@
     this.workers = new WorkerBook(state, runs);
     this.turns = new Turns(state);
     this.archive = new Archive(state);
-    this.dispatch = new Dispatch(state, runs);
+    this.foresight = new Foresight(state);
+    this.dispatch = new Dispatch(state, runs, foresight);
   }
 
   /**
@@ -85,6 +87,8 @@
     state.submissions.put(spec.id(), submission);
     state.reserve.seen(spec.queue().service(), spec.queue().priority());
     state.changed(submission);
+    foresight.accepted(submission);
+    state.dirty = true;
     return submission;
   }
 
@@ -372,6 +376,7 @@
     runs.breakUnconfirmedGangs(now);
     archive.tick(wallMillis);
     state.newlyDone |= turns.anyScheduled();
-    state.dirty |= !state.open.isEmpty();
+    foresight.look(now);
+    state.dirty |= !state.open.isEmpty() || !foresight.soon().isEmpty();
   }
 }
--- a/core/src/main/java/org/hickorypier/core/cell/Dispatch.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Dispatch.java
@@ -28,10 +28,12 @@
 
   private final CellState cell;
   private final RunBook runs;
+  private final Foresight foresight;
 
-  Dispatch(CellState cell, RunBook runs) {
+  Dispatch(CellState cell, RunBook runs, Foresight foresight) {
     this.cell = cell;
     this.runs = runs;
+    this.foresight = foresight;
   }
 
   void pass(long now) {
@@ -51,6 +53,24 @@
         place(step, takingByService.computeIfAbsent(service, name -> cell.taking(name, now)), now);
       }
     }
+    for (StepRun step : foresight.soon()) {
+      String service = step.submission.spec().queue().service();
+      askAhead(step, takingByService.computeIfAbsent(service, name -> cell.taking(name, now)), now);
+    }
+  }
+
+  /** Asks the advisor for a step that is about to have its turn; it claims no room yet. */
+  private void askAhead(StepRun step, List<WorkerView> workers, long now) {
+    AdviceBook book = step.advice;
+    boolean waits = book.askedAt > 0 && now < book.askedAt + ADVICE_MILLIS;
+    if (waits || now < book.notBefore || book.anyTicket(now)) {
+      return;
+    }
+    step.urgent = true;
+    List<WorkerView> named = unknownWithRoom(step, step.tasks.length, workers);
+    if (!named.isEmpty() && cell.output.advise(step, named)) {
+      book.askedAt = now;
+    }
   }
 
   private void place(StepRun step, List<WorkerView> workers, long now) {
--- a/core/src/test/java/org/hickorypier/core/cell/AdviceTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/AdviceTest.java
@@ -5,7 +5,9 @@
 import static org.hickorypier.core.cell.CellFixture.spec;
 import static org.hickorypier.core.cell.CellFixture.step;
 
+import java.util.List;
 import java.util.Map;
+import org.hickorypier.core.submission.StepSpec;
 import org.junit.jupiter.api.Test;
 
 class AdviceTest {
@@ -49,6 +51,54 @@
     assertThat(fixture.starts).allMatch(next -> next.ticket().equals("new"));
   }
 
+  /**
+   * A check of two steps comes. The advisor is asked for the first while the check is written, and
+   * for the second while the first is at work, so that each starts as soon as it may.
+   */
+  @Test
+  void advisorIsAskedAheadOfEachStep() {
+    final WorkerView worker = fixture.worker("w");
+    StepSpec second = CellFixture.stepAfter(0, 2, 1_000, 500);
+    fixture.cell.accept(spec("s", ADVISED, step(1, 1_000, 500, false), second), fixture.now);
+    fixture.pass();
+    assertThat(fixture.questions).hasSize(1);
+    answer(0, Map.of("w", "first"));
+    assertThat(fixture.starts).isEmpty();
+    fixture.write();
+    fixture.pass();
+    assertThat(fixture.starts).hasSize(1);
+
+    fixture.confirmAll();
+    fixture.cell.tick(fixture.now, fixture.now);
+    fixture.pass();
+    assertThat(fixture.questions).hasSize(2);
+    answer(1, Map.of("w", "second"));
+    assertThat(fixture.starts).hasSize(1);
+    fixture.hear(worker, new EndedRun(1, fixture.starts.get(0).run().key(), RunEnd.DONE, ""));
+    fixture.pass();
+    assertThat(fixture.starts).hasSize(3);
+    assertThat(fixture.starts.get(2).ticket()).isEqualTo("second");
+  }
+
+  /** Tickets would expire before a long step is done, and the question would be asked twice. */
+  @Test
+  void advisorIsNotAskedLongAhead() {
+    fixture.worker("w");
+    StepSpec second = CellFixture.stepAfter(0, 2, 1_000, 500);
+    fixture.submit(spec("s", ADVISED, step(1, 1_000, 5_000, false), second));
+    answer(0, Map.of("w", "first"));
+    fixture.confirmAll();
+    fixture.cell.tick(fixture.now, fixture.now);
+    fixture.pass();
+    assertThat(fixture.questions).hasSize(1);
+
+    fixture.advance(4_000);
+    fixture.hear(fixture.view("w"), 1, List.of(fixture.starts.get(0).run().key()));
+    fixture.cell.tick(fixture.now, fixture.now);
+    fixture.pass();
+    assertThat(fixture.questions).hasSize(2);
+  }
+
   @Test
   void busyAdvisorIsAskedAgainLater() {
     fixture.worker("w");
--- a/core/src/test/java/org/hickorypier/core/cell/CellFixture.java
+++ b/core/src/test/java/org/hickorypier/core/cell/CellFixture.java
@@ -60,6 +60,21 @@
         0);
   }
 
+  static StepSpec stepAfter(int earlier, int count, long processors, long estimate) {
+    return new StepSpec(
+        count,
+        new Resources(processors, 1_000, 0),
+        estimate,
+        List.of(earlier),
+        StepFlags.PLAIN,
+        "",
+        "",
+        0,
+        "",
+        0,
+        0);
+  }
+
   static SubmissionSpec spec(String id, QueueTerms queue, StepSpec... steps) {
     return new SubmissionSpec(id, "customer", queue, "text", List.of(steps), 0, 0, 0, 0);
   }
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
@@ -145,6 +145,7 @@
       return refused(spec, "the store is unavailable", ComeBack.afterMillis(spec));
     }
     Submission submission = cell.accept(spec, now());
+    requestPass();
     Promise<LinkReply> promise = Promise.promise();
     acceptances.computeIfAbsent(submission, key -> new ArrayList<>()).add(promise);
     return promise.future();
