--- a/core/src/test/java/org/hickorypier/core/cell/CellLoadTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/CellLoadTest.java
@@ -146,18 +146,18 @@
     fixture.pass();
     for (CellFixture.Started started : fixture.starts) {
       fixture.cell.startAnswered(started.run(), StartOutcome.STARTED, fixture.now);
-      endings.add(new Ending(fixture.now + work(started.run()), started.run()));
+      endings.add(new Ending(fixture.now + workMillis(started.run()), started.run()));
     }
     fixture.starts.clear();
     note();
   }
 
   private int percent(Run run) {
-    long work = work(run);
+    long work = workMillis(run);
     return (int) Math.min(99, 100 * (fixture.now - run.confirmedAt) / work);
   }
 
-  private static long work(Run run) {
+  private static long workMillis(Run run) {
     String queue = run.submission().spec().queue().name();
     return queue.equals("checks") ? 640 : queue.equals("gangs") ? 6_200 : 3_400;
   }
--- a/core/src/test/java/org/hickorypier/core/cell/RunPaceTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/RunPaceTest.java
@@ -36,7 +36,7 @@
    * A resumed run shows no progress for as long as it restores; that says nothing of its worker.
    */
   @Test
-  void paceCountsOnlyOnceACheckpointIsRestored() {
+  void paceCountsOnlyAfterRestoring() {
     RunPace pace = new RunPace(true);
     for (int at = 0; at <= 600; at += 200) {
       pace.seen(at, 40, WINDOW);
@@ -49,7 +49,7 @@
   }
 
   @Test
-  void restoreThatNeverEndsIsAStandstill() {
+  void restoreWithoutEndCountsAsStandstill() {
     RunPace pace = new RunPace(true);
     for (int at = 0; at <= 2_000; at += 250) {
       pace.seen(at, 40, WINDOW);
--- a/core/src/test/java/org/hickorypier/core/submission/SubmissionCodecTest.java
+++ b/core/src/test/java/org/hickorypier/core/submission/SubmissionCodecTest.java
@@ -85,7 +85,7 @@
   }
 
   @Test
-  void numberOfItsOwnerGoesWithASpecification() throws UndecodableException {
+  void numberGoesWithTheSpecification() throws UndecodableException {
     byte[] numbered = SubmissionCodec.encode(SPEC, 4_711);
     assertThat(SubmissionCodec.numberOf(numbered)).isEqualTo(4_711);
     assertThat(SubmissionCodec.decode(numbered)).isEqualTo(SPEC);
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Gateway.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Gateway.java
@@ -37,18 +37,6 @@
   /** The first attempt after a link broke: a killed process refuses it at once. */
   private static final Duration RECONNECT_FIRST = Duration.ofMillis(30);
 
-  /** How often the gateway looks whether the owner answers. */
-  private static final Duration WATCH_PERIOD = Duration.ofMillis(50);
-
-  /**
-   * An owner that leaves requests without any reply for so long is asked for a sign of life. Most
-   * replies take 20 ms; acceptances take as long as the store, which such an owner tells at once.
-   */
-  private static final long QUIET_MILLIS = 200;
-
-  /** An owner that gives no sign of life within this time is suspected to be lost. */
-  private static final long SIGN_MILLIS = 250;
-
   /** A link opens within some 10 ms. */
   private static final long LINKING_MILLIS = 300;
 
@@ -86,7 +74,6 @@
   private boolean connecting;
   private int refusals;
   private int denials;
-  private boolean askingForSign;
   private long ownerlessSince;
 
   /** When the owner last answered, or when something was first asked of it after a rest. */
@@ -147,64 +134,47 @@
 
   /** Begins to watch over the owner. */
   public void start() {
-    timers.every(WATCH_PERIOD, this::watch);
+    new OwnerWatch(timers, log, directory, ownership, new Waiting(), this::stepInDelay).start();
   }
 
-  /**
-   * Looks whether the owner answers while requests wait.
-   *
-   * <p>Failure: the owner's machine loses power, stands still, or its link goes silent for good.
-   * Symptom: nothing refuses or resets, and callers wait for the store's group to notice, some 2 s,
-   * longer than a short check has. Safeguard: an owner without any reply is asked for a sign of
-   * life, and instances step in one after another if there is none. It is enough because an owner
-   * that is merely busy answers the question from memory, and one that lives behind a cut is seen
-   * in its journal.
-   */
-  private void watch() {
-    long quiet = timers.nowMillis() - Math.max(repliedAt, firstSentAt());
-    if (link == null || askingForSign || pending.isEmpty() || quiet < QUIET_MILLIS) {
-      return;
+  /** What the watch over the owner looks at. */
+  private final class Waiting implements OwnerWatch.Requests {
+
+    @Override
+    public int waiting() {
+      return pending.size();
+    }
+
+    @Override
+    public long quietMillis() {
+      return timers.nowMillis() - Math.max(repliedAt, firstSentAt());
+    }
+
+    @Override
+    public Link link() {
+      return link;
+    }
+
+    @Override
+    public OwnerRecord linkedTo() {
+      return linkedTo;
+    }
+
+    @Override
+    public long repliedAt() {
+      return repliedAt;
+    }
+
+    @Override
+    public void alive() {
+      repliedAt = timers.nowMillis();
     }
-    askingForSign = true;
-    OwnerRecord asked = linkedTo;
-    link.ask(new LinkRequest.ProveOwnership(), SIGN_MILLIS)
-        .onComplete(
-            reply -> {
-              askingForSign = false;
-              repliedAt = timers.nowMillis();
-            },
-            error -> {
-              askingForSign = false;
-              suspect(asked);
-            });
   }
 
   private long firstSentAt() {
     return pending.isEmpty() ? 0 : pending.iterator().next().sentAt;
   }
 
-  private void suspect(OwnerRecord silent) {
-    if (!silent.equals(directory.owner())) {
-      return;
-    }
-    long lastReply = repliedAt;
-    log.event(
-        PART,
-        "owner-suspected",
-        "epoch",
-        silent.epoch(),
-        "silent_ms",
-        silentMillis(),
-        "pending",
-        pending.size());
-    timers.after(
-        stepInDelay(),
-        () ->
-            ownership.stepInUnlessAlive(
-                "the owner answers nothing",
-                () -> silent.equals(directory.owner()) && repliedAt == lastReply));
-  }
-
   /** Takes notice of a new owner. */
   public void ownerChanged() {
     OwnerRecord present = directory.owner();
