--- a/daemon/src/main/java/org/hickorypier/daemon/node/NodeMain.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/NodeMain.java
@@ -58,7 +58,7 @@
    */
   public static void main(String[] arguments) {
     try {
-      start(arguments);
+      startFromFlags(arguments);
     } catch (ParseException | SettingsFileException error) {
       System.err.println("hickorypier: " + error.getMessage());
       System.exit(CANNOT_USE);
@@ -73,7 +73,7 @@
    * @throws ParseException if a flag cannot be used
    * @throws SettingsFileException if the settings file cannot be used
    */
-  static Started start(String[] arguments) throws ParseException, SettingsFileException {
+  static Started startFromFlags(String[] arguments) throws ParseException, SettingsFileException {
     CommandLine line = new DefaultParser().parse(options(), arguments);
     Path file = Path.of(line.getOptionValue("settings"));
     NodeSettings settings = NodeSettings.read(file);
--- a/daemon/src/main/java/org/hickorypier/daemon/node/Rehearsal.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Rehearsal.java
@@ -71,7 +71,7 @@
     final NodeSettings second = NodeSettings.decode(settings("second", platform.result()));
     Path file = Files.createTempFile("rehearsal", ".json");
     Files.writeString(file, written.encode());
-    NodeMain.Started started = NodeMain.start(new String[] {"--settings=" + file});
+    NodeMain.Started started = NodeMain.startFromFlags(new String[] {"--settings=" + file});
     Files.delete(file);
     Rehearsal rehearsal = new Rehearsal(started.vertx());
     started
--- a/daemon/src/test/java/org/hickorypier/daemon/owner/AnswerPatienceTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/owner/AnswerPatienceTest.java
@@ -42,7 +42,7 @@
   }
 
   @Test
-  void eachFurtherAttemptWaitsTwiceAsLongUpToABound() {
+  void eachFurtherAttemptWaitsTwiceAsLong() {
     assertThat(patience.millis(2)).isEqualTo(2 * AnswerPatience.LEAST_MILLIS);
     assertThat(patience.millis(3)).isEqualTo(AnswerPatience.MOST_MILLIS);
     assertThat(patience.millis(9)).isEqualTo(AnswerPatience.MOST_MILLIS);
