A task waits for every run of it that keeps its room; a worker opened again for its own roster

The successor heard of the first run and took it over, heard of the second and stopped it, heard of the failure, and ordered a third while the second was still being stopped (0.2 s at most). A run that was not wanted kept its room but not its task. Now a task waits until no run of it is left on any worker.

Found while tracing: a worker that was opened again while the roster that closed it was being written took work at once when that was written, though the durable roster said that it was closed, so a successor would not have waited for it.

Both tests failed before the change.

--- a/core/src/main/java/org/hickorypier/core/cell/RunBook.java
+++ b/core/src/main/java/org/hickorypier/core/cell/RunBook.java
@@ -226,6 +226,7 @@
   private void count(Run run, int sign) {
     cell.usage.add(run.customer, run.size, sign);
     if (run.task != null) {
+      run.task.runsOnWorkers += sign;
       QueueTerms queue = run.task.step.submission.spec().queue();
       cell.reserve.running(queue.service(), queue.priority(), sign * run.size.milliProcessors());
     }
@@ -241,13 +242,16 @@
   void free(Run run, long now) {
     cell.dirty = true;
     Task task = run.task;
-    if (task == null || task.current != run) {
+    if (task == null) {
       return;
     }
-    task.current = null;
-    if (task.step.submission.live() && !task.done) {
+    boolean counted = task.current == run;
+    if (counted) {
+      task.current = null;
+    }
+    if (task.current == null && task.step.submission.live() && !task.done) {
       cell.open.add(task.step);
-      if (task.step.gang()) {
+      if (counted && task.step.gang()) {
         breakGang(task.step, now);
       }
     }
--- a/core/src/main/java/org/hickorypier/core/cell/Task.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Task.java
@@ -12,6 +12,12 @@
   /** The run that counts for the task, or null while it waits. */
   Run current;
 
+  /**
+   * How many runs of it keep their room on workers: the current one, and those that are being
+   * stopped. A successor may find two, where its predecessor went on beside it for a moment.
+   */
+  int runsOnWorkers;
+
   boolean done;
   String checkpoint = "";
 
@@ -51,6 +57,6 @@
   }
 
   boolean waiting() {
-    return !done && current == null;
+    return !done && current == null && runsOnWorkers == 0;
   }
 }
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerBook.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerBook.java
@@ -150,6 +150,7 @@
         written.stream()
             .map(worker -> new RosterEntry(worker.entry(), worker.closedAfter))
             .toList();
+    written.removeIf(worker -> !worker.open());
     cell.output.saveRoster(
         entries,
         () -> {
--- a/core/src/test/java/org/hickorypier/core/cell/CellTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/CellTest.java
@@ -288,6 +288,60 @@
         .containsExactly("after");
   }
 
+  /**
+   * A caller's task ran twice at once. The predecessor went on for a moment beside its successor:
+   * its first run failed and it ordered a second one. The successor heard of the first run, then of
+   * the second, which it stopped, and then of the failure; it ordered a third run while the second
+   * was still being stopped.
+   */
+  @Test
+  void taskWaitsForEveryRunOfItThatIsBeingStopped() {
+    CellFixture successor = new CellFixture(2);
+    final WorkerView first = successor.worker("first");
+    final WorkerView second = successor.worker("second");
+    successor.cell.restore(
+        spec("s", QUEUE, step(1, 1_000, 500, false)),
+        7,
+        new Progress(SubmissionState.RUNNING, 0, List.of(new BitSet()), Map.of()),
+        successor.now,
+        successor.now);
+    RunKey one = new RunKey(new TaskName("s", 0, 0, 0), 1);
+    RunKey two = new RunKey(new TaskName("s", 0, 0, 0), 2);
+    successor.hear(first, 1, List.of(one));
+    successor.hear(second, 1, List.of(two));
+    assertThat(successor.stops).containsExactly(two);
+    successor.hear(first, 1, List.of(), new EndedRun(1, one, RunEnd.FAILED, ""));
+    successor.write();
+    successor.pass();
+    assertThat(successor.starts).isEmpty();
+
+    successor.hear(second, 1, List.of(), new EndedRun(1, two, RunEnd.STOPPED, ""));
+    successor.write();
+    successor.pass();
+    assertThat(successor.starts).hasSize(1);
+  }
+
+  /**
+   * A worker drains, and is ready again before the roster that says so is written. It must get
+   * nothing until the roster that says that it is open is written: a successor that reads the other
+   * would not wait for what it runs.
+   */
+  @Test
+  void workerOpenedAgainWaitsForTheRosterThatSaysSo() {
+    final WorkerView worker = fixture.worker("w");
+    fixture.submit(spec("s", QUEUE, step(1, 1_000, 500, false)));
+    fixture.confirmAll();
+    fixture.list("w", 1, true);
+    cell.tick(fixture.now, fixture.now);
+    fixture.list("w", 1, false);
+    cell.tick(fixture.now, fixture.now);
+    fixture.write();
+    assertThat(worker.takesWork(fixture.now)).isFalse();
+    cell.tick(fixture.now, fixture.now);
+    fixture.write();
+    assertThat(worker.takesWork(fixture.now)).isTrue();
+  }
+
   /** A worker that no earlier owner had on its roster got nothing from it. */
   @Test
   void takenOverTaskDoesNotWaitForWorkersThatGotNothing() {
