The cell is handed to the instance that was started last

Of machines that are alike the one that was started last comes first; a rolling restart has passed it. Instances tell their age when they link.

--- a/daemon/src/main/java/org/hickorypier/daemon/link/LinkCodec.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/link/LinkCodec.java
@@ -75,7 +75,7 @@
     } else if (request instanceof LinkRequest.Explain explain) {
       packer.packInt(EXPLAIN).packString(explain.id());
     } else if (request instanceof LinkRequest.Introduce introduce) {
-      packer.packInt(INTRODUCE).packInt(introduce.strength());
+      packer.packInt(INTRODUCE).packInt(introduce.strength()).packLong(introduce.ageMillis());
     } else if (request instanceof LinkRequest.ProveOwnership) {
       packer.packInt(PROVE_OWNERSHIP);
     } else {
@@ -168,7 +168,9 @@
       case PROVE_OWNERSHIP:
         return new LinkRequest.ProveOwnership();
       case INTRODUCE:
-        return new LinkRequest.Introduce(unpacker.unpackInt());
+        // An instance of an earlier version does not tell its age.
+        return new LinkRequest.Introduce(
+            unpacker.unpackInt(), unpacker.hasNext() ? unpacker.unpackLong() : 0);
       case TAKE_OVER:
         return new LinkRequest.TakeOver();
       default:
--- a/daemon/src/main/java/org/hickorypier/daemon/link/LinkRequest.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/link/LinkRequest.java
@@ -66,8 +66,9 @@
    * Know what the machine of the asking instance can carry as an owner.
    *
    * @param strength its score, in thousandths of a core
+   * @param ageMillis how long its process has run, in milliseconds; 0 if it does not say
    */
-  record Introduce(int strength) implements LinkRequest {}
+  record Introduce(int strength, long ageMillis) implements LinkRequest {}
 
   /** Take the cell over: the owner is leaving, or the store refuses it. */
   record TakeOver() implements LinkRequest {}
--- a/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
@@ -8,7 +8,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
-import java.util.Comparator;
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
@@ -217,11 +216,13 @@
   private static final class Peer {
     private Link link;
     private int strength;
+    private long startedAt;
   }
 
   private Future<LinkReply> answerPeer(Peer peer, LinkRequest request) {
     if (request instanceof LinkRequest.Introduce introduce) {
       peer.strength = introduce.strength();
+      peer.startedAt = timers.nowMillis() - introduce.ageMillis();
       return Future.succeededFuture(new LinkReply.Noted());
     }
     return answerPeer(request);
@@ -276,11 +277,12 @@
     return ownership.refusedFor(REFUSED_MILLIS);
   }
 
-  /** The instances that are linked to this one, the strongest machine first. */
+  /** The instances that are linked to this one, the best successor first. */
   private List<Link> successors() {
     return peers.stream()
-        .sorted(Comparator.comparingInt((Peer peer) -> -peer.strength))
-        .map(peer -> peer.link)
+        .map(peer -> new Successor(peer.link, peer.strength, peer.startedAt))
+        .sorted(Successor.ORDER)
+        .map(Successor::link)
         .collect(Collectors.toCollection(ArrayList::new));
   }
 
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Gateway.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Gateway.java
@@ -74,6 +74,7 @@
   private boolean connecting;
   private int refusals;
   private int denials;
+  private final long startedAt;
   private long ownerlessSince;
 
   /** When the owner last answered, or when something was first asked of it after a rest. */
@@ -105,7 +106,8 @@
     this.ownership = ownership;
     this.handler = handler;
     this.self = self;
-    this.ownerlessSince = timers.nowMillis();
+    this.startedAt = timers.nowMillis();
+    this.ownerlessSince = startedAt;
     this.repliedAt = ownerlessSince;
   }
 
@@ -277,7 +279,9 @@
               }
               Link opened = new Link(socket, handler, timers);
               opened.onClose(() -> broken(opened));
-              opened.ask(new LinkRequest.Introduce(self.strength().score()), PROOF_REPLY_MILLIS);
+              long age = timers.nowMillis() - startedAt;
+              opened.ask(
+                  new LinkRequest.Introduce(self.strength().score(), age), PROOF_REPLY_MILLIS);
               link = opened;
               refusals = 0;
               linkedTo = target;
--- a/daemon/src/test/java/org/hickorypier/daemon/link/LinkCodecTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/link/LinkCodecTest.java
@@ -40,7 +40,7 @@
         new LinkRequest.Count("q"),
         new LinkRequest.Advise("id.0.0", List.of("w1", "w2"), 900),
         new LinkRequest.Explain("id"),
-        new LinkRequest.Introduce(1_500),
+        new LinkRequest.Introduce(1_500, 62_000),
         new LinkRequest.ProveOwnership(),
         new LinkRequest.TakeOver());
   }
