--- a/core/src/main/java/org/hickorypier/core/cell/Cell.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Cell.java
@@ -31,7 +31,7 @@
   private final Turns turns;
   private final Archive archive;
   private final Dispatch dispatch;
-  private final Foresight foresight;
+  private final UpcomingSteps upcoming;
   private final Map<String, ShareMeter> shares = new HashMap<>();
 
   /**
@@ -51,8 +51,8 @@
     this.workers = new WorkerBook(state, runs);
     this.turns = new Turns(state);
     this.archive = new Archive(state);
-    this.foresight = new Foresight(state);
-    this.dispatch = new Dispatch(state, runs, foresight);
+    this.upcoming = new UpcomingSteps(state);
+    this.dispatch = new Dispatch(state, runs, upcoming);
   }
 
   /**
@@ -87,7 +87,7 @@
     state.submissions.put(spec.id(), submission);
     state.reserve.seen(spec.queue().service(), spec.queue().priority());
     state.changed(submission);
-    foresight.accepted(submission);
+    upcoming.accepted(submission);
     state.dirty = true;
     return submission;
   }
@@ -376,7 +376,7 @@
     runs.breakUnconfirmedGangs(now);
     archive.tick(wallMillis);
     state.newlyDone |= turns.anyScheduled();
-    foresight.look(now);
-    state.dirty |= !state.open.isEmpty() || !foresight.soon().isEmpty();
+    upcoming.look(now);
+    state.dirty |= !state.open.isEmpty() || !upcoming.soon().isEmpty();
   }
 }
--- a/core/src/main/java/org/hickorypier/core/cell/Dispatch.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Dispatch.java
@@ -28,12 +28,12 @@
 
   private final CellState cell;
   private final RunBook runs;
-  private final Foresight foresight;
+  private final UpcomingSteps upcoming;
 
-  Dispatch(CellState cell, RunBook runs, Foresight foresight) {
+  Dispatch(CellState cell, RunBook runs, UpcomingSteps upcoming) {
     this.cell = cell;
     this.runs = runs;
-    this.foresight = foresight;
+    this.upcoming = upcoming;
   }
 
   void pass(long now) {
@@ -53,7 +53,7 @@
         place(step, takingByService.computeIfAbsent(service, name -> cell.taking(name, now)), now);
       }
     }
-    for (StepRun step : foresight.soon()) {
+    for (StepRun step : upcoming.soon()) {
       String service = step.submission.spec().queue().service();
       askAhead(step, takingByService.computeIfAbsent(service, name -> cell.taking(name, now)), now);
     }
--- a/core/src/main/java/org/hickorypier/core/cell/Foresight.java
+++ b/core/src/main/java/org/hickorypier/core/cell/UpcomingSteps.java
@@ -14,7 +14,7 @@
  * can be asked while the submission is being written or the step before is at work. Belongs to the
  * control thread.
  */
-final class Foresight {
+final class UpcomingSteps {
 
   /** Within this time the step before must be done; with the call it is less than tickets last. */
   private static final long AHEAD_MILLIS = 1_200;
@@ -22,7 +22,7 @@
   private final CellState cell;
   private final Set<StepRun> soon = new LinkedHashSet<>();
 
-  Foresight(CellState cell) {
+  UpcomingSteps(CellState cell) {
     this.cell = cell;
   }
 
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/AnswerPatience.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/AppendTimeout.java
@@ -11,7 +11,7 @@
  * slow shows so by its first answer, and each further attempt waits twice as long. Belongs to the
  * control thread.
  */
-final class AnswerPatience {
+final class AppendTimeout {
 
   /**
    * The store takes 6 ms with the append itself, and 360 ms when it turns sixty times slower
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Gateway.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Gateway.java
@@ -136,11 +136,12 @@
 
   /** Begins to watch over the owner. */
   public void start() {
-    new OwnerWatch(timers, log, directory, ownership, new Waiting(), this::stepInDelay).start();
+    new OwnerFailureDetector(timers, log, directory, ownership, new Waiting(), this::stepInDelay)
+        .start();
   }
 
   /** What the watch over the owner looks at. */
-  private final class Waiting implements OwnerWatch.Requests {
+  private final class Waiting implements OwnerFailureDetector.Requests {
 
     @Override
     public int waiting() {
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/JournalWriter.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/JournalWriter.java
@@ -60,7 +60,7 @@
   private final Set<Submission> progress = new LinkedHashSet<>();
   private final Map<String, byte[]> others = new LinkedHashMap<>();
   private final List<Runnable> waiting = new ArrayList<>();
-  private final AnswerPatience patience = new AnswerPatience();
+  private final AppendTimeout timeout = new AppendTimeout();
   private long sequence;
   private final List<Batch> underWay = new ArrayList<>();
   private boolean scheduled;
@@ -234,7 +234,7 @@
     batch.sentAt = batch.attempts == 1 ? now : batch.sentAt;
     batch.lastSentAt = now;
     store
-        .append(batch.append, patience.millis(batch.attempts))
+        .append(batch.append, timeout.millis(batch.attempts))
         .onComplete(end -> succeeded(batch), error -> failed(batch, (StoreException) error));
   }
 
@@ -242,7 +242,7 @@
     batch.done = true;
     answeredAt = timers.nowMillis();
     if (batch.attempts == 1) {
-      patience.answered(timers.nowMillis() - batch.sentAt);
+      timeout.answered(timers.nowMillis() - batch.sentAt);
     }
     provenAt = Math.max(provenAt, batch.sentAt);
     if (unavailable) {
@@ -270,7 +270,7 @@
     }
     if (error.error() == StoreError.UNKNOWN) {
       long now = timers.nowMillis();
-      patience.unanswered(now - batch.lastSentAt, now - answeredAt);
+      timeout.unanswered(now - batch.lastSentAt, now - answeredAt);
     }
     if (!early && !unavailable) {
       unavailable = true;
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerWatch.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerFailureDetector.java
@@ -18,7 +18,7 @@
  * merely busy answers the question from memory, and one that lives behind a cut is seen in its
  * journal. Belongs to the control thread.
  */
-final class OwnerWatch {
+final class OwnerFailureDetector {
 
   private static final String PART = "gateway";
 
@@ -63,7 +63,7 @@
     void alive();
   }
 
-  OwnerWatch(
+  OwnerFailureDetector(
       TimerService timers,
       EventLog log,
       Directory directory,
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Ownership.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Ownership.java
@@ -307,7 +307,8 @@
         "the owner asked for it", () -> instruments.timers().nowMillis() <= until, null);
   }
 
-  private Future<Boolean> takeOver(String reason, BooleanSupplier wanted, Takeover.Pause signs) {
+  private Future<Boolean> takeOver(
+      String reason, BooleanSupplier wanted, Takeover.Pause signOfLife) {
     if (owner != null) {
       return Future.succeededFuture(true);
     }
@@ -323,7 +324,7 @@
             firstSequence(),
             directory.owner().epoch(),
             wanted,
-            signs)
+            signOfLife)
         .run()
         .transform(
             (taken, error) -> {
@@ -331,7 +332,7 @@
               if (error != null) {
                 instruments.log().event(PART, "takeover-failed", "error", error.getMessage());
                 return error instanceof SupersededException newer
-                    ? superseded(newer.owner(), reason, wanted, signs)
+                    ? superseded(newer.owner(), reason, wanted, signOfLife)
                     : Future.succeededFuture(false);
               }
               if (leaving) {
@@ -344,11 +345,11 @@
   }
 
   private Future<Boolean> superseded(
-      OwnerRecord newer, String reason, BooleanSupplier wanted, Takeover.Pause signs) {
+      OwnerRecord newer, String reason, BooleanSupplier wanted, Takeover.Pause signOfLife) {
     directory.learn(newer);
     // A claim of this instance may have succeeded while its answer was lost.
     return newer.address().equals(self.address())
-        ? takeOver(reason, wanted, signs)
+        ? takeOver(reason, wanted, signOfLife)
         : Future.succeededFuture(false);
   }
 
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Takeover.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Takeover.java
@@ -43,8 +43,8 @@
   private final long sequence;
   private final int replacedEpoch;
   private final BooleanSupplier wanted;
-  private final Pause signs;
-  private final AnswerPatience patience = new AnswerPatience();
+  private final Pause signOfLife;
+  private final AppendTimeout timeout = new AppendTimeout();
   private OwnerRecord predecessor;
 
   /**
@@ -54,8 +54,8 @@
    * @param sequence the number to begin at; no other candidate may have the same
    * @param replacedEpoch the epoch of the owner to replace, or 0 if none is known
    * @param wanted tells, just before the claim, whether the cell is still to be taken over
-   * @param signs ends when an owner that lives would have written something, or null if it is known
-   *     to be gone; if it has written meanwhile, the takeover is abandoned
+   * @param signOfLife ends when an owner that lives would have written something, or null if it is
+   *     known to be gone; if it has written meanwhile, the takeover is abandoned
    */
   Takeover(
       StoreClient store,
@@ -64,14 +64,14 @@
       long sequence,
       int replacedEpoch,
       BooleanSupplier wanted,
-      Pause signs) {
+      Pause signOfLife) {
     this.store = store;
     this.log = log;
     this.candidate = candidate;
     this.sequence = sequence;
     this.replacedEpoch = replacedEpoch;
     this.wanted = wanted;
-    this.signs = signs;
+    this.signOfLife = signOfLife;
   }
 
   /** Lets some time pass. */
@@ -113,9 +113,9 @@
               if (next < page.end()) {
                 return readOn(next, values, tries, fenced);
               }
-              return signs == null
+              return signOfLife == null
                   ? claim(next, values, tries, fenced)
-                  : signs.begin().compose(over -> claim(next, values, tries, fenced));
+                  : signOfLife.begin().compose(over -> claim(next, values, tries, fenced));
             });
   }
 
@@ -142,7 +142,7 @@
             error -> {
               boolean moved =
                   error instanceof StoreException failure && failure.error() == StoreError.MOVED;
-              if (moved && signs != null) {
+              if (moved && signOfLife != null) {
                 return Future.failedFuture(new AbandonedException());
               }
               return moved && tries < MOST_TRIES
@@ -154,7 +154,7 @@
   /** Appends; one without an answer is repeated, since the store answers a repeat as the first. */
   private Future<Long> claimed(Append claim, int attempt) {
     return store
-        .append(claim, patience.millis(attempt))
+        .append(claim, timeout.millis(attempt))
         .recover(
             error -> {
               boolean unknown =
--- a/daemon/src/test/java/org/hickorypier/daemon/owner/TakeoverTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/owner/TakeoverTest.java
@@ -55,7 +55,7 @@
   }
 
   private Takeover candidate(
-      String address, long sequence, int replacedEpoch, boolean wanted, Takeover.Pause signs) {
+      String address, long sequence, int replacedEpoch, boolean wanted, Takeover.Pause signOfLife) {
     return new Takeover(
         store,
         (part, event, fields) -> {},
@@ -63,7 +63,7 @@
         sequence,
         replacedEpoch,
         () -> wanted,
-        signs);
+        signOfLife);
   }
 
   private static <T> T await(Future<T> future) throws Exception {
