--- a/core/src/main/java/org/hickorypier/core/cell/CellState.java
+++ b/core/src/main/java/org/hickorypier/core/cell/CellState.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.hickorypier.core.model.Resources;
+import org.hickorypier.core.submission.QueueTerms;
 import org.hickorypier.core.submission.StepSpec;
 import org.hickorypier.core.submission.SubmissionCodec;
 import org.hickorypier.core.submission.SubmissionSpec;
@@ -71,6 +72,12 @@
     return worker.ofEarlierOwner && !worker.heard && now < takenOverAt + terms.silentWorkerMillis();
   }
 
+  /** Tells whether a step is of the most urgent work of its service. */
+  boolean urgent(StepRun step) {
+    QueueTerms queue = step.submission.spec().queue();
+    return reserve.urgent(queue.service(), queue.priority());
+  }
+
   long nextNumber() {
     return ++lastNumber;
   }
@@ -80,10 +87,11 @@
   }
 
   /**
-   * Returns the number of the last submission of which a run may be at work that nobody knows of.
+   * Returns the number of the last submission of which a run may be at work that nobody knows of,
+   * or less than any number if there is none.
    */
   long unresolvedUpTo(long now) {
-    long last = 0;
+    long last = -1;
     for (WorkerView worker : workers.values()) {
       if (unresolved(worker, now)) {
         last = Math.max(last, worker.open() ? Long.MAX_VALUE : worker.closedAfter);
@@ -97,15 +105,6 @@
     return submission.uncertain && submission.number() <= unresolvedUpTo;
   }
 
-  boolean anyUnresolved(long now) {
-    for (WorkerView worker : workers.values()) {
-      if (unresolved(worker, now)) {
-        return true;
-      }
-    }
-    return false;
-  }
-
   Resources unresolvedRoom(long now) {
     Resources room = Resources.NONE;
     for (WorkerView worker : workers.values()) {
--- a/core/src/main/java/org/hickorypier/core/cell/Dispatch.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Dispatch.java
@@ -40,15 +40,14 @@
     for (WorkerView worker : cell.workers.values()) {
       worker.kindFactor = cell.speeds.factor(worker.entry().kind());
     }
-    boolean unresolved = cell.anyUnresolved(now);
     long unresolvedUpTo = cell.unresolvedUpTo(now);
-    cell.usage.unheard(unresolved ? cell.unresolvedRoom(now) : Resources.NONE);
+    cell.usage.unheard(cell.unresolvedRoom(now));
     Map<String, List<WorkerView>> takingByService = new HashMap<>();
     for (StepRun step : UrgencyOrder.sorted(cell.open, cell.learned, now)) {
       if (!step.submission.live() || !step.anyWaiting()) {
         releaseClaim(step);
         cell.open.remove(step);
-      } else if (!(unresolved && cell.waitsForWorkers(step.submission, unresolvedUpTo))) {
+      } else if (!cell.waitsForWorkers(step.submission, unresolvedUpTo)) {
         String service = step.submission.spec().queue().service();
         place(step, takingByService.computeIfAbsent(service, name -> cell.taking(name, now)), now);
       }
@@ -59,11 +58,14 @@
     }
   }
 
+  private static boolean asking(AdviceBook book, long now) {
+    return book.askedAt > 0 && now < book.askedAt + ADVICE_MILLIS;
+  }
+
   /** Asks the advisor for a step that is about to have its turn; it claims no room yet. */
   private void askAhead(StepRun step, List<WorkerView> workers, long now) {
     AdviceBook book = step.advice;
-    boolean waits = book.askedAt > 0 && now < book.askedAt + ADVICE_MILLIS;
-    if (waits || now < book.notBefore || book.anyTicket(now)) {
+    if (asking(book, now) || now < book.notBefore || book.anyTicket(now)) {
       return;
     }
     step.urgent = true;
@@ -74,8 +76,7 @@
   }
 
   private void place(StepRun step, List<WorkerView> workers, long now) {
-    QueueTerms queue = step.submission.spec().queue();
-    step.urgent = cell.reserve.urgent(queue.service(), queue.priority());
+    step.urgent = cell.urgent(step);
     List<Task> tasks = placeable(step, workers);
     if (tasks.isEmpty()) {
       return;
@@ -90,7 +91,7 @@
     if (book == null || chosen.size() == tasks.size()) {
       return;
     }
-    if (book.askedAt > 0 && now < book.askedAt + ADVICE_MILLIS) {
+    if (asking(book, now)) {
       if (claim != null && now < claim.until()) {
         claim(step, claim);
       }
@@ -126,7 +127,7 @@
 
   private long unreserved(StepRun step, List<WorkerView> workers) {
     QueueTerms queue = step.submission.spec().queue();
-    if (cell.reserve.urgent(queue.service(), queue.priority()) || step.spec.flags().fills()) {
+    if (cell.urgent(step) || step.spec.flags().fills()) {
       return Long.MAX_VALUE;
     }
     long free = -cell.reserve.processors(queue.service());
--- a/core/src/main/java/org/hickorypier/core/cell/Explanation.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Explanation.java
@@ -69,7 +69,7 @@
     if (!cell.open.contains(step)) {
       return "its turn";
     }
-    if (cell.anyUnresolved(now) && cell.waitsForWorkers(submission, cell.unresolvedUpTo(now))) {
+    if (cell.waitsForWorkers(submission, cell.unresolvedUpTo(now))) {
       return "workers that may run it already";
     }
     if (!cell.usage.allows(submission.spec().customer(), step.spec.each(), 1)) {
--- a/core/src/main/java/org/hickorypier/core/cell/Stragglers.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Stragglers.java
@@ -115,7 +115,7 @@
     StepRun step = run.task.step;
     String service = step.submission.spec().queue().service();
     Collection<WorkerView> taking = cell.taking(service, now);
-    if (cell.reserve.urgent(service, step.submission.spec().queue().priority())) {
+    if (cell.urgent(step)) {
       return !taking.isEmpty();
     }
     return taking.stream()
--- a/core/src/main/java/org/hickorypier/core/cell/UpcomingSteps.java
+++ b/core/src/main/java/org/hickorypier/core/cell/UpcomingSteps.java
@@ -66,11 +66,7 @@
 
   /** What is not urgent has time to spare, and its questions take the advisor half a second. */
   private boolean wanted(StepRun step) {
-    Submission submission = step.submission;
-    String service = submission.spec().queue().service();
-    return step.advice != null
-        && !submission.beyondShare
-        && cell.reserve.urgent(service, submission.spec().queue().priority());
+    return step.advice != null && !step.submission.beyondShare && cell.urgent(step);
   }
 
   private boolean nearlyDue(StepRun step, StepRun[] steps, long now) {
@@ -88,15 +84,14 @@
     String queue = step.submission.spec().queue().name();
     long usual = cell.learned.atLeast(queue, step.spec.estimateMillis());
     for (Task task : step.tasks) {
-      Run run = task.current;
-      boolean done = task.done;
-      if (!done && (run == null || !run.confirmed() || run.stopping)) {
-        return false;
-      }
-      if (!done && run.confirmedAt + usual > now + AHEAD_MILLIS) {
+      if (!task.done && !endsBy(now + AHEAD_MILLIS, task.current, usual)) {
         return false;
       }
     }
     return true;
   }
+
+  private static boolean endsBy(long time, Run run, long usualMillis) {
+    return run != null && run.confirmed() && !run.stopping && run.confirmedAt + usualMillis <= time;
+  }
 }
--- a/daemon/src/main/java/org/hickorypier/daemon/report/MeteredLog.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/report/MeteredLog.java
@@ -8,6 +8,9 @@
 /**
  * Counts events on their way to the log, and keeps histograms of the times that they tell of.
  *
+ * <p>Log and metrics so tell the same story in the same words: an alert on a counter names the
+ * event to look for in the log. Lines that the log leaves out are counted all the same.
+ *
  * <p>The registry comes later than the first events: making it takes a restarted process 0.1 s on
  * the users' machines, in which callers wait for an owner. Until then events are kept, and counted
  * once it is there. Thread safe.
