A body that is malformed, endless or stalled is answered

What callers saw: a chunked body with a bad chunk got no answer at all; a stalled one stayed open for good. A chunked body without end was kept whole in memory, so one caller could end the process for all. Cause: the body was read by a call that has no bound and tells of an error to nobody. Change: bytes are counted as they come (413 beyond 262,144), an error of the format is 400, a body that does not come within the caller's own time 408; each closes its connection, since what follows belongs to the body. Tests: three of ShutdownTest, each seen failing on the code before, passing now.

--- a/daemon/src/main/java/org/hickorypier/daemon/front/BodyReader.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/front/BodyReader.java
@@ -7,13 +7,17 @@
 /**
  * Reads the body of a request, which may be too large, malformed, or never end. Stateless.
  *
- * <p>A body that says its length is refused if that is too much.
+ * <p>Failure: a chunked body goes on for ever, or breaks off with a chunk that cannot be read.
+ * Symptom: the process runs out of memory; the caller gets no answer. Safeguard: the bytes are
+ * counted as they come, and an error of the format is answered. It is enough because nothing of a
+ * body is kept before it was counted.
  */
 final class BodyReader {
 
   static final int MOST_BYTES = 262_144;
 
   private static final int MOST_DIGITS = 9;
+  private static final int BAD_REQUEST = 400;
   private static final int TOO_LARGE = 413;
 
   private BodyReader() {}
@@ -35,7 +39,9 @@
       outcome.refused(TOO_LARGE, tooLarge(length + " bytes"));
       return;
     }
-    request.handler(part -> add(exchange, part));
+    request.handler(part -> add(exchange, part, outcome));
+    request.exceptionHandler(
+        error -> outcome.refused(BAD_REQUEST, CallerWords.error("the body cannot be read")));
     request.endHandler(none -> outcome.whole());
   }
 
@@ -43,11 +49,14 @@
     return length != null && (length.length() > MOST_DIGITS || Long.parseLong(length) > MOST_BYTES);
   }
 
-  private static void add(Exchange exchange, Buffer part) {
+  private static void add(Exchange exchange, Buffer part, Outcome outcome) {
     if (exchange.ended()) {
       return;
     }
     exchange.body().appendBuffer(part);
+    if (exchange.body().length() > MOST_BYTES) {
+      outcome.refused(TOO_LARGE, tooLarge("more than " + MOST_BYTES + " bytes"));
+    }
   }
 
   private static String tooLarge(String size) {
--- a/daemon/src/main/java/org/hickorypier/daemon/front/FrontServer.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/front/FrontServer.java
@@ -36,6 +36,9 @@
 
   private static final long SHORTEST_WAIT_MILLIS = 20;
 
+  /** Callers wait for seconds; a stalled body may stay this much longer. */
+  private static final Duration STALL_PERIOD = Duration.ofMillis(250);
+
   private static final Duration DRAIN_PERIOD = Duration.ofMillis(50);
 
   /** The owner's replies to requests read just before the end come within this time. */
@@ -45,6 +48,7 @@
   private static final int ACCEPT_BACKLOG = 1_024;
 
   private static final int OK = 200;
+  private static final int TIMED_OUT = 408;
   private static final int UNAVAILABLE = 503;
 
   private final Vertx vertx;
@@ -53,6 +57,7 @@
   private final BooleanSupplier ready;
   private final CallerConnections connections;
   private final RequestHandler handler;
+  private boolean lookingForStalled;
   private boolean draining;
   private boolean closing;
   private long endsAtNanos;
@@ -230,6 +235,9 @@
             refuseBody(exchange, status, text);
           }
         });
+    if (!exchange.whole()) {
+      lookForStalled();
+    }
   }
 
   private void bodyRead(Exchange exchange, long wait) {
@@ -253,6 +261,25 @@
     }
   }
 
+  private void lookForStalled() {
+    if (!lookingForStalled) {
+      lookingForStalled = true;
+      timers.after(STALL_PERIOD, this::refuseStalled);
+    }
+  }
+
+  private void refuseStalled() {
+    lookingForStalled = false;
+    long now = timers.nowMillis();
+    for (Exchange exchange : connections.open()) {
+      if (exchange.stalled(now)) {
+        refuseBody(exchange, TIMED_OUT, CallerWords.error("the body did not come in time"));
+      } else if (!exchange.whole()) {
+        lookForStalled();
+      }
+    }
+  }
+
   private long waitMillis(HttpServerRequest request) {
     String text = request.getHeader(CallerWords.DEADLINE_HEADER);
     long wait = USUAL_WAIT_MILLIS;
--- a/daemon/src/test/java/org/hickorypier/daemon/node/ShutdownTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/ShutdownTest.java
@@ -111,4 +111,56 @@
       }
     }
   }
+
+  /**
+   * A chunked body breaks off with a length that is no number. The caller used to get no answer at
+   * all and its connection stayed open; it learns that its request is malformed.
+   */
+  @Test
+  void malformedChunkIsAnswered() throws Exception {
+    try (SmallCluster cluster = new SmallCluster(1, 20)) {
+      SmallCluster.Instance instance = cluster.start();
+      RawCaller caller = caller(cluster, instance);
+      caller.write(RawCaller.head("POST", "5c0e7a21d94b36f2") + "Transfer-Encoding: chunked\r\n");
+      caller.write("\r\nno-number\r\n{}\r\n");
+      caller.awaitClosed();
+      assertThat(caller.answers()).startsWith("HTTP/1.1 400");
+    }
+  }
+
+  /**
+   * A chunked body does not say how long it gets. It used to be kept in memory whole, so one caller
+   * could end the process. It is refused beyond the size that a body may have.
+   */
+  @Test
+  void endlessBodyIsRefused() throws Exception {
+    try (SmallCluster cluster = new SmallCluster(1, 20)) {
+      SmallCluster.Instance instance = cluster.start();
+      RawCaller caller = caller(cluster, instance);
+      caller.write(RawCaller.head("POST", "5c0e7a21d94b36f3") + "Transfer-Encoding: chunked\r\n");
+      caller.write("\r\n");
+      String chunk = "10000\r\n" + " ".repeat(0x10000) + "\r\n";
+      for (int index = 0; index < 5; index++) {
+        caller.write(chunk);
+      }
+      cluster.until(caller::answered);
+      assertThat(caller.answers()).startsWith("HTTP/1.1 413").contains("262144");
+    }
+  }
+
+  /**
+   * A caller stalls in the middle of a body while the instance goes on serving. The request used to
+   * stay open for good; it ends when the time is over that the caller said it would wait.
+   */
+  @Test
+  void stalledBodyEndsWithTheCallersTime() throws Exception {
+    try (SmallCluster cluster = new SmallCluster(1, 20)) {
+      SmallCluster.Instance instance = cluster.start();
+      RawCaller caller = caller(cluster, instance);
+      String deadline = "Hickorypier-Deadline-Ms: 200\r\n";
+      caller.write(RawCaller.head("POST", "5c0e7a21d94b36f4") + deadline + STALLED);
+      caller.awaitClosed();
+      assertThat(caller.answers()).startsWith("HTTP/1.1 408");
+    }
+  }
 }
