A question that fails inside the instance is answered

What callers would see: nothing, until they leave. Cause: nobody heard of a question to the gateway that failed or threw. Change: the caller is told that the outcome is unknown (504 for a submission, 503 for a question), and the error is logged. Test: FrontServerTest.questionThatFailsIsAnswered; without the handler it fails with 'no answer'.

--- a/daemon/src/main/java/org/hickorypier/daemon/front/RequestHandler.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/front/RequestHandler.java
@@ -157,7 +157,10 @@
 
   private void ask(Exchange exchange, LinkRequest question, String id, long waitMillis) {
     Promise<LinkReply> reply = Promise.promise();
-    reply.future().onSuccess(value -> deliver(exchange, value, id));
+    reply
+        .future()
+        .onComplete(
+            value -> deliver(exchange, value, id), error -> questionFailed(exchange, id, error));
     control.runOnContext(
         none ->
             Future.succeededFuture()
@@ -165,6 +168,16 @@
                 .onComplete(outcome -> traffic.runOnContext(back -> reply.handle(outcome))));
   }
 
+  /**
+   * Failure: bringing a question to the owner fails in this process. Symptom: the caller waits in
+   * vain. Safeguard: it is told at once that the outcome is unknown; that is enough since it may
+   * ask for its submission, or send it again, elsewhere.
+   */
+  private void questionFailed(Exchange exchange, String id, Throwable error) {
+    log.event(PART, "question-failed", "id", id, "error", error);
+    outcomeUnknown(exchange);
+  }
+
   private void deliver(Exchange exchange, LinkReply reply, String id) {
     if (reply instanceof LinkReply.Accepted) {
       answers.answer(exchange, OK, "{}");
--- a/daemon/src/test/java/org/hickorypier/daemon/front/FrontServerTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/front/FrontServerTest.java
@@ -2,18 +2,27 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.vertx.core.Context;
 import io.vertx.core.Future;
+import io.vertx.core.VerticleBase;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServer;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.hickorypier.core.cluster.ClusterConfiguration;
+import org.hickorypier.core.cluster.QueueRoute;
+import org.hickorypier.core.submission.QueueTerms;
+import org.hickorypier.daemon.owner.ConfigurationSource;
 import org.hickorypier.platform.http.HttpCalls;
 import org.hickorypier.platform.http.HttpReply;
 import org.hickorypier.platform.http.ServiceAddress;
+import org.hickorypier.standins.http.LoopbackPort;
 import org.junit.jupiter.api.Test;
 
 class FrontServerTest {
@@ -55,6 +64,71 @@
     }
   }
 
+  /**
+   * A caller hands a submission in, and bringing it to the owner fails inside the instance. The
+   * caller used to get no answer at all, since nobody heard of the failure; it is told that the
+   * outcome is unknown, and one that only asks is told to come back.
+   */
+  @Test
+  void questionThatFailsIsAnswered() throws Exception {
+    Vertx vertx = Vertx.vertx();
+    try {
+      OwnerQuestions failing =
+          (request, timeout) -> {
+            throw new IllegalStateException("on purpose");
+          };
+      ServiceAddress front = serve(vertx, failing);
+      String path = "/queue/5c0e7a21d94b36f1";
+      String body = "{\"Spec\":\"text\",\"Phases\":[{\"Count\":1,\"Cpu\":10,\"MemMb\":1}]}";
+      Map<String, String> host = Map.of("Host", "queue.example");
+      HttpCalls calls = new HttpCalls(vertx, 1);
+      assertThat(
+              await(calls.call(front, HttpMethod.POST, path, host, Buffer.buffer(body), 5_000))
+                  .status())
+          .isEqualTo(504);
+      assertThat(await(calls.call(front, HttpMethod.GET, path, host, null, 5_000)).status())
+          .isEqualTo(503);
+    } finally {
+      await(vertx.close());
+    }
+  }
+
+  /** Serves one open queue. */
+  private static ServiceAddress serve(Vertx vertx, OwnerQuestions owner) throws Exception {
+    QueueTerms terms = new QueueTerms("q", "service", 0, 3, 2, 1_000, Optional.empty());
+    QueueRoute route = new QueueRoute("queue.example", "/queue/", true, terms);
+    ClusterConfiguration configuration = new ClusterConfiguration(1, List.of(route), List.of());
+    String host = InetAddress.getLoopbackAddress().getHostAddress();
+    ServiceAddress front = new ServiceAddress(host, LoopbackPort.free());
+    ServiceAddress readiness = new ServiceAddress(host, LoopbackPort.free());
+    Context control = vertx.getOrCreateContext();
+    await(
+        vertx.deployVerticle(
+            new VerticleBase() {
+              @Override
+              public Future<?> start() {
+                return new FrontServer(
+                        vertx,
+                        control,
+                        new FixedConfiguration(configuration),
+                        owner,
+                        () -> true,
+                        System::currentTimeMillis,
+                        (part, event, fields) -> {})
+                    .listen(front, readiness);
+              }
+            }));
+    return front;
+  }
+
+  /** A configuration that is always in force. */
+  private record FixedConfiguration(ClusterConfiguration current) implements ConfigurationSource {
+    @Override
+    public boolean proven() {
+      return true;
+    }
+  }
+
   private static Future<HttpReply> ask(Vertx vertx, ServiceAddress readiness) {
     return new HttpCalls(vertx, 1)
         .call(readiness, HttpMethod.GET, "/hickorypier/ready", Map.of(), null, 2_000)
