An instance told to end while it starts takes no callers, or sends them away

What callers would see: an instance that got SIGTERM while it started began to listen afterwards, said that it was ready, took requests for their full time, and ended beneath them. Cause: the shutdown hook had no control thread to tell, or no front yet. Change: an instance that has not begun to start does not; whichever comes second of the front and the signal begins to send the callers away. Tests: two of ShutdownTest; both fail without the change (one starts, one never closes its caller).

--- a/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
@@ -117,6 +117,9 @@
 
   @Override
   public Future<?> start() {
+    if (stopping) {
+      return Future.failedFuture("the instance was told to end before it had started");
+    }
     timers = new ContextTimers(vertx, context);
     PauseGuard pauses = new PauseGuard(timers::nowMillis, wall);
     StoreClient store = new StoreClient(new HttpCalls(vertx, STORE_CONNECTIONS), settings.store());
@@ -196,6 +199,7 @@
                 new FrontServer(
                     vertx, control, configuration, gateway::ask, Node.this::ready, wall, log);
             front = server;
+            drainIfStopping();
             return server.listen(settings.front(), settings.ready());
           }
         });
@@ -337,7 +341,7 @@
    * Ends the instance gracefully; called from the process's shutdown hook, at any moment of a
    * start.
    *
-   * @param control the context of this verticle
+   * @param control the context of this verticle, or null if it has none yet
    * @param processEndsAtNanos when the process ends, as {@link System#nanoTime} tells
    * @return done when the cell is given up
    */
@@ -346,17 +350,29 @@
     stopping = true;
     drainIfStopping();
     Promise<Void> left = Promise.promise();
-    control.runOnContext(none -> giveUpCell().onComplete(left));
+    if (control == null) {
+      left.complete();
+    } else {
+      control.runOnContext(none -> giveUpCell().onComplete(left));
+    }
     return left.future();
   }
 
   private Future<Void> giveUpCell() {
+    if (ownership == null) {
+      return Future.succeededFuture();
+    }
     return ownership
         .leave()
         .compose(written -> handOver(successors(), () -> true))
         .onComplete(done -> ownership.abdicate());
   }
 
+  /**
+   * Failure: the instance is told to end while it starts. Symptom: its front begins to listen
+   * afterwards, takes requests for their full time, and the process ends beneath them. Safeguard:
+   * whichever of the two comes second begins to send the callers away.
+   */
   private synchronized void drainIfStopping() {
     FrontServer server = front;
     if (stopping && server != null && !draining) {
--- a/daemon/src/test/java/org/hickorypier/daemon/node/ShutdownTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/ShutdownTest.java
@@ -5,6 +5,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.hickorypier.daemon.front.DrainReport;
+import org.hickorypier.daemon.owner.Strength;
 import org.junit.jupiter.api.Test;
 
 /** What callers see of an instance that ends gracefully. */
@@ -163,4 +165,43 @@
       assertThat(caller.answers()).startsWith("HTTP/1.1 408");
     }
   }
+
+  /**
+   * An instance is told to end before it has started. It used to start all the same, since its
+   * control thread was not there yet to be told, and took requests until the process ended beneath
+   * them. Nothing of it starts.
+   */
+  @Test
+  void instanceToldToEndBeforeItsStartTakesNoCallers() throws Exception {
+    try (SmallCluster cluster = new SmallCluster(1, 20)) {
+      Node node = cluster.newNode();
+      SmallCluster.await(node.leave(null, System.nanoTime()));
+      assertThat(cluster.vertx.deployVerticle(node).toCompletionStage())
+          .failsWithin(20, TimeUnit.SECONDS);
+      assertThat(node.drainReport()).isEqualTo(DrainReport.NONE);
+      assertThat(node.callersGone().isComplete()).isTrue();
+    }
+  }
+
+  /**
+   * An instance is told to end while it starts, before its front listens. The front used to learn
+   * nothing of it. Its first answer closes the connection, and the end waits for no other caller.
+   */
+  @Test
+  void instanceToldToEndWhileItStartsSendsItsCallersAway() throws Exception {
+    try (SmallCluster cluster = new SmallCluster(1, 20)) {
+      NodeSettings settings = cluster.settings(Strength.UNKNOWN);
+      Node node = cluster.newNode(settings);
+      var deployed = cluster.vertx.deployVerticle(node);
+      cluster.until(() -> node.controlContext() != null);
+      node.leave(node.controlContext(), System.nanoTime() + TimeUnit.MINUTES.toNanos(1));
+      if (SmallCluster.await(deployed.otherwise("")).isEmpty()) {
+        return;
+      }
+      RawCaller caller = new RawCaller(cluster.connect(settings.front())).askNowhere();
+      caller.awaitClosed();
+      assertThat(caller.answers()).startsWith("HTTP/1.1 ").containsIgnoringCase("close");
+      SmallCluster.await(node.callersGone());
+    }
+  }
 }
