A former owner counts its time without an owner from the loss

Cause, from the logs: 'owner-lost' at 76.208, 'given-up' reason 'no owner' ownerless_ms 4263 at 76.208: the time counted from the last change of a link, and an owner has no link to itself. Change: the gateway hears when this instance owns no longer and counts from then. Looked for elsewhere: the time that no owner has answered (silentMillis) starts at the same moment and is right with it. Test: ShutdownTest.requestWaitsAtTheFormerOwnerForItsSuccessor, seen failing (503 in place of 410).

--- a/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
@@ -368,6 +368,21 @@
         .onComplete(done -> ownership.abdicate());
   }
 
+  /**
+   * Stops deciding at once, whether or not a successor has taken over; called from any thread.
+   *
+   * @return done when nothing is ordered or written any more
+   */
+  public Future<Void> abdicate() {
+    Promise<Void> done = Promise.promise();
+    context.runOnContext(
+        none -> {
+          ownership.abdicate();
+          done.complete();
+        });
+    return done.future();
+  }
+
   /**
    * Failure: the instance is told to end while it starts. Symptom: its front begins to listen
    * afterwards, takes requests for their full time, and the process ends beneath them. Safeguard:
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Gateway.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Gateway.java
@@ -109,6 +109,18 @@
     this.startedAt = timers.nowMillis();
     this.ownerlessSince = startedAt;
     this.repliedAt = ownerlessSince;
+    ownership.onLost(this::ownershipLost);
+  }
+
+  /**
+   * Failure: this instance was the owner, which has no link to itself. Symptom: with the cell it
+   * lost all sense of time, took itself to be without an owner since before its ownership, and
+   * refused requests that a successor would have served a moment later. Safeguard: the time without
+   * an owner counts from the loss; that is enough since nothing else makes an owner unreachable but
+   * a link, which counts from its own end.
+   */
+  private void ownershipLost() {
+    ownerlessSince = timers.nowMillis();
   }
 
   /**
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Ownership.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Ownership.java
@@ -90,6 +90,7 @@
   private long suspectedAt = -SUSPECT_MILLIS;
   private boolean leaving;
   private boolean joining;
+  private Runnable onLost = () -> {};
 
   /**
    * Creates the follower.
@@ -183,6 +184,15 @@
     }
   }
 
+  /**
+   * Runs something whenever this instance is the owner no longer.
+   *
+   * @param action what to run, on the control thread
+   */
+  public void onLost(Runnable action) {
+    onLost = action;
+  }
+
   /**
    * Tells whether this instance is the owner.
    *
@@ -439,8 +449,11 @@
 
   private void lost(String reason) {
     if (owner != null) {
-      owner.end(reason);
+      Owner former = owner;
+      // Whom the end tells that this is not the owner has to find it so.
       owner = null;
+      onLost.run();
+      former.end(reason);
     }
   }
 }
--- a/daemon/src/test/java/org/hickorypier/daemon/node/ShutdownTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/ShutdownTest.java
@@ -204,4 +204,29 @@
       SmallCluster.await(node.callersGone());
     }
   }
+
+  /**
+   * The owner of many seconds is told to end and gives the cell up before its callers. A request
+   * that reaches it then waits for the successor. It used to be refused at once, since the instance
+   * counted its time without an owner from before it became the owner itself: the logs show
+   * "given-up", reason "no owner", "ownerless_ms" 4401 some 10 ms after "owner-lost".
+   */
+  @Test
+  void requestWaitsAtTheFormerOwnerForItsSuccessor() throws Exception {
+    try (SmallCluster cluster = new SmallCluster(1, 20)) {
+      SmallCluster.Instance owner = cluster.start();
+      long gained = System.nanoTime();
+      cluster.until(() -> System.nanoTime() - gained > TimeUnit.MILLISECONDS.toNanos(1_900));
+      cluster.leave(owner, TimeUnit.MINUTES.toMillis(1));
+      owner.node().abdicate();
+      cluster.until(() -> cluster.told(owner, "owner-lost"));
+      String deadline = "Hickorypier-Deadline-Ms: 20000\r\n\r\n";
+      RawCaller caller = caller(cluster, owner);
+      caller.write(RawCaller.head("GET", "5c0e7a21d94b36f5") + deadline);
+      SmallCluster.Instance successor = cluster.startUnowned(Strength.UNKNOWN);
+      cluster.until(() -> cluster.told(successor, "owner-gained"));
+      cluster.until(caller::answered);
+      assertThat(caller.answers()).startsWith("HTTP/1.1 410");
+    }
+  }
 }
