An owner that ends serves until a successor has taken over; a claim is never dropped

Causes, from the logs: - The owner gave the cell up as soon as everyone had declined ('handover' taken false, left 0 at 5.052, 'owner-lost' shutdown at 5.052), though it lived until 7.28 and the first restarted instance had started at 5.66. - An instance that was told to end while it took over dropped what it had claimed: epoch 6 of 10.4.0.24 fenced the owner at 16.486 and there is no 'owner-gained' for it. Change: the owner that ends goes on as the owner and asks each instance that comes, every 0.5 s, until one has taken over or the process ends; an instance that is told to end in its takeover becomes the owner and hands over in its turn. Ruled out: the group; it names a candidate, which finds the owner alive, as it should. Tests: ShutdownTest.ownerWithoutSuccessor... and instanceToldToEndInItsTakeover..., both seen failing.

--- a/daemon/src/main/java/org/hickorypier/daemon/node/GracefulEnd.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/GracefulEnd.java
@@ -7,7 +7,7 @@
 import org.hickorypier.daemon.front.DrainReport;
 
 /**
- * The end of a process: the cell is given up, the callers are sent away, what they still ask is
+ * The end of a process: the cell is handed over, the callers are sent away, what they still ask is
  * answered.
  *
  * <p>Invariant: it is over before the platform kills the process, whatever hangs. Runs on a thread
@@ -24,6 +24,9 @@
   /** Of the reserve; the log takes 100 ms at most, and a slow machine all else. */
   private static final long CLOSE_MILLIS = 600;
 
+  /** Of the reserve; it is done in one turn of the control thread. */
+  private static final long ABDICATE_MILLIS = 50;
+
   private final Node node;
   private final long graceMillis;
   private final EventLog log;
@@ -55,6 +58,7 @@
     boolean callersGone = await(node.callersGone(), most - elapsedMillis());
     tell("stopped", "cell_left_ms", cellLeft ? cellLeftMillis : -1, "callers_gone", callersGone);
     boolean closed = await(node.closeFront(), CLOSE_MILLIS);
+    await(node.abdicate(), ABDICATE_MILLIS);
     tell("closed", "in_time", closed, "grace_ms", graceMillis);
   }
 
--- /dev/null
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Handover.java
@@ -0,0 +1,202 @@
+package org.hickorypier.daemon.node;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+import org.hickorypier.core.cell.EventLog;
+import org.hickorypier.daemon.link.Link;
+import org.hickorypier.daemon.link.LinkReply;
+import org.hickorypier.daemon.link.LinkRequest;
+import org.hickorypier.daemon.owner.Ownership;
+import org.hickorypier.daemon.time.TimerService;
+
+/**
+ * Gives the cell to another instance when this one ends, or when the store refuses it.
+ *
+ * <p>Failure: the owner ends while all others are being restarted, or ends in its very takeover.
+ * Symptom: the cell has no owner until an instance comes back, and no caller is served. Safeguard:
+ * an owner that ends goes on as the owner until another has taken over, and asks each instance that
+ * comes. It is enough because the claim of the successor, not the resignation of the predecessor,
+ * passes the cell on. Belongs to the control thread.
+ */
+final class Handover {
+
+  private static final String PART = "node";
+
+  private static final Duration PERIOD = Duration.ofMillis(100);
+
+  /**
+   * Instances that a refused owner asks in a row. Where the store serves two thirds of the
+   * machines, three find one of those 24 times in 25; where it is away for all, every further
+   * question only adds to its load.
+   */
+  private static final int ASKED_IN_A_ROW = 3;
+
+  /** Pause after so many, in milliseconds; the store is back in seconds if it is away for all. */
+  private static final long ASK_ON_MILLIS = 300;
+
+  /** One refused or lost append is repeated; after this time it is no chance any more. */
+  private static final long REFUSED_MILLIS = 150;
+
+  /** An instance that did not take over may be taking over already, or the store refuses it. */
+  private static final long ASK_AGAIN_MILLIS = 500;
+
+  /** A successor's first orders reach the workers, and its record the store, within this time. */
+  private static final Duration FENCE_DELAY = Duration.ofMillis(300);
+
+  /** Reading the journal and writing the owner record takes some 100 ms on a busy machine. */
+  private static final long TAKE_OVER_MILLIS = 900;
+
+  private final Ownership ownership;
+  private final TimerService timers;
+  private final EventLog log;
+  private final List<Peer> peers = new ArrayList<>();
+  private Promise<Void> left;
+  private boolean handingOver;
+  private long askOnAt;
+  private int asked;
+
+  Handover(Ownership ownership, TimerService timers, EventLog log) {
+    this.ownership = ownership;
+    this.timers = timers;
+    this.log = log;
+  }
+
+  void start() {
+    timers.every(PERIOD, this::tick);
+  }
+
+  /** Takes notice of an instance that has opened a link to this one. */
+  Peer linked(Link link) {
+    Peer peer = new Peer(link);
+    peers.add(peer);
+    return peer;
+  }
+
+  void unlinked(Peer peer) {
+    peers.remove(peer);
+  }
+
+  /**
+   * Begins to look for a successor, since the process ends.
+   *
+   * @param leftMillis the time until then, in milliseconds
+   * @return done when this instance neither owns the cell nor is about to, or that time is over
+   */
+  Future<Void> leave(long leftMillis) {
+    if (left == null) {
+      left = Promise.promise();
+      timers.after(Duration.ofMillis(leftMillis), left::tryComplete);
+      ownership.leave().onComplete(written -> tick());
+    }
+    return left.future();
+  }
+
+  private void tick() {
+    if (handingOver) {
+      return;
+    }
+    if (left != null) {
+      handOverToLeave();
+    } else {
+      handOverIfRefused();
+    }
+  }
+
+  private void handOverToLeave() {
+    if (ownership.settled()) {
+      left.tryComplete();
+    } else if (ownership.owns()) {
+      List<Peer> due =
+          successors(peer -> peer.sinceAskedMillis(timers.nowMillis()) >= ASK_AGAIN_MILLIS);
+      handOver(due, () -> true)
+          .onSuccess(
+              taken -> {
+                if (taken) {
+                  ownership.handedOver();
+                }
+                // An owner that has learnt of its successor has nothing more to give up.
+                if (ownership.settled()) {
+                  left.tryComplete();
+                }
+              });
+    }
+  }
+
+  /** The store may refuse this machine and serve the others: another instance should try. */
+  private void handOverIfRefused() {
+    if (!refused()) {
+      asked = 0;
+    } else if (timers.nowMillis() >= askOnAt) {
+      askOnAt = timers.nowMillis() + ASK_ON_MILLIS;
+      List<Peer> all = successors(peer -> true);
+      Collections.rotate(all, -asked);
+      asked += ASKED_IN_A_ROW;
+      handOver(
+          new ArrayList<>(all.subList(0, Math.min(ASKED_IN_A_ROW, all.size()))), this::refused);
+    }
+  }
+
+  private boolean refused() {
+    return ownership.refusedFor(REFUSED_MILLIS);
+  }
+
+  /** The instances that are linked to this one, the best successor first. */
+  private List<Peer> successors(Predicate<Peer> wanted) {
+    return peers.stream()
+        .filter(wanted)
+        .map(Peer::asSuccessor)
+        .sorted(Successor.ORDER)
+        .map(Successor::peer)
+        .collect(Collectors.toCollection(ArrayList::new));
+  }
+
+  /**
+   * Asks one instance after another to take over, until one has.
+   *
+   * @param candidates the instances, in order
+   * @param wanted tells whether a successor is still wanted
+   * @return whether one has said that it has taken over
+   */
+  private Future<Boolean> handOver(List<Peer> candidates, BooleanSupplier wanted) {
+    if (candidates.isEmpty() || !ownership.owns() || !wanted.getAsBoolean()) {
+      handingOver = false;
+      return Future.succeededFuture(false);
+    }
+    handingOver = true;
+    Peer next = candidates.remove(0);
+    next.askedToTakeOver(timers.nowMillis());
+    return next.link()
+        .ask(new LinkRequest.TakeOver(), TAKE_OVER_MILLIS)
+        .transform((reply, error) -> asked(reply, error, candidates, wanted));
+  }
+
+  private Future<Boolean> asked(
+      LinkReply reply, Throwable error, List<Peer> candidates, BooleanSupplier wanted) {
+    boolean taken = reply instanceof LinkReply.Noted;
+    log.event(
+        PART, "handover", "taken", taken, "answered", error == null, "left", candidates.size());
+    if (taken) {
+      handingOver = false;
+      return Future.succeededFuture(true);
+    }
+    if (error != null) {
+      // An instance that has taken over closes its link to the former owner, often before its
+      // reply. Its orders tell so in a moment; asking the next one would make two.
+      return pause().compose(paused -> handOver(candidates, wanted));
+    }
+    return handOver(candidates, wanted);
+  }
+
+  private Future<Void> pause() {
+    Promise<Void> paused = Promise.promise();
+    timers.after(FENCE_DELAY, paused::tryComplete);
+    return paused.future();
+  }
+}
--- a/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
@@ -6,17 +6,14 @@
 import io.vertx.core.VerticleBase;
 import io.vertx.core.net.NetClientOptions;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.Collections;
-import java.util.List;
-import java.util.function.BooleanSupplier;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
-import java.util.stream.Collectors;
 import org.hickorypier.core.cell.EventLog;
 import org.hickorypier.core.cluster.ClusterConfiguration;
 import org.hickorypier.daemon.front.DrainReport;
 import org.hickorypier.daemon.front.FrontServer;
 import org.hickorypier.daemon.link.Link;
+import org.hickorypier.daemon.link.LinkHandler;
 import org.hickorypier.daemon.link.LinkReply;
 import org.hickorypier.daemon.link.LinkRequest;
 import org.hickorypier.daemon.owner.Candidate;
@@ -56,27 +53,6 @@
   /** Longer than a takeover. */
   private static final long EXPLAIN_MILLIS = 2_000;
 
-  private static final Duration HANDOVER_PERIOD = Duration.ofMillis(100);
-
-  /**
-   * Instances that a refused owner asks in a row. Where the store serves two thirds of the
-   * machines, three find one of those 24 times in 25; where it is away for all, every further
-   * question only adds to its load.
-   */
-  private static final int ASKED_IN_A_ROW = 3;
-
-  /** Pause after so many, in milliseconds; the store is back in seconds if it is away for all. */
-  private static final long ASK_ON_MILLIS = 300;
-
-  /** One refused or lost append is repeated; after this time it is no chance any more. */
-  private static final long REFUSED_MILLIS = 150;
-
-  /** A successor's first orders reach the workers, and its record the store, within this time. */
-  private static final Duration FENCE_DELAY = Duration.ofMillis(300);
-
-  /** Reading the journal and writing the owner record takes some 100 ms on a busy machine. */
-  private static final long TAKE_OVER_MILLIS = 900;
-
   /**
    * Without an owner for this long, callers are better served elsewhere. A usual takeover is
    * shorter, and an instance that leaves the rotation needs a second to come back.
@@ -95,11 +71,8 @@
   private boolean draining;
   private final Promise<Void> callersGone = Promise.promise();
   private volatile long ownerlessMillis;
-  private final List<Peer> peers = new ArrayList<>();
+  private Handover handover;
   private AdviceClient advisor;
-  private boolean handingOver;
-  private long askOnAt;
-  private int asked;
   private ContextTimers timers;
 
   /**
@@ -150,6 +123,7 @@
     configuration =
         new ConfigurationWatch(
             store, timers, pauses, log, settings.revokeMillis(), this::configured);
+    handover = new Handover(ownership, timers, log);
     gateway =
         new Gateway(
             vertx.createNetClient(
@@ -170,14 +144,13 @@
         .createNetServer()
         .connectHandler(
             socket -> {
-              Peer peer = new Peer();
-              Link link = new Link(socket, request -> answerPeer(peer, request), timers);
-              peer.link = link;
-              peers.add(peer);
+              PeerHandler answers = new PeerHandler();
+              Link link = new Link(socket, answers, timers);
+              answers.peer = handover.linked(link);
               Runnable forget = ownership.addAsker(socket.remoteAddress().hostAddress(), link::ask);
               link.onClose(
                   () -> {
-                    peers.remove(peer);
+                    handover.unlinked(answers.peer);
                     forget.run();
                   });
             })
@@ -185,7 +158,7 @@
         .onSuccess(
             listening -> {
               ownership.start(gateway::ownerAlive, gateway::silentMillis);
-              timers.every(HANDOVER_PERIOD, this::handOverIfRefused);
+              handover.start();
             })
         .compose(listening -> traffic);
   }
@@ -221,20 +194,19 @@
     gateway.ownerChanged();
   }
 
-  /** An instance that has opened a link to this one. */
-  private static final class Peer {
-    private Link link;
-    private int strength;
-    private long startedAt;
-  }
+  /** Answers one instance that has opened a link to this one. */
+  private final class PeerHandler implements LinkHandler {
 
-  private Future<LinkReply> answerPeer(Peer peer, LinkRequest request) {
-    if (request instanceof LinkRequest.Introduce introduce) {
-      peer.strength = introduce.strength();
-      peer.startedAt = timers.nowMillis() - introduce.ageMillis();
-      return Future.succeededFuture(new LinkReply.Noted());
+    private Peer peer;
+
+    @Override
+    public Future<LinkReply> answer(LinkRequest request) {
+      if (request instanceof LinkRequest.Introduce introduce) {
+        peer.introduced(introduce, timers.nowMillis());
+        return Future.succeededFuture(new LinkReply.Noted());
+      }
+      return answerPeer(request);
     }
-    return answerPeer(request);
   }
 
   private Future<LinkReply> answerPeer(LinkRequest request) {
@@ -268,82 +240,13 @@
             });
   }
 
-  /** The store may refuse this machine and serve the others: another instance should try. */
-  private void handOverIfRefused() {
-    if (!refused()) {
-      asked = 0;
-    } else if (!handingOver && timers.nowMillis() >= askOnAt) {
-      askOnAt = timers.nowMillis() + ASK_ON_MILLIS;
-      List<Link> all = successors();
-      Collections.rotate(all, -asked);
-      asked += ASKED_IN_A_ROW;
-      handOver(
-          new ArrayList<>(all.subList(0, Math.min(ASKED_IN_A_ROW, all.size()))), this::refused);
-    }
-  }
-
-  private boolean refused() {
-    return ownership.refusedFor(REFUSED_MILLIS);
-  }
-
-  /** The instances that are linked to this one, the best successor first. */
-  private List<Link> successors() {
-    return peers.stream()
-        .map(peer -> new Successor(peer.link, peer.strength, peer.startedAt))
-        .sorted(Successor.ORDER)
-        .map(Successor::link)
-        .collect(Collectors.toCollection(ArrayList::new));
-  }
-
-  /**
-   * Asks one instance after another to take over, until one has.
-   *
-   * @param candidates the instances, in order
-   * @param wanted tells whether a successor is still wanted
-   */
-  private Future<Void> handOver(List<Link> candidates, BooleanSupplier wanted) {
-    if (candidates.isEmpty() || !ownership.owns() || !wanted.getAsBoolean()) {
-      handingOver = false;
-      return Future.succeededFuture();
-    }
-    handingOver = true;
-    Link next = candidates.remove(0);
-    return next.ask(new LinkRequest.TakeOver(), TAKE_OVER_MILLIS)
-        .transform(
-            (reply, error) -> {
-              log.event(
-                  PART,
-                  "handover",
-                  "taken",
-                  reply instanceof LinkReply.Noted,
-                  "left",
-                  candidates.size());
-              if (reply instanceof LinkReply.Noted) {
-                handingOver = false;
-                return Future.<Void>succeededFuture();
-              }
-              if (error != null) {
-                // An instance that has taken over closes its link to the former owner, often before
-                // its reply. Its orders tell so in a moment; asking the next one would make two.
-                return pause().compose(paused -> handOver(candidates, wanted));
-              }
-              return handOver(candidates, wanted);
-            });
-  }
-
-  private Future<Void> pause() {
-    Promise<Void> paused = Promise.promise();
-    timers.after(FENCE_DELAY, paused::tryComplete);
-    return paused.future();
-  }
-
   /**
    * Ends the instance gracefully; called from the process's shutdown hook, at any moment of a
    * start.
    *
    * @param control the context of this verticle, or null if it has none yet
    * @param processEndsAtNanos when the process ends, as {@link System#nanoTime} tells
-   * @return done when the cell is given up
+   * @return done when this instance neither owns the cell nor is about to, or that time is over
    */
   public Future<Void> leave(Context control, long processEndsAtNanos) {
     endsAtNanos = processEndsAtNanos;
@@ -359,13 +262,11 @@
   }
 
   private Future<Void> giveUpCell() {
-    if (ownership == null) {
+    if (handover == null) {
       return Future.succeededFuture();
     }
-    return ownership
-        .leave()
-        .compose(written -> handOver(successors(), () -> true))
-        .onComplete(done -> ownership.abdicate());
+    long left = TimeUnit.NANOSECONDS.toMillis(endsAtNanos - System.nanoTime());
+    return handover.leave(Math.max(0, left));
   }
 
   /**
@@ -375,9 +276,15 @@
    */
   public Future<Void> abdicate() {
     Promise<Void> done = Promise.promise();
-    context.runOnContext(
+    Context control = context;
+    if (control == null) {
+      return Future.succeededFuture();
+    }
+    control.runOnContext(
         none -> {
-          ownership.abdicate();
+          if (ownership != null) {
+            ownership.abdicate();
+          }
           done.complete();
         });
     return done.future();
--- a/daemon/src/main/java/org/hickorypier/daemon/node/Successor.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Successor.java
@@ -1,7 +1,6 @@
 package org.hickorypier.daemon.node;
 
 import java.util.Comparator;
-import org.hickorypier.daemon.link.Link;
 
 /**
  * An instance that the owner may hand over to.
@@ -11,11 +10,11 @@
  * pause for all callers. Of machines that are alike the one that was started last comes first,
  * since a rolling restart has passed it. Immutable.
  *
- * @param link the link to it
+ * @param peer the instance
  * @param strength what its machine can carry
  * @param startedAt when it was started, by the owner's steady clock, in milliseconds
  */
-record Successor(Link link, int strength, long startedAt) {
+record Successor(Peer peer, int strength, long startedAt) {
 
   /** The best first. */
   static final Comparator<Successor> ORDER =
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Ownership.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Ownership.java
@@ -89,6 +89,7 @@
   private long steppedInAt = -STEP_IN_MILLIS;
   private long suspectedAt = -SUSPECT_MILLIS;
   private boolean leaving;
+  private boolean closed;
   private boolean joining;
   private Runnable onLost = () -> {};
 
@@ -345,9 +346,11 @@
                     ? superseded(newer.owner(), reason, wanted, signOfLife)
                     : Future.succeededFuture(false);
               }
-              if (leaving) {
+              if (closed) {
                 return Future.succeededFuture(false);
               }
+              // One that was told to leave meanwhile has fenced its predecessor all the same: a
+              // cell whose owner dropped it has none. It hands over in its turn.
               owner = new Owner(instruments, taken, advice, customers, this::lost);
               announce(self.ownerOf(taken.epoch()));
               return Future.succeededFuture(true);
@@ -400,8 +403,23 @@
     return written.future();
   }
 
-  /** Stops deciding, once a successor has had the chance to take over. */
+  /**
+   * Tells whether this instance neither owns the cell nor is about to.
+   *
+   * @return true if it may end without harm to callers
+   */
+  public boolean settled() {
+    return owner == null && !takingOver;
+  }
+
+  /** Stops deciding, since a successor has said that it has taken over. */
+  public void handedOver() {
+    lost("handed over");
+  }
+
+  /** Stops deciding for good, since the process is over in a moment. */
   public void abdicate() {
+    closed = true;
     lost("shutdown");
   }
 
--- a/daemon/src/test/java/org/hickorypier/daemon/node/ShutdownTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/ShutdownTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.vertx.core.Future;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -229,4 +230,51 @@
       assertThat(caller.answers()).startsWith("HTTP/1.1 410");
     }
   }
+
+  /**
+   * All instances but one are being restarted, and then the owner is told to end too. It used to
+   * give the cell up at once, since nobody would take it: no caller was served until an instance
+   * came back, though the owner lived on for seconds. It goes on serving until one has come back.
+   */
+  @Test
+  void ownerWithoutSuccessorServesUntilOneComes() throws Exception {
+    try (SmallCluster cluster = new SmallCluster(1, 20)) {
+      SmallCluster.Instance owner = cluster.start();
+      SmallCluster.Instance other = cluster.start();
+      cluster.leave(other, TimeUnit.MINUTES.toMillis(1));
+      cluster.until(() -> !cluster.ready(other));
+      final Future<Void> left = cluster.leave(owner, TimeUnit.MINUTES.toMillis(1));
+      cluster.until(() -> cluster.told(owner, "handover"));
+      assertThat(cluster.submit(owner, "5c0e7a21d94b36f6", 1).status()).isEqualTo(200);
+      SmallCluster.Instance back = cluster.startUnowned(Strength.UNKNOWN);
+      cluster.until(() -> cluster.told(back, "owner-gained"));
+      SmallCluster.await(left);
+      cluster.until(() -> cluster.state(back, "5c0e7a21d94b36f6").equals("completed"));
+    }
+  }
+
+  /**
+   * The owner ends and asks another instance to take over, which is told to end in that very
+   * moment. It used to drop what it had just claimed: the cell had an owner by name that nobody
+   * was, for nine seconds of one play. It becomes the owner and hands over in its turn.
+   */
+  @Test
+  void instanceToldToEndInItsTakeoverBecomesTheOwnerAndHandsOver() throws Exception {
+    try (SmallCluster cluster = new SmallCluster(1, 20)) {
+      SmallCluster.Instance owner = cluster.start();
+      SmallCluster.Instance second = cluster.start();
+      cluster.log =
+          (part, event, fields) -> {
+            if (event.equals("taking-over") && !second.node().stopping()) {
+              cluster.leave(second, TimeUnit.MINUTES.toMillis(1));
+            }
+          };
+      cluster.leave(owner, TimeUnit.MINUTES.toMillis(1));
+      cluster.until(() -> cluster.told(second, "owner-gained"));
+      assertThat(cluster.submit(second, "5c0e7a21d94b36f7", 1).status()).isEqualTo(200);
+      SmallCluster.Instance back = cluster.startUnowned(Strength.UNKNOWN);
+      cluster.until(() -> cluster.told(back, "owner-gained"));
+      cluster.until(() -> cluster.state(back, "5c0e7a21d94b36f7").equals("completed"));
+    }
+  }
 }
