The cell is not handed to an instance that is slow at the moment

Cause: the order of successors knows strength and age, and nothing of how quick an instance is now. Change: the owner asks all candidates in parallel how long the piece of work takes them and waits 60 ms at most; those that take four times as long as the quickest, and those that do not answer, come last. Tests: SuccessorTest (3), WorkPaceTest (4), ShutdownTest.cellIsNotHandedToSlowInstance, which fails with the order as it was (the slow one takes over).

--- a/daemon/src/main/java/org/hickorypier/daemon/link/LinkCodec.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/link/LinkCodec.java
@@ -26,6 +26,7 @@
   private static final int TAKE_OVER = 7;
   private static final int EXPLAIN = 8;
   private static final int INTRODUCE = 9;
+  private static final int MEASURE_PACE = 10;
   private static final int ACCEPTED = 11;
   private static final int REFUSED = 12;
   private static final int STATE = 13;
@@ -78,6 +79,8 @@
       packer.packInt(INTRODUCE).packInt(introduce.strength()).packLong(introduce.ageMillis());
     } else if (request instanceof LinkRequest.ProveOwnership) {
       packer.packInt(PROVE_OWNERSHIP);
+    } else if (request instanceof LinkRequest.MeasurePace) {
+      packer.packInt(MEASURE_PACE);
     } else {
       packer.packInt(TAKE_OVER);
     }
@@ -171,6 +174,8 @@
         // An instance of an earlier version does not tell its age.
         return new LinkRequest.Introduce(
             unpacker.unpackInt(), unpacker.hasNext() ? unpacker.unpackLong() : 0);
+      case MEASURE_PACE:
+        return new LinkRequest.MeasurePace();
       case TAKE_OVER:
         return new LinkRequest.TakeOver();
       default:
--- a/daemon/src/main/java/org/hickorypier/daemon/link/LinkRequest.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/link/LinkRequest.java
@@ -70,6 +70,9 @@
    */
   record Introduce(int strength, long ageMillis) implements LinkRequest {}
 
+  /** Tell how long a fixed piece of work takes you now; a number of microseconds. */
+  record MeasurePace() implements LinkRequest {}
+
   /** Take the cell over: the owner is leaving, or the store refuses it. */
   record TakeOver() implements LinkRequest {}
 }
--- a/daemon/src/main/java/org/hickorypier/daemon/node/Handover.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Handover.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
+import java.util.function.UnaryOperator;
 import java.util.stream.Collectors;
 import org.hickorypier.core.cell.EventLog;
 import org.hickorypier.daemon.link.Link;
@@ -53,6 +54,9 @@
   /** Reading the journal and writing the owner record takes some 100 ms on a busy machine. */
   private static final long TAKE_OVER_MILLIS = 900;
 
+  /** Most instances answer within 10 ms; one that takes longer than this is no good successor. */
+  private static final Duration PACE_PATIENCE = Duration.ofMillis(60);
+
   private final Ownership ownership;
   private final TimerService timers;
   private final EventLog log;
@@ -73,8 +77,8 @@
   }
 
   /** Takes notice of an instance that has opened a link to this one. */
-  Peer linked(Link link) {
-    Peer peer = new Peer(link);
+  Peer linked(Link link, String address) {
+    Peer peer = new Peer(link, address);
     peers.add(peer);
     return peer;
   }
@@ -113,9 +117,10 @@
     if (ownership.settled()) {
       left.tryComplete();
     } else if (ownership.owns()) {
-      List<Peer> due =
-          successors(peer -> peer.sinceAskedMillis(timers.nowMillis()) >= ASK_AGAIN_MILLIS);
-      handOver(due, () -> true)
+      offer(
+              peer -> peer.sinceAskedMillis(timers.nowMillis()) >= ASK_AGAIN_MILLIS,
+              all -> all,
+              () -> true)
           .onSuccess(
               taken -> {
                 if (taken) {
@@ -135,28 +140,65 @@
       asked = 0;
     } else if (timers.nowMillis() >= askOnAt) {
       askOnAt = timers.nowMillis() + ASK_ON_MILLIS;
-      List<Peer> all = successors(peer -> true);
-      Collections.rotate(all, -asked);
-      asked += ASKED_IN_A_ROW;
-      handOver(
-          new ArrayList<>(all.subList(0, Math.min(ASKED_IN_A_ROW, all.size()))), this::refused);
+      offer(peer -> true, this::nextInTurn, this::refused);
     }
   }
 
+  private List<Peer> nextInTurn(List<Peer> all) {
+    Collections.rotate(all, -asked);
+    asked += ASKED_IN_A_ROW;
+    return new ArrayList<>(all.subList(0, Math.min(ASKED_IN_A_ROW, all.size())));
+  }
+
   private boolean refused() {
     return ownership.refusedFor(REFUSED_MILLIS);
   }
 
-  /** The instances that are linked to this one, the best successor first. */
-  private List<Peer> successors(Predicate<Peer> wanted) {
-    return peers.stream()
-        .filter(wanted)
-        .map(Peer::asSuccessor)
-        .sorted(Successor.ORDER)
+  /**
+   * Asks instances how quick they are, and then one after another to take over.
+   *
+   * @param asked which instances to ask
+   * @param chosen chooses among them, which come the best first
+   * @param wanted tells whether a successor is still wanted
+   * @return whether one has said that it has taken over
+   */
+  private Future<Boolean> offer(
+      Predicate<Peer> asked, UnaryOperator<List<Peer>> chosen, BooleanSupplier wanted) {
+    List<Peer> due = peers.stream().filter(asked).toList();
+    if (due.isEmpty()) {
+      return Future.succeededFuture(false);
+    }
+    handingOver = true;
+    return measure(due).compose(measured -> handOver(chosen.apply(ordered(due)), wanted));
+  }
+
+  private static List<Peer> ordered(List<Peer> due) {
+    return Successor.ordered(due.stream().map(Peer::asSuccessor).toList()).stream()
         .map(Successor::peer)
         .collect(Collectors.toCollection(ArrayList::new));
   }
 
+  private Future<Void> measure(List<Peer> due) {
+    Promise<Void> measured = Promise.promise();
+    List<Future<LinkReply>> replies = new ArrayList<>();
+    for (Peer peer : due) {
+      peer.paced(Successor.NO_ANSWER);
+      replies.add(
+          peer.link()
+              .ask(new LinkRequest.MeasurePace(), TAKE_OVER_MILLIS)
+              .onSuccess(reply -> paced(peer, reply)));
+    }
+    Future.join(replies).onComplete(all -> measured.tryComplete());
+    timers.after(PACE_PATIENCE, measured::tryComplete);
+    return measured.future();
+  }
+
+  private static void paced(Peer peer, LinkReply reply) {
+    if (reply instanceof LinkReply.Number micros) {
+      peer.paced(micros.number());
+    }
+  }
+
   /**
    * Asks one instance after another to take over, until one has.
    *
@@ -174,11 +216,11 @@
     next.askedToTakeOver(timers.nowMillis());
     return next.link()
         .ask(new LinkRequest.TakeOver(), TAKE_OVER_MILLIS)
-        .transform((reply, error) -> asked(reply, error, candidates, wanted));
+        .transform((reply, error) -> asked(next, reply, error, candidates, wanted));
   }
 
   private Future<Boolean> asked(
-      LinkReply reply, Throwable error, List<Peer> candidates, BooleanSupplier wanted) {
+      Peer next, LinkReply reply, Throwable error, List<Peer> candidates, BooleanSupplier wanted) {
     boolean taken = reply instanceof LinkReply.Noted;
     log.event(
         PART, "handover", "taken", taken, "answered", error == null, "left", candidates.size());
--- a/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
@@ -23,6 +23,7 @@
 import org.hickorypier.daemon.owner.Instruments;
 import org.hickorypier.daemon.owner.OwnerRecord;
 import org.hickorypier.daemon.owner.Ownership;
+import org.hickorypier.daemon.owner.WorkPace;
 import org.hickorypier.daemon.time.ContextTimers;
 import org.hickorypier.daemon.time.PauseGuard;
 import org.hickorypier.platform.advice.AdviceClient;
@@ -62,6 +63,7 @@
   private final NodeSettings settings;
   private final EventLog log;
   private final LongSupplier wall;
+  private final WorkPace pace;
   private ConfigurationWatch configuration;
   private Ownership ownership;
   private Gateway gateway;
@@ -83,9 +85,14 @@
    * @param wall the time of day, milliseconds since 1970
    */
   public Node(NodeSettings settings, EventLog log, LongSupplier wall) {
+    this(settings, log, wall, new WorkPace(WorkPace::work));
+  }
+
+  Node(NodeSettings settings, EventLog log, LongSupplier wall, WorkPace pace) {
     this.settings = settings;
     this.log = log;
     this.wall = wall;
+    this.pace = pace;
   }
 
   @Override
@@ -146,8 +153,9 @@
             socket -> {
               PeerHandler answers = new PeerHandler();
               Link link = new Link(socket, answers, timers);
-              answers.peer = handover.linked(link);
-              Runnable forget = ownership.addAsker(socket.remoteAddress().hostAddress(), link::ask);
+              String address = socket.remoteAddress().hostAddress();
+              answers.peer = handover.linked(link, address);
+              Runnable forget = ownership.addAsker(address, link::ask);
               link.onClose(
                   () -> {
                     handover.unlinked(answers.peer);
@@ -217,6 +225,10 @@
       return Future.succeededFuture(
           ownership.proven() ? new LinkReply.Noted() : new LinkReply.NotOwner());
     }
+    if (request instanceof LinkRequest.MeasurePace) {
+      return Future.succeededFuture(
+          stopping ? new LinkReply.Failed() : new LinkReply.Number(pace.measureMicros()));
+    }
     if (request instanceof LinkRequest.TakeOver) {
       return ownership
           .takeOverAsAsked()
--- a/daemon/src/main/java/org/hickorypier/daemon/node/Peer.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Peer.java
@@ -9,25 +9,37 @@
   private static final long NEVER = Long.MIN_VALUE / 2;
 
   private final Link link;
+  private final String address;
   private int strength;
   private long startedAt;
   private long askedAt = NEVER;
+  private int workMicros = Successor.NO_ANSWER;
 
-  Peer(Link link) {
+  Peer(Link link, String address) {
     this.link = link;
+    this.address = address;
   }
 
   Link link() {
     return link;
   }
 
+  String address() {
+    return address;
+  }
+
   void introduced(LinkRequest.Introduce introduce, long nowMillis) {
     strength = introduce.strength();
     startedAt = nowMillis - introduce.ageMillis();
   }
 
   Successor asSuccessor() {
-    return new Successor(this, strength, startedAt);
+    return new Successor(this, strength, startedAt, workMicros);
+  }
+
+  /** Takes notice of how long the piece of work takes it, in microseconds. */
+  void paced(int micros) {
+    workMicros = micros;
   }
 
   /** Takes notice that it is asked to take over. */
--- /dev/null
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/WorkPace.java
@@ -0,0 +1,105 @@
+package org.hickorypier.daemon.owner;
+
+import java.util.Arrays;
+import java.util.function.LongSupplier;
+
+/**
+ * How long a fixed piece of work takes on this machine, now and usually.
+ *
+ * <p>Failure: a machine turns several times slower, by its neighbours or its allowance, and goes on
+ * answering. Symptom: as the owner of the cell it falls behind, all other instances suspect it, and
+ * callers wait through one takeover after another. Safeguard: instances compare how long the same
+ * work takes them; it is enough because the work is the same on all and needs nothing but the
+ * processor. Belongs to the control thread.
+ */
+public final class WorkPace {
+
+  /** Some 20 us of work on a usual machine; the clock tells microseconds. */
+  private static final int ADDITIONS = 20_000;
+
+  /** Half a minute of samples: longer than most spells, so that these do not become the usual. */
+  private static final int SAMPLES = 128;
+
+  /** An interruption makes one sample longer, seldom three in a row. */
+  private static final int RECENT = 3;
+
+  /** The first seconds of a process are slower than all later ones. */
+  private static final int FEWEST_SAMPLES = 16;
+
+  /** A busy machine takes up to twice as long as an idle one. */
+  private static final double SLOWED_TIMES = 2.5;
+
+  private static final long NANOS_A_MICRO = 1_000;
+
+  /** Keeps the work from being left out by the compiler. */
+  private static volatile long result;
+
+  private final LongSupplier workNanos;
+  private final long[] samples = new long[SAMPLES];
+  private int taken;
+
+  /**
+   * Creates the pace.
+   *
+   * @param workNanos does the piece of work and returns how long it took, in nanoseconds
+   */
+  public WorkPace(LongSupplier workNanos) {
+    this.workNanos = workNanos;
+  }
+
+  /**
+   * Does the piece of work.
+   *
+   * @return how long it took, in nanoseconds
+   */
+  public static long work() {
+    long begun = System.nanoTime();
+    long sum = begun;
+    for (int count = 0; count < ADDITIONS; count++) {
+      sum = sum * 31 + count;
+    }
+    result = sum;
+    return System.nanoTime() - begun;
+  }
+
+  /** Takes a sample; called in regular periods. */
+  public void sample() {
+    samples[taken % SAMPLES] = workNanos.getAsLong();
+    taken++;
+  }
+
+  /**
+   * Measures anew.
+   *
+   * @return the least of a few attempts, in microseconds
+   */
+  public int measureMicros() {
+    long least = Long.MAX_VALUE;
+    for (int attempt = 0; attempt < RECENT; attempt++) {
+      least = Math.min(least, workNanos.getAsLong());
+    }
+    return (int) Math.min(Integer.MAX_VALUE, Math.max(1, least / NANOS_A_MICRO));
+  }
+
+  /**
+   * Tells whether this machine is much slower than it usually is.
+   *
+   * @return true while the work takes several times as long
+   */
+  public boolean slowed() {
+    if (taken < FEWEST_SAMPLES) {
+      return false;
+    }
+    long recent = Long.MAX_VALUE;
+    for (int back = 1; back <= RECENT; back++) {
+      recent = Math.min(recent, samples[(taken - back) % SAMPLES]);
+    }
+    return recent > SLOWED_TIMES * usualNanos();
+  }
+
+  private long usualNanos() {
+    long[] sorted = Arrays.copyOf(samples, Math.min(taken, SAMPLES));
+    Arrays.sort(sorted);
+    return sorted[sorted.length / 2];
+  }
+}
--- a/daemon/src/test/java/org/hickorypier/daemon/link/LinkCodecTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/link/LinkCodecTest.java
@@ -42,6 +42,7 @@
         new LinkRequest.Explain("id"),
         new LinkRequest.Introduce(1_500, 62_000),
         new LinkRequest.ProveOwnership(),
+        new LinkRequest.MeasurePace(),
         new LinkRequest.TakeOver());
   }
 
--- a/daemon/src/test/java/org/hickorypier/daemon/node/ShutdownTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/ShutdownTest.java
@@ -277,4 +277,23 @@
       cluster.until(() -> cluster.state(back, "5c0e7a21d94b36f7").equals("completed"));
     }
   }
+
+  /**
+   * The owner ends while the instance that was started last runs five times slower. The cell used
+   * to go to that one, since nobody asked how quick it was: all others suspected it within two
+   * seconds ("owner-suspected", silent 220 to 490 ms). It goes to the quick one.
+   */
+  @Test
+  void cellIsNotHandedToSlowInstance() throws Exception {
+    try (SmallCluster cluster = new SmallCluster(1, 20)) {
+      cluster.workNanos = 20_000;
+      final SmallCluster.Instance owner = cluster.start();
+      final SmallCluster.Instance quick = cluster.start();
+      cluster.workNanos = 100_000;
+      final SmallCluster.Instance slow = cluster.start();
+      SmallCluster.await(cluster.leave(owner, TimeUnit.MINUTES.toMillis(1)));
+      cluster.until(() -> cluster.told(quick, "owner-gained"));
+      assertThat(cluster.told(slow, "taking-over")).isFalse();
+    }
+  }
 }
--- a/daemon/src/test/java/org/hickorypier/daemon/node/SmallCluster.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/SmallCluster.java
@@ -29,6 +29,7 @@
 import org.hickorypier.core.model.Resources;
 import org.hickorypier.core.submission.QueueTerms;
 import org.hickorypier.daemon.owner.Strength;
+import org.hickorypier.daemon.owner.WorkPace;
 import org.hickorypier.platform.http.HttpCalls;
 import org.hickorypier.platform.http.HttpReply;
 import org.hickorypier.platform.http.ServiceAddress;
@@ -67,6 +68,9 @@
   EventLog log = (part, event, fields) -> {};
   Runnable onClose = () -> {};
 
+  /** How long the fixed piece of work takes the instances that are started from now on. */
+  long workNanos = 20_000;
+
   /** One instance with the name of its deployment. */
   record Instance(NodeSettings settings, Node node, String deployment) {}
 
@@ -180,13 +184,15 @@
 
   /** Makes an instance that is not started. */
   Node newNode(NodeSettings settings) {
+    long work = workNanos;
     return new Node(
         settings,
         (part, event, fields) -> {
           events.add(settings.name() + " " + part + " " + event + " " + List.of(fields));
           log.event(part, event, fields);
         },
-        System::currentTimeMillis);
+        System::currentTimeMillis,
+        new WorkPace(() -> work));
   }
 
   /** Tells whether an instance has logged an event. */
--- a/daemon/src/test/java/org/hickorypier/daemon/node/SuccessorTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/SuccessorTest.java
@@ -8,7 +8,11 @@
 class SuccessorTest {
 
   private static Successor instance(int strength, long startedAt) {
-    return new Successor(null, strength, startedAt);
+    return new Successor(null, strength, startedAt, 20);
+  }
+
+  private static Successor quick(long startedAt, int workMicros) {
+    return new Successor(null, 750, startedAt, workMicros);
   }
 
   /**
@@ -32,4 +36,33 @@
     assertThat(List.of(weak, strong).stream().sorted(Successor.ORDER))
         .containsExactly(strong, weak);
   }
+
+  /**
+   * The owner is stopped while two of its successors are five times slower than usual, one of them
+   * just restarted. The cell goes to a quick one: the slow ones were suspected by all others within
+   * two seconds, and callers waited through the next takeover.
+   */
+  @Test
+  void slowMachineComesLastThoughItWasStartedLast() {
+    Successor slow = quick(4_000, 95);
+    Successor silent = quick(5_000, Successor.NO_ANSWER);
+    Successor quick = quick(-60_000, 19);
+    Successor restarted = quick(2_000, 57);
+    assertThat(Successor.ordered(List.of(slow, silent, quick, restarted)))
+        .containsExactly(restarted, quick, silent, slow);
+  }
+
+  @Test
+  void nobodyIsSlowWhereAllTakeAsLong() {
+    Successor old = quick(-60_000, 100);
+    Successor young = quick(2_000, 120);
+    assertThat(Successor.ordered(List.of(old, young))).containsExactly(young, old);
+  }
+
+  @Test
+  void withoutAnyAnswerTheUsualOrderHolds() {
+    Successor old = quick(-60_000, Successor.NO_ANSWER);
+    Successor young = quick(2_000, Successor.NO_ANSWER);
+    assertThat(Successor.ordered(List.of(old, young))).containsExactly(young, old);
+  }
 }
--- /dev/null
+++ b/daemon/src/test/java/org/hickorypier/daemon/owner/WorkPaceTest.java
@@ -0,0 +1,58 @@
+package org.hickorypier.daemon.owner;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class WorkPaceTest {
+
+  private long nanos = 20_000;
+  private final WorkPace pace = new WorkPace(() -> nanos);
+
+  private void samples(int count, long each) {
+    nanos = each;
+    for (int index = 0; index < count; index++) {
+      pace.sample();
+    }
+  }
+
+  /**
+   * A machine turns five times slower for 12 s. It says so after three samples, for as long as that
+   * lasts, and no longer: a spell of 48 samples does not become what is usual.
+   */
+  @Test
+  void slowSpellIsToldFromItsThirdSampleToItsEnd() {
+    samples(100, 20_000);
+    samples(2, 100_000);
+    assertThat(pace.slowed()).isFalse();
+    samples(1, 100_000);
+    assertThat(pace.slowed()).isTrue();
+    samples(45, 100_000);
+    assertThat(pace.slowed()).isTrue();
+    samples(1, 20_000);
+    assertThat(pace.slowed()).isFalse();
+  }
+
+  @Test
+  void interruptionIsNoSlowness() {
+    samples(100, 20_000);
+    samples(1, 3_000_000);
+    assertThat(pace.slowed()).isFalse();
+  }
+
+  /** A process is slow while its code is new; that says nothing of its machine. */
+  @Test
+  void nothingIsToldOfTheFirstSamples() {
+    samples(3, 20_000);
+    samples(12, 400_000);
+    assertThat(pace.slowed()).isFalse();
+  }
+
+  @Test
+  void measureIsInMicrosecondsAndNeverNothing() {
+    nanos = 57_400;
+    assertThat(pace.measureMicros()).isEqualTo(57);
+    nanos = 3;
+    assertThat(pace.measureMicros()).isEqualTo(1);
+  }
+}
