A slowed machine steps in for a lost owner after all others

Cause: instances step in by a spread of their addresses and the strength of their machines; none looked at how quick it is now. Change: one whose piece of work takes 2.5 times as long as usual waits 0.75 s more, like a weak one. Samples are taken each 250 ms, some 20 us each. A takeover that the store's group asks for is not delayed: nobody else would be asked. Test: StepInDelayTest; it does not compile before (the delay was inside the gateway).

--- a/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
@@ -51,6 +51,9 @@
 
   private static final int CONNECT_MILLIS = 500;
 
+  /** A sample takes some 20 us; three tell that the machine has turned slow. */
+  private static final Duration PACE_PERIOD = Duration.ofMillis(250);
+
   /** Longer than a takeover. */
   private static final long EXPLAIN_MILLIS = 2_000;
 
@@ -140,8 +143,10 @@
             directory,
             ownership,
             this::answerPeer,
-            self);
+            self,
+            pace);
     timers.every(Duration.ofMillis(100), () -> ownerlessMillis = gateway.ownerlessMillis());
+    timers.every(PACE_PERIOD, pace::sample);
     configuration.start();
     directory.start();
     gateway.start();
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Gateway.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Gateway.java
@@ -49,12 +49,6 @@
   /** Questions that an instance may answer with no before it is replaced. */
   private static final int DENIALS_TO_TAKE_OVER = 2;
 
-  /** Instances step in one after another, so that one takes over before the next tries. */
-  private static final int STEP_IN_SPREAD_MILLIS = 250;
-
-  /** A weak machine leaves the first tries to stronger ones: three of their spreads. */
-  private static final int WEAK_DELAY_MILLIS = 750;
-
   /** Waiting for a successor longer than this is worse for a caller than coming back. */
   private static final long OWNERLESS_MILLIS = 1_800;
 
@@ -68,6 +62,7 @@
   private final Ownership ownership;
   private final LinkHandler handler;
   private final Candidate self;
+  private final WorkPace pace;
   private final Set<Pending> pending = new LinkedHashSet<>();
   private Link link;
   private OwnerRecord linkedTo = OwnerRecord.NONE;
@@ -90,6 +85,7 @@
    * @param ownership answers if this instance is the owner
    * @param handler answers what the owner asks over the link
    * @param self this instance
+   * @param pace how quick its machine is
    */
   public Gateway(
       NetClient client,
@@ -98,7 +94,8 @@
       Directory directory,
       Ownership ownership,
       LinkHandler handler,
-      Candidate self) {
+      Candidate self,
+      WorkPace pace) {
     this.client = client;
     this.timers = timers;
     this.log = log;
@@ -106,6 +103,7 @@
     this.ownership = ownership;
     this.handler = handler;
     this.self = self;
+    this.pace = pace;
     this.startedAt = timers.nowMillis();
     this.ownerlessSince = startedAt;
     this.repliedAt = ownerlessSince;
@@ -322,8 +320,7 @@
 
   private Duration stepInDelay() {
     boolean weak = directory.owner().strength().farAbove(self.strength());
-    int spread = 1 + Math.floorMod(self.address().hashCode(), STEP_IN_SPREAD_MILLIS);
-    return Duration.ofMillis(spread + (weak ? WEAK_DELAY_MILLIS : 0));
+    return StepInDelay.of(self.address(), weak, pace.slowed());
   }
 
   private void stepIn(OwnerRecord dead) {
--- /dev/null
+++ b/daemon/src/test/java/org/hickorypier/daemon/owner/StepInDelayTest.java
@@ -0,0 +1,31 @@
+package org.hickorypier.daemon.owner;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+
+class StepInDelayTest {
+
+  private static final String ADDRESS = "10.1.0.17:7420";
+
+  /**
+   * The owner is lost while this instance's machine runs five times slower. It used to step in as
+   * early as any other, and callers waited for a slow owner and then for the next takeover; now all
+   * quick ones are due before it, whatever their addresses.
+   */
+  @Test
+  void slowedMachineStepsInAfterAllOthers() {
+    Duration slowed = StepInDelay.of(ADDRESS, false, true);
+    for (int last = 1; last < 255; last++) {
+      Duration other = StepInDelay.of("10.1.0." + last + ":7420", false, false);
+      assertThat(other).isLessThan(slowed);
+    }
+  }
+
+  @Test
+  void weakMachineStepsInAfterAllOthers() {
+    assertThat(StepInDelay.of(ADDRESS, true, false))
+        .isEqualTo(StepInDelay.of(ADDRESS, false, false).plusMillis(StepInDelay.LAST_MILLIS));
+  }
+}
