The test of the closed connection waits until the front has begun to send callers away

It failed once (2.27 s, the answer without 'Connection: close'): its request was sometimes read before the traffic thread had heard of the end, which is allowed, and then the connection was closed as unused. Traced to that order; the test now awaits it, and its checks are the same.

--- a/daemon/src/test/java/org/hickorypier/daemon/node/ShutdownTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/ShutdownTest.java
@@ -70,8 +70,12 @@
   void connectionIsClosedAfterTheAnswerThatSaysSo() throws Exception {
     try (SmallCluster cluster = new SmallCluster(1, 20)) {
       SmallCluster.Instance instance = cluster.start();
-      RawCaller caller = caller(cluster, instance);
+      RawCaller earlier = caller(cluster, instance).askNowhere();
+      cluster.until(earlier::answered);
+      final RawCaller caller = caller(cluster, instance);
       cluster.leave(instance, TimeUnit.MINUTES.toMillis(1));
+      // Requests are counted anew from the moment in which the front begins to send callers away.
+      cluster.until(() -> instance.node().drainReport().read() == 0);
       caller.askNowhere();
       caller.awaitClosed();
       assertThat(caller.answers()).startsWith("HTTP/1.1 404").containsIgnoringCase("close");
