A slowed owner hands over to a quicker instance

Hypothesis: the pause of one handover costs callers less than a slow owner. Test: NodeTest.slowedOwnerHandsOverToQuickInstance, seen failing.

--- a/daemon/src/main/java/org/hickorypier/daemon/node/Handover.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Handover.java
@@ -15,6 +15,7 @@
 import org.hickorypier.daemon.link.LinkReply;
 import org.hickorypier.daemon.link.LinkRequest;
 import org.hickorypier.daemon.owner.Ownership;
+import org.hickorypier.daemon.owner.WorkPace;
 import org.hickorypier.daemon.time.TimerService;
 
 /**
@@ -57,17 +58,26 @@
   /** Most instances answer within 10 ms; one that takes longer than this is no good successor. */
   private static final Duration PACE_PATIENCE = Duration.ofMillis(60);
 
+  /** A slowed owner looks for a quicker one at most so often, in milliseconds. */
+  private static final long SLOWED_AGAIN_MILLIS = 3_000;
+
+  /** A successor has to be so much quicker than this instance to be worth the pause. */
+  private static final int QUICKER_TIMES = 2;
+
   private final Ownership ownership;
+  private final WorkPace pace;
   private final TimerService timers;
   private final EventLog log;
   private final List<Peer> peers = new ArrayList<>();
   private Promise<Void> left;
   private boolean handingOver;
   private long askOnAt;
+  private long slowedAgainAt;
   private int asked;
 
-  Handover(Ownership ownership, TimerService timers, EventLog log) {
+  Handover(Ownership ownership, WorkPace pace, TimerService timers, EventLog log) {
     this.ownership = ownership;
+    this.pace = pace;
     this.timers = timers;
     this.log = log;
   }
@@ -108,11 +118,30 @@
     }
     if (left != null) {
       handOverToLeave();
+    } else if (ownership.owns() && pace.slowed() && timers.nowMillis() >= slowedAgainAt) {
+      handOverToQuicker();
     } else {
       handOverIfRefused();
     }
   }
 
+  /**
+   * Load: the owner's machine turns several times slower and goes on answering. Harm prevented: it
+   * falls behind with all starts of the cell until the others suspect it, and a suspicion that its
+   * late answers allay does so again and again. The pause of one handover is shorter.
+   */
+  private void handOverToQuicker() {
+    slowedAgainAt = timers.nowMillis() + SLOWED_AGAIN_MILLIS;
+    int own = pace.measureMicros();
+    offer(peer -> true, all -> quickerThan(own, all), pace::slowed);
+  }
+
+  private static List<Peer> quickerThan(int micros, List<Peer> all) {
+    return all.stream()
+        .filter(peer -> (long) QUICKER_TIMES * peer.asSuccessor().workMicros() < micros)
+        .collect(Collectors.toCollection(ArrayList::new));
+  }
+
   private void handOverToLeave() {
     if (ownership.settled()) {
       left.tryComplete();
--- a/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
@@ -133,7 +133,7 @@
     configuration =
         new ConfigurationWatch(
             store, timers, pauses, log, settings.revokeMillis(), this::configured);
-    handover = new Handover(ownership, timers, log);
+    handover = new Handover(ownership, pace, timers, log);
     gateway =
         new Gateway(
             vertx.createNetClient(
--- a/daemon/src/test/java/org/hickorypier/daemon/node/NodeTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/NodeTest.java
@@ -5,6 +5,8 @@
 import io.vertx.core.Promise;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.net.NetSocket;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.hickorypier.daemon.owner.Strength;
 import org.hickorypier.standins.fault.Fault;
 import org.hickorypier.standins.fault.FaultPlan;
@@ -266,4 +268,30 @@
       cluster.until(() -> !instance.node().busy());
     }
   }
+
+  /**
+   * The owner's machine turns five times slower and goes on answering. Callers used to wait for it
+   * until its neighbour's load was over, since nothing was lost and nobody took over. It hands the
+   * cell to the quick instance; an instance as slow as itself would gain nothing and is not asked.
+   */
+  @Test
+  void slowedOwnerHandsOverToQuickInstance() throws Exception {
+    try (SmallCluster cluster = new SmallCluster(1, 20)) {
+      final SmallCluster.Instance owner = cluster.start();
+      final AtomicLong ownersWork = cluster.latestWorkNanos;
+      final SmallCluster.Instance quick = cluster.start();
+      cluster.workNanos = 60_000;
+      final SmallCluster.Instance slow = cluster.start();
+      long began = System.nanoTime();
+      // Half a minute's samples tell what is usual; some seconds are the least.
+      cluster.until(() -> System.nanoTime() - began > TimeUnit.SECONDS.toNanos(5));
+      ownersWork.set(100_000);
+      cluster.until(() -> cluster.told(quick, "owner-gained"));
+      cluster.until(() -> cluster.told(owner, "owner-lost"));
+      assertThat(cluster.told(slow, "taking-over")).isFalse();
+      String id = ID.formatted(13);
+      assertThat(cluster.submit(owner, id, 1).status()).isEqualTo(200);
+      cluster.until(() -> cluster.state(owner, id).equals("completed"));
+    }
+  }
 }
--- a/daemon/src/test/java/org/hickorypier/daemon/node/SmallCluster.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/SmallCluster.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import org.hickorypier.core.cell.CellTerms;
 import org.hickorypier.core.cell.CustomerTerms;
@@ -71,6 +72,9 @@
   /** How long the fixed piece of work takes the instances that are started from now on. */
   long workNanos = 20_000;
 
+  /** The same of the instance that was made last; it may be changed while that runs. */
+  AtomicLong latestWorkNanos;
+
   /** One instance with the name of its deployment. */
   record Instance(NodeSettings settings, Node node, String deployment) {}
 
@@ -184,7 +188,8 @@
 
   /** Makes an instance that is not started. */
   Node newNode(NodeSettings settings) {
-    long work = workNanos;
+    AtomicLong work = new AtomicLong(workNanos);
+    latestWorkNanos = work;
     return new Node(
         settings,
         (part, event, fields) -> {
@@ -192,7 +197,7 @@
           log.event(part, event, fields);
         },
         System::currentTimeMillis,
-        new WorkPace(() -> work));
+        new WorkPace(work::get));
   }
 
   /** Tells whether an instance has logged an event. */
