A claim that was never announced is announced by whoever finds it

Change: it announces what it found; that is idempotent, as epoch and number are the claim's own. Test: NodeTest.claimThatWasNeverAnnounced..., seen failing.

--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Ownership.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Ownership.java
@@ -359,11 +359,16 @@
 
   private Future<Boolean> superseded(
       OwnerRecord newer, String reason, BooleanSupplier wanted, Takeover.Pause signOfLife) {
-    directory.learn(newer);
-    // A claim of this instance may have succeeded while its answer was lost.
-    return newer.address().equals(self.address())
-        ? takeOver(reason, wanted, signOfLife)
-        : Future.succeededFuture(false);
+    if (newer.address().equals(self.address())) {
+      // A claim of this instance has succeeded while its answer was lost.
+      directory.learn(newer);
+      return takeOver(reason, wanted, signOfLife);
+    }
+    // Its process may have ended between the claim and the announcement. Then each instance would
+    // find out by a failed takeover of its own, and the named one, once back, not at all. A second
+    // announcement of one claim is answered like the first.
+    announce(newer);
+    return Future.succeededFuture(false);
   }
 
   /** Far apart for two candidates, and far from the end of the range. */
--- a/daemon/src/test/java/org/hickorypier/daemon/node/NodeTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/NodeTest.java
@@ -294,4 +294,24 @@
       cluster.until(() -> cluster.state(owner, id).equals("completed"));
     }
   }
+
+  /**
+   * An instance claims the cell and its process ends before it has told anybody. The journal names
+   * it as the owner and the directory its predecessor, so each other instance had to find out by a
+   * takeover of its own that failed, one after another for four seconds. The first that finds out
+   * tells all, also the named one, which has come back and takes the cell up again.
+   */
+  @Test
+  void claimThatWasNeverAnnouncedIsAnnouncedByWhoeverFindsIt() throws Exception {
+    try (SmallCluster cluster = new SmallCluster(1, 20)) {
+      final SmallCluster.Instance owner = cluster.start();
+      SmallCluster.Instance named = cluster.start();
+      cluster.claimFor(named, 2);
+      cluster.until(() -> cluster.told(owner, "owner-lost"));
+      cluster.until(() -> cluster.told(named, "owner-gained"));
+      String id = ID.formatted(14);
+      cluster.until(() -> cluster.submit(owner, id, 1).status() == 200);
+      cluster.until(() -> cluster.state(named, id).equals("completed"));
+    }
+  }
 }
--- a/daemon/src/test/java/org/hickorypier/daemon/node/SmallCluster.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/SmallCluster.java
@@ -155,10 +155,21 @@
     store.join("hickorypier", "a-member-standing-still", "keyed.hickorypier-journal", 60_000);
   }
 
+  /** Claims the cell in an instance's name, in the journal alone and without its knowledge. */
+  void claimFor(Instance instance, int epoch) throws Exception {
+    byte[] owner =
+        (epoch + " " + instance.settings().advertisedPeer()).getBytes(StandardCharsets.UTF_8);
+    write("keyed.hickorypier-journal", "owner", owner, epoch);
+  }
+
   private void write(String topic, String key, byte[] value) throws Exception {
+    write(topic, key, value, 1);
+  }
+
+  private void write(String topic, String key, byte[] value, int epoch) throws Exception {
     StoreClient client = new StoreClient(calls, storeAddress);
     List<KeyedRecord> records = List.of(new KeyedRecord(key, value));
-    await(client.append(new Append(topic, 0, records, OptionalLong.empty(), "owner", 1, 1)));
+    await(client.append(new Append(topic, 0, records, OptionalLong.empty(), "owner", epoch, 1)));
   }
 
   Instance start() throws Exception {
