--- a/daemon/src/test/java/org/hickorypier/daemon/node/RawCaller.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/RawCaller.java
@@ -53,6 +53,15 @@
         + "\r\n";
   }
 
+  int answerCount() {
+    return answerCount("");
+  }
+
+  /** Returns how many answers with a status were read. */
+  int answerCount(String status) {
+    return answers().split("HTTP/1.1 " + status, -1).length - 1;
+  }
+
   /** Returns all that was read, answer after answer. */
   String answers() {
     return answers.toString();
--- a/daemon/src/test/java/org/hickorypier/daemon/node/ShutdownTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/ShutdownTest.java
@@ -320,18 +320,25 @@
         callers.add(caller(cluster, successor));
       }
       AtomicInteger submitted = new AtomicInteger();
-      cluster.vertx.setPeriodic(
-          4,
-          id -> {
-            int number = submitted.getAndIncrement();
-            callers.get(number % callers.size()).submit("a%015x".formatted(number));
-          });
+      final long load =
+          cluster.vertx.setPeriodic(
+              4,
+              id -> {
+                int number = submitted.getAndIncrement();
+                callers.get(number % callers.size()).submit("a%015x".formatted(number));
+              });
       // Calls to the store take their time, so that appends come between its answers.
       cluster.storeServer.gate().plan(new FaultPlan("", Fault.NONE, -1, 25));
       cluster.until(() -> submitted.get() > 100);
       SmallCluster.await(cluster.leave(owner, TimeUnit.MINUTES.toMillis(1)));
       cluster.until(() -> cluster.told(successor, "owner-gained"));
       assertThat(cluster.told(successor, "owner-gained [epoch, 2,")).isTrue();
+      cluster.vertx.cancelTimer(load);
+      // A cluster that is taken down under load can hang: its clients refuse calls by throwing.
+      cluster.until(
+          () -> callers.stream().mapToInt(RawCaller::answerCount).sum() == submitted.get());
+      long accepted = callers.stream().mapToLong(each -> each.answerCount("200 OK")).sum();
+      cluster.until(() -> cluster.starts().size() >= accepted);
     }
   }
 }
--- a/measure/src/main/java/org/hickorypier/measure/takeover/Disturbance.java
+++ b/measure/src/main/java/org/hickorypier/measure/takeover/Disturbance.java
@@ -51,6 +51,7 @@
   private void kill(int round) throws FleetException {
     EntryProcess victim = pick();
     fleet.killEntry(victim);
+    tell("killed", victim);
     kills++;
     pass(LIST_LAG_MILLIS);
     fleet.unlist(victim.name());
@@ -60,9 +61,16 @@
   private void pause() throws FleetException {
     EntryProcess victim = pick();
     victim.process().pause();
+    tell("paused", victim);
     pauses++;
     pass(settings.leaseMillis() * 2);
     victim.process().resume();
+    tell("resumed", victim);
+  }
+
+  /** Tells when what was done to whom, to compare with the histories of the workers. */
+  private static void tell(String what, EntryProcess victim) {
+    System.err.println(System.currentTimeMillis() + " " + what + " " + victim.name());
   }
 
   private EntryProcess pick() {
--- a/standins/src/main/java/org/hickorypier/standins/worker/TaskHistory.java
+++ b/standins/src/main/java/org/hickorypier/standins/worker/TaskHistory.java
@@ -68,6 +68,17 @@
     return startMillis < other.endOrNever() && other.startMillis < endOrNever();
   }
 
+  /**
+   * Tells whether this run was under way at a moment. In the millisecond of its end it was not: the
+   * order of what happens within one is not known.
+   *
+   * @param moment the moment, by the workers' common clock, in milliseconds
+   * @return true if so
+   */
+  public boolean runsAt(long moment) {
+    return startMillis <= moment && moment < endOrNever();
+  }
+
   private long endOrNever() {
     return endMillis < 0 ? Long.MAX_VALUE : endMillis;
   }
