An owner that the store refuses goes on starting while it looks for a successor

Now it rests only where the store serves it. No test of its own: over the stand-in the candidates fail at once.

--- a/daemon/src/main/java/org/hickorypier/daemon/node/Handover.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Handover.java
@@ -77,6 +77,13 @@
   private final List<Peer> peers = new ArrayList<>();
   private Promise<Void> left;
   private boolean handingOver;
+
+  /**
+   * An owner that the store refuses does not rest: it writes nothing anyway, and where the store is
+   * away for all, nobody takes over and what was accepted has to go on.
+   */
+  private boolean resting;
+
   private long askOnAt;
   private long slowedAgainAt;
   private int turn;
@@ -246,7 +253,10 @@
     handingOver = true;
     Peer next = candidates.remove(0);
     next.askedToTakeOver(timers.nowMillis());
-    ownership.rest(REST_MILLIS);
+    resting = !refused();
+    if (resting) {
+      ownership.rest(REST_MILLIS);
+    }
     return next.link()
         .ask(new LinkRequest.TakeOver(), TAKE_OVER_MILLIS)
         .transform((reply, error) -> answered(next, reply, error, candidates, wanted));
@@ -256,7 +266,18 @@
       Peer next, LinkReply reply, Throwable error, List<Peer> candidates, BooleanSupplier wanted) {
     boolean taken = reply instanceof LinkReply.Noted;
     log.event(
-        PART, "handover", "taken", taken, "answered", error == null, "left", candidates.size());
+        PART,
+        "handover",
+        "asked",
+        next.address(),
+        "work_us",
+        next.asSuccessor().workMicros(),
+        "taken",
+        taken,
+        "answered",
+        error == null,
+        "left",
+        candidates.size());
     if (taken) {
       handingOver = false;
       ownership.handedOver();
@@ -265,13 +286,20 @@
     if (error != null) {
       // An instance that has taken over closes its link to the former owner, often before its
       // reply. The next append tells so in a moment; asking the next one would make two.
-      ownership.resumeWriting(FENCE_DELAY.toMillis());
+      resume(FENCE_DELAY.toMillis());
       return pause().compose(paused -> handOver(candidates, wanted));
     }
-    ownership.resumeWriting(0);
+    resume(0);
     return handOver(candidates, wanted);
   }
 
+  private void resume(long startsRestMillis) {
+    if (resting) {
+      resting = false;
+      ownership.resumeWriting(startsRestMillis);
+    }
+  }
+
   private Future<Void> pause() {
     Promise<Void> paused = Promise.promise();
     timers.after(FENCE_DELAY, paused::tryComplete);
