--- a/daemon/src/test/java/org/hickorypier/daemon/node/ShutdownTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/ShutdownTest.java
@@ -37,7 +37,7 @@
       cluster.until(idle::answered);
       RawCaller stalled = caller(cluster, instance);
       stalled.write(RawCaller.head("POST", "5c0e7a21d94b36f1") + STALLED);
-      cluster.until(() -> cluster.leave(instance, 0).isComplete());
+      SmallCluster.await(cluster.leave(instance, 0));
       SmallCluster.await(instance.node().closeFront());
       idle.awaitClosed();
       stalled.awaitClosed();
@@ -103,7 +103,7 @@
         cluster.until(caller::answered);
         callers.add(caller);
       }
-      cluster.until(() -> cluster.leave(instance, 500).isComplete());
+      SmallCluster.await(cluster.leave(instance, 500));
       for (int index = 0; index < 30; index++) {
         callers.get(index).submit("a%015x".formatted(index));
       }
--- a/daemon/src/test/java/org/hickorypier/daemon/node/SmallCluster.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/SmallCluster.java
@@ -303,6 +303,12 @@
   public void close() throws ExecutionException, TimeoutException {
     onClose.run();
     try {
+      // Instances first: they still call the stand-ins, whose end would wait for those calls.
+      for (Instance instance : instances) {
+        if (vertx.deploymentIDs().contains(instance.deployment())) {
+          await(vertx.undeploy(instance.deployment()));
+        }
+      }
       await(vertx.close());
     } catch (InterruptedException error) {
       Thread.currentThread().interrupt();
