--- a/core/src/main/java/org/hickorypier/core/cell/Cell.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Cell.java
@@ -32,6 +32,7 @@
   private final Archive archive;
   private final Dispatch dispatch;
   private final UpcomingSteps upcoming;
+  private final WaitLog waits;
   private final Map<String, ShareMeter> shares = new HashMap<>();
 
   /**
@@ -53,6 +54,7 @@
     this.archive = new Archive(state);
     this.upcoming = new UpcomingSteps(state);
     this.dispatch = new Dispatch(state, runs, upcoming);
+    this.waits = new WaitLog(state);
   }
 
   /**
@@ -377,6 +379,7 @@
     archive.tick(wallMillis);
     state.newlyDone |= turns.anyScheduled();
     upcoming.look(now);
+    waits.look(now);
     state.dirty |= !state.open.isEmpty() || !upcoming.soon().isEmpty();
   }
 }
--- a/core/src/main/java/org/hickorypier/core/cell/CellState.java
+++ b/core/src/main/java/org/hickorypier/core/cell/CellState.java
@@ -72,6 +72,15 @@
     return worker.ofEarlierOwner && !worker.heard && now < takenOverAt + terms.silentWorkerMillis();
   }
 
+  /** Returns for how long a worker that stays silent may go on running something. */
+  long mayRunMillis(WorkerView worker, long now) {
+    long until = worker.leaseEnd();
+    if (unresolved(worker, now)) {
+      until = Math.max(until, takenOverAt + terms.silentWorkerMillis());
+    }
+    return Math.max(0, until - now);
+  }
+
   /** Tells whether a step is of the most urgent work of its service. */
   boolean urgent(StepRun step) {
     QueueTerms queue = step.submission.spec().queue();
--- a/core/src/main/java/org/hickorypier/core/cell/Explanation.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Explanation.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.Collectors;
 
 /** Says where a submission stands and what its tasks wait for. Belongs to the control thread. */
 final class Explanation {
@@ -62,7 +63,15 @@
     return line.toString();
   }
 
-  private String reason(StepRun step) {
+  private String unresolved() {
+    return cell.workers.values().stream()
+        .filter(worker -> cell.unresolved(worker, now))
+        .map(worker -> worker.id() + " for " + cell.mayRunMillis(worker, now) + " ms")
+        .collect(Collectors.joining(", "));
+  }
+
+  /** Returns what the waiting tasks of a step wait for. */
+  String reason(StepRun step) {
     if (!submission.live()) {
       return "nothing: the submission has ended";
     }
@@ -70,7 +79,7 @@
       return "its turn";
     }
     if (cell.waitsForWorkers(submission, cell.unresolvedUpTo(now))) {
-      return "workers that may run it already";
+      return "workers that may run it already: " + unresolved();
     }
     if (!cell.usage.allows(submission.spec().customer(), step.spec.each(), 1)) {
       return "its customer's limit";
--- a/core/src/main/java/org/hickorypier/core/cell/StepRun.java
+++ b/core/src/main/java/org/hickorypier/core/cell/StepRun.java
@@ -93,6 +93,14 @@
     return false;
   }
 
+  int waitingCount() {
+    int waiting = 0;
+    for (Task task : tasks) {
+      waiting += task.waiting() ? 1 : 0;
+    }
+    return waiting;
+  }
+
   /** A gang starts anew only when nothing of its last run is left anywhere. */
   boolean allIdle() {
     for (Task task : tasks) {
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerBook.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerBook.java
@@ -80,7 +80,9 @@
           "runs",
           worker.runs.size(),
           "heard_ms_ago",
-          heardAgo);
+          heardAgo,
+          "may_run_ms",
+          cell.mayRunMillis(worker, now));
     }
     worker.silent = true;
   }
