Lost workers: a successor counts on from the lease that is left, and waits only for the runs named

What callers saw: a task that lasts did not run for 9.8 s after its worker had left, though others had room. Cause: an owner that takes over cannot hear a worker that has just left. It did not know when the worker's lease had been renewed last nor what ran there, so it waited the longest that any predecessor could have renewed it (6 s of proof, a lease, a margin), from its own takeover, and a further takeover began that wait anew. Everything that had been accepted before waited as well, since the worker might have run any of it.

Change: the durable roster names the runs of a worker that gets no orders, and says how long its lease lasts at most when it is not renewed; while it runs out the roster is written once a second with what is left. A successor restores those runs as runs on an unheard worker, which frees everything else at once, and counts on from what was left. A worker on such an entry is renewed, and gets a repeated order, only after a roster that allows it is durable, so that what a successor reads is never less than what may run. A worker is closed after 0.5 s of silence instead of 3 s. The lease of an earlier owner also counts at a worker that was heard once and then fell silent before its first renewal.

--- a/core/src/main/java/org/hickorypier/core/cell/Cell.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Cell.java
@@ -33,6 +33,7 @@
   private final Dispatch dispatch;
   private final UpcomingSteps upcoming;
   private final WaitLog waits;
+  private boolean rosterRestored;
   private final Map<String, ShareMeter> shares = new HashMap<>();
 
   /**
@@ -47,9 +48,11 @@
   public Cell(CellTerms terms, CellOutput output, EventLog log, int epoch, long now) {
     this.state = new CellState(terms, output, log, epoch, now);
     this.runs = new RunBook(state);
+    RunAdoption adoption = new RunAdoption(state, runs);
     this.reports =
-        new WorkerReports(state, runs, new TaskEnds(state, runs), new Stragglers(state, runs));
-    this.workers = new WorkerBook(state, runs);
+        new WorkerReports(
+            state, runs, new TaskEnds(state, runs), new Stragglers(state, runs), adoption);
+    this.workers = new WorkerBook(state, runs, adoption);
     this.turns = new Turns(state);
     this.archive = new Archive(state);
     this.upcoming = new UpcomingSteps(state);
@@ -105,6 +108,9 @@
    */
   public void restore(
       SubmissionSpec spec, long number, Progress progress, long now, long wallMillis) {
+    if (rosterRestored) {
+      throw new IllegalStateException("the roster names runs of submissions restored before it");
+    }
     // Numbers below the range of this epoch may have been used by a run that nobody knows of.
     int firstRun = RUNS_PER_EPOCH * (state.epoch - 1) + 1;
     long age = Math.max(0, wallMillis - spec.acceptedAtMillis());
@@ -232,11 +238,12 @@
   }
 
   /**
-   * Takes the roster that an earlier owner wrote.
+   * Takes the roster that an earlier owner wrote, after all its submissions.
    *
    * @param entries the workers that may hold runs
    */
   public void restoreRoster(Collection<RosterEntry> entries) {
+    rosterRestored = true;
     workers.restoreRoster(entries);
   }
 
--- a/core/src/main/java/org/hickorypier/core/cell/CellState.java
+++ b/core/src/main/java/org/hickorypier/core/cell/CellState.java
@@ -64,21 +64,14 @@
     output.save(submission);
   }
 
-  /**
-   * Tells whether a worker may run what nobody else knows of. One that no earlier owner had on its
-   * roster got nothing from it.
-   */
+  /** Tells whether a worker may run what nobody has named. */
   boolean unresolved(WorkerView worker, long now) {
-    return worker.ofEarlierOwner && !worker.heard && now < takenOverAt + terms.silentWorkerMillis();
+    return worker.runsUnknown && !worker.heard && now < worker.earlierLeasesEnd;
   }
 
   /** Returns for how long a worker that stays silent may go on running something. */
   long mayRunMillis(WorkerView worker, long now) {
-    long until = worker.leaseEnd();
-    if (unresolved(worker, now)) {
-      until = Math.max(until, takenOverAt + terms.silentWorkerMillis());
-    }
-    return Math.max(0, until - now);
+    return Math.max(0, worker.leaseEnd() - now);
   }
 
   /** Tells whether a step is of the most urgent work of its service. */
--- a/core/src/main/java/org/hickorypier/core/cell/CellTerms.java
+++ b/core/src/main/java/org/hickorypier/core/cell/CellTerms.java
@@ -54,6 +54,15 @@
    * @return milliseconds
    */
   public long silentWorkerMillis() {
-    return proofMillis + Math.round(leaseMillis / SLOWEST_CLOCK) + LEASE_MARGIN_MILLIS;
+    return proofMillis + longestLeaseMillis();
+  }
+
+  /**
+   * Returns how long after its renewal a lease may last, on any clock but the worker's.
+   *
+   * @return milliseconds
+   */
+  public long longestLeaseMillis() {
+    return Math.round(leaseMillis / SLOWEST_CLOCK) + LEASE_MARGIN_MILLIS;
   }
 }
--- a/core/src/main/java/org/hickorypier/core/cell/RosterCodec.java
+++ b/core/src/main/java/org/hickorypier/core/cell/RosterCodec.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.hickorypier.core.model.Resources;
 import org.hickorypier.wire.UndecodableException;
 import org.msgpack.core.MessageBufferPacker;
@@ -13,6 +14,8 @@
 /** The MessagePack form of the roster in the store. Stateless. */
 public final class RosterCodec {
 
+  private static final int UNKNOWN_RUNS = -1;
+
   private RosterCodec() {}
 
   /**
@@ -40,6 +43,10 @@
       for (RosterEntry each : entries) {
         packer.packLong(each.closedAfter());
       }
+      for (RosterEntry each : entries) {
+        packer.packLong(each.leaseMillis());
+        packRuns(packer, each.runs());
+      }
       return packer.toByteArray();
     } catch (IOException error) {
       throw new IllegalStateException("packing into memory failed", error);
@@ -60,10 +67,20 @@
       for (int index = 0; index < count; index++) {
         workers.add(unpackEntry(unpacker));
       }
+      List<Long> closedAfter = new ArrayList<>();
+      for (int index = 0; index < count; index++) {
+        closedAfter.add(unpacker.hasNext() ? unpacker.unpackLong() : RosterEntry.OPEN);
+      }
       List<RosterEntry> entries = new ArrayList<>();
-      for (WorkerEntry worker : workers) {
-        long closedAfter = unpacker.hasNext() ? unpacker.unpackLong() : RosterEntry.OPEN;
-        entries.add(new RosterEntry(worker, closedAfter));
+      for (int index = 0; index < count; index++) {
+        entries.add(
+            unpacker.hasNext()
+                ? new RosterEntry(
+                    workers.get(index),
+                    closedAfter.get(index),
+                    unpacker.unpackLong(),
+                    unpackRuns(unpacker))
+                : new RosterEntry(workers.get(index), closedAfter.get(index)));
       }
       return entries;
     } catch (IOException | MessagePackException error) {
@@ -71,6 +88,34 @@
     }
   }
 
+  private static void packRuns(MessageBufferPacker packer, Optional<List<RunKey>> runs)
+      throws IOException {
+    packer.packInt(runs.map(List::size).orElse(UNKNOWN_RUNS));
+    for (RunKey run : runs.orElse(List.of())) {
+      TaskName task = run.task();
+      packer.packString(task.submission()).packInt(task.occurrence());
+      packer.packInt(task.step()).packInt(task.index()).packInt(run.number());
+    }
+  }
+
+  private static Optional<List<RunKey>> unpackRuns(MessageUnpacker unpacker) throws IOException {
+    int count = unpacker.unpackInt();
+    if (count == UNKNOWN_RUNS) {
+      return Optional.empty();
+    }
+    List<RunKey> runs = new ArrayList<>();
+    for (int index = 0; index < count; index++) {
+      TaskName task =
+          new TaskName(
+              unpacker.unpackString(),
+              unpacker.unpackInt(),
+              unpacker.unpackInt(),
+              unpacker.unpackInt());
+      runs.add(new RunKey(task, unpacker.unpackInt()));
+    }
+    return Optional.of(runs);
+  }
+
   private static WorkerEntry unpackEntry(MessageUnpacker unpacker) throws IOException {
     String id = unpacker.unpackString();
     String service = unpacker.unpackString();
--- a/core/src/main/java/org/hickorypier/core/cell/RunBook.java
+++ b/core/src/main/java/org/hickorypier/core/cell/RunBook.java
@@ -114,7 +114,7 @@
     if (run.stopping) {
       return;
     }
-    if (run.copies < MOST_COPIES && !run.worker.silent) {
+    if (run.copies < MOST_COPIES && !run.worker.silent && run.worker.renewable) {
       send(run, run.ticket, now);
     } else {
       abandon(run, now);
@@ -268,7 +268,7 @@
         "runs",
         worker.runs.size(),
         "silent_ms",
-        now - worker.heardAt,
+        now - worker.silentSince,
         "lease_end_ago_ms",
         now - worker.leaseEnd());
     for (Run run : CellState.copy(worker.runs.values())) {
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerBook.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerBook.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -18,14 +19,25 @@
 
   private static final String PART = "cell";
 
+  /** While a lease runs out, the roster is written this often with what is left of it. */
+  private static final long COUNT_DOWN_MILLIS = 1_000;
+
   private final CellState cell;
   private final RunBook runs;
+  private final RunAdoption adoption;
+
+  /** The last submission that an earlier owner may have taken. */
+  private final long lastOfEarlierOwners;
+
   private boolean rosterStale;
   private boolean rosterWriting;
+  private long rosterWrittenAt;
 
-  WorkerBook(CellState cell, RunBook runs) {
+  WorkerBook(CellState cell, RunBook runs, RunAdoption adoption) {
     this.cell = cell;
     this.runs = runs;
+    this.adoption = adoption;
+    this.lastOfEarlierOwners = cell.lastNumber();
   }
 
   void restoreRoster(Collection<RosterEntry> entries) {
@@ -33,12 +45,22 @@
       WorkerEntry entry = restored.worker();
       WorkerView worker = new WorkerView(entry);
       worker.onRoster = true;
-      worker.ofEarlierOwner = true;
       worker.closedAfter = restored.closedAfter();
+      worker.renewable = restored.renewed();
+      worker.lapsesOnRoster = !restored.renewed();
+      worker.earlierLeasesEnd = cell.takenOverAt + longestLease(restored);
+      worker.runsUnknown = restored.runs().isEmpty();
       cell.workers.put(entry.id(), worker);
+      for (RunKey run : restored.runs().orElse(List.of())) {
+        adoption.named(worker, run, cell.takenOverAt);
+      }
     }
   }
 
+  private long longestLease(RosterEntry restored) {
+    return restored.renewed() ? cell.terms.silentWorkerMillis() : restored.leaseMillis();
+  }
+
   void listed(Map<String, WorkerEntry> entries, long now) {
     entries.values().forEach(entry -> listed(entry, now));
     for (WorkerView worker : cell.workers.values()) {
@@ -84,19 +106,19 @@
           "may_run_ms",
           cell.mayRunMillis(worker, now));
     }
-    worker.silent = true;
+    worker.unanswered(now);
   }
 
   void tick(long now) {
     closeAndOpen(now);
-    writeRoster();
+    writeRoster(now);
     settleLost(now);
   }
 
   private void settleLost(long now) {
     Set<String> gone = new HashSet<>();
     for (WorkerView worker : cell.workers.values()) {
-      if (worker.silent && worker.heard && now > worker.leaseEnd()) {
+      if (worker.silent && now > worker.leaseEnd()) {
         runs.leaseExpired(worker, now);
       }
       boolean empty = worker.runs.isEmpty() && !cell.unresolved(worker, now);
@@ -114,51 +136,94 @@
   /**
    * Closes workers that get no orders any more, and opens them again.
    *
-   * <p>Failure: a worker drains and leaves, and the owner is lost soon after. Symptom: the
-   * successor waits for that worker, up to 9.9 s, with all that it took over, since it might run
-   * any of it; all checks of 11 s came too late on one day. Safeguard: the roster tells after which
-   * submission the worker was closed, and leaves it out once it is empty; what came later does not
-   * wait for it. It is enough because a worker gets nothing before the roster that says that it is
-   * open is durable.
+   * <p>A successor waits for a worker that it cannot hear, with everything that the worker may run.
+   * So the roster names the runs of a worker that gets no orders, says how long its lease lasts if
+   * it is not renewed, and leaves the worker out once it is empty. A successor may rely on that
+   * since a worker gets orders and renewals only after a roster that says so is durable.
    */
   private void closeAndOpen(long now) {
     for (WorkerView worker : cell.workers.values()) {
-      if (!worker.heard) {
-        continue;
-      }
-      boolean closing = worker.closing(now);
-      if (closing == worker.open()) {
-        worker.closedAfter = closing ? cell.lastNumber() : RosterEntry.OPEN;
+      if (worker.open() && worker.closing(now)) {
+        worker.closedAfter = worker.heard ? cell.lastNumber() : lastOfEarlierOwners;
+        worker.onRoster = false;
+        rosterStale = true;
+      } else if (!worker.open() && worker.heard && !worker.closing(now)) {
+        worker.closedAfter = RosterEntry.OPEN;
         worker.onRoster = false;
         rosterStale = true;
       }
-      boolean retired = closing && worker.empty();
+      boolean retired = !worker.open() && worker.empty() && !cell.unresolved(worker, now);
       if (retired != worker.retired) {
         worker.retired = retired;
         rosterStale = true;
       }
+      rosterStale |= !worker.open() && lapses(worker, now) != worker.lapsesOnRoster;
     }
   }
 
-  private void writeRoster() {
-    if (!rosterStale || rosterWriting) {
+  /**
+   * A worker that was not heard gets no renewal; one that left some unanswered gets none either.
+   */
+  private static boolean lapses(WorkerView worker, long now) {
+    return !worker.heard || worker.lapsing(now);
+  }
+
+  private void writeRoster(long now) {
+    boolean countsDown = now - rosterWrittenAt >= COUNT_DOWN_MILLIS && anyLeaseRunsOut(now);
+    if (!rosterStale && !countsDown || rosterWriting) {
       return;
     }
     rosterStale = false;
     rosterWriting = true;
-    List<WorkerView> written = new ArrayList<>(cell.workers.values());
-    written.removeIf(worker -> worker.retired);
-    List<RosterEntry> entries =
-        written.stream()
-            .map(worker -> new RosterEntry(worker.entry(), worker.closedAfter))
-            .toList();
-    written.removeIf(worker -> !worker.open());
+    rosterWrittenAt = now;
+    List<WorkerView> open = new ArrayList<>();
+    List<WorkerView> renewed = new ArrayList<>();
+    List<RosterEntry> entries = new ArrayList<>();
+    for (WorkerView worker : cell.workers.values()) {
+      if (worker.retired) {
+        continue;
+      }
+      RosterEntry entry = entryOf(worker, now);
+      entries.add(entry);
+      worker.lapsesOnRoster = !entry.renewed();
+      worker.renewable &= entry.renewed();
+      if (entry.renewed()) {
+        renewed.add(worker);
+      }
+      if (worker.open()) {
+        open.add(worker);
+      }
+    }
     cell.output.saveRoster(
         entries,
         () -> {
           rosterWriting = false;
-          written.forEach(worker -> worker.onRoster = worker.open());
+          open.forEach(worker -> worker.onRoster = worker.open());
+          renewed.forEach(worker -> worker.renewable = true);
           cell.dirty = true;
         });
   }
+
+  private boolean anyLeaseRunsOut(long now) {
+    for (WorkerView worker : cell.workers.values()) {
+      if (worker.lapsesOnRoster && !worker.retired && worker.leaseEnd() > now) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private RosterEntry entryOf(WorkerView worker, long now) {
+    if (worker.open()) {
+      return new RosterEntry(worker.entry(), RosterEntry.OPEN);
+    }
+    long lease = lapses(worker, now) ? cell.mayRunMillis(worker, now) : RosterEntry.RENEWED;
+    return new RosterEntry(worker.entry(), worker.closedAfter, lease, namedRuns(worker, now));
+  }
+
+  private Optional<List<RunKey>> namedRuns(WorkerView worker, long now) {
+    return cell.unresolved(worker, now)
+        ? Optional.empty()
+        : Optional.of(List.copyOf(worker.runs.keySet()));
+  }
 }
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerReports.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerReports.java
@@ -19,10 +19,13 @@
   private final RunBook runs;
   private final TaskEnds ends;
   private final Stragglers stragglers;
+  private final RunAdoption adoption;
 
-  WorkerReports(CellState cell, RunBook runs, TaskEnds ends, Stragglers stragglers) {
+  WorkerReports(
+      CellState cell, RunBook runs, TaskEnds ends, Stragglers stragglers, RunAdoption adoption) {
     this.cell = cell;
     this.runs = runs;
+    this.adoption = adoption;
     this.ends = ends;
     this.stragglers = stragglers;
   }
@@ -40,7 +43,7 @@
           "ended",
           report.ended().size());
     }
-    worker.answered(report.clockMillis(), now);
+    worker.answered(report.clockMillis(), cell.terms.longestLeaseMillis(), now);
     takeEnds(worker, report, now);
     Set<RunKey> listed = new HashSet<>();
     for (RunningTask running : report.running()) {
@@ -82,7 +85,7 @@
   private void takeRunning(WorkerView worker, RunningTask running, long clock, long now) {
     Run run = worker.runs.get(running.run());
     if (run == null) {
-      run = adopt(worker, running.run(), now);
+      run = adoption.reported(worker, running.run(), now);
     }
     if (!run.confirmed()) {
       runs.confirmed(run, now);
@@ -94,51 +97,6 @@
     }
   }
 
-  /** Takes over a run that an earlier owner ordered, or stops it where it is not wanted. */
-  private Run adopt(WorkerView worker, RunKey key, long now) {
-    Submission submission = cell.submissions.get(key.task().submission());
-    Task task = submission == null ? null : submission.task(key.task());
-    String customer = cell.customerOf(key.task().submission());
-    Run run = new Run(key, task, worker, cell.sizeOf(key.task()), customer);
-    run.orderedAt = now;
-    run.confirmedAt = now;
-    runs.occupy(run);
-    if (task != null) {
-      task.lastRun = Math.max(task.lastRun, key.number());
-    }
-    boolean wanted = task != null && submission.live() && !task.done && supersedes(task, key, now);
-    cell.runEvent(wanted ? "run-adopted" : "run-unwanted", key, worker);
-    if (wanted) {
-      task.current = run;
-    } else {
-      runs.stop(run, now);
-    }
-    return run;
-  }
-
-  /** Of two runs of a gang that are found the later one goes on, as a whole. */
-  private boolean supersedes(Task task, RunKey key, long now) {
-    if (task.current != null) {
-      return false;
-    }
-    if (!task.step.gang()) {
-      return true;
-    }
-    for (Task member : task.step.tasks) {
-      Run other = member.current;
-      if (other != null && other.key.number() > key.number()) {
-        return false;
-      }
-    }
-    for (Task member : task.step.tasks) {
-      Run other = member.current;
-      if (other != null && other.key.number() < key.number()) {
-        runs.stop(other, now);
-      }
-    }
-    return true;
-  }
-
   private void missing(Run run, HoldReport report, long sentAt, long now) {
     boolean stopTookEffect = run.stopAnsweredAt > 0 && run.stopAnsweredAt < sentAt;
     boolean wasThere = run.confirmedAt > 0 && run.confirmedAt < sentAt;
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
@@ -24,6 +24,9 @@
    */
   private static final long FRESH_MILLIS = 3_000;
 
+  /** A lost answer is repeated well within this time; a worker silent for longer may be lost. */
+  private static final long LAPSE_MILLIS = 500;
+
   final Map<RunKey, Run> runs = new LinkedHashMap<>();
 
   private WorkerEntry entry;
@@ -36,8 +39,11 @@
   /** It is on the durable roster, so that a successor knows to ask it. */
   boolean onRoster;
 
-  /** An earlier owner had it on its roster: it may run what only it knows of. */
-  boolean ofEarlierOwner;
+  /** It may run what an earlier owner ordered and nobody has named. */
+  boolean runsUnknown;
+
+  /** When every lease that earlier owners gave has expired, on the owner's steady clock. */
+  long earlierLeasesEnd;
 
   /**
    * The number of the last submission of which it may hold runs, if it gets no orders any more;
@@ -51,8 +57,15 @@
   /** The last renewal had no answer. */
   boolean silent;
 
+  long silentSince;
   long heardAt;
 
+  /** No roster that is written, or may be, tells a successor that the lease runs out. */
+  boolean renewable = true;
+
+  /** The roster that was written last tells that its lease runs out. */
+  boolean lapsesOnRoster;
+
   /** Orders without an answer, with the time they were sent: each may yet be carried out. */
   final Map<RunKey, Long> unanswered = new LinkedHashMap<>();
 
@@ -133,8 +146,13 @@
     return silent;
   }
 
-  /** Notes an answer under this owner's token. */
-  void answered(long clockMillis, long now) {
+  /**
+   * Notes an answer under this owner's token, after which it takes no renewal of an earlier one.
+   */
+  void answered(long clockMillis, long longestLeaseMillis, long now) {
+    if (!heard) {
+      earlierLeasesEnd = Math.min(earlierLeasesEnd, now + longestLeaseMillis);
+    }
     heard = true;
     silent = false;
     heardAt = now;
@@ -142,12 +160,21 @@
     clockReadAt = now;
   }
 
+  /** Notes that a renewal had no answer. */
+  void unanswered(long now) {
+    if (!silent) {
+      silentSince = now;
+    }
+    silent = true;
+  }
+
   /** Begins a new life, which knows nothing of before and counts anew. */
   void begin(long born) {
     bornMillis = born;
     endsTaken = 0;
     endsDurable = 0;
     highestDeadline = 0;
+    earlierLeasesEnd = 0;
     failureStreak = 0;
     quarantinedUntil = 0;
     shunnedUntil = 0;
@@ -167,14 +194,15 @@
   /**
    * Returns the deadline for a renewal that is sent now, and remembers it. A worker that left the
    * last renewal without an answer gets none: otherwise each attempt would put off the moment when
-   * its tasks can be given to others.
+   * its tasks can be given to others. Neither does one whose lease runs out for all that a
+   * successor can read.
    *
    * @param now the time
    * @param leaseMillis the length of the lease
    * @return the deadline on the worker's clock, or -1 for a renewal that only asks
    */
   public long nextDeadline(long now, long leaseMillis) {
-    if (clockReading == NO_READING || silent) {
+    if (clockReading == NO_READING || silent || !renewable) {
       return -1;
     }
     long deadline = clockAt(now) + leaseMillis;
@@ -185,10 +213,11 @@
   /** Returns when every lease ever sent has expired, on the owner's steady clock. */
   long leaseEnd() {
     if (clockReading == NO_READING || highestDeadline <= clockReading) {
-      return clockReadAt;
+      return Math.max(clockReadAt, earlierLeasesEnd);
     }
     double remaining = (highestDeadline - clockReading) / CellTerms.SLOWEST_CLOCK;
-    return clockReadAt + Math.round(remaining) + CellTerms.LEASE_MARGIN_MILLIS;
+    long ownLeasesEnd = clockReadAt + Math.round(remaining) + CellTerms.LEASE_MARGIN_MILLIS;
+    return Math.max(ownLeasesEnd, earlierLeasesEnd);
   }
 
   void add(Run run) {
@@ -235,7 +264,21 @@
 
   /** Tells whether it is to get no orders for a while, which a successor should know. */
   boolean closing(long now) {
-    return heard && (entry.draining() || silent && !fresh(now));
+    return entry.draining() || lapsing(now);
+  }
+
+  /** Tells whether its lease is left to run out. */
+  boolean lapsing(long now) {
+    return silent && now - silentSince >= LAPSE_MILLIS;
+  }
+
+  /**
+   * Tells whether a renewal should wait for the roster that allows it.
+   *
+   * @return true while the lease may not be renewed though the worker answers
+   */
+  public boolean waitsForRoster() {
+    return heard && !silent && !renewable;
   }
 
   /** Tells whether nothing is there and nothing is on its way. */
--- a/core/src/test/java/org/hickorypier/core/cell/CellFixture.java
+++ b/core/src/test/java/org/hickorypier/core/cell/CellFixture.java
@@ -34,6 +34,7 @@
   final List<Asked> questions = new ArrayList<>();
   final List<Submission> saved = new ArrayList<>();
   List<RosterEntry> roster = List.of();
+  private List<RosterEntry> unwrittenRoster = List.of();
   private final List<Runnable> afterSave = new ArrayList<>();
   private final Map<String, WorkerEntry> entries = new HashMap<>();
   final Cell cell;
@@ -45,6 +46,18 @@
     cell = new Cell(TERMS, this, (part, event, fields) -> {}, epoch, now);
   }
 
+  /** Takes the cell over at this moment with what is written, as a successor. */
+  CellFixture successor(int epoch, String... submissions) {
+    CellFixture successor = new CellFixture(epoch);
+    for (String id : submissions) {
+      Submission taken = cell.find(id);
+      successor.cell.restore(
+          taken.spec(), taken.number(), taken.progress(), successor.now, successor.now);
+    }
+    successor.cell.restoreRoster(roster);
+    return successor;
+  }
+
   static StepSpec step(int count, long processors, long estimate, boolean gang) {
     return new StepSpec(
         count,
@@ -143,10 +156,11 @@
 
   /** Lets the journal write what is saved so far. */
   void write() {
-    List<Submission> written = new ArrayList<>(saved);
+    final List<Submission> written = new ArrayList<>(saved);
     final List<Runnable> actions = new ArrayList<>(afterSave);
     saved.clear();
     afterSave.clear();
+    roster = unwrittenRoster;
     written.forEach(next -> cell.durable(next, next.version()));
     actions.forEach(Runnable::run);
   }
@@ -196,7 +210,7 @@
 
   @Override
   public void saveRoster(List<RosterEntry> written, Runnable action) {
-    roster = written;
+    unwrittenRoster = written;
     afterSave.add(action);
   }
 }
--- a/core/src/test/java/org/hickorypier/core/cell/CellTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/CellTest.java
@@ -204,18 +204,18 @@
   @Test
   void takenOverTaskWaitsForUnheardWorkers() {
     CellFixture successor = new CellFixture(2);
-    successor.cell.restoreRoster(
-        List.of(
-            new RosterEntry(
-                new WorkerEntry(
-                    "dark", "service", "10.0.0.2:1", false, 0, CellFixture.CAPACITY, List.of(), 1),
-                RosterEntry.OPEN)));
     successor.cell.restore(
         spec("old", QUEUE, step(1, 1_000, 500, false)),
         7,
         new Progress(SubmissionState.RUNNING, 0, List.of(new BitSet()), Map.of()),
         successor.now,
         successor.now);
+    successor.cell.restoreRoster(
+        List.of(
+            new RosterEntry(
+                new WorkerEntry(
+                    "dark", "service", "10.0.0.2:1", false, 0, CellFixture.CAPACITY, List.of(), 1),
+                RosterEntry.OPEN)));
     successor.worker("w");
     successor.submit(spec("new", QUEUE, step(1, 1_000, 500, false)));
     assertThat(successor.starts).hasSize(1);
@@ -274,13 +274,7 @@
     fixture.submit(spec("after", QUEUE, step(1, 1_000, 500, false)));
     assertThat(fixture.starts).hasSize(1);
 
-    CellFixture successor = new CellFixture(2);
-    successor.cell.restoreRoster(fixture.roster);
-    for (String id : List.of("before", "after")) {
-      Submission taken = cell.find(id);
-      successor.cell.restore(
-          taken.spec(), taken.number(), taken.progress(), successor.now, successor.now);
-    }
+    CellFixture successor = fixture.successor(2, "before", "after");
     successor.worker("staying");
     successor.pass();
     assertThat(successor.starts)
--- /dev/null
+++ b/core/src/test/java/org/hickorypier/core/cell/TakenOverLeaseTest.java
@@ -0,0 +1,143 @@
+package org.hickorypier.core.cell;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.hickorypier.core.cell.CellFixture.QUEUE;
+import static org.hickorypier.core.cell.CellFixture.TERMS;
+import static org.hickorypier.core.cell.CellFixture.spec;
+
+import java.util.List;
+import org.hickorypier.core.model.Resources;
+import org.hickorypier.core.submission.StepFlags;
+import org.hickorypier.core.submission.StepSpec;
+import org.junit.jupiter.api.Test;
+
+/** What a successor believes of leases that earlier owners gave. */
+class TakenOverLeaseTest {
+
+  private static final long TICK_MILLIS = 100;
+
+  private final CellFixture fixture = new CellFixture(1);
+
+  private static StepSpec lasting(int count) {
+    return new StepSpec(
+        count,
+        new Resources(1_000, 1_000, 0),
+        500,
+        List.of(),
+        new StepFlags(false, false, false, false, true, false),
+        "",
+        "",
+        0,
+        "",
+        0,
+        0);
+  }
+
+  /** Starts a lasting task on a worker that is then silent for some time. */
+  private WorkerView leaveWithLastingTask(String id, long silentMillis) {
+    WorkerView leaving = fixture.worker("leaving-" + id);
+    leaving.nextDeadline(fixture.now, TERMS.leaseMillis());
+    fixture.submit(spec(id, QUEUE, lasting(1)));
+    fixture.confirmAll();
+    fixture.cell.holdUnanswered(leaving, fixture.now);
+    pass(fixture, silentMillis);
+    return leaving;
+  }
+
+  /** Lets time go by, with a report of every other worker at each tick. */
+  private static void pass(CellFixture owner, long millis) {
+    long until = owner.now + millis;
+    while (owner.now < until) {
+      owner.advance(TICK_MILLIS - 5);
+      for (WorkerView worker : owner.cell.workers()) {
+        if (worker.id().startsWith("staying")) {
+          List<RunKey> running = List.copyOf(worker.runs.keySet());
+          owner.hear(worker, worker.bornMillis, running);
+        } else if (!worker.silent) {
+          owner.cell.holdUnanswered(worker, owner.now);
+        }
+      }
+      owner.cell.tick(owner.now, owner.now);
+      owner.write();
+      owner.pass();
+    }
+  }
+
+  @Test
+  void taskOfLostWorkerStartsWhenItsLeaseEndsThoughTheOwnerIsReplaced() {
+    leaveWithLastingTask("s", 1_000);
+    CellFixture successor = fixture.successor(2, "s");
+    successor.worker("staying");
+    pass(successor, TERMS.leaseMillis() - 1_100);
+    assertThat(successor.starts).isEmpty();
+
+    pass(successor, 1_500);
+    assertThat(successor.starts).hasSize(1);
+  }
+
+  @Test
+  void severalTakeoversInRowDoNotProlongTheWaitForLostWorker() {
+    leaveWithLastingTask("s", 1_000);
+    CellFixture owner = fixture;
+    for (int epoch = 2; epoch < 8; epoch++) {
+      owner = owner.successor(epoch, "s");
+      owner.worker("staying");
+      pass(owner, 1_200);
+    }
+    assertThat(owner.view("staying").runs).hasSize(1);
+  }
+
+  @Test
+  void onlyTasksThatLostWorkerMayRunWaitForIt() {
+    leaveWithLastingTask("lost", 1_000);
+    fixture.submit(spec("waiting", QUEUE, lasting(1)));
+    CellFixture successor = fixture.successor(2, "lost", "waiting");
+    successor.worker("staying");
+    successor.pass();
+    assertThat(successor.starts)
+        .extracting(each -> each.run().key().task().submission())
+        .containsExactly("waiting");
+  }
+
+  @Test
+  void workerWhoseLeaseRunsOutOnTheRosterIsNotRenewedBeforeAnotherIsDurable() {
+    WorkerView worker = leaveWithLastingTask("s", 1_000);
+    assertThat(fixture.roster).noneMatch(RosterEntry::renewed);
+
+    fixture.hear(worker, worker.bornMillis, List.copyOf(worker.runs.keySet()));
+    assertThat(worker.nextDeadline(fixture.now, TERMS.leaseMillis())).isNegative();
+    fixture.cell.tick(fixture.now, fixture.now);
+    assertThat(worker.nextDeadline(fixture.now, TERMS.leaseMillis())).isNegative();
+    fixture.write();
+    assertThat(fixture.roster).allMatch(RosterEntry::renewed);
+    assertThat(worker.nextDeadline(fixture.now, TERMS.leaseMillis())).isPositive();
+  }
+
+  @Test
+  void leaseOfEarlierOwnerCountsUntilItsEndThoughTheWorkerWasHeardOnce() {
+    WorkerView worker = leaveWithLastingTask("s", 1_000);
+    CellFixture successor = fixture.successor(2, "s");
+    successor.worker("staying");
+    WorkerView heard = successor.view(worker.id());
+    successor.hear(heard, 1, List.copyOf(heard.runs.keySet()));
+    successor.cell.holdUnanswered(heard, successor.now);
+    pass(successor, TERMS.leaseMillis() - 1_100);
+    assertThat(successor.starts).isEmpty();
+  }
+
+  @Test
+  void laterRunOfTaskGoesOnThoughTheRosterNamesAnEarlierOne() {
+    leaveWithLastingTask("s", 1_000);
+    CellFixture successor = fixture.successor(2, "s");
+    WorkerView staying = successor.worker("staying");
+    RunKey later = new RunKey(new TaskName("s", 0, 0, 0), 2);
+    successor.hear(staying, 1, List.of(later));
+    assertThat(successor.stops).doesNotContain(later);
+  }
+
+  @Test
+  void rosterSurvivesItsCodec() throws Exception {
+    leaveWithLastingTask("s", 1_000);
+    assertThat(RosterCodec.decode(RosterCodec.encode(fixture.roster))).isEqualTo(fixture.roster);
+  }
+}
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
@@ -94,9 +94,9 @@
     orders.connect(cell, journal);
     cell.configure(customers);
     Estate estate = new Estate(taken.values(), instruments.log());
-    cell.restoreRoster(estate.roster());
     long wall = instruments.wall().getAsLong();
     int restored = estate.restore(cell, now, wall);
+    cell.restoreRoster(estate.roster());
     instruments
         .log()
         .event(
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Renewals.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Renewals.java
@@ -22,6 +22,9 @@
    */
   private static final long WAIT_MILLIS = 400;
 
+  /** The wait while a roster is being written that allows the next renewal to carry a lease. */
+  private static final long ROSTER_WAIT_MILLIS = 100;
+
   /**
    * Ends that come within this time are told in one answer; each look at a worker has its price.
    */
@@ -102,9 +105,7 @@
     }
     long sentAt = instruments.timers().nowMillis();
     long deadline = worker.nextDeadline(sentAt, instruments.terms().leaseMillis());
-    // Without a reading of the worker's clock no lease can be asked for: the first answer is
-    // wanted at once.
-    long wait = deadline < 0 ? 0 : WAIT_MILLIS;
+    long wait = waitMillis(deadline);
     instruments
         .workers()
         .hold(
@@ -118,6 +119,15 @@
         .onComplete(report -> answered(report, sentAt, wait), this::failed);
   }
 
+  private long waitMillis(long deadline) {
+    if (worker.waitsForRoster()) {
+      return ROSTER_WAIT_MILLIS;
+    }
+    // Without a reading of the worker's clock no lease can be asked for: the first answer is
+    // wanted at once.
+    return deadline < 0 ? 0 : WAIT_MILLIS;
+  }
+
   private void answered(HoldReport report, long sentAt, long wait) {
     if (stopped) {
       return;
@@ -128,9 +138,7 @@
     if (wait == 0) {
       start();
     } else if (report.ended().isEmpty()) {
-      instruments
-          .timers()
-          .after(now - sentAt < WAIT_MILLIS / 2 ? PACE : Duration.ZERO, this::start);
+      instruments.timers().after(now - sentAt < wait / 2 ? PACE : Duration.ZERO, this::start);
     } else {
       // Until the ends are durable the worker would list them again, at once. But while the store
       // is
