Handover: a former owner tells its successor what it left on the workers

Cause: in a planned handover the predecessor knows when it renewed which worker last, what runs there and that it renews nothing any more, and this ended with it. A worker that leaves in the moment of a handover is still open on the durable roster, so the successor waited 9.87 s for it, with everything.

Change: an instance that has lost the cell tells the next owner as soon as it is linked to it (LinkRequest.FormerOwner). It has ordered and renewed its last by then, so what it tells is final; the successor adds the time that is left to the moment of the message, which can only be too long. It counts for workers that the successor has not heard, and only from the direct predecessor. Without the message, after a crash, the roster's bound stays.

Evidence: TakenOverLeaseTest.formerOwnerTellsWhatTheRosterDoesNot shows both states, before and after the message.

--- a/core/src/main/java/org/hickorypier/core/cell/Cell.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Cell.java
@@ -247,6 +247,27 @@
     workers.restoreRoster(entries);
   }
 
+  /**
+   * Returns what may still run on the workers; for an owner that orders and renews nothing any
+   * more.
+   *
+   * @param now the time
+   * @return the workers on which something may run, with the time left of their leases
+   */
+  public List<RosterEntry> finalRoster(long now) {
+    return workers.finalRoster(now);
+  }
+
+  /**
+   * Takes the final roster of the owner before this one.
+   *
+   * @param entries the workers on which something of that owner may run; on no other does it
+   * @param now the time
+   */
+  public void formerOwnerEnded(Collection<RosterEntry> entries, long now) {
+    workers.formerOwnerEnded(entries, now);
+  }
+
   /**
    * Takes the list of workers as the platform tells it.
    *
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerBook.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerBook.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -204,6 +205,55 @@
         });
   }
 
+  /** Returns what may still run anywhere, from an owner that orders and renews nothing any more. */
+  List<RosterEntry> finalRoster(long now) {
+    List<RosterEntry> entries = new ArrayList<>();
+    for (WorkerView worker : cell.workers.values()) {
+      if (!worker.runs.isEmpty() || cell.unresolved(worker, now)) {
+        entries.add(
+            new RosterEntry(
+                worker.entry(),
+                worker.open() ? cell.lastNumber() : worker.closedAfter,
+                cell.mayRunMillis(worker, now),
+                namedRuns(worker, now)));
+      }
+    }
+    return entries;
+  }
+
+  /**
+   * Takes the final roster of the owner before. It holds for workers that have not been heard: what
+   * they run was ordered by that owner or an earlier one.
+   */
+  void formerOwnerEnded(Collection<RosterEntry> entries, long now) {
+    Map<String, RosterEntry> byWorker = new HashMap<>();
+    entries.forEach(entry -> byWorker.put(entry.worker().id(), entry));
+    for (WorkerView worker : cell.workers.values()) {
+      if (!worker.heard) {
+        RosterEntry entry = byWorker.get(worker.id());
+        long lease = entry == null ? 0 : entry.leaseMillis();
+        worker.earlierLeasesEnd = Math.min(worker.earlierLeasesEnd, now + lease);
+        if (entry == null) {
+          nameRuns(worker, List.of(), now);
+        } else {
+          entry.runs().ifPresent(named -> nameRuns(worker, named, now));
+        }
+      }
+    }
+    rosterStale = true;
+    cell.dirty = true;
+  }
+
+  private void nameRuns(WorkerView worker, List<RunKey> named, long now) {
+    worker.runsUnknown = false;
+    for (Run run : CellState.copy(worker.runs.values())) {
+      if (!named.contains(run.key)) {
+        runs.gone(run, now);
+      }
+    }
+    named.forEach(run -> adoption.named(worker, run, now));
+  }
+
   private boolean anyLeaseRunsOut(long now) {
     for (WorkerView worker : cell.workers.values()) {
       if (worker.lapsesOnRoster && !worker.retired && worker.leaseEnd() > now) {
--- a/core/src/test/java/org/hickorypier/core/cell/TakenOverLeaseTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/TakenOverLeaseTest.java
@@ -135,6 +135,57 @@
     assertThat(successor.stops).doesNotContain(later);
   }
 
+  /** A worker that leaves in the moment of the handover is still open on the durable roster. */
+  @Test
+  void formerOwnerTellsWhatTheRosterDoesNot() {
+    final WorkerView leaving = leaveWithLastingTask("s", 0);
+    fixture.submit(spec("waiting", QUEUE, lasting(1)));
+    CellFixture successor = fixture.successor(2, "s", "waiting");
+    successor.worker("staying");
+    successor.pass();
+    assertThat(successor.starts).isEmpty();
+
+    List<RosterEntry> left = fixture.cell.finalRoster(fixture.now);
+    assertThat(left).extracting(each -> each.worker().id()).containsExactly(leaving.id());
+    successor.cell.formerOwnerEnded(left, successor.now);
+    successor.pass();
+    assertThat(successor.starts)
+        .extracting(each -> each.run().key().task().submission())
+        .containsExactly("waiting");
+
+    pass(successor, TERMS.leaseMillis() - 200);
+    assertThat(successor.view("staying").runs).hasSize(1);
+    pass(successor, 700);
+    assertThat(successor.view("staying").runs).hasSize(2);
+  }
+
+  @Test
+  void workerThatTheFormerOwnerLeftEmptyHoldsUpNothing() {
+    WorkerView leaving = fixture.worker("leaving");
+    fixture.cell.holdUnanswered(leaving, fixture.now);
+    fixture.submit(spec("s", QUEUE, lasting(1)));
+    CellFixture successor = fixture.successor(2, "s");
+    successor.worker("staying");
+    successor.pass();
+    assertThat(successor.starts).isEmpty();
+
+    successor.cell.formerOwnerEnded(fixture.cell.finalRoster(fixture.now), successor.now);
+    successor.pass();
+    assertThat(successor.starts).hasSize(1);
+  }
+
+  /** What a worker has reported since is newer than what the former owner knew. */
+  @Test
+  void formerOwnerChangesNothingAtWorkersThatWereHeard() {
+    WorkerView worker = leaveWithLastingTask("s", 0);
+    List<RosterEntry> left = fixture.cell.finalRoster(fixture.now);
+    CellFixture successor = fixture.successor(2, "s");
+    WorkerView heard = successor.view(worker.id());
+    successor.hear(heard);
+    successor.cell.formerOwnerEnded(left, successor.now);
+    assertThat(heard.runs).isEmpty();
+  }
+
   @Test
   void rosterSurvivesItsCodec() throws Exception {
     leaveWithLastingTask("s", 1_000);
--- a/daemon/src/main/java/org/hickorypier/daemon/link/LinkCodec.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/link/LinkCodec.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.hickorypier.core.cell.RosterCodec;
 import org.hickorypier.core.submission.SubmissionCodec;
 import org.hickorypier.core.submission.SubmissionState;
 import org.hickorypier.wire.UndecodableException;
@@ -17,6 +18,7 @@
 /** The MessagePack form of requests and replies. Stateless. */
 final class LinkCodec {
 
+  private static final int FORMER_OWNER = 0;
   private static final int SUBMIT = 1;
   private static final int INQUIRE = 2;
   private static final int CANCEL = 3;
@@ -77,6 +79,10 @@
       packer.packInt(EXPLAIN).packString(explain.id());
     } else if (request instanceof LinkRequest.Introduce introduce) {
       packer.packInt(INTRODUCE).packInt(introduce.strength()).packLong(introduce.ageMillis());
+    } else if (request instanceof LinkRequest.FormerOwner former) {
+      byte[] roster = RosterCodec.encode(former.roster());
+      packer.packInt(FORMER_OWNER).packInt(former.epoch());
+      packer.packBinaryHeader(roster.length).writePayload(roster);
     } else if (request instanceof LinkRequest.ProveOwnership) {
       packer.packInt(PROVE_OWNERSHIP);
     } else if (request instanceof LinkRequest.MeasurePace) {
@@ -168,6 +174,10 @@
         return new LinkRequest.Advise(step, unpackTexts(unpacker), timeout);
       case EXPLAIN:
         return new LinkRequest.Explain(unpacker.unpackString());
+      case FORMER_OWNER:
+        int epoch = unpacker.unpackInt();
+        byte[] roster = unpacker.readPayload(unpacker.unpackBinaryHeader());
+        return new LinkRequest.FormerOwner(epoch, RosterCodec.decode(roster));
       case PROVE_OWNERSHIP:
         return new LinkRequest.ProveOwnership();
       case INTRODUCE:
--- a/daemon/src/main/java/org/hickorypier/daemon/link/LinkRequest.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/link/LinkRequest.java
@@ -1,6 +1,7 @@
 package org.hickorypier.daemon.link;
 
 import java.util.List;
+import org.hickorypier.core.cell.RosterEntry;
 import org.hickorypier.core.submission.SubmissionSpec;
 
 /** What one instance asks of another. All forms are immutable. */
@@ -73,6 +74,20 @@
   /** Tell how long a fixed piece of work takes you now; a number of microseconds. */
   record MeasurePace() implements LinkRequest {}
 
+  /**
+   * Know what this instance left on the workers when it ceased to own the cell.
+   *
+   * @param epoch the epoch of its ownership
+   * @param roster all workers that may still run something of that ownership, and what
+   */
+  record FormerOwner(int epoch, List<RosterEntry> roster) implements LinkRequest {
+
+    /** Copies the list, so that the record stays as it is. */
+    public FormerOwner {
+      roster = List.copyOf(roster);
+    }
+  }
+
   /** Take the cell over: the owner is leaving, or the store refuses it. */
   record TakeOver() implements LinkRequest {}
 }
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Gateway.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Gateway.java
@@ -293,6 +293,8 @@
               long age = timers.nowMillis() - startedAt;
               opened.ask(
                   new LinkRequest.Introduce(self.strength().score(), age), PROOF_REPLY_MILLIS);
+              ownership.tellSuccessor(
+                  target.epoch(), request -> opened.ask(request, PROOF_REPLY_MILLIS));
               link = opened;
               refusals = 0;
               linkedTo = target;
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
@@ -12,6 +12,7 @@
 import org.hickorypier.core.cell.Cell;
 import org.hickorypier.core.cell.ComeBack;
 import org.hickorypier.core.cell.CustomerTerms;
+import org.hickorypier.core.cell.RosterEntry;
 import org.hickorypier.core.cell.Submission;
 import org.hickorypier.core.cell.SubmissionStatus;
 import org.hickorypier.core.cell.WorkerEntry;
@@ -52,6 +53,7 @@
 
   private final Instruments instruments;
   private final int epoch;
+  private final int predecessorEpoch;
   private final Cell cell;
   private final JournalWriter journal;
   private final WorkerList workerList;
@@ -94,6 +96,7 @@
     orders.connect(cell, journal);
     cell.configure(customers);
     Estate estate = new Estate(taken.values(), instruments.log());
+    this.predecessorEpoch = estate.owner().epoch();
     long wall = instruments.wall().getAsLong();
     int restored = estate.restore(cell, now, wall);
     cell.restoreRoster(estate.roster());
@@ -246,6 +249,34 @@
     List.copyOf(endings).forEach(next -> next.tryComplete(new LinkReply.NotOwner()));
   }
 
+  /** Returns what may still run on the workers, once this owner has ended. */
+  List<RosterEntry> finalRoster() {
+    return cell.finalRoster(now());
+  }
+
+  /**
+   * Takes the final roster of a former owner. That of an earlier one than the predecessor does not
+   * tell what its successors ordered.
+   */
+  void formerOwnerEnded(int formerEpoch, List<RosterEntry> roster) {
+    boolean predecessor = formerEpoch == predecessorEpoch;
+    instruments
+        .log()
+        .event(
+            PART,
+            "former-owner-ended",
+            "epoch",
+            formerEpoch,
+            "predecessor",
+            predecessor,
+            "workers",
+            roster.size());
+    if (predecessor) {
+      cell.formerOwnerEnded(roster, now());
+      requestPass();
+    }
+  }
+
   /** Writes and starts nothing for some milliseconds, while a successor claims the cell. */
   void rest(long millis) {
     journal.rest(millis);
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Ownership.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Ownership.java
@@ -8,6 +8,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BooleanSupplier;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
 import org.hickorypier.core.cell.CustomerTerms;
 import org.hickorypier.daemon.link.LinkReply;
@@ -84,6 +85,10 @@
   private LongSupplier silentMillis = () -> 0;
   private Collection<CustomerTerms> customers = List.of();
   private Owner owner;
+
+  /** The last ownership of this process, until the successor knows what it left on the workers. */
+  private Owner former;
+
   private long generation;
   private boolean takingOver;
   private long steppedInAt = -STEP_IN_MILLIS;
@@ -249,6 +254,8 @@
       return Future.succeededFuture(owner.explain(explain.id()));
     } else if (request instanceof LinkRequest.Count count) {
       return Future.succeededFuture(owner.count(count.queue()));
+    } else if (request instanceof LinkRequest.FormerOwner ended) {
+      owner.formerOwnerEnded(ended.epoch(), ended.roster());
     }
     return Future.succeededFuture(new LinkReply.Noted());
   }
@@ -493,9 +500,31 @@
             });
   }
 
+  /**
+   * Tells the present owner what this instance left on the workers when it ceased to be the owner.
+   *
+   * @param successorEpoch the epoch of the present owner
+   * @param successor asks the present owner; its future may fail
+   */
+  public void tellSuccessor(
+      int successorEpoch, Function<LinkRequest, Future<LinkReply>> successor) {
+    if (former == null || former.epoch() >= successorEpoch) {
+      return;
+    }
+    Owner told = former;
+    successor
+        .apply(new LinkRequest.FormerOwner(told.epoch(), told.finalRoster()))
+        .onSuccess(
+            reply -> {
+              if (former == told) {
+                former = null;
+              }
+            });
+  }
+
   private void lost(String reason) {
     if (owner != null) {
-      Owner former = owner;
+      former = owner;
       // Whom the end tells that this is not the owner has to find it so.
       owner = null;
       onLost.run();
--- a/daemon/src/test/java/org/hickorypier/daemon/link/LinkCodecTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/link/LinkCodecTest.java
@@ -6,6 +6,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.hickorypier.core.cell.RosterEntry;
+import org.hickorypier.core.cell.RunKey;
+import org.hickorypier.core.cell.TaskName;
+import org.hickorypier.core.cell.WorkerEntry;
 import org.hickorypier.core.model.Resources;
 import org.hickorypier.core.submission.QueueTerms;
 import org.hickorypier.core.submission.StepFlags;
@@ -32,6 +36,14 @@
           0,
           5);
 
+  private static final RosterEntry ROSTER_ENTRY =
+      new RosterEntry(
+          new WorkerEntry(
+              "w", "service", "10.0.0.1:1", false, 0, Resources.NONE, List.of("kind", "rack"), 7),
+          12,
+          3_400,
+          Optional.of(List.of(new RunKey(new TaskName("id", 0, 1, 2), 3))));
+
   static List<LinkRequest> requests() {
     return List.of(
         new LinkRequest.Submit(SPEC),
@@ -43,6 +55,7 @@
         new LinkRequest.Introduce(1_500, 62_000),
         new LinkRequest.ProveOwnership(),
         new LinkRequest.MeasurePace(),
+        new LinkRequest.FormerOwner(4, List.of(ROSTER_ENTRY)),
         new LinkRequest.TakeOver());
   }
 
