List of workers: one that drained and took itself off the list has left

What callers saw: a task that lasts had no run for a lease (3.9 s) after its worker had left as announced, also without any change of owner. Cause: the owner could not tell a worker that has left from one that is cut off and runs on, so it waited for the lease in both cases.

The entry of a worker goes when it has left, or after three heartbeats without one. DepartureDetector tells the two apart: a worker that said that it drains, whose entry changed less than two heartbeats before it was removed, has left, and all that ran there has ended. The runs are given up only when the worker does not answer any more, so an entry that another writer removes costs nothing. A report that was on its way when its worker was forgotten is ignored; it would have brought the runs back on a worker that nobody looks at.

The setting workerHeartbeatMillis is new. Tests: DepartureDetectorTest, CellTest.taskOfDepartedWorkerStartsAtOnce, reportOfForgottenWorkerIsIgnored.

--- a/core/src/main/java/org/hickorypier/core/cell/Cell.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Cell.java
@@ -278,6 +278,16 @@
     workers.listed(entries, now);
   }
 
+  /**
+   * Takes notice of workers that have left, so that nothing runs there any more.
+   *
+   * @param ids the workers
+   * @param now the time
+   */
+  public void departed(Collection<String> ids, long now) {
+    workers.departed(ids, now);
+  }
+
   /**
    * Tells whether a worker is listed or may still hold runs.
    *
@@ -306,7 +316,9 @@
    * @param now the time
    */
   public void held(WorkerView worker, HoldReport report, long sentAt, long now) {
-    reports.take(worker, report, sentAt, now);
+    if (knows(worker)) {
+      reports.take(worker, report, sentAt, now);
+    }
   }
 
   /**
--- a/core/src/main/java/org/hickorypier/core/cell/RunBook.java
+++ b/core/src/main/java/org/hickorypier/core/cell/RunBook.java
@@ -271,6 +271,19 @@
         now - worker.silentSince,
         "lease_end_ago_ms",
         now - worker.leaseEnd());
+    allGone(worker, now);
+  }
+
+  /** The worker has left, and with it all that it had, orders without an answer among them. */
+  void workerLeft(WorkerView worker, long now) {
+    cell.workerEvent("worker-left", worker, "runs", worker.runs.size());
+    worker.runsUnknown = false;
+    worker.unanswered.clear();
+    worker.refusals.clear();
+    allGone(worker, now);
+  }
+
+  private void allGone(WorkerView worker, long now) {
     for (Run run : CellState.copy(worker.runs.values())) {
       gone(run, now);
     }
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerBook.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerBook.java
@@ -89,9 +89,20 @@
       cell.log.event(
           PART, "worker-draining", "worker", entry.id(), "remaining_ms", entry.remainingMillis());
     }
+    worker.departed = false;
     worker.update(entry);
   }
 
+  void departed(Collection<String> ids, long now) {
+    for (String id : ids) {
+      WorkerView worker = cell.workers.get(id);
+      if (worker != null) {
+        worker.departed = true;
+      }
+    }
+    settleLost(now);
+  }
+
   void unanswered(WorkerView worker, long now) {
     if (!worker.silent) {
       long heardAgo = worker.heard ? now - worker.heardAt : -1;
@@ -119,7 +130,9 @@
   private void settleLost(long now) {
     Set<String> gone = new HashSet<>();
     for (WorkerView worker : cell.workers.values()) {
-      if (worker.silent && now > worker.leaseEnd()) {
+      if (worker.silent && worker.departed) {
+        runs.workerLeft(worker, now);
+      } else if (worker.silent && now > worker.leaseEnd()) {
         runs.leaseExpired(worker, now);
       }
       boolean empty = worker.runs.isEmpty() && !cell.unresolved(worker, now);
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
@@ -88,6 +88,9 @@
   private long claimedProcessors;
   private long claimedMemory;
 
+  /** It has taken itself off the list, and leaves as soon as it does not answer any more. */
+  boolean departed;
+
   int failureStreak;
   long quarantinedUntil;
   long fullUntil;
--- a/core/src/test/java/org/hickorypier/core/cell/CellFixture.java
+++ b/core/src/test/java/org/hickorypier/core/cell/CellFixture.java
@@ -121,6 +121,11 @@
     cell.listed(entries, now);
   }
 
+  void unlist(String id) {
+    entries.remove(id);
+    cell.listed(entries, now);
+  }
+
   WorkerView view(String id) {
     return cell.workers().stream().filter(next -> next.id().equals(id)).findFirst().orElseThrow();
   }
--- a/core/src/test/java/org/hickorypier/core/cell/CellTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/CellTest.java
@@ -188,6 +188,44 @@
     assertThat(fixture.now - silentAt).isLessThan(7_000);
   }
 
+  /** A lasting task waited for the lease of a worker that had announced that it leaves. */
+  @Test
+  void taskOfDepartedWorkerStartsAtOnce() {
+    final WorkerView leaving = fixture.worker("leaving");
+    fixture.submit(spec("s", QUEUE, step(1, 1_000, 500, false)));
+    fixture.confirmAll();
+    leaving.nextDeadline(fixture.now, CellFixture.TERMS.leaseMillis());
+    fixture.worker("staying");
+    fixture.list("leaving", 1, true);
+    fixture.unlist("leaving");
+    cell.departed(List.of("leaving"), fixture.now);
+    fixture.pass();
+    assertThat(fixture.starts).hasSize(1);
+
+    cell.holdUnanswered(leaving, fixture.now);
+    cell.tick(fixture.now, fixture.now);
+    fixture.pass();
+    assertThat(fixture.starts).hasSize(2);
+    assertThat(cell.workers()).extracting(WorkerView::id).containsExactly("staying");
+  }
+
+  /** A report that was on its way when its worker left would bring the runs back for good. */
+  @Test
+  void reportOfForgottenWorkerIsIgnored() {
+    final WorkerView leaving = fixture.worker("leaving");
+    fixture.submit(spec("s", QUEUE, step(1, 1_000, 500, false)));
+    fixture.confirmAll();
+    final RunKey run = fixture.starts.get(0).run().key();
+    fixture.worker("staying");
+    fixture.unlist("leaving");
+    cell.holdUnanswered(leaving, fixture.now);
+    cell.departed(List.of("leaving"), fixture.now);
+    fixture.hear(leaving, 1, List.of(run));
+    fixture.pass();
+    assertThat(fixture.starts).hasSize(2);
+    assertThat(fixture.stops).isEmpty();
+  }
+
   private void keepOthersFresh(WorkerView silent) {
     for (WorkerView worker : cell.workers()) {
       if (worker != silent) {
--- /dev/null
+++ b/core/src/test/java/org/hickorypier/core/cell/DepartureDetectorTest.java
@@ -0,0 +1,53 @@
+package org.hickorypier.core.cell;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class DepartureDetectorTest {
+
+  private static final long HEARTBEAT = 1_500;
+  private static final long NO_PAUSE = Long.MIN_VALUE;
+
+  private final DepartureDetector detector = new DepartureDetector(HEARTBEAT);
+
+  private static WorkerEntry entry(boolean draining) {
+    return new WorkerEntry(
+        "w", "service", "10.0.0.1:1", draining, 0, CellFixture.CAPACITY, List.of("a", "r1"), 1);
+  }
+
+  @Test
+  void drainingWorkerThatIsRemovedBetweenItsHeartbeatsHasLeft() {
+    detector.written(entry(true), 1_000);
+    detector.written(entry(true), 2_500);
+    assertThat(detector.removed("w", NO_PAUSE, 4_300)).isTrue();
+  }
+
+  @Test
+  void workerThatIsRemovedAfterSilenceMayRunOn() {
+    detector.written(entry(true), 1_000);
+    assertThat(detector.removed("w", NO_PAUSE, 1_000 + 3 * HEARTBEAT)).isFalse();
+  }
+
+  @Test
+  void workerThatDidNotDrainMayRunOn() {
+    detector.written(entry(true), 1_000);
+    detector.written(entry(false), 2_000);
+    assertThat(detector.removed("w", NO_PAUSE, 2_500)).isFalse();
+  }
+
+  /** While the process was suspended the worker may have been silent for any time. */
+  @Test
+  void removalAcrossPauseTellsNothing() {
+    detector.written(entry(true), 1_000);
+    assertThat(detector.removed("w", 1_200, 1_500)).isFalse();
+  }
+
+  @Test
+  void entryOfUnknownAgeTellsNothing() {
+    detector.written(entry(true), 1_000);
+    detector.clear();
+    assertThat(detector.removed("w", NO_PAUSE, 1_500)).isFalse();
+  }
+}
--- a/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
@@ -118,7 +118,8 @@
             wall,
             pauses,
             log,
-            settings.cell());
+            settings.cell(),
+            settings.workerHeartbeatMillis());
     String peerAddress = "" + settings.advertisedPeer();
     Directory directory = new Directory(store, timers, log, this::ownerChanged);
     Candidate self = new Candidate(peerAddress, settings.strength());
--- a/daemon/src/main/java/org/hickorypier/daemon/node/NodeSettings.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/NodeSettings.java
@@ -28,6 +28,7 @@
  * @param revokeMillis within this time a withdrawn key must stop working
  * @param groupLifetimeMillis after so long without a sign a member loses its partitions
  * @param graceMillis how long a process may take to end after SIGTERM
+ * @param workerHeartbeatMillis how often a worker writes its entry in the list of workers
  */
 public record NodeSettings(
     String name,
@@ -43,7 +44,8 @@
     Strength strength,
     long revokeMillis,
     long groupLifetimeMillis,
-    long graceMillis) {
+    long graceMillis,
+    long workerHeartbeatMillis) {
 
   /**
    * After so long without a sign the group deals a lost owner's cell to another instance. Three
@@ -109,7 +111,8 @@
             reader.number("linkMegabits", LEAST_LINK_MEGABITS)),
         (long) reader.number("revokeMillis", LEAST_REVOKE_MILLIS),
         lifetime,
-        grace);
+        grace,
+        (long) reader.number("workerHeartbeatMillis", 1));
   }
 
   /** Reads values, and names the one that cannot be used. */
--- a/daemon/src/main/java/org/hickorypier/daemon/node/Rehearsal.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Rehearsal.java
@@ -160,7 +160,8 @@
         .put("revokeMillis", 5_000)
         .put("stateKeptSeconds", 60)
         .put("graceSeconds", 1)
-        .put("leastGroupLifetimeMillis", 1_000);
+        .put("leastGroupLifetimeMillis", 1_000)
+        .put("workerHeartbeatMillis", 1_500);
   }
 
   private static int freePort() throws IOException {
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Instruments.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Instruments.java
@@ -20,6 +20,7 @@
  * @param pauses tells of suspensions
  * @param log takes the events
  * @param terms the figures of the cell
+ * @param workerHeartbeatMillis how often a worker writes its entry in the list of workers
  */
 public record Instruments(
     StoreClient store,
@@ -28,4 +29,5 @@
     LongSupplier wall,
     PauseGuard pauses,
     EventLog log,
-    CellTerms terms) {}
+    CellTerms terms,
+    long workerHeartbeatMillis) {}
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.hickorypier.core.cell.Cell;
 import org.hickorypier.core.cell.ComeBack;
@@ -91,8 +92,7 @@
             taken.epoch(),
             taken.sequence(),
             new Written());
-    this.workerList =
-        new WorkerList(instruments.store(), instruments.timers(), instruments.log(), this::listed);
+    this.workerList = new WorkerList(instruments, this::listed);
     orders.connect(cell, journal);
     cell.configure(customers);
     Estate estate = new Estate(taken.values(), instruments.log());
@@ -302,8 +302,9 @@
     return !ended && journal.proven(instruments.terms().proofMillis());
   }
 
-  private void listed(Map<String, WorkerEntry> entries) {
+  private void listed(Map<String, WorkerEntry> entries, Set<String> departed) {
     cell.listed(entries, now());
+    cell.departed(departed, now());
     renewAll();
     requestPass();
   }
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/WorkerList.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/WorkerList.java
@@ -2,10 +2,13 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
-import java.util.function.Consumer;
+import java.util.Set;
+import org.hickorypier.core.cell.DepartureDetector;
 import org.hickorypier.core.cell.EventLog;
 import org.hickorypier.core.cell.WorkerEntry;
+import org.hickorypier.daemon.time.PauseGuard;
 import org.hickorypier.daemon.time.TimerService;
 import org.hickorypier.platform.execution.WorkerEntryDecoder;
 import org.hickorypier.platform.store.KeyedRecord;
@@ -30,24 +33,42 @@
   private final TopicReader reader;
   private final TimerService timers;
   private final EventLog log;
-  private final Consumer<Map<String, WorkerEntry>> listener;
+  private final PauseGuard pauses;
+  private final DepartureDetector departures;
+  private final Listener listener;
   private final Map<String, WorkerEntry> entries = new HashMap<>();
   private final Map<String, String> spoilt = new HashMap<>();
   private boolean stopped;
+  private long readSentAt;
 
-  WorkerList(
-      StoreClient store,
-      TimerService timers,
-      EventLog log,
-      Consumer<Map<String, WorkerEntry>> listener) {
-    this.reader = new TopicReader(store, StoreClient.WORKERS_TOPIC);
-    this.timers = timers;
-    this.log = log;
+  /** What is read next was written after this time. */
+  private long completeAt;
+
+  /** Hears of the list. */
+  @FunctionalInterface
+  interface Listener {
+
+    /**
+     * Takes the list.
+     *
+     * @param entries all listed workers, by id
+     * @param departed workers that have left since the list was read before
+     */
+    void listed(Map<String, WorkerEntry> entries, Set<String> departed);
+  }
+
+  WorkerList(Instruments instruments, Listener listener) {
+    this.reader = new TopicReader(instruments.store(), StoreClient.WORKERS_TOPIC);
+    this.timers = instruments.timers();
+    this.log = instruments.log();
+    this.pauses = instruments.pauses();
+    this.departures = new DepartureDetector(instruments.workerHeartbeatMillis());
     this.listener = listener;
   }
 
   void start() {
     if (!stopped) {
+      readSentAt = timers.nowMillis();
       reader.next(0).onComplete(this::read, error -> again());
     }
   }
@@ -60,11 +81,18 @@
     if (changes.whole()) {
       entries.clear();
     }
+    Set<String> departed = new HashSet<>();
     for (KeyedRecord entry : changes.records()) {
-      take(entry.key(), entry.value());
+      take(entry.key(), entry.value(), departed);
+    }
+    if (changes.whole()) {
+      departures.clear();
+    }
+    if (changes.caughtUp()) {
+      completeAt = readSentAt;
     }
     if (!stopped) {
-      listener.accept(entries);
+      listener.listed(entries, departed);
     }
     again();
   }
@@ -75,13 +103,19 @@
     }
   }
 
-  private void take(String id, byte[] value) {
+  private void take(String id, byte[] value, Set<String> departed) {
+    departed.remove(id);
     if (value == null) {
       entries.remove(id);
+      if (departures.removed(id, pauses.unbrokenSince(), timers.nowMillis())) {
+        departed.add(id);
+      }
       return;
     }
     try {
-      entries.put(id, WorkerEntryDecoder.decode(id, value));
+      WorkerEntry entry = WorkerEntryDecoder.decode(id, value);
+      entries.put(id, entry);
+      departures.written(entry, completeAt);
       spoilt.remove(id);
     } catch (UndecodableException error) {
       entries.remove(id);
--- a/daemon/src/main/java/org/hickorypier/daemon/time/PauseGuard.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/time/PauseGuard.java
@@ -40,12 +40,21 @@
    * @return false if the process may have been suspended since
    */
   public boolean unbroken(long learntAt) {
+    return learntAt > unbrokenSince();
+  }
+
+  /**
+   * Returns since when the steady clock has run without a pause, as far as is known.
+   *
+   * @return a time on the steady clock
+   */
+  public long unbrokenSince() {
     long steady = steadyMillis.getAsLong();
     long present = wallMillis.getAsLong() - steady;
     if (Math.abs(present - drift) > DRIFT_MILLIS) {
       drift = present;
       resumedAt = steady;
     }
-    return learntAt > resumedAt;
+    return resumedAt;
   }
 }
--- a/daemon/src/test/java/org/hickorypier/daemon/node/NodeSettingsTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/NodeSettingsTest.java
@@ -27,7 +27,8 @@
         .put("revokeMillis", 5_000)
         .put("stateKeptSeconds", 120)
         .put("graceSeconds", 6)
-        .put("leastGroupLifetimeMillis", 1_000);
+        .put("leastGroupLifetimeMillis", 1_000)
+        .put("workerHeartbeatMillis", 1_500);
   }
 
   @Test
--- a/daemon/src/test/java/org/hickorypier/daemon/node/SmallCluster.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/SmallCluster.java
@@ -134,7 +134,8 @@
         strength,
         5_000,
         1_000,
-        3_000);
+        3_000,
+        1_500);
   }
 
   /** Puts an owner in place that takes connections and answers nothing. */
--- a/measure/src/main/java/org/hickorypier/measure/soak/InstanceProcess.java
+++ b/measure/src/main/java/org/hickorypier/measure/soak/InstanceProcess.java
@@ -76,7 +76,8 @@
               .put("revokeMillis", REVOKE_MILLIS)
               .put("stateKeptSeconds", STATE_KEPT_SECONDS)
               .put("graceSeconds", GRACE_SECONDS)
-              .put("leastGroupLifetimeMillis", LEAST_LIFETIME_MILLIS);
+              .put("leastGroupLifetimeMillis", LEAST_LIFETIME_MILLIS)
+              .put("workerHeartbeatMillis", StandInWorker.HEARTBEAT_MILLIS);
       settingsFile = folder.resolve(name + ".json");
       Files.writeString(settingsFile, settings.encodePrettily());
     } catch (IOException error) {
--- a/measure/src/main/java/org/hickorypier/measure/soak/StandInWorker.java
+++ b/measure/src/main/java/org/hickorypier/measure/soak/StandInWorker.java
@@ -30,7 +30,7 @@
   private static final String ENTRIES = "keyed.servers";
 
   /** Each worker writes its entry about so often. */
-  private static final long HEARTBEAT_MILLIS = 1_500;
+  static final long HEARTBEAT_MILLIS = 1_500;
 
   /** After three heartbeats without a sign the entry is dropped. */
   private static final long LAPSE_MILLIS = 3 * HEARTBEAT_MILLIS;
