Tasks that last: one that lost its run is placed by its loss, not by its submission's age

The log said 'room: 32 places on 23 workers, 6 on suitable ones, asked false' for eight seconds: nothing was even tried.

Two causes, both in the decisions. A submission older than three times its objective is hopeless and comes last, which is right for work that ends and wrong for what is useful whenever it runs: a service comes behind everything else as soon as it is ten seconds old. And the reserve for urgent work, meant for long gangs and batches, kept its tasks waiting too. Now a step that lasts is ranked from the moment it lost its run and is not held back by the reserve. 'step-waits' and the explanation name the reserve, which they did not, so that the log could not tell it from a lack of room.

Tests: UrgencyOrderTest.lastingTaskThatWasLostDoesNotComeAfterHopelessWork and CellTest.reserveForUrgentWorkDoesNotKeepLastingTaskFromItsRestart; both fail without the change.

--- a/core/src/main/java/org/hickorypier/core/cell/Dispatch.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Dispatch.java
@@ -110,7 +110,7 @@
     }
     String customer = step.submission.spec().customer();
     Resources each = step.spec.each();
-    long free = unreserved(step, workers);
+    long free = unreserved(cell, step, workers);
     for (Task task : step.tasks) {
       int count = waiting.size() + 1;
       if (task.waiting()
@@ -125,9 +125,14 @@
     return waiting;
   }
 
-  private long unreserved(StepRun step, List<WorkerView> workers) {
+  /** Tells whether not even one task of a step may start beside the reserve for urgent work. */
+  static boolean beyondReserve(CellState cell, StepRun step, List<WorkerView> workers) {
+    return step.spec.each().milliProcessors() > unreserved(cell, step, workers);
+  }
+
+  private static long unreserved(CellState cell, StepRun step, List<WorkerView> workers) {
     QueueTerms queue = step.submission.spec().queue();
-    if (cell.urgent(step) || step.spec.flags().fills()) {
+    if (cell.urgent(step) || step.spec.flags().fills() || step.lasting()) {
       return Long.MAX_VALUE;
     }
     long free = -cell.reserve.processors(queue.service());
--- a/core/src/main/java/org/hickorypier/core/cell/Explanation.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Explanation.java
@@ -92,6 +92,11 @@
       room += slots;
       suitable += step.advice == null || step.advice.suitable(worker) ? slots : 0;
     }
+    if (Dispatch.beyondReserve(cell, step, taking)) {
+      return "room beside the reserve for urgent work: "
+          + cell.reserve.processors(submission.spec().queue().service())
+          + " thousandths of a core";
+    }
     return "room: "
         + room
         + " places on "
--- a/core/src/main/java/org/hickorypier/core/cell/RunBook.java
+++ b/core/src/main/java/org/hickorypier/core/cell/RunBook.java
@@ -248,6 +248,7 @@
     boolean counted = task.current == run;
     if (counted) {
       task.current = null;
+      task.waitsSince = now;
     }
     if (task.current == null && task.step.submission.live() && !task.done) {
       cell.open.add(task.step);
--- a/core/src/main/java/org/hickorypier/core/cell/StepRun.java
+++ b/core/src/main/java/org/hickorypier/core/cell/StepRun.java
@@ -93,6 +93,23 @@
     return false;
   }
 
+  boolean lasting() {
+    return spec.flags().persistent();
+  }
+
+  /**
+   * Returns since when the step waits for a start; the submission's arrival before its first run.
+   */
+  long waitsSince() {
+    long since = Long.MAX_VALUE;
+    for (Task task : tasks) {
+      if (task.waiting() && task.waitsSince > 0) {
+        since = Math.min(since, task.waitsSince);
+      }
+    }
+    return since == Long.MAX_VALUE ? submission.acceptedAt : since;
+  }
+
   int waitingCount() {
     int waiting = 0;
     for (Task task : tasks) {
--- a/core/src/main/java/org/hickorypier/core/cell/Task.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Task.java
@@ -18,6 +18,9 @@
    */
   int runsOnWorkers;
 
+  /** When its last run was lost or ended; 0 before its first run. */
+  long waitsSince;
+
   boolean done;
   String checkpoint = "";
 
--- a/core/src/main/java/org/hickorypier/core/cell/UrgencyOrder.java
+++ b/core/src/main/java/org/hickorypier/core/cell/UrgencyOrder.java
@@ -42,9 +42,11 @@
     QueueTerms queue = submission.spec().queue();
     long objective = submission.objectiveMillis(learned);
     long end = now + learned.atLeast(queue.name(), step.spec.estimateMillis());
-    boolean hopeless = end > submission.acceptedAt + LATE_FACTOR * objective;
+    // What lasts is of use whenever it runs, and is wanted again from the moment when it was lost.
+    long from = step.lasting() ? step.waitsSince() : submission.acceptedAt;
+    boolean hopeless = !step.lasting() && end > from + LATE_FACTOR * objective;
     int band = (submission.beyondShare ? 1 : 0) + (hopeless ? 2 : 0);
-    long deadline = submission.acceptedAt + objective;
+    long deadline = from + objective;
     return new Ranked(step, band, queue.priority(), end > deadline, deadline);
   }
 
--- a/core/src/test/java/org/hickorypier/core/cell/CellFixture.java
+++ b/core/src/test/java/org/hickorypier/core/cell/CellFixture.java
@@ -73,6 +73,22 @@
         0);
   }
 
+  /** A step of tasks that last. */
+  static StepSpec lasting(int count) {
+    return new StepSpec(
+        count,
+        new Resources(1_000, 1_000, 0),
+        500,
+        List.of(),
+        new StepFlags(false, false, false, false, true, false),
+        "",
+        "",
+        0,
+        "",
+        0,
+        0);
+  }
+
   static StepSpec stepAfter(int earlier, int count, long processors, long estimate) {
     return new StepSpec(
         count,
--- a/core/src/test/java/org/hickorypier/core/cell/CellTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/CellTest.java
@@ -8,8 +8,10 @@
 import java.util.BitSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.hickorypier.core.model.Resources;
 import org.hickorypier.core.submission.Progress;
+import org.hickorypier.core.submission.QueueTerms;
 import org.hickorypier.core.submission.StepFlags;
 import org.hickorypier.core.submission.StepSpec;
 import org.hickorypier.core.submission.SubmissionSpec;
@@ -18,6 +20,9 @@
 
 class CellTest {
 
+  private static final QueueTerms LESS_URGENT =
+      new QueueTerms("services", "service", 1, 2, 2, 1_000, Optional.empty());
+
   private final CellFixture fixture = new CellFixture(1);
   private final Cell cell = fixture.cell;
 
@@ -209,6 +214,27 @@
     assertThat(cell.workers()).extracting(WorkerView::id).containsExactly("staying");
   }
 
+  @Test
+  void reserveForUrgentWorkDoesNotKeepLastingTaskFromItsRestart() {
+    final WorkerView worker = fixture.worker("w");
+    fixture.submit(spec("service", LESS_URGENT, CellFixture.lasting(1)));
+    fixture.submit(spec("checks", QUEUE, step(15, 1_000, 500, false)));
+    fixture.confirmAll();
+    for (int tick = 0; tick < 200; tick++) {
+      cell.tick(fixture.now, fixture.now);
+    }
+    EndedRun[] ends = new EndedRun[fixture.starts.size()];
+    for (int index = 0; index < ends.length; index++) {
+      ends[index] = end(index + 1, fixture.starts.get(index).run(), RunEnd.DONE);
+    }
+    fixture.hear(worker, ends);
+    fixture.write();
+    fixture.pass();
+    assertThat(fixture.starts.get(fixture.starts.size() - 1).run().key().task().submission())
+        .isEqualTo("service");
+    assertThat(fixture.starts).hasSize(17);
+  }
+
   /** A report that was on its way when its worker left would bring the runs back for good. */
   @Test
   void reportOfForgottenWorkerIsIgnored() {
--- a/core/src/test/java/org/hickorypier/core/cell/TakenOverLeaseTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/TakenOverLeaseTest.java
@@ -3,12 +3,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.hickorypier.core.cell.CellFixture.QUEUE;
 import static org.hickorypier.core.cell.CellFixture.TERMS;
+import static org.hickorypier.core.cell.CellFixture.lasting;
 import static org.hickorypier.core.cell.CellFixture.spec;
 
 import java.util.List;
-import org.hickorypier.core.model.Resources;
-import org.hickorypier.core.submission.StepFlags;
-import org.hickorypier.core.submission.StepSpec;
 import org.junit.jupiter.api.Test;
 
 /** What a successor believes of leases that earlier owners gave. */
@@ -18,21 +16,6 @@
 
   private final CellFixture fixture = new CellFixture(1);
 
-  private static StepSpec lasting(int count) {
-    return new StepSpec(
-        count,
-        new Resources(1_000, 1_000, 0),
-        500,
-        List.of(),
-        new StepFlags(false, false, false, false, true, false),
-        "",
-        "",
-        0,
-        "",
-        0,
-        0);
-  }
-
   /** Starts a lasting task on a worker that is then silent for some time. */
   private WorkerView leaveWithLastingTask(String id, long silentMillis) {
     WorkerView leaving = fixture.worker("leaving-" + id);
--- a/core/src/test/java/org/hickorypier/core/cell/UrgencyOrderTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/UrgencyOrderTest.java
@@ -38,6 +38,19 @@
         .isSameAs(check.occurrences[0][0]);
   }
 
+  @Test
+  void lastingTaskThatWasLostDoesNotComeAfterHopelessWork() {
+    long now = 100_000;
+    QueueTerms queue = new QueueTerms("q", "service", 1, 1, 2, 500, Optional.empty());
+    Submission service =
+        new Submission(spec("service", queue, CellFixture.lasting(1)), 1, now - 60_000, 1);
+    StepRun lost = service.occurrences[0][0];
+    lost.tasks[0].waitsSince = now - 100;
+    StepRun late = waiting("late", 1, now - 2_000, false);
+    assertThat(UrgencyOrder.sorted(List.of(late, lost), new LearnedWork(), now))
+        .containsExactly(lost, late);
+  }
+
   @Test
   void urgentWorkComesFirstAndHopelessWorkLast() {
     long now = 100_000;
