Advice: the advisor is asked while the lease of a lost worker runs out

What callers saw: after the wait for a lost worker a task that lasts waited another 0.65 to 4 s for the advisor, which was asked only then; after a takeover many steps ask at once. Now a step that lasts and has a run on a silent worker asks ahead, as steps about to have their turn do. A ticket on a worker that takes no work does not count as one. Test: AdviceTest.advisorIsAskedWhileTheLeaseOfLostWorkerRunsOut, which failed before.

--- a/core/src/main/java/org/hickorypier/core/cell/AdviceBook.java
+++ b/core/src/main/java/org/hickorypier/core/cell/AdviceBook.java
@@ -53,16 +53,6 @@
     return ticket.text;
   }
 
-  /** Tells whether any ticket is still valid. */
-  boolean anyTicket(long now) {
-    for (Ticket ticket : good.values()) {
-      if (ticket.until >= now) {
-        return true;
-      }
-    }
-    return false;
-  }
-
   void forget(WorkerView worker) {
     Ticket ticket = good.get(worker.id());
     if (ticket != null) {
--- a/core/src/main/java/org/hickorypier/core/cell/Dispatch.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Dispatch.java
@@ -62,10 +62,14 @@
     return book.askedAt > 0 && now < book.askedAt + ADVICE_MILLIS;
   }
 
+  private static boolean anyTicket(AdviceBook book, List<WorkerView> workers, long now) {
+    return workers.stream().anyMatch(worker -> book.ticket(worker, now) != null);
+  }
+
   /** Asks the advisor for a step that is about to have its turn; it claims no room yet. */
   private void askAhead(StepRun step, List<WorkerView> workers, long now) {
     AdviceBook book = step.advice;
-    if (asking(book, now) || now < book.notBefore || book.anyTicket(now)) {
+    if (asking(book, now) || now < book.notBefore || anyTicket(book, workers, now)) {
       return;
     }
     step.urgent = true;
--- a/core/src/main/java/org/hickorypier/core/cell/UpcomingSteps.java
+++ b/core/src/main/java/org/hickorypier/core/cell/UpcomingSteps.java
@@ -28,10 +28,27 @@
 
   /** Returns the steps that are about to have their turn, without those that have had it. */
   List<StepRun> soon() {
-    soon.removeIf(step -> !step.submission.live() || cell.open.contains(step) || !step.allIdle());
+    soon.removeIf(step -> !step.submission.live() || cell.open.contains(step) || !due(step));
     return new ArrayList<>(soon);
   }
 
+  private static boolean due(StepRun step) {
+    return step.allIdle() || losesRun(step);
+  }
+
+  /** Tells whether a task that lasts has its run on a worker that may be lost. */
+  private static boolean losesRun(StepRun step) {
+    if (!step.lasting()) {
+      return false;
+    }
+    for (Task task : step.tasks) {
+      if (task.current != null && task.current.worker.silent) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Notes the first steps of a submission that is being written. */
   void accepted(Submission submission) {
     if (submission.spec().scheduled()) {
@@ -44,7 +61,7 @@
     }
   }
 
-  /** Notes the steps of which all that comes before is nearly done. */
+  /** Notes the steps of which all that comes before is nearly done, or that lose a run. */
   void look(long now) {
     for (Submission submission : cell.submissions.values()) {
       if (submission.durable && submission.live()) {
@@ -61,6 +78,9 @@
       if (later && !step.done() && step.allIdle() && wanted(step) && nearlyDue(step, steps, now)) {
         soon.add(step);
       }
+      if (step.advice != null && losesRun(step)) {
+        soon.add(step);
+      }
     }
   }
 
--- a/core/src/test/java/org/hickorypier/core/cell/AdviceTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/AdviceTest.java
@@ -51,6 +51,20 @@
     assertThat(fixture.starts).allMatch(next -> next.ticket().equals("new"));
   }
 
+  @Test
+  void advisorIsAskedWhileTheLeaseOfLostWorkerRunsOut() {
+    final WorkerView lost = fixture.worker("lost");
+    fixture.submit(spec("s", ADVISED, CellFixture.lasting(1)));
+    answer(0, Map.of("lost", "ticket"));
+    fixture.confirmAll();
+    fixture.worker("other");
+    fixture.cell.holdUnanswered(lost, fixture.now);
+    fixture.cell.tick(fixture.now, fixture.now);
+    fixture.pass();
+    assertThat(fixture.questions).hasSize(2);
+    assertThat(fixture.questions.get(1).workers()).extracting(WorkerView::id).contains("other");
+  }
+
   /**
    * A check of two steps comes. The advisor is asked for the first while the check is written, and
    * for the second while the first is at work, so that each starts as soon as it may.
