Orders: one without an answer is repeated only to a worker that was heard within the last second

A worker had crashed and come back under its id while an order was under way. The repeat of the order reached the new life, whose clock starts anew, so that the deadline of the order did not bound the run there; the owner, which heard nothing of that worker for 3 s, gave the task to another when the lease was over by the clock of the earlier life. A worker that was not heard for a second gets no repeat; the run is stopped instead, as after the last repeat. Usual workers answer at least every 0.7 s, so nothing changes for them.

Still open: a first order that is on its way while its worker starts again; the header names the id, not the life (see the questions in docs/design/CELL.md).

--- a/core/src/main/java/org/hickorypier/core/cell/RunBook.java
+++ b/core/src/main/java/org/hickorypier/core/cell/RunBook.java
@@ -114,7 +114,7 @@
     if (run.stopping) {
       return;
     }
-    if (run.copies < MOST_COPIES && !run.worker.silent && run.worker.renewable) {
+    if (run.copies < MOST_COPIES && run.worker.takesRepeats(now)) {
       send(run, run.ticket, now);
     } else {
       abandon(run, now);
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
@@ -24,6 +24,9 @@
    */
   private static final long FRESH_MILLIS = 3_000;
 
+  /** A worker answers at least twice in this time, and takes longer to start again. */
+  private static final long REPEAT_MILLIS = 1_000;
+
   /** A lost answer is repeated well within this time; a worker silent for longer may be lost. */
   private static final long LAPSE_MILLIS = 500;
 
@@ -289,6 +292,14 @@
     return runs.isEmpty() && unanswered.isEmpty() && refusals.isEmpty();
   }
 
+  /**
+   * Tells whether an order without an answer may be sent to it again. A worker that was not heard
+   * for a while may have a new life, whose clock the order's deadline does not bound.
+   */
+  boolean takesRepeats(long now) {
+    return !silent && renewable && now - heardAt <= REPEAT_MILLIS;
+  }
+
   boolean takesWork(long now) {
     return listed
         && fresh(now)
--- a/core/src/test/java/org/hickorypier/core/cell/CellTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/CellTest.java
@@ -235,6 +235,20 @@
     assertThat(fixture.starts).hasSize(17);
   }
 
+  /**
+   * A worker that came back under its id ran the repeated order by its new clock, past any lease.
+   */
+  @Test
+  void orderIsNotRepeatedToWorkerThatMayHaveNewLife() {
+    fixture.worker("w");
+    fixture.submit(spec("s", QUEUE, step(1, 1_000, 500, false)));
+    Run run = fixture.starts.get(0).run();
+    fixture.advance(1_200);
+    cell.startAnswered(run, StartOutcome.UNKNOWN, fixture.now);
+    assertThat(fixture.starts).hasSize(1);
+    assertThat(fixture.stops).containsExactly(run.key());
+  }
+
   /** A report that was on its way when its worker left would bring the runs back for good. */
   @Test
   void reportOfForgottenWorkerIsIgnored() {
