Final roster: names runs whose end is not durable, and cuts no lease short that it does not name

A former owner had taken an end whose record was not written when the successor claimed the cell. Its final roster left the run out, the successor held the task for free and started it again before the worker was heard, and the worker then listed the end. Such runs are now named until their end is durable; the successor hears of the end from the worker.

Beside it, a worker that the final roster leaves out runs nothing, but may hold a lease of the former owner; its bound stays. Tests: TakenOverLeaseTest.taskThatEndedUnsavedBeforeTheHandoverDoesNotRunAgain, which failed before.

--- a/core/src/main/java/org/hickorypier/core/cell/WorkerBook.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerBook.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -222,7 +223,7 @@
   List<RosterEntry> finalRoster(long now) {
     List<RosterEntry> entries = new ArrayList<>();
     for (WorkerView worker : cell.workers.values()) {
-      if (!worker.runs.isEmpty() || cell.unresolved(worker, now)) {
+      if (!worker.runs.isEmpty() || !worker.unsavedEnds.isEmpty() || cell.unresolved(worker, now)) {
         entries.add(
             new RosterEntry(
                 worker.entry(),
@@ -244,12 +245,12 @@
     for (WorkerView worker : cell.workers.values()) {
       if (!worker.heard) {
         RosterEntry entry = byWorker.get(worker.id());
-        long lease = entry == null ? 0 : entry.leaseMillis();
-        worker.earlierLeasesEnd = Math.min(worker.earlierLeasesEnd, now + lease);
         if (entry == null) {
-          nameRuns(worker, List.of(), now);
+          // An empty worker may hold a lease all the same.
+          replaceRuns(worker, List.of(), now);
         } else {
-          entry.runs().ifPresent(named -> nameRuns(worker, named, now));
+          worker.earlierLeasesEnd = Math.min(worker.earlierLeasesEnd, now + entry.leaseMillis());
+          entry.runs().ifPresent(named -> replaceRuns(worker, named, now));
         }
       }
     }
@@ -257,7 +258,7 @@
     cell.dirty = true;
   }
 
-  private void nameRuns(WorkerView worker, List<RunKey> named, long now) {
+  private void replaceRuns(WorkerView worker, List<RunKey> named, long now) {
     worker.runsUnknown = false;
     for (Run run : CellState.copy(worker.runs.values())) {
       if (!named.contains(run.key)) {
@@ -285,8 +286,11 @@
   }
 
   private Optional<List<RunKey>> namedRuns(WorkerView worker, long now) {
-    return cell.unresolved(worker, now)
-        ? Optional.empty()
-        : Optional.of(List.copyOf(worker.runs.keySet()));
+    if (cell.unresolved(worker, now)) {
+      return Optional.empty();
+    }
+    Set<RunKey> named = new LinkedHashSet<>(worker.runs.keySet());
+    named.addAll(worker.unsavedEnds);
+    return Optional.of(List.copyOf(named));
   }
 }
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerReports.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerReports.java
@@ -1,6 +1,8 @@
 package org.hickorypier.core.cell;
 
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 
 /**
@@ -63,19 +65,23 @@
 
   private void takeEnds(WorkerView worker, HoldReport report, long now) {
     long last = worker.endsTaken;
+    List<RunKey> taken = new ArrayList<>();
     for (EndedRun ended : report.ended()) {
       if (ended.number() > worker.endsTaken) {
         ends.take(worker, ended, now);
         last = ended.number();
+        taken.add(ended.run());
       }
     }
     if (last > worker.endsTaken) {
       worker.endsTaken = last;
+      worker.unsavedEnds.addAll(taken);
       long durable = last;
       long life = worker.bornMillis;
       cell.output.afterSave(
           () -> {
             if (worker.bornMillis == life) {
+              taken.forEach(worker.unsavedEnds::remove);
               worker.endsDurable = Math.max(worker.endsDurable, durable);
             }
           });
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
@@ -82,6 +82,9 @@
   /** Ends up to this number have been taken in. */
   long endsTaken;
 
+  /** Runs whose end was taken in and is not durable: a successor must hear it from the worker. */
+  final Set<RunKey> unsavedEnds = new LinkedHashSet<>();
+
   /** Ends up to this number are durable, and may be forgotten by the worker. */
   long endsDurable;
 
@@ -179,6 +182,7 @@
     bornMillis = born;
     endsTaken = 0;
     endsDurable = 0;
+    unsavedEnds.clear();
     highestDeadline = 0;
     earlierLeasesEnd = 0;
     failureStreak = 0;
@@ -289,7 +293,7 @@
 
   /** Tells whether nothing is there and nothing is on its way. */
   boolean empty() {
-    return runs.isEmpty() && unanswered.isEmpty() && refusals.isEmpty();
+    return runs.isEmpty() && unsavedEnds.isEmpty() && unanswered.isEmpty() && refusals.isEmpty();
   }
 
   /**
--- a/core/src/test/java/org/hickorypier/core/cell/TakenOverLeaseTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/TakenOverLeaseTest.java
@@ -7,6 +7,7 @@
 import static org.hickorypier.core.cell.CellFixture.spec;
 
 import java.util.List;
+import org.hickorypier.core.submission.SubmissionState;
 import org.junit.jupiter.api.Test;
 
 /** What a successor believes of leases that earlier owners gave. */
@@ -106,6 +107,8 @@
     successor.cell.holdUnanswered(heard, successor.now);
     pass(successor, TERMS.leaseMillis() - 1_100);
     assertThat(successor.starts).isEmpty();
+    pass(successor, 1_500);
+    assertThat(successor.starts).hasSize(1);
   }
 
   @Test
@@ -157,6 +160,28 @@
     assertThat(successor.starts).hasSize(1);
   }
 
+  /** The end was known to the former owner alone, and the worker reports it again. */
+  @Test
+  void taskThatEndedUnsavedBeforeTheHandoverDoesNotRunAgain() {
+    WorkerView worker = fixture.worker("w");
+    fixture.submit(spec("s", QUEUE, CellFixture.step(1, 1_000, 500, false)));
+    fixture.confirmAll();
+    CellFixture successor = fixture.successor(2, "s");
+    RunKey run = fixture.starts.get(0).run().key();
+    EndedRun end = new EndedRun(1, run, RunEnd.DONE, "");
+    fixture.hear(worker, end);
+    successor.worker("staying");
+    successor.cell.formerOwnerEnded(fixture.cell.finalRoster(fixture.now), successor.now);
+    successor.pass();
+    assertThat(successor.starts).isEmpty();
+
+    successor.hear(successor.view("w"), end);
+    successor.write();
+    successor.pass();
+    assertThat(successor.starts).isEmpty();
+    assertThat(successor.cell.find("s").shown()).isEqualTo(SubmissionState.COMPLETED);
+  }
+
   /** What a worker has reported since is newer than what the former owner knew. */
   @Test
   void formerOwnerChangesNothingAtWorkersThatWereHeard() {
