Model: tasks that last, workers that are replaced, planned handovers

Some submissions consist of tasks that last. Workers drain one after the other, exit for good some 6 s later, and new ones with new ids and addresses come. In two spells the owner is handed over every 2 to 4 s: the former one stops ordering and renewing, and the successor takes over 50 to 90 ms later. Each handover has a place, passOn, for what a former owner tells its successor; on odd seeds that is lost now and then, which counts as a cut of 4 to 7 s.

LastingTasks checks from what workers and callers see that a task that lasts lacks a run for 3 s at most, from 6 s after its last run or its acceptance, while there is room for it twice over and its customer has under half of its limit running, if these 3 s and the 4 s before are calm. The check of attempts passes over tasks that last, since the rule on attempts (BUDGET) does not hold for them; their submissions may never be shown as failed.

The owner of the model restores the roster after the submissions.

--- a/core/src/main/java/org/hickorypier/core/verification/PromiseChecker.java
+++ b/core/src/main/java/org/hickorypier/core/verification/PromiseChecker.java
@@ -1,6 +1,7 @@
 package org.hickorypier.core.verification;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -44,6 +45,7 @@
   private final Map<String, Long> usedOnWorker = new HashMap<>();
   private final Map<String, Resources> limits = new HashMap<>();
   private final Map<String, Resources> capacities = new HashMap<>();
+  private final LastingTasks lasting = new LastingTasks();
   private int starts;
 
   /**
@@ -96,6 +98,65 @@
     }
   }
 
+  /**
+   * A caller was told that a submission is accepted.
+   *
+   * @param id its id
+   */
+  public synchronized void accepted(String id) {
+    lasting.accepted(handedIn.get(id), clock.getAsLong());
+  }
+
+  /**
+   * A caller has asked to cancel a submission; whether that took effect is open.
+   *
+   * @param id its id
+   */
+  public synchronized void cancelSent(String id) {
+    lasting.cancelSent(id);
+  }
+
+  /** An unplanned disruption is there. */
+  public synchronized void disrupted() {
+    lasting.disrupted(clock.getAsLong());
+  }
+
+  /**
+   * Checks that tasks that last run again in time; to be called several times a second.
+   *
+   * @param sound the workers that may take work
+   */
+  public synchronized void checkLasting(Collection<String> sound) {
+    long now = clock.getAsLong();
+    for (TaskName task : lasting.lacking(name -> roomTwiceOver(name, sound), now)) {
+      broken.add(
+          now + ": no run for " + lasting.idleMillis(task, now) + " ms, with room for it: " + task);
+    }
+  }
+
+  /** Checks at the end that all tasks that last are at work. */
+  public synchronized void checkLastingAtWork() {
+    for (TaskName task : lasting.idle()) {
+      broken.add(clock.getAsLong() + ": not at work at the end: " + task);
+    }
+  }
+
+  private boolean roomTwiceOver(TaskName task, Collection<String> sound) {
+    SubmissionSpec spec = handedIn.get(task.submission());
+    long size = spec.steps().get(task.step()).each().milliProcessors();
+    Resources limit = limits.get(spec.customer());
+    if (limit != null
+        && 2 * usedByCustomer.getOrDefault(spec.customer(), 0L) >= limit.milliProcessors()) {
+      return false;
+    }
+    long places = 0;
+    for (String worker : sound) {
+      long used = usedOnWorker.getOrDefault(worker, 0L);
+      places += (capacities.get(worker).milliProcessors() - used) / size;
+    }
+    return places >= 2;
+  }
+
   /**
    * A caller was told that a submission is cancelled.
    *
@@ -127,6 +188,9 @@
       breach("two runs at once, the other on " + others.iterator().next().worker(), run.key());
     }
     others.add(run);
+    if (lasts(spec, task)) {
+      lasting.started(task);
+    }
     for (DoneEnd end : done.getOrDefault(task, List.of())) {
       if (end.noted) {
         breach("start after an acknowledged end", run.key());
@@ -178,7 +242,14 @@
     return false;
   }
 
+  private static boolean lasts(SubmissionSpec spec, TaskName task) {
+    return spec.steps().get(task.step()).flags().persistent();
+  }
+
   private void checkBudget(SubmissionSpec spec, ObservedRun run) {
+    if (lasts(spec, run.key().task())) {
+      return;
+    }
     TaskName counted = counted(spec, run.key().task());
     if (failedNoted.getOrDefault(counted, Set.of()).size() >= spec.queue().attempts()) {
       breach("start after the last attempt", run.key());
@@ -222,6 +293,9 @@
     running.getOrDefault(task, new HashSet<>()).remove(run);
     SubmissionSpec spec = handedIn.get(task.submission());
     if (spec != null) {
+      if (lasts(spec, task)) {
+        lasting.ended(task, clock.getAsLong());
+      }
       usedByCustomer.merge(spec.customer(), -size(spec, run), Long::sum);
       usedOnWorker.merge(run.worker(), -size(spec, run), Long::sum);
     }
@@ -301,6 +375,7 @@
         .anyMatch(
             entry ->
                 entry.getKey().submission().equals(spec.id())
+                    && !lasts(spec, entry.getKey())
                     && entry.getValue().size() >= spec.queue().attempts());
   }
 
--- a/core/src/test/java/org/hickorypier/core/cell/model/CellModelTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/model/CellModelTest.java
@@ -20,21 +20,27 @@
 
   @Test
   void promisesHoldOnEachSeededDay() {
-    play(false);
+    play(DayKind.PLAIN);
   }
 
   /** The same beside batches that make room for urgent work, with slow workers and leaving ones. */
   @Test
   void promisesHoldWithUnlikeWork() {
-    play(true);
+    play(DayKind.UNLIKE_WORK);
   }
 
-  private static void play(boolean unlike) {
+  /** Guards against a successor that waits anew for a worker that has left. */
+  @Test
+  void lastingTaskRunsAgainThoughItsWorkerLeavesDuringHandovers() {
+    play(DayKind.RELEASE);
+  }
+
+  private static void play(DayKind kind) {
     List<String> failures = new ArrayList<>();
     long starts = 0;
     long steps = 0;
     for (int seed = FROM; seed < FROM + SEEDS; seed++) {
-      ModelWorld world = new ModelWorld(seed, unlike);
+      ModelWorld world = new ModelWorld(seed, kind);
       for (String broken : world.play()) {
         failures.add("seed " + seed + ": " + broken);
         if (Boolean.getBoolean("model.trace")) {
--- a/core/src/test/java/org/hickorypier/core/cell/model/ModelOwner.java
+++ b/core/src/test/java/org/hickorypier/core/cell/model/ModelOwner.java
@@ -61,13 +61,13 @@
             epoch,
             time.now());
     cell.configure(world.customers());
-    cell.restoreRoster(world.journal.roster);
     for (SubmissionSpec spec : world.journal.specs.values()) {
       Progress progress = world.journal.progress.get(spec.id());
       if (progress != null) {
         cell.restore(spec, world.journal.numbers.get(spec.id()), progress, time.now(), time.now());
       }
     }
+    cell.restoreRoster(world.journal.roster);
     loop();
     listWorkers();
   }
--- a/core/src/test/java/org/hickorypier/core/cell/model/ModelWorker.java
+++ b/core/src/test/java/org/hickorypier/core/cell/model/ModelWorker.java
@@ -27,6 +27,7 @@
   static final Resources CAPACITY = new Resources(16_000, 64_000, 0);
 
   final String id;
+  private final String address;
   private final ModelTime time;
   private final PromiseChecker promises;
   private final Map<String, List<ModelRun>> gangs;
@@ -47,21 +48,25 @@
   int slowness = 1;
 
   boolean draining;
+  private long drainedAt;
+  private boolean gone;
 
   ModelWorker(
-      String id, ModelTime time, PromiseChecker promises, Map<String, List<ModelRun>> gangs) {
-    this.id = id;
+      int number, ModelTime time, PromiseChecker promises, Map<String, List<ModelRun>> gangs) {
+    this.id = "w" + number;
+    this.address = "10.0.0." + (number + 1) + ":1";
     this.time = time;
     this.promises = promises;
     this.gangs = gangs;
     this.clockRate = 0.98 + time.random.nextDouble() * 0.02;
-    this.born = 1;
+    this.born = time.now();
     this.bornAt = time.now();
   }
 
   WorkerEntry entry() {
+    long remaining = draining ? Math.max(0, drainedAt - time.now()) : 0;
     return new WorkerEntry(
-        id, "service", "10.0.0.1:1", draining, 0, CAPACITY, List.of("a", "r1"), born);
+        id, "service", address, draining, remaining, CAPACITY, List.of("a", "r1"), born);
   }
 
   private long clock() {
@@ -89,18 +94,21 @@
     runs.put(key, run);
     promises.started(run.observed());
     if (run.gangWidth == 1) {
-      work(run, workMillis);
+      work(run, workMillis, step.flags().persistent());
     } else {
       joinGang(run, workMillis);
     }
     return StartOutcome.STARTED;
   }
 
-  private void work(ModelRun run, long soundMillis) {
+  private void work(ModelRun run, long soundMillis, boolean lasts) {
     long workMillis = slowness * soundMillis;
     run.working = true;
     run.workFrom(time.now(), workMillis);
     boolean fails = time.chance(failShare);
+    if (lasts && !fails) {
+      return;
+    }
     time.after(
         fails ? workMillis / 2 : workMillis, () -> end(run, fails ? RunEnd.FAILED : RunEnd.DONE));
   }
@@ -226,11 +234,28 @@
     time.after(
         millis,
         () -> {
-          if (!up && time.now() >= downUntil) {
+          if (!up && !gone && time.now() >= downUntil) {
             reborn();
           }
         });
     up = false;
+    loseRuns();
+  }
+
+  /** Says that it takes no new tasks and leaves after some time. */
+  void drain(long millis) {
+    draining = true;
+    drainedAt = time.now() + millis;
+  }
+
+  /** Exits for good, with everything on it. */
+  void leave() {
+    gone = true;
+    up = false;
+    loseRuns();
+  }
+
+  private void loseRuns() {
     for (ModelRun run : List.copyOf(runs.values())) {
       runs.remove(run.key);
       promises.ended(run.observed(), RunEnd.LAPSED);
--- a/core/src/test/java/org/hickorypier/core/cell/model/ModelWorld.java
+++ b/core/src/test/java/org/hickorypier/core/cell/model/ModelWorld.java
@@ -29,9 +29,34 @@
 
   private static final long FAULTS_END = 25_000;
   private static final long DAY_END = 75_000;
+
+  /** The last worker has left and the last cut has ended well before. */
+  private static final long DAY_END_OF_RELEASE = 50_000;
+
+  private static final int WORKERS = 4;
+
+  /** Some drain while the others take over what they had. */
+  private static final int WORKERS_OF_RELEASE = 6;
+
+  private static final int FAULTS = 7;
+  private static final int MOST_FAULTS_OF_RELEASE = 3;
+
+  /** A link between instances that loses what a former owner tells is cut for so long. */
+  private static final long LEAST_CUT = 4_000;
+
+  private static final long MOST_CUT = 7_000;
+  private static final double PASS_ON_LOST = 0.15;
+  private static final long LOOK = 50;
+
   private static final QueueTerms QUEUE =
       new QueueTerms("queue", "service", 0, 3, 2, 1_000, Optional.empty());
 
+  /** Last digits of the ids of submissions that last; those with 7 are cancelled. */
+  private static final Set<Integer> LASTING = Set.of(1, 2, 5, 7, 9);
+
+  /** So little that they leave half of a customer's limit to other work. */
+  private static final long LASTING_PROCESSORS = 500;
+
   private static final QueueTerms BATCHES =
       new QueueTerms("batches", "service", 2, 3, 2, 1_000, Optional.empty());
 
@@ -41,27 +66,35 @@
   final ModelJournal journal = new ModelJournal();
   final List<ModelWorker> workers = new ArrayList<>();
   final List<String> notes = new ArrayList<>();
+  private final Map<String, ModelWorker> workersById = new HashMap<>();
+  private final Map<String, List<ModelRun>> gangs = new HashMap<>();
   private final Map<ModelWorker, Long> unlistedFrom = new HashMap<>();
   private final Set<String> accepted = new HashSet<>();
   private final Set<String> cancelled = new HashSet<>();
   private ModelOwner owner;
 
-  private final boolean unlike;
+  private final long seed;
+  private final DayKind kind;
+
+  /** Nothing unplanned happens: what a former owner tells arrives, too. */
+  private final boolean onlyPlanned;
+
+  private long disruptedUntil;
 
   /**
    * Creates a day.
    *
    * @param seed what its course follows from
-   * @param unlike whether there are batches beside urgent work, and workers turn slow or leave
+   * @param kind what it consists of
    */
-  ModelWorld(long seed, boolean unlike) {
+  ModelWorld(long seed, DayKind kind) {
+    this.seed = seed;
+    this.kind = kind;
+    this.onlyPlanned = kind == DayKind.RELEASE && seed % 2 == 0;
     this.time = new ModelTime(seed);
-    this.unlike = unlike;
     this.promises = new PromiseChecker(time::now);
-    Map<String, List<ModelRun>> gangs = new HashMap<>();
-    for (int index = 0; index < 4; index++) {
-      workers.add(new ModelWorker("w" + index, time, promises, gangs));
-      promises.capacity("w" + index, ModelWorker.CAPACITY);
+    for (int index = 0; index < (kind == DayKind.RELEASE ? WORKERS_OF_RELEASE : WORKERS); index++) {
+      addWorker();
     }
     promises.limit("small", new Resources(12_000, 0, 0));
     takeOver();
@@ -69,10 +102,42 @@
       String id = "%016x".formatted(index);
       time.after(time.between(500, FAULTS_END), () -> handIn(id, 0));
     }
-    for (int index = 0; index < 7; index++) {
+    for (int index = 0; index < faultCount(); index++) {
       time.after(time.between(1_000, FAULTS_END - 8_000), this::fault);
     }
     time.after(FAULTS_END, this::calm);
+    if (kind == DayKind.RELEASE) {
+      new ModelRelease(this).plan();
+      look();
+    }
+  }
+
+  private int faultCount() {
+    if (kind != DayKind.RELEASE) {
+      return FAULTS;
+    }
+    return onlyPlanned ? 0 : 1 + Math.floorMod(seed / 2, MOST_FAULTS_OF_RELEASE);
+  }
+
+  /** A worker that was never there before comes. */
+  ModelWorker addWorker() {
+    ModelWorker worker = new ModelWorker(workersById.size(), time, promises, gangs);
+    workersById.put(worker.id, worker);
+    workers.add(worker);
+    promises.capacity(worker.id, ModelWorker.CAPACITY);
+    return worker;
+  }
+
+  private void look() {
+    if (time.now() < disruptedUntil) {
+      promises.disrupted();
+    }
+    promises.checkLasting(
+        workers.stream()
+            .filter(worker -> listed(worker) && !worker.draining)
+            .map(worker -> worker.id)
+            .toList());
+    time.after(LOOK, this::look);
   }
 
   List<CustomerTerms> customers() {
@@ -83,15 +148,18 @@
 
   /** Plays the day, and returns what was broken. */
   List<String> play() {
-    time.runUntil(DAY_END);
+    time.runUntil(kind == DayKind.RELEASE ? DAY_END_OF_RELEASE : DAY_END);
     for (String id : accepted) {
       SubmissionStatus status = owner.cell.status(id);
       SubmissionState state = status == null ? null : status.state();
-      if (state == null || !state.terminal()) {
+      boolean ended = state != null && state.terminal();
+      boolean lasts = state != null && !cancelled.contains(id) && lasts(id);
+      if (lasts ? ended : !ended && !lasts(id)) {
         promises.lost(id, "" + state);
         notes.addAll(owner.cell.explain(id, time.now()));
       }
     }
+    promises.checkLastingAtWork();
     return promises.broken();
   }
 
@@ -109,7 +177,10 @@
     return notes.stream()
         .filter(
             line ->
-                line.contains(submission) || line.contains(" fault ") || line.contains("worker-"))
+                line.contains(submission)
+                    || line.contains(" fault ")
+                    || line.contains(" planned ")
+                    || line.contains("worker-"))
         .toList();
   }
 
@@ -154,6 +225,7 @@
 
   void written(Submission submission) {
     accepted.add(submission.spec().id());
+    promises.accepted(submission.spec().id());
     promises.shown(submission.spec().id(), submission.shown());
     if (submission.shown() == SubmissionState.CANCELLED) {
       promises.cancelAcknowledged(submission.spec().id());
@@ -161,7 +233,7 @@
   }
 
   private ModelWorker worker(String id) {
-    return workers.get(Integer.parseInt(id.substring(1)));
+    return workersById.get(id);
   }
 
   private void takeOver() {
@@ -200,29 +272,45 @@
     Submission submission = owner.cell.find(id);
     if (!owner.ended && submission != null && submission.durable()) {
       cancelled.add(id);
+      promises.cancelSent(id);
       owner.cell.cancel(submission, time.now());
     }
   }
 
   private SubmissionSpec spec(String id) {
-    int kind = Integer.parseInt(id.substring(15), 16);
-    boolean gang = kind % 4 == 0;
-    boolean batch = unlike && kind % 4 == 1;
+    if (lasts(id)) {
+      return lastingSpec(id);
+    }
+    int digit = lastDigit(id);
+    boolean gang = digit % 4 == 0;
+    boolean batch = kind == DayKind.UNLIKE_WORK && digit % 4 == 1;
     StepFlags flags = new StepFlags(gang, false, batch, false, false, false);
-    int count = batch ? 4 + kind : 1 + kind % 4;
-    StepSpec first = step(count, 1_500 + 500L * (kind % 5), batch ? 3_000 : 600, List.of(), flags);
-    StepSpec second = step(1 + kind % 2, 2_000, 400, List.of(0), StepFlags.PLAIN);
-    List<StepSpec> steps = kind % 3 == 0 ? List.of(first, second) : List.of(first);
-    return new SubmissionSpec(
-        id,
-        kind % 2 == 0 ? "small" : "large",
-        batch ? BATCHES : QUEUE,
-        "text",
-        steps,
-        0,
-        0,
-        0,
-        time.now());
+    int count = batch ? 4 + digit : 1 + digit % 4;
+    StepSpec first = step(count, 1_500 + 500L * (digit % 5), batch ? 3_000 : 600, List.of(), flags);
+    StepSpec second = step(1 + digit % 2, 2_000, 400, List.of(0), StepFlags.PLAIN);
+    List<StepSpec> steps = digit % 3 == 0 ? List.of(first, second) : List.of(first);
+    return submission(id, digit, batch ? BATCHES : QUEUE, steps);
+  }
+
+  private static int lastDigit(String id) {
+    return Integer.parseInt(id.substring(15), 16);
+  }
+
+  /** Tells whether a submission consists of tasks that last. */
+  private boolean lasts(String id) {
+    return kind == DayKind.RELEASE && LASTING.contains(lastDigit(id));
+  }
+
+  private SubmissionSpec lastingSpec(String id) {
+    int count = 1 + Math.floorMod(seed + id.hashCode(), 4);
+    StepFlags flags = new StepFlags(false, false, false, false, true, false);
+    StepSpec step = step(count, LASTING_PROCESSORS, 2_000, List.of(), flags);
+    return submission(id, lastDigit(id), QUEUE, List.of(step));
+  }
+
+  private SubmissionSpec submission(String id, int digit, QueueTerms queue, List<StepSpec> steps) {
+    String customer = digit % 2 == 0 ? "small" : "large";
+    return new SubmissionSpec(id, customer, queue, "text", steps, 0, 0, 0, time.now());
   }
 
   private static StepSpec step(
@@ -234,9 +322,10 @@
   private void fault() {
     long length = time.between(1_000, 7_000);
     ModelWorker worker = workers.get(time.random.nextInt(workers.size()));
-    int kind = time.random.nextInt(unlike ? 14 : 11);
-    notes.add(time.now() + " fault " + kind + " " + worker.id + " for " + length);
-    switch (kind) {
+    int fault = time.random.nextInt(kind == DayKind.UNLIKE_WORK ? 14 : 11);
+    notes.add(time.now() + " fault " + fault + " " + worker.id + " for " + length);
+    disruptedFor(length);
+    switch (fault) {
       case 0 -> killOwner(true);
       case 1 -> killOwner(false);
       case 2 -> worker.crash(length);
@@ -277,6 +366,10 @@
         });
   }
 
+  private void disruptedFor(long millis) {
+    disruptedUntil = Math.max(disruptedUntil, time.now() + millis);
+  }
+
   private void during(long length, Runnable begin, Runnable end) {
     begin.run();
     time.after(length, end);
@@ -292,8 +385,10 @@
     if (dead) {
       owner.end();
     }
+    long absent = time.between(300, 2_000);
+    disruptedFor(absent);
     time.after(
-        time.between(300, 2_000),
+        absent,
         () -> {
           if (!faults.storeDown) {
             takeOver();
@@ -303,6 +398,40 @@
         });
   }
 
+  /** The owner ends as planned, and its successor takes over at its request. */
+  void handOver() {
+    if (owner.ended || owner.storeCut || faults.storeDown) {
+      return;
+    }
+    ModelOwner former = owner;
+    former.end();
+    time.after(time.between(50, 90), () -> takeOverFrom(former));
+  }
+
+  private void takeOverFrom(ModelOwner former) {
+    if (owner != former) {
+      return;
+    }
+    if (faults.storeDown) {
+      time.after(100, () -> takeOverFrom(former));
+      return;
+    }
+    takeOver();
+    ModelOwner successor = owner;
+    notes.add(time.now() + " planned handover to epoch " + successor.epoch);
+    if (!onlyPlanned && time.chance(PASS_ON_LOST)) {
+      notes.add(time.now() + " fault between instances");
+      disruptedFor(time.between(LEAST_CUT, MOST_CUT));
+    } else {
+      time.after(time.between(20, 80), () -> passOn(former, successor));
+    }
+  }
+
+  /** The former owner tells its successor what it knows. */
+  private void passOn(ModelOwner former, ModelOwner successor) {
+    notes.add(time.now() + " planned word of epoch " + former.epoch + " to " + successor.epoch);
+  }
+
   /**
    * The owner loses the store, and its successor does not reach a worker that the owner reaches.
    */
@@ -317,6 +446,7 @@
             return;
           }
           takeOver();
+          disruptedFor(length);
           ModelOwner successor = owner;
           successor.cut.add(worker.id);
           unlist(worker, length);
@@ -330,7 +460,7 @@
     for (ModelWorker worker : workers) {
       worker.failShare = 0;
       worker.slowness = 1;
-      worker.draining = false;
+      worker.draining &= kind == DayKind.RELEASE;
       if (!worker.up) {
         worker.reborn();
       }
