--- a/core/src/main/java/org/hickorypier/core/cell/Explanation.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Explanation.java
@@ -7,6 +7,8 @@
 /** Says where a submission stands and what its tasks wait for. Belongs to the control thread. */
 final class Explanation {
 
+  private static final int MOST_NAMED_WORKERS = 3;
+
   private final CellState cell;
   private final Submission submission;
   private final long now;
@@ -63,9 +65,10 @@
     return line.toString();
   }
 
-  private String unresolved() {
+  private String unresolvedWorkers() {
     return cell.workers.values().stream()
         .filter(worker -> cell.unresolved(worker, now))
+        .limit(MOST_NAMED_WORKERS)
         .map(worker -> worker.id() + " for " + cell.mayRunMillis(worker, now) + " ms")
         .collect(Collectors.joining(", "));
   }
@@ -79,7 +82,7 @@
       return "its turn";
     }
     if (cell.waitsForWorkers(submission, cell.unresolvedUpTo(now))) {
-      return "workers that may run it already: " + unresolved();
+      return "workers that may run it already: " + unresolvedWorkers();
     }
     if (!cell.usage.allows(submission.spec().customer(), step.spec.each(), 1)) {
       return "its customer's limit";
--- a/core/src/main/java/org/hickorypier/core/cell/RunAdoption.java
+++ b/core/src/main/java/org/hickorypier/core/cell/RunAdoption.java
@@ -54,12 +54,12 @@
 
   /** Of two runs of a gang that are found the later one goes on, as a whole. */
   private boolean supersedes(Task task, RunKey key, long now) {
-    if (!task.step.gang()) {
-      return task.current == null || replacesUnheard(task.current, key, now);
-    }
-    if (task.current != null) {
+    if (task.current != null && !replacesUnheard(task.current, key, now)) {
       return false;
     }
+    if (!task.step.gang()) {
+      return true;
+    }
     for (Task member : task.step.tasks) {
       Run other = member.current;
       if (other != null && other.key.number() > key.number()) {
--- a/core/src/main/java/org/hickorypier/core/cell/UrgencyOrder.java
+++ b/core/src/main/java/org/hickorypier/core/cell/UrgencyOrder.java
@@ -47,7 +47,8 @@
     boolean hopeless = !step.lasting() && end > from + LATE_FACTOR * objective;
     int band = (submission.beyondShare ? 1 : 0) + (hopeless ? 2 : 0);
     long deadline = from + objective;
-    return new Ranked(step, band, queue.priority(), end > deadline, deadline);
+    boolean late = !step.lasting() && end > deadline;
+    return new Ranked(step, band, queue.priority(), late, deadline);
   }
 
   /** A step with what decides its place: what is late comes after what may still be in time. */
--- a/core/src/main/java/org/hickorypier/core/cell/WaitLog.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WaitLog.java
@@ -17,17 +17,24 @@
 
   private static final long REPEAT_MILLIS = 2_000;
 
+  private static final long LOOK_MILLIS = 1_000;
+
   /** Working out a reason looks at every worker of the service. */
   private static final int MOST_LINES = 4;
 
   private final CellState cell;
   private final Map<StepRun, Long> nextLineAt = new HashMap<>();
+  private long nextLookAt;
 
   WaitLog(CellState cell) {
     this.cell = cell;
   }
 
   void look(long now) {
+    if (now < nextLookAt) {
+      return;
+    }
+    nextLookAt = now + LOOK_MILLIS;
     Set<StepRun> open = cell.open;
     nextLineAt.keySet().retainAll(open);
     int lines = 0;
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerBook.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerBook.java
@@ -172,7 +172,7 @@
         worker.retired = retired;
         rosterStale = true;
       }
-      rosterStale |= !worker.open() && lapses(worker, now) != worker.lapsesOnRoster;
+      rosterStale |= !worker.open() && !retired && lapses(worker, now) != worker.lapsesOnRoster;
     }
   }
 
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
@@ -205,14 +205,14 @@
    * Returns the deadline for a renewal that is sent now, and remembers it. A worker that left the
    * last renewal without an answer gets none: otherwise each attempt would put off the moment when
    * its tasks can be given to others. Neither does one whose lease runs out for all that a
-   * successor can read.
+   * successor can read, nor one that was not heard for a while: it may have a new life and clock.
    *
    * @param now the time
    * @param leaseMillis the length of the lease
    * @return the deadline on the worker's clock, or -1 for a renewal that only asks
    */
   public long nextDeadline(long now, long leaseMillis) {
-    if (clockReading == NO_READING || silent || !renewable) {
+    if (clockReading == NO_READING || !fresh(now) || silent || !renewable) {
       return -1;
     }
     long deadline = clockAt(now) + leaseMillis;
--- a/core/src/test/java/org/hickorypier/core/cell/TakenOverLeaseTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/TakenOverLeaseTest.java
@@ -194,6 +194,31 @@
     assertThat(heard.runs).isEmpty();
   }
 
+  @Test
+  void laterRunOfGangGoesOnThoughTheRosterNamesAnEarlierOne() {
+    final WorkerView leaving = fixture.worker("leaving");
+    fixture.worker("other");
+    fixture.submit(spec("g", QUEUE, CellFixture.step(2, 9_000, 500, true)));
+    fixture.confirmAll();
+    fixture.list("leaving", 1, true);
+    fixture.cell.tick(fixture.now, fixture.now);
+    fixture.write();
+
+    CellFixture successor = fixture.successor(2, "g");
+    RunKey member = leaving.runs.keySet().iterator().next();
+    RunKey later = new RunKey(member.task(), 2);
+    successor.hear(successor.worker("staying"), 1, List.of(later));
+    assertThat(successor.stops).contains(member).doesNotContain(later);
+  }
+
+  @Test
+  void renewalAfterLongSilenceCarriesNoDeadline() {
+    WorkerView worker = fixture.worker("w");
+    assertThat(worker.nextDeadline(fixture.now, TERMS.leaseMillis())).isPositive();
+    fixture.advance(6_000);
+    assertThat(worker.nextDeadline(fixture.now, TERMS.leaseMillis())).isNegative();
+  }
+
   @Test
   void rosterSurvivesItsCodec() throws Exception {
     leaveWithLastingTask("s", 1_000);
--- a/core/src/test/java/org/hickorypier/core/cell/UrgencyOrderTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/UrgencyOrderTest.java
@@ -49,6 +49,11 @@
     StepRun late = waiting("late", 1, now - 2_000, false);
     assertThat(UrgencyOrder.sorted(List.of(late, lost), new LearnedWork(), now))
         .containsExactly(lost, late);
+    // A successor does not know when it was lost.
+    lost.tasks[0].waitsSince = 0;
+    StepRun inTime = waiting("in time", 1, now - 100, false);
+    assertThat(UrgencyOrder.sorted(List.of(inTime, lost), new LearnedWork(), now))
+        .containsExactly(lost, inTime);
   }
 
   @Test
--- a/core/src/test/java/org/hickorypier/core/cell/model/ModelWorld.java
+++ b/core/src/test/java/org/hickorypier/core/cell/model/ModelWorld.java
@@ -430,6 +430,9 @@
   /** The former owner tells its successor what it knows. */
   private void passOn(ModelOwner former, ModelOwner successor) {
     notes.add(time.now() + " planned word of epoch " + former.epoch + " to " + successor.epoch);
+    if (!successor.ended) {
+      successor.cell.formerOwnerEnded(former.cell.finalRoster(time.now()), time.now());
+    }
   }
 
   /**
