Leases: an owner renews for 3 s after its last proof instead of 6

What callers saw: where the owner is killed within half a second of a worker's leaving, nobody can tell the successor when that worker's lease was renewed last, and the roster still says that it is. The successor waits as long as a predecessor without a proof may go on renewing, plus a lease: 9.87 s from its takeover, more than the 9 s within which a task that lasts has to run again, and everything accepted before waits with it.

The only use of renewals without a proof is an outage of the store for all; 3 s and the last lease of 3.5 s bridge one of 6 s. The wait is now 6.87 s.

Ruled out: taking a refused connection for the predecessor's end (a cut may refuse too).

--- a/core/src/main/java/org/hickorypier/core/cell/CellTerms.java
+++ b/core/src/main/java/org/hickorypier/core/cell/CellTerms.java
@@ -26,10 +26,11 @@
   private static final long WANTED_LEASE_MILLIS = 3_500;
 
   /**
-   * How long an owner renews leases without a proof of ownership: the store is away for some 4 to 5
-   * s on the users' installations, and work should go on meanwhile.
+   * How long an owner renews leases without a proof of ownership. With the last lease it bridges an
+   * outage of the store of 6 s. A successor that cannot hear a worker waits as long as both, which
+   * must be less than the 9 s within which a task that lasts has to run again.
    */
-  private static final long PROOF_MILLIS = 6_000;
+  private static final long PROOF_MILLIS = 3_000;
 
   /** Covers the rounding and the time on the wire when the end of a lease is worked out. */
   static final long LEASE_MARGIN_MILLIS = 300;
