Handover: the final roster is told until the successor takes it, and the former owner's cell is let go

The message was forgotten on any reply; an instance may be announced as the owner a moment before it is, and answers that it is not. It is repeated until it is taken or the link ends. An instance that had lost the cell kept the whole of it in memory until it was told; it keeps the final roster, and subtracts the time since its end when it sends it. The roster names 4,000 runs at most, so that it stays under the store's largest record.

--- a/core/src/main/java/org/hickorypier/core/cell/RosterEntry.java
+++ b/core/src/main/java/org/hickorypier/core/cell/RosterEntry.java
@@ -39,6 +39,18 @@
     this(worker, closedAfter, RENEWED, Optional.empty());
   }
 
+  /**
+   * Returns the entry as it is some time later.
+   *
+   * @param millis the time, in milliseconds
+   * @return an entry with that much less of the lease, if it is not renewed
+   */
+  public RosterEntry after(long millis) {
+    return renewed()
+        ? this
+        : new RosterEntry(worker, closedAfter, Math.max(0, leaseMillis - millis), runs);
+  }
+
   /**
    * Tells whether the writer may renew the worker's lease later on.
    *
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerBook.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerBook.java
@@ -24,6 +24,11 @@
   /** While a lease runs out, the roster is written this often with what is left of it. */
   private static final long COUNT_DOWN_MILLIS = 1_000;
 
+  /**
+   * With so many runs, of some 30 bytes each, a roster is well under the store's largest record.
+   */
+  private static final int MOST_NAMED_RUNS = 4_000;
+
   private final CellState cell;
   private final RunBook runs;
   private final RunAdoption adoption;
@@ -191,24 +196,11 @@
     rosterStale = false;
     rosterWriting = true;
     rosterWrittenAt = now;
-    List<WorkerView> open = new ArrayList<>();
-    List<WorkerView> renewed = new ArrayList<>();
-    List<RosterEntry> entries = new ArrayList<>();
-    for (WorkerView worker : cell.workers.values()) {
-      if (worker.retired) {
-        continue;
-      }
-      RosterEntry entry = entryOf(worker, now);
-      entries.add(entry);
-      worker.lapsesOnRoster = !entry.renewed();
-      worker.renewable &= entry.renewed();
-      if (entry.renewed()) {
-        renewed.add(worker);
-      }
-      if (worker.open()) {
-        open.add(worker);
-      }
-    }
+    List<WorkerView> written = new ArrayList<>(cell.workers.values());
+    written.removeIf(worker -> worker.retired);
+    List<RosterEntry> entries = entriesOf(written, now);
+    List<WorkerView> open = written.stream().filter(WorkerView::open).toList();
+    List<WorkerView> renewed = written.stream().filter(each -> !each.lapsesOnRoster).toList();
     cell.output.saveRoster(
         entries,
         () -> {
@@ -219,6 +211,20 @@
         });
   }
 
+  /** Makes the entries; from here on a worker whose lease runs out by its entry is not renewed. */
+  private List<RosterEntry> entriesOf(List<WorkerView> written, long now) {
+    List<RosterEntry> entries = new ArrayList<>();
+    int namedRuns = 0;
+    for (WorkerView worker : written) {
+      RosterEntry entry = entryOf(worker, namedRuns, now);
+      namedRuns += entry.runs().map(List::size).orElse(0);
+      worker.lapsesOnRoster = !entry.renewed();
+      worker.renewable &= entry.renewed();
+      entries.add(entry);
+    }
+    return entries;
+  }
+
   /** Returns what may still run anywhere, from an owner that orders and renews nothing any more. */
   List<RosterEntry> finalRoster(long now) {
     List<RosterEntry> entries = new ArrayList<>();
@@ -277,12 +283,14 @@
     return false;
   }
 
-  private RosterEntry entryOf(WorkerView worker, long now) {
+  private RosterEntry entryOf(WorkerView worker, int namedBefore, long now) {
     if (worker.open()) {
       return new RosterEntry(worker.entry(), RosterEntry.OPEN);
     }
     long lease = lapses(worker, now) ? cell.mayRunMillis(worker, now) : RosterEntry.RENEWED;
-    return new RosterEntry(worker.entry(), worker.closedAfter, lease, namedRuns(worker, now));
+    Optional<List<RunKey>> named =
+        namedRuns(worker, now).filter(each -> namedBefore + each.size() <= MOST_NAMED_RUNS);
+    return new RosterEntry(worker.entry(), worker.closedAfter, lease, named);
   }
 
   private Optional<List<RunKey>> namedRuns(WorkerView worker, long now) {
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Ownership.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Ownership.java
@@ -37,6 +37,8 @@
 
   private static final Duration ANNOUNCE_RETRY = Duration.ofMillis(150);
 
+  private static final Duration TELL_AGAIN = Duration.ofMillis(100);
+
   /** An owner that has proved itself within this time is left alone. */
   private static final long PROOF_MILLIS = 1_600;
 
@@ -87,7 +89,7 @@
   private Owner owner;
 
   /** The last ownership of this process, until the successor knows what it left on the workers. */
-  private Owner former;
+  private FormerOwnership former;
 
   private long generation;
   private boolean takingOver;
@@ -502,21 +504,29 @@
 
   /**
    * Tells the present owner what this instance left on the workers when it ceased to be the owner.
+   * An instance may be announced as the owner a moment before it is ready to be told.
    *
    * @param successorEpoch the epoch of the present owner
-   * @param successor asks the present owner; its future may fail
+   * @param successor asks the present owner; its future fails once it cannot be asked any more
    */
   public void tellSuccessor(
       int successorEpoch, Function<LinkRequest, Future<LinkReply>> successor) {
-    if (former == null || former.epoch() >= successorEpoch) {
+    FormerOwnership told = former;
+    if (told == null || told.epoch() >= successorEpoch) {
       return;
     }
-    Owner told = former;
     successor
-        .apply(new LinkRequest.FormerOwner(told.epoch(), told.finalRoster()))
+        .apply(told.message(instruments.timers().nowMillis()))
         .onSuccess(
             reply -> {
-              if (former == told) {
+              if (former != told) {
+                return;
+              }
+              if (reply instanceof LinkReply.NotOwner) {
+                instruments
+                    .timers()
+                    .after(TELL_AGAIN, () -> tellSuccessor(successorEpoch, successor));
+              } else {
                 former = null;
               }
             });
@@ -524,11 +534,14 @@
 
   private void lost(String reason) {
     if (owner != null) {
-      former = owner;
+      Owner ending = owner;
       // Whom the end tells that this is not the owner has to find it so.
       owner = null;
       onLost.run();
-      former.end(reason);
+      ending.end(reason);
+      former =
+          new FormerOwnership(
+              ending.epoch(), ending.finalRoster(), instruments.timers().nowMillis());
     }
   }
 }
