Names and invariants of what a roster promises of a worker's lease

No behaviour changes. silentForLong, leaseRunsOut and runsOutOnRoster take the place of three words that differed by an ending; the class comments name all ways in which a run may be taken for gone, and what the roster's two flags wait for.

--- a/core/src/main/java/org/hickorypier/core/cell/WorkerBook.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerBook.java
@@ -54,7 +54,7 @@
       worker.onRoster = true;
       worker.closedAfter = restored.closedAfter();
       worker.renewable = restored.renewed();
-      worker.lapsesOnRoster = !restored.renewed();
+      worker.runsOutOnRoster = !restored.renewed();
       worker.earlierLeasesEnd = cell.takenOverAt + longestLease(restored);
       worker.runsUnknown = restored.runs().isEmpty();
       cell.workers.put(entry.id(), worker);
@@ -177,15 +177,14 @@
         worker.retired = retired;
         rosterStale = true;
       }
-      rosterStale |= !worker.open() && !retired && lapses(worker, now) != worker.lapsesOnRoster;
+      rosterStale |=
+          !worker.open() && !retired && leaseRunsOut(worker, now) != worker.runsOutOnRoster;
     }
   }
 
-  /**
-   * A worker that was not heard gets no renewal; one that left some unanswered gets none either.
-   */
-  private static boolean lapses(WorkerView worker, long now) {
-    return !worker.heard || worker.lapsing(now);
+  /** Tells whether a worker gets no renewal: it was never heard, or not for long. */
+  private static boolean leaseRunsOut(WorkerView worker, long now) {
+    return !worker.heard || worker.silentForLong(now);
   }
 
   private void writeRoster(long now) {
@@ -200,7 +199,7 @@
     written.removeIf(worker -> worker.retired);
     List<RosterEntry> entries = entriesOf(written, now);
     List<WorkerView> open = written.stream().filter(WorkerView::open).toList();
-    List<WorkerView> renewed = written.stream().filter(each -> !each.lapsesOnRoster).toList();
+    List<WorkerView> renewed = written.stream().filter(each -> !each.runsOutOnRoster).toList();
     cell.output.saveRoster(
         entries,
         () -> {
@@ -218,7 +217,7 @@
     for (WorkerView worker : written) {
       RosterEntry entry = entryOf(worker, namedRuns, now);
       namedRuns += entry.runs().map(List::size).orElse(0);
-      worker.lapsesOnRoster = !entry.renewed();
+      worker.runsOutOnRoster = !entry.renewed();
       worker.renewable &= entry.renewed();
       entries.add(entry);
     }
@@ -276,7 +275,7 @@
 
   private boolean anyLeaseRunsOut(long now) {
     for (WorkerView worker : cell.workers.values()) {
-      if (worker.lapsesOnRoster && !worker.retired && worker.leaseEnd() > now) {
+      if (worker.runsOutOnRoster && !worker.retired && worker.leaseEnd() > now) {
         return true;
       }
     }
@@ -287,7 +286,7 @@
     if (worker.open()) {
       return new RosterEntry(worker.entry(), RosterEntry.OPEN);
     }
-    long lease = lapses(worker, now) ? cell.mayRunMillis(worker, now) : RosterEntry.RENEWED;
+    long lease = leaseRunsOut(worker, now) ? cell.mayRunMillis(worker, now) : RosterEntry.RENEWED;
     Optional<List<RunKey>> named =
         namedRuns(worker, now).filter(each -> namedBefore + each.size() <= MOST_NAMED_RUNS);
     return new RosterEntry(worker.entry(), worker.closedAfter, lease, named);
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerReports.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerReports.java
@@ -8,9 +8,9 @@
 /**
  * Takes in what workers say of their runs.
  *
- * <p>Invariant: a run is taken for gone only on the word of its worker's present life, given after
- * the order or the stop had its answer, or after the order's deadline. Belongs to the control
- * thread.
+ * <p>Invariant: a report shows that a run is gone only if it comes from the worker's present life
+ * and was given after the order or the stop had its answer, or after the order's deadline. Belongs
+ * to the control thread.
  */
 final class WorkerReports {
 
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
@@ -9,9 +9,14 @@
 /**
  * What the owner believes of one worker.
  *
- * <p>Invariant: the sum of {@code runs} and claims is what may be in use there; a run leaves only
- * when the worker has said that it ended or never came, when the worker has a new life, or when
- * every lease ever sent has expired. Belongs to the control thread.
+ * <p>Invariant: the sum of {@code runs} and claims is what may be in use there. A run leaves only
+ * when the worker has said that it ended or never came, when it has a new life or has left, when
+ * every lease ever sent has expired, or, before it was first heard, when the former owner says that
+ * it left nothing there.
+ *
+ * <p>A worker is open or closed to orders ({@code closedAfter}), and its lease is renewed or runs
+ * out. A successor reads both from the roster, so orders wait for {@code onRoster}, and renewals
+ * after a long silence for {@code renewable}. Belongs to the control thread.
  */
 public final class WorkerView {
 
@@ -28,7 +33,7 @@
   private static final long REPEAT_MILLIS = 1_000;
 
   /** A lost answer is repeated well within this time; a worker silent for longer may be lost. */
-  private static final long LAPSE_MILLIS = 500;
+  private static final long LONG_SILENCE_MILLIS = 500;
 
   final Map<RunKey, Run> runs = new LinkedHashMap<>();
 
@@ -63,11 +68,11 @@
   long silentSince;
   long heardAt;
 
-  /** No roster that is written, or may be, tells a successor that the lease runs out. */
+  /** No roster that a successor may read tells that the lease runs out. */
   boolean renewable = true;
 
-  /** The roster that was written last tells that its lease runs out. */
-  boolean lapsesOnRoster;
+  /** The roster that was handed over last tells that its lease runs out. */
+  boolean runsOutOnRoster;
 
   /** Orders without an answer, with the time they were sent: each may yet be carried out. */
   final Map<RunKey, Long> unanswered = new LinkedHashMap<>();
@@ -274,12 +279,12 @@
 
   /** Tells whether it is to get no orders for a while, which a successor should know. */
   boolean closing(long now) {
-    return entry.draining() || lapsing(now);
+    return entry.draining() || silentForLong(now);
   }
 
-  /** Tells whether its lease is left to run out. */
-  boolean lapsing(long now) {
-    return silent && now - silentSince >= LAPSE_MILLIS;
+  /** Tells whether it may be lost, so that its lease is left to run out. */
+  boolean silentForLong(long now) {
+    return silent && now - silentSince >= LONG_SILENCE_MILLIS;
   }
 
   /**
--- a/daemon/src/main/java/org/hickorypier/daemon/link/LinkCodec.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/link/LinkCodec.java
@@ -18,6 +18,9 @@
 /** The MessagePack form of requests and replies. Stateless. */
 final class LinkCodec {
 
+  /** Requests have numbers below this one, replies from it on. */
+  private static final int ACCEPTED = 11;
+
   private static final int FORMER_OWNER = 0;
   private static final int SUBMIT = 1;
   private static final int INQUIRE = 2;
@@ -29,7 +32,6 @@
   private static final int EXPLAIN = 8;
   private static final int INTRODUCE = 9;
   private static final int MEASURE_PACE = 10;
-  private static final int ACCEPTED = 11;
   private static final int REFUSED = 12;
   private static final int STATE = 13;
   private static final int NOT_KNOWN = 14;
