Instance test: a task that lasts runs again after its worker left beside a planned handover

Cause: no test over real instances has a worker that drains and leaves, nor a task that lasts. SmallCluster now lets a worker drain and depart. The test asserts no elapsed time: it reads from the successor's 'worker-silent' for how long it is going to wait for the departed worker, and holds that against the 9 s after which the task must run again.

--- a/daemon/src/test/java/org/hickorypier/daemon/node/NodeTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/NodeTest.java
@@ -17,6 +17,9 @@
 
   private static final String ID = "5c0e7a21d94b36f%x";
 
+  /** A task that lasts runs again at the latest so long after its last run. */
+  private static final long LASTING_TASK_RESTART_MILLIS = 9_000;
+
   @Test
   void submissionIsAcceptedRunAndShownAsCompleted() throws Exception {
     try (SmallCluster cluster = new SmallCluster(2, 50)) {
@@ -314,4 +317,26 @@
       cluster.until(() -> cluster.state(named, id).equals("completed"));
     }
   }
+
+  /** A successor waited 9.87 s from its own takeover for a worker that had left before it. */
+  @Test
+  void lastingTaskOfDepartedWorkerRunsAgainAfterPlannedHandover() throws Exception {
+    try (SmallCluster cluster = new SmallCluster(2, 60_000)) {
+      final SmallCluster.Instance owner = cluster.start();
+      final SmallCluster.Instance successor = cluster.start();
+      assertThat(cluster.submitLasting(owner, ID.formatted(15)).status()).isEqualTo(200);
+      cluster.until(() -> cluster.starts().size() == 1);
+      int departing = cluster.workers.get(0).history().isEmpty() ? 1 : 0;
+      cluster.drain(departing, 6_000);
+      cluster.until(() -> cluster.told(owner, "worker-draining"));
+      cluster.depart(departing);
+      cluster.until(() -> cluster.told(owner, "worker-unlisted"));
+      cluster.leave(owner, TimeUnit.MINUTES.toMillis(1));
+      cluster.until(() -> cluster.told(successor, "owner-gained"));
+      cluster.until(() -> cluster.starts().size() == 2);
+      assertThat(cluster.workers.get(1 - departing).history()).hasSize(1);
+      assertThat(cluster.mayRunMillis(successor, "w" + departing))
+          .allMatch(millis -> millis <= LASTING_TASK_RESTART_MILLIS);
+    }
+  }
 }
--- a/daemon/src/test/java/org/hickorypier/daemon/node/SmallCluster.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/SmallCluster.java
@@ -23,6 +23,8 @@
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.hickorypier.core.cell.CellTerms;
 import org.hickorypier.core.cell.CustomerTerms;
 import org.hickorypier.core.cell.EventLog;
@@ -62,6 +64,7 @@
   final StoreServer storeServer = new StoreServer(vertx, store);
   final List<InMemoryExecutor> workers = new ArrayList<>();
   final List<ExecutorServer> workerServers = new ArrayList<>();
+  private final List<HttpServer> workerListeners = new ArrayList<>();
   final List<Instance> instances = new ArrayList<>();
   final List<String> events = java.util.Collections.synchronizedList(new ArrayList<>());
   private final HttpCalls calls = new HttpCalls(vertx, 20);
@@ -91,17 +94,35 @@
               () -> now() - started,
               (millis, task) -> vertx.setTimer(Math.max(1, millis), id -> task.run()));
       ExecutorServer server = new ExecutorServer(vertx, worker);
-      ServiceAddress address = address(await(server.listen(0)));
-      store.put(
-          "keyed.servers",
-          worker.id(),
-          worker.entry("service", "" + address).toString().getBytes(StandardCharsets.UTF_8));
+      HttpServer listener = await(server.listen(0));
       workers.add(worker);
       workerServers.add(server);
+      workerListeners.add(listener);
+      list(index, entry(index));
     }
     configure(KEY);
   }
 
+  private JsonObject entry(int worker) {
+    return workers.get(worker).entry("service", "" + address(workerListeners.get(worker)));
+  }
+
+  private void list(int worker, JsonObject entry) {
+    store.put("keyed.servers", workers.get(worker).id(), entry.toBuffer().getBytes());
+  }
+
+  /** Lets a worker say that it drains. */
+  void drain(int worker, long remainingMillis) {
+    list(worker, entry(worker).put("State", "draining").put("RemainingMs", remainingMillis));
+  }
+
+  /** Takes a worker away for good: what runs there ends, and its entry goes. */
+  void depart(int worker) throws Exception {
+    await(workerListeners.get(worker).close());
+    workers.get(worker).crash();
+    store.put("keyed.servers", workers.get(worker).id(), null);
+  }
+
   private static long now() {
     return System.nanoTime() / 1_000_000;
   }
@@ -219,6 +240,20 @@
     }
   }
 
+  /** Returns for how long an instance has said that a silent worker may still run something. */
+  List<Long> mayRunMillis(Instance instance, String worker) {
+    Pattern figure =
+        Pattern.compile("worker-silent \\[worker, " + worker + ",.*may_run_ms, (\\d+)");
+    synchronized (events) {
+      return events.stream()
+          .filter(line -> line.startsWith(instance.settings().name()))
+          .map(figure::matcher)
+          .filter(Matcher::find)
+          .map(found -> Long.valueOf(found.group(1)))
+          .toList();
+    }
+  }
+
   /** Begins an instance's graceful end, as at SIGTERM. */
   Future<Void> leave(Instance instance, long graceMillis) {
     long endsAt = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(graceMillis);
@@ -243,16 +278,27 @@
   }
 
   HttpReply submit(Instance instance, String id, int tasks) {
-    JsonObject step =
-        new JsonObject()
-            .put("Count", tasks)
-            .put("Cpu", 1_000)
-            .put("MemMb", 100)
-            .put("EstimateMs", 100);
+    return submit(instance, id, step(tasks));
+  }
+
+  private HttpReply submit(Instance instance, String id, JsonObject step) {
     JsonObject body = new JsonObject().put("Spec", "text").put("Phases", new JsonArray().add(step));
     return call(instance.settings().front(), HttpMethod.POST, PREFIX + id, body.toBuffer());
   }
 
+  /** Hands in one task that lasts. */
+  HttpReply submitLasting(Instance instance, String id) {
+    return submit(instance, id, step(1).put("Persistent", true));
+  }
+
+  private static JsonObject step(int tasks) {
+    return new JsonObject()
+        .put("Count", tasks)
+        .put("Cpu", 1_000)
+        .put("MemMb", 100)
+        .put("EstimateMs", 100);
+  }
+
   String state(Instance instance, String id) {
     HttpReply reply = call(instance.settings().front(), HttpMethod.GET, PREFIX + id, null);
     return reply.status() == 200
