Soak: a release of the workers while instances restart in turn, beneath tasks that last

Cause: the soak had no worker that leaves and no task that lasts, so it could not find what docs/incidents/lasting-task-not-restarted.md tells of.

Callers hand in up to eight submissions that last, of one to four tasks, and cancel one in four. The workers of a soak may drain and leave, and run tasks that last. The test of the usual plan names the usual kinds; it and the release together still have to cover all kinds.

--- a/measure/src/main/java/org/hickorypier/measure/soak/DisturbanceKind.java
+++ b/measure/src/main/java/org/hickorypier/measure/soak/DisturbanceKind.java
@@ -1,5 +1,8 @@
 package org.hickorypier.measure.soak;
 
+import java.util.EnumSet;
+import java.util.List;
+
 /** What a soak does to the processes, connections, clocks and services of a small cluster. */
 enum DisturbanceKind {
   /** An instance is killed, and starts again after the length. */
@@ -43,5 +46,22 @@
   /** The callers' connections to an instance are reset. */
   RESET_CALLERS,
   /** The operator withdraws a customer's key and gives another. */
-  CHANGE_KEY
+  CHANGE_KEY,
+  /**
+   * A worker says that it drains, goes on for the length, and leaves for good; another one takes
+   * its place at once, under an id and an address of its own.
+   */
+  RELEASE_WORKER;
+
+  /** What a soak without a release draws from. */
+  static final List<DisturbanceKind> USUAL =
+      List.copyOf(EnumSet.complementOf(EnumSet.of(RELEASE_WORKER)));
+
+  private static final EnumSet<DisturbanceKind> PLANNED =
+      EnumSet.of(TERMINATE_INSTANCE, CHANGE_KEY, RELEASE_WORKER);
+
+  /** Tells whether it is planned work, which excuses nothing. */
+  boolean planned() {
+    return PLANNED.contains(this);
+  }
 }
--- a/measure/src/main/java/org/hickorypier/measure/soak/DisturbancePlan.java
+++ b/measure/src/main/java/org/hickorypier/measure/soak/DisturbancePlan.java
@@ -42,12 +42,12 @@
   }
 
   private static Disturbance one(Random random, long spanMillis) {
-    DisturbanceKind[] kinds = DisturbanceKind.values();
     long most = Math.min(LONGEST_MILLIS, spanMillis / 2);
     long length = SHORTEST_MILLIS + random.nextInt((int) (most - SHORTEST_MILLIS));
     long last = spanMillis - length - FIRST_MILLIS;
     long at = FIRST_MILLIS + random.nextInt((int) last);
-    return new Disturbance(at, kinds[random.nextInt(kinds.length)], random.nextInt(64), length);
+    DisturbanceKind kind = DisturbanceKind.USUAL.get(random.nextInt(DisturbanceKind.USUAL.size()));
+    return new Disturbance(at, kind, random.nextInt(64), length);
   }
 
   private static Disturbance again(Random random, Disturbance before, long spanMillis) {
--- a/measure/src/main/java/org/hickorypier/measure/soak/Disturber.java
+++ b/measure/src/main/java/org/hickorypier/measure/soak/Disturber.java
@@ -26,20 +26,30 @@
   private final StandInPlatform platform;
   private final List<InstanceProcess> instances;
   private final SoakCallers callers;
+  private final LastingTaskCheck lasting;
 
   Disturber(
-      Vertx vertx, StandInPlatform platform, List<InstanceProcess> instances, SoakCallers callers) {
+      Vertx vertx,
+      StandInPlatform platform,
+      List<InstanceProcess> instances,
+      SoakCallers callers,
+      LastingTaskCheck lasting) {
     this.vertx = vertx;
     this.platform = platform;
     this.instances = instances;
     this.callers = callers;
+    this.lasting = lasting;
   }
 
   /** Begins a disturbance. Signals block for some milliseconds, so this is no event loop's work. */
-  void begin(Disturbance disturbance) throws FleetException {
+  void begin(Disturbance disturbance) throws FleetException, SoakException {
     InstanceProcess instance = instances.get(disturbance.target() % instances.size());
     StandInWorker worker = platform.workers.get(disturbance.target() % platform.workers.size());
     long length = disturbance.lengthMillis();
+    if (!disturbance.kind().planned()) {
+      // Late calls take effect, and processes start, after the end.
+      lasting.disturbed(length + LATE_MILLIS);
+    }
     switch (disturbance.kind()) {
       case KILL_INSTANCE -> killed(List.of(instance), length);
       case KILL_ALL -> killed(instances, length);
@@ -78,6 +88,8 @@
       case CUT_LINKS -> during(length, instance.links, ProxyMode.SILENT);
       case DELAY_LINKS -> during(length, instance.links, ProxyMode.DELAY);
       case RESET_CALLERS -> instance.callers.resetAll();
+      case RELEASE_WORKER ->
+          platform.release(disturbance.target() % platform.workers.size(), length);
       default -> callers.useWithdrawn(platform.changeKey());
     }
   }
--- a/measure/src/main/java/org/hickorypier/measure/soak/Soak.java
+++ b/measure/src/main/java/org/hickorypier/measure/soak/Soak.java
@@ -59,6 +59,11 @@
         .addOption(flag("instances", "instances a seed, 1 to 40; default 3"))
         .addOption(flag("workers", "workers a seed, 1 to 400; default 6"))
         .addOption(flag("disturbances", "disturbances a seed, 0 to 100; default 9"))
+        .addOption(
+            Option.builder()
+                .longOpt("release")
+                .desc("replace workers and restart instances in turn; 4 instances, 8 workers")
+                .get())
         .addOption(flag("reports", "folder for the logs of seeds with a breach"));
   }
 
@@ -71,14 +76,18 @@
     final long from = number(line, "from", 1, 0, Integer.MAX_VALUE);
     final long minutes = number(line, "minutes", 60, 1, 1_000);
     final int together = (int) number(line, "together", 2, 1, 8);
-    SoakSettings usual = SoakSettings.usual(Path.of(line.getOptionValue("reports", "target/soak")));
+    Path reports = Path.of(line.getOptionValue("reports", "target/soak"));
+    SoakSettings usual =
+        line.hasOption("release") ? SoakSettings.release(reports) : SoakSettings.usual(reports);
     SoakSettings settings =
         new SoakSettings(
             (int) number(line, "instances", usual.instances(), 1, MOST_INSTANCES),
             (int) number(line, "workers", usual.workers(), 1, MOST_WORKERS),
             (int) number(line, "disturbances", usual.disturbances(), 0, 100),
+            usual.handInSpreadMillis(),
             usual.loadMillis(),
             usual.calmMillis(),
+            usual.release(),
             usual.reports());
     long end = System.nanoTime() + TimeUnit.MINUTES.toNanos(minutes);
     List<Callable<Boolean>> plays = new ArrayList<>();
--- a/measure/src/main/java/org/hickorypier/measure/soak/SoakCallers.java
+++ b/measure/src/main/java/org/hickorypier/measure/soak/SoakCallers.java
@@ -36,12 +36,19 @@
   private static final long CALL_MILLIS = 3_000;
   private static final long TRY_AGAIN_MILLIS = 300;
   private static final int MOST_TRIES = 5;
-  private static final int HAND_IN_SPREAD_MILLIS = 220;
   private static final long ASK_MILLIS = 400;
 
   /** One submission in eight is cancelled. */
   private static final int CANCEL_SHARE = 8;
 
+  private static final int MOST_LASTING = 8;
+  private static final int LASTING_SPREAD_MILLIS = 2_000;
+
+  /** One submission that lasts in four is cancelled, some time within the load. */
+  private static final int CANCEL_SHARE_OF_LASTING = 4;
+
+  private static final int LASTING_CANCEL_MILLIS = 20_000;
+
   /** An accepted submission must be known everywhere after this time. */
   private static final long VISIBLE_MILLIS = 3_000;
 
@@ -53,12 +60,18 @@
   private final StandInPlatform platform;
   private final List<ServiceAddress> fronts;
   private final PromiseChecker checker;
+  private final LastingTaskCheck lasting;
   private final Random random;
+
+  /** Draws what concerns submissions that last, so that the others do not depend on them. */
+  private final Random randomOfLasting;
+
   private final Set<String> open = new TreeSet<>();
   private final List<String> unlawful = new ArrayList<>();
   private int handedIn;
   private int accepted;
   private int refused;
+  private int lastingHandedIn;
   private boolean handingIn = true;
   private boolean stopped;
 
@@ -67,20 +80,31 @@
       StandInPlatform platform,
       List<ServiceAddress> fronts,
       PromiseChecker checker,
+      LastingTaskCheck lasting,
       long seed) {
     this.vertx = vertx;
     this.calls = new HttpCalls(vertx, CONNECTIONS);
     this.platform = platform;
     this.fronts = List.copyOf(fronts);
     this.checker = checker;
+    this.lasting = lasting;
     this.random = new Random(seed);
+    this.randomOfLasting = new Random(~seed);
   }
 
-  /** Hands in one submission after another until {@link #rest}. */
-  void begin() {
+  /** Hands in one submission after another, at most so far apart, until {@link #rest}. */
+  void begin(int spreadMillis) {
     if (handingIn) {
       handIn("%016x".formatted(++handedIn));
-      vertx.setTimer(1 + random.nextInt(HAND_IN_SPREAD_MILLIS), timer -> begin());
+      vertx.setTimer(1 + random.nextInt(spreadMillis), timer -> begin(spreadMillis));
+    }
+  }
+
+  /** Hands in submissions that last, one after another, until {@link #rest} or there are enough. */
+  void beginLasting() {
+    if (handingIn && lastingHandedIn < MOST_LASTING) {
+      handIn(lastingSpec("f%015x".formatted(++lastingHandedIn)));
+      vertx.setTimer(1 + randomOfLasting.nextInt(LASTING_SPREAD_MILLIS), timer -> beginLasting());
     }
   }
 
@@ -103,13 +127,22 @@
   }
 
   String summary() {
-    return handedIn + " handed in, " + accepted + " accepted, " + refused + " refused";
+    return (handedIn + lastingHandedIn)
+        + " handed in, "
+        + accepted
+        + " accepted, "
+        + refused
+        + " refused";
   }
 
   private void handIn(String id) {
     String customer = random.nextBoolean() ? StandInPlatform.SMALL : StandInPlatform.LARGE;
-    SubmissionSpec spec = spec(id, customer);
+    handIn(spec(id, customer));
+  }
+
+  private void handIn(SubmissionSpec spec) {
     checker.handedIn(spec);
+    lasting.handedIn(spec);
     attempt(spec, MOST_TRIES, true);
   }
 
@@ -120,6 +153,15 @@
     return new SubmissionSpec(id, customer, StandInPlatform.QUEUE, "text", steps, 0, 0, 0, 0);
   }
 
+  private SubmissionSpec lastingSpec(String id) {
+    Resources each = new Resources(1_000 + 500L * randomOfLasting.nextInt(5), 1_000, 0);
+    StepFlags flags = new StepFlags(false, false, false, false, true, false);
+    int count = 1 + randomOfLasting.nextInt(4);
+    StepSpec step = new StepSpec(count, each, 500, List.of(), flags, "", "", 0, "", 0, 1);
+    return new SubmissionSpec(
+        id, StandInPlatform.LARGE, StandInPlatform.QUEUE, "text", List.of(step), 0, 0, 0, 0);
+  }
+
   private StepSpec step(List<Integer> dependsOn) {
     Resources each = new Resources(1_000 + 500L * random.nextInt(7), 1_000, 0);
     return new StepSpec(
@@ -145,14 +187,31 @@
 
   private void accepted(SubmissionSpec spec) {
     accepted++;
-    open.add(spec.id());
-    long acceptedAt = now();
-    if (random.nextInt(CANCEL_SHARE) == 0) {
-      vertx.setTimer(1 + random.nextInt(2_000), timer -> cancel(spec));
+    final long acceptedAt = now();
+    if (lasting.lasts(spec.id())) {
+      lastingAccepted(spec);
+    } else {
+      open.add(spec.id());
+      if (random.nextInt(CANCEL_SHARE) == 0) {
+        vertx.setTimer(1 + random.nextInt(2_000), timer -> cancel(spec));
+      }
     }
     vertx.setTimer(ASK_MILLIS, timer -> ask(spec, acceptedAt));
   }
 
+  private void lastingAccepted(SubmissionSpec spec) {
+    lasting.accepted(spec.id());
+    if (randomOfLasting.nextInt(CANCEL_SHARE_OF_LASTING) == 0) {
+      vertx.setTimer(
+          1 + randomOfLasting.nextInt(LASTING_CANCEL_MILLIS),
+          timer -> {
+            open.add(spec.id());
+            lasting.cancelling(spec.id());
+            cancel(spec);
+          });
+    }
+  }
+
   private void ask(SubmissionSpec spec, long acceptedAt) {
     long sentAt = now();
     call(HttpMethod.GET, spec, null)
@@ -236,13 +295,17 @@
   private static Buffer body(SubmissionSpec spec) {
     JsonArray steps = new JsonArray();
     for (StepSpec step : spec.steps()) {
-      steps.add(
+      JsonObject each =
           new JsonObject()
               .put("Count", step.count())
               .put("Cpu", step.each().milliProcessors())
               .put("MemMb", step.each().memoryMebibytes())
               .put("EstimateMs", step.estimateMillis())
-              .put("DependsOn", new JsonArray(step.dependsOn())));
+              .put("DependsOn", new JsonArray(step.dependsOn()));
+      if (step.flags().persistent()) {
+        each.put("Persistent", true).put("MaxUnavailable", step.maxUnavailable());
+      }
+      steps.add(each);
     }
     return new JsonObject().put("Spec", "text").put("Phases", steps).toBuffer();
   }
--- a/measure/src/main/java/org/hickorypier/measure/soak/SoakRun.java
+++ b/measure/src/main/java/org/hickorypier/measure/soak/SoakRun.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -29,10 +30,12 @@
 
   private static final long START_MILLIS = 20_000;
   private static final long ASK_READY_MILLIS = 1_000;
+  private static final long LOOK_MILLIS = 50;
 
   private final long seed;
   private final SoakSettings settings;
   private final long begun = System.nanoTime();
+  private final long begunAt = System.currentTimeMillis();
   private final List<InstanceProcess> instances = new ArrayList<>();
 
   SoakRun(long seed, SoakSettings settings) {
@@ -61,7 +64,8 @@
 
   private SoakResult play(Vertx vertx, Path folder) throws SoakException, FleetException {
     PromiseChecker checker = new PromiseChecker(this::sinceStart);
-    StandInPlatform platform = new StandInPlatform(vertx, settings.workers(), checker);
+    LastingTaskCheck lasting = new LastingTaskCheck(this::sinceStart);
+    StandInPlatform platform = new StandInPlatform(vertx, settings.workers(), checker, lasting);
     List<ServiceAddress> fronts = new ArrayList<>();
     for (int index = 0; index < settings.instances(); index++) {
       InstanceProcess instance = new InstanceProcess(vertx, index, folder, platform.storeAddress());
@@ -70,27 +74,42 @@
       instance.start();
     }
     awaitReady(vertx);
-    List<Disturbance> plan =
-        DisturbancePlan.draw(seed, settings.disturbances(), settings.loadMillis());
-    SoakCallers callers = new SoakCallers(vertx, platform, fronts, checker, seed);
-    Disturber disturber = new Disturber(vertx, platform, instances, callers);
-    vertx.runOnContext(none -> callers.begin());
+    final List<Disturbance> plan = plan();
+    SoakCallers callers = new SoakCallers(vertx, platform, fronts, checker, lasting, seed);
+    Disturber disturber = new Disturber(vertx, platform, instances, callers, lasting);
+    vertx.runOnContext(none -> callers.begin(settings.handInSpreadMillis()));
+    if (settings.release()) {
+      vertx.runOnContext(none -> callers.beginLasting());
+      vertx.setPeriodic(LOOK_MILLIS, timer -> lasting.look());
+    }
+    final long loadBegun = sinceStart();
     disturb(plan, disturber);
     vertx.runOnContext(none -> callers.rest());
     disturber.calm();
-    Set<String> left = awaitEnds(vertx, callers);
+    Set<String> left = awaitEnds(vertx, callers, lasting);
     left.forEach(id -> checker.lost(id, "not at an end after all was calm"));
     List<String> broken = new ArrayList<>(checker.broken());
+    broken.addAll(lasting.broken());
+    lasting.unsettled().forEach(task -> broken.add(task + " after all was calm"));
     broken.addAll(Waiting.forResult(onLoop(vertx, callers::unlawful)));
     vertx.runOnContext(none -> callers.stop());
-    SoakResult result =
-        new SoakResult(seed, broken, plan, callers.summary() + ", " + checker.starts() + " starts");
+    String summary = callers.summary() + ", " + checker.starts() + " starts";
+    summary += settings.release() ? ", " + lasting.summary() : "";
+    SoakResult result = new SoakResult(seed, broken, plan, summary);
     if (!broken.isEmpty()) {
-      report(result);
+      List<String> record = new ArrayList<>(lasting.record());
+      record.add(0, "times since " + Instant.ofEpochMilli(begunAt) + ", load from " + loadBegun);
+      report(result, record);
     }
     return result;
   }
 
+  private List<Disturbance> plan() {
+    return settings.release()
+        ? ReleasePlan.draw(seed, settings)
+        : DisturbancePlan.draw(seed, settings.disturbances(), settings.loadMillis());
+  }
+
   private long sinceStart() {
     return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - begun);
   }
@@ -130,9 +149,13 @@
     Waiting.pause(Math.max(0, from + settings.loadMillis() - sinceStart()));
   }
 
-  private Set<String> awaitEnds(Vertx vertx, SoakCallers callers) throws SoakException {
+  private Set<String> awaitEnds(Vertx vertx, SoakCallers callers, LastingTaskCheck lasting)
+      throws SoakException {
     Waiting.until(
-        settings.calmMillis(), () -> Waiting.forResult(onLoop(vertx, callers::open)).isEmpty());
+        settings.calmMillis(),
+        () ->
+            Waiting.forResult(onLoop(vertx, callers::open)).isEmpty()
+                && lasting.unsettled().isEmpty());
     return Waiting.forResult(onLoop(vertx, callers::open));
   }
 
@@ -143,11 +166,12 @@
   }
 
   /** Keeps what is needed to find the cause: the breaches, the plan and all logs. */
-  private void report(SoakResult result) throws SoakException {
+  private void report(SoakResult result, List<String> record) throws SoakException {
     try {
       Files.createDirectories(settings.reports());
       List<String> lines = new ArrayList<>(result.broken());
       result.disturbances().forEach(next -> lines.add("" + next));
+      lines.addAll(record);
       Files.write(settings.reports().resolve("seed-" + seed + ".txt"), lines);
       for (int index = 0; index < instances.size(); index++) {
         Files.writeString(
--- a/measure/src/main/java/org/hickorypier/measure/soak/SoakSettings.java
+++ b/measure/src/main/java/org/hickorypier/measure/soak/SoakSettings.java
@@ -10,15 +10,32 @@
  * @param instances how many instances run as processes
  * @param workers how many workers the stand-in platform has
  * @param disturbances how many disturbances a seed has, at least
+ * @param handInSpreadMillis the longest time between two submissions that callers hand in
  * @param loadMillis how long callers hand in work, and all disturbances begin and end
  * @param calmMillis how long, at most, what was accepted may take to come to an end after that
+ * @param release whether workers are replaced and instances restarted in turn, with tasks that last
  * @param reports where the logs of a seed with a breach go
  */
 record SoakSettings(
-    int instances, int workers, int disturbances, long loadMillis, long calmMillis, Path reports) {
+    int instances,
+    int workers,
+    int disturbances,
+    int handInSpreadMillis,
+    long loadMillis,
+    long calmMillis,
+    boolean release,
+    Path reports) {
 
   /** The usual size: three instances, six workers, some ten disturbances in fifteen seconds. */
   static SoakSettings usual(Path reports) {
-    return new SoakSettings(3, 6, 9, 15_000, 40_000, reports);
+    return new SoakSettings(3, 6, 9, 220, 15_000, 40_000, false, reports);
+  }
+
+  /**
+   * A release: one instance more, so that one is there while others restart, time for two rounds,
+   * and about as many submissions as usual, so that all come to an end in the calm.
+   */
+  static SoakSettings release(Path reports) {
+    return new SoakSettings(4, 8, 9, 440, 30_000, 40_000, true, reports);
   }
 }
--- a/measure/src/main/java/org/hickorypier/measure/soak/StandInPlatform.java
+++ b/measure/src/main/java/org/hickorypier/measure/soak/StandInPlatform.java
@@ -1,10 +1,10 @@
 package org.hickorypier.measure.soak;
 
 import io.vertx.core.Vertx;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.hickorypier.core.cell.CustomerTerms;
 import org.hickorypier.core.cluster.CustomerAccess;
 import org.hickorypier.core.model.Resources;
@@ -37,7 +37,7 @@
       new QueueTerms("queue", SERVICE, 0, 3, 2, 1_000, Optional.empty());
 
   private static final String LOOPBACK = "127.0.0.1";
-  private static final Resources WORKER = new Resources(16_000, 64_000, 0);
+  static final Resources WORKER = new Resources(16_000, 64_000, 0);
   private static final Resources SMALL_LIMIT = new Resources(12_000, 0, 0);
   private static final int PARTITIONS = 4;
   private static final int WEIGHT = 100;
@@ -46,23 +46,48 @@
   final InMemoryStore store = new InMemoryStore(PARTITIONS, new MonotonicClock());
   private final StandInOperator operator = new StandInOperator(store, HOST, PREFIX, QUEUE);
   final StoreServer storeServer;
-  final List<StandInWorker> workers = new ArrayList<>();
+  final PromiseChecker checker;
+  final LastingTaskCheck lasting;
+
+  /** The workers that are to stay; those that drain are not here any more. */
+  final List<StandInWorker> workers = new CopyOnWriteArrayList<>();
+
+  private final Vertx vertx;
   private final ServiceAddress storeAddress;
   private String keyOfLarge = "key-of-large-0";
   private int keysGiven;
+  private int workersBegun;
 
-  StandInPlatform(Vertx vertx, int workerCount, PromiseChecker checker) throws SoakException {
+  StandInPlatform(Vertx vertx, int workerCount, PromiseChecker checker, LastingTaskCheck lasting)
+      throws SoakException {
+    this.vertx = vertx;
+    this.checker = checker;
+    this.lasting = lasting;
     storeServer = new StoreServer(vertx, store);
     storeAddress =
         new ServiceAddress(LOOPBACK, Waiting.forResult(storeServer.listen(0)).actualPort());
     checker.limit(SMALL, SMALL_LIMIT);
     configure();
     for (int index = 0; index < workerCount; index++) {
-      String id = "worker-" + index;
-      checker.capacity(id, WORKER);
-      StandInWorker worker = new StandInWorker(vertx, id, store, checker, WORK_UNIT_MILLIS);
-      workers.add(worker);
-      worker.begin();
+      workers.add(newWorker());
+    }
+  }
+
+  private StandInWorker newWorker() throws SoakException {
+    String id = "worker-" + workersBegun++;
+    checker.capacity(id, WORKER);
+    StandInWorker worker = new StandInWorker(vertx, id, this, WORK_UNIT_MILLIS);
+    worker.begin();
+    return worker;
+  }
+
+  /**
+   * Lets a worker drain and leave, and puts a new one in its place; nothing happens to one that is
+   * down. Only the thread of the soak calls this, since it waits for the event loop.
+   */
+  void release(int index, long drainMillis) throws SoakException {
+    if (workers.get(index).drain(drainMillis)) {
+      workers.set(index, newWorker());
     }
   }
 
--- a/measure/src/main/java/org/hickorypier/measure/soak/StandInWorker.java
+++ b/measure/src/main/java/org/hickorypier/measure/soak/StandInWorker.java
@@ -35,6 +35,9 @@
   /** After three heartbeats without a sign the entry is dropped. */
   private static final long LAPSE_MILLIS = 3 * HEARTBEAT_MILLIS;
 
+  /** A worker that drains says how long it stays at least, and may stay longer. */
+  private static final int TOLD_PERCENT = 80;
+
   /** A clock may be 2% slow. */
   private static final double SLOWEST_CLOCK = 0.98;
 
@@ -43,6 +46,7 @@
   private final String id;
   private final InMemoryStore store;
   private final PromiseChecker checker;
+  private final LastingTaskCheck lasting;
   private final long workUnitMillis;
   private ServiceAddress address;
   private InMemoryExecutor executor;
@@ -50,13 +54,17 @@
   private volatile boolean failsAll;
   private long sequence;
   private boolean up;
+  private boolean draining;
+
+  /** Until when it has said that it stays at least, on the steady clock. */
+  private long staysUntil;
 
-  StandInWorker(
-      Vertx vertx, String id, InMemoryStore store, PromiseChecker checker, long workUnitMillis) {
+  StandInWorker(Vertx vertx, String id, StandInPlatform platform, long workUnitMillis) {
     this.vertx = vertx;
     this.id = id;
-    this.store = store;
-    this.checker = checker;
+    this.store = platform.store;
+    this.checker = platform.checker;
+    this.lasting = platform.lasting;
     this.workUnitMillis = workUnitMillis;
     this.proxy = new LoopbackProxy(vertx);
   }
@@ -87,6 +95,7 @@
               proxy.target(new ServiceAddress(LOOPBACK, listening.actualPort()));
               proxy.mode(ProxyMode.PASS);
               up = true;
+              lasting.takesWork(id, StandInPlatform.WORKER);
               heartbeat();
             });
   }
@@ -96,6 +105,7 @@
       return;
     }
     up = false;
+    lasting.takesNoWork(id);
     executor.crash();
     proxy.mode(ProxyMode.REFUSE);
     vertx.setTimer(LAPSE_MILLIS, timer -> dropEntryWhileDown());
@@ -108,6 +118,34 @@
     }
   }
 
+  /**
+   * Says that it drains, and leaves for good after the length; returns false if it is down. It says
+   * that it stays for a part of the length at least.
+   */
+  synchronized boolean drain(long lengthMillis) {
+    if (!up) {
+      return false;
+    }
+    draining = true;
+    staysUntil = nowMillis() + lengthMillis * TOLD_PERCENT / 100;
+    lasting.takesNoWork(id);
+    heartbeat();
+    vertx.setTimer(lengthMillis, timer -> leave());
+    return true;
+  }
+
+  private synchronized void leave() {
+    up = false;
+    proxy.target(null);
+    proxy.mode(ProxyMode.REFUSE);
+    executor.crash();
+    store.put(ENTRIES, id, null);
+  }
+
+  private static long nowMillis() {
+    return System.nanoTime() / 1_000_000;
+  }
+
   void failAll(boolean fails) {
     failsAll = fails;
   }
@@ -117,6 +155,9 @@
   }
 
   private Workload.Planned plan(String task, int run) {
+    if (lasting.lasts(task.substring(0, task.indexOf('.')))) {
+      return Workload.Planned.lasting(workUnitMillis);
+    }
     // Lengths from one to four units, and the same at each try.
     return new Workload.Planned(workUnitMillis * (1 + Math.floorMod(task.hashCode(), 4)), failsAll);
   }
@@ -125,6 +166,10 @@
     if (up) {
       JsonObject entry = executor.entry(StandInPlatform.SERVICE, "" + address);
       entry.put("Sequence", ++sequence);
+      if (draining) {
+        entry.put("State", "draining");
+        entry.put("RemainingMs", Math.max(0, staysUntil - nowMillis()));
+      }
       store.put(ENTRIES, id, entry.toBuffer().getBytes());
     }
   }
@@ -149,11 +194,13 @@
     @Override
     public void started(String task, int run) {
       checker.started(observed(task, run));
+      lasting.started(observed(task, run));
     }
 
     @Override
     public void ended(String task, int run, String how) {
       checker.ended(observed(task, run), RunEnd.valueOf(how.toUpperCase(Locale.ROOT)));
+      lasting.ended(observed(task, run));
     }
 
     @Override
--- a/measure/src/test/java/org/hickorypier/measure/soak/DisturbancePlanTest.java
+++ b/measure/src/test/java/org/hickorypier/measure/soak/DisturbancePlanTest.java
@@ -36,6 +36,8 @@
     for (long seed = 1; seed <= 50; seed++) {
       DisturbancePlan.draw(seed, 9, SPAN).forEach(next -> seen.add(next.kind()));
     }
+    assertThat(seen).containsExactlyInAnyOrderElementsOf(DisturbanceKind.USUAL);
+    seen.add(DisturbanceKind.RELEASE_WORKER);
     assertThat(seen).containsExactlyInAnyOrder(DisturbanceKind.values());
   }
 }
--- a/standins/src/main/java/org/hickorypier/standins/executor/InMemoryExecutor.java
+++ b/standins/src/main/java/org/hickorypier/standins/executor/InMemoryExecutor.java
@@ -134,11 +134,13 @@
       return refused("late");
     }
     Workload.Planned planned = workload.plan(task, run);
-    running.put(key(task, run), new Present(task, run, clock.getAsLong(), planned.millis()));
+    running.put(key(task, run), new Present(task, run, clock.getAsLong(), planned));
     history.add(key(task, run));
     observer.started(task, run);
-    delays.after(
-        Math.max(1, planned.millis()), () -> end(task, run, planned.fails() ? "failed" : "done"));
+    if (!planned.lasts()) {
+      delays.after(
+          Math.max(1, planned.millis()), () -> end(task, run, planned.fails() ? "failed" : "done"));
+    }
     return new Answer(OK, clockBody());
   }
 
@@ -251,13 +253,17 @@
     return new JsonObject().put("ClockMs", clock.getAsLong());
   }
 
-  /** A task that runs, with its beginning on the worker's clock and its length. */
-  private record Present(String task, int run, long begunAt, long millis) {
+  /** A task that runs, with its beginning on the worker's clock and what it does. */
+  private record Present(String task, int run, long begunAt, Workload.Planned planned) {
+
+    /** A task that lasts is at work at 100 percent; any other that reaches them has ended. */
+    private static final long AT_WORK_PERCENT = 100;
 
     private static final long MOST_PERCENT = 99;
 
     JsonArray row(long now) {
-      long percent = Math.min(MOST_PERCENT, 100 * (now - begunAt) / Math.max(1, millis));
+      long most = planned.lasts() ? AT_WORK_PERCENT : MOST_PERCENT;
+      long percent = Math.min(most, 100 * (now - begunAt) / Math.max(1, planned.millis()));
       return new JsonArray().add(task).add(run).add("").add(percent).add(0);
     }
   }
--- a/standins/src/main/java/org/hickorypier/standins/executor/Workload.java
+++ b/standins/src/main/java/org/hickorypier/standins/executor/Workload.java
@@ -18,10 +18,32 @@
    *
    * <p>Immutable.
    *
-   * @param millis how long it works, in milliseconds
+   * @param millis how long it works, or how long it takes to start up if it lasts, in milliseconds
    * @param fails whether it fails in the end
+   * @param lasts whether it works until it is stopped or its worker is gone
    */
-  record Planned(long millis, boolean fails) {}
+  record Planned(long millis, boolean fails, boolean lasts) {
+
+    /**
+     * Plans a run that ends by itself.
+     *
+     * @param millis how long it works, in milliseconds
+     * @param fails whether it fails in the end
+     */
+    public Planned(long millis, boolean fails) {
+      this(millis, fails, false);
+    }
+
+    /**
+     * Plans a run that lasts.
+     *
+     * @param millis how long it takes to start up, in milliseconds
+     * @return the plan
+     */
+    public static Planned lasting(long millis) {
+      return new Planned(millis, false, true);
+    }
+  }
 
   /**
    * All runs work for the same time and are done.
