--- a/core/src/main/java/org/hickorypier/core/cell/RunBook.java
+++ b/core/src/main/java/org/hickorypier/core/cell/RunBook.java
@@ -114,7 +114,7 @@
     if (run.stopping) {
       return;
     }
-    if (run.copies < MOST_COPIES && !run.worker.silent) {
+    if (run.copies < MOST_COPIES && !run.worker.silent && run.worker.renewable) {
       send(run, run.ticket, now);
     } else {
       abandon(run, now);
@@ -268,9 +268,22 @@
         "runs",
         worker.runs.size(),
         "silent_ms",
-        now - worker.heardAt,
+        now - worker.silentSince,
         "lease_end_ago_ms",
         now - worker.leaseEnd());
+    allGone(worker, now);
+  }
+
+  /** The worker has left, and with it all that it had, orders without an answer among them. */
+  void workerLeft(WorkerView worker, long now) {
+    cell.workerEvent("worker-left", worker, "runs", worker.runs.size());
+    worker.runsUnknown = false;
+    worker.unanswered.clear();
+    worker.refusals.clear();
+    allGone(worker, now);
+  }
+
+  private void allGone(WorkerView worker, long now) {
     for (Run run : CellState.copy(worker.runs.values())) {
       gone(run, now);
     }
