Handover: a worker's ends that the former owner did not write leave its runs unknown

Cause: a former owner goes on taking ends while it hands over and writes nothing any more. Change: a worker with ends that are not durable is on the final roster with its runs unknown; the successor waits until it hears the worker or its lease has run out. Evidence: TakenOverLeaseTest.taskWhoseEndTheFormerOwnerDidNotWriteWaitsForItsWorker fails before.

--- a/core/src/main/java/org/hickorypier/core/cell/WorkerBook.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerBook.java
@@ -222,13 +222,15 @@
   List<RosterEntry> finalRoster(long now) {
     List<RosterEntry> entries = new ArrayList<>();
     for (WorkerView worker : cell.workers.values()) {
-      if (!worker.runs.isEmpty() || cell.unresolved(worker, now)) {
+      // An end that this owner could not write stands only in the worker's own list.
+      boolean unwritten = worker.endsTaken > worker.endsDurable;
+      if (unwritten || !worker.runs.isEmpty() || cell.unresolved(worker, now)) {
         entries.add(
             new RosterEntry(
                 worker.entry(),
                 worker.open() ? cell.lastNumber() : worker.closedAfter,
                 cell.mayRunMillis(worker, now),
-                namedRuns(worker, now)));
+                unwritten ? Optional.empty() : namedRuns(worker, now)));
       }
     }
     return entries;
--- a/core/src/test/java/org/hickorypier/core/cell/TakenOverLeaseTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/TakenOverLeaseTest.java
@@ -5,6 +5,7 @@
 import static org.hickorypier.core.cell.CellFixture.TERMS;
 import static org.hickorypier.core.cell.CellFixture.lasting;
 import static org.hickorypier.core.cell.CellFixture.spec;
+import static org.hickorypier.core.cell.CellFixture.step;
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -157,6 +158,27 @@
     assertThat(successor.starts).hasSize(1);
   }
 
+  /** An end that the former owner took and could not write any more: its task ran twice. */
+  @Test
+  void taskWhoseEndTheFormerOwnerDidNotWriteWaitsForItsWorker() {
+    WorkerView worker = fixture.worker("w");
+    fixture.submit(spec("s", QUEUE, step(1, 1_000, 500, false)));
+    fixture.confirmAll();
+    CellFixture successor = fixture.successor(2, "s");
+    successor.worker("staying");
+    EndedRun done = new EndedRun(1, fixture.starts.get(0).run().key(), RunEnd.DONE, "");
+    fixture.hear(worker, done);
+
+    successor.cell.formerOwnerEnded(fixture.cell.finalRoster(fixture.now), successor.now);
+    successor.pass();
+    assertThat(successor.starts).isEmpty();
+
+    successor.hear(successor.view("w"), done);
+    successor.pass();
+    assertThat(successor.starts).isEmpty();
+    assertThat(successor.cell.find("s")).satisfies(taken -> assertThat(taken.live()).isFalse());
+  }
+
   /** What a worker has reported since is newer than what the former owner knew. */
   @Test
   void formerOwnerChangesNothingAtWorkersThatWereHeard() {
