--- a/measure/src/test/java/org/hickorypier/measure/soak/SoakTest.java
+++ b/measure/src/test/java/org/hickorypier/measure/soak/SoakTest.java
@@ -19,4 +19,12 @@
     SoakResult result = new SoakRun(seed, SoakSettings.usual(Path.of("target", "soak"))).play();
     assertThat(result.broken()).as("%s", result.disturbances()).isEmpty();
   }
+
+  /** A successor waited 9.87 s for each worker that had left; one started again what was done. */
+  @ParameterizedTest
+  @ValueSource(longs = {9000, 9105})
+  void tasksThatLastRunAgainBesideRelease(long seed) throws Exception {
+    SoakResult result = new SoakRun(seed, SoakSettings.release(Path.of("target", "soak"))).play();
+    assertThat(result.broken()).as("%s", result.disturbances()).isEmpty();
+  }
 }
