Owner: nothing starts before the first configuration

Cause: an instance that had just been restarted while the store was silent took the cell over at the owner's request. It had no configuration for another second (owner-gained at 15.131 s, version-in-force at 16.156 s), took each customer for one without a limit, and sent 25 orders. Change: CustomerUsage allows nothing before the first configuration, and 'step-waits' says so. An ownership that has none passes none on, where it used to pass an empty list.

--- a/core/src/main/java/org/hickorypier/core/cell/CustomerUsage.java
+++ b/core/src/main/java/org/hickorypier/core/cell/CustomerUsage.java
@@ -15,7 +15,11 @@
   private final Map<String, CustomerTerms> terms = new HashMap<>();
   private Resources unheard = Resources.NONE;
 
+  /** Before the first configuration nobody's limit is known. */
+  private boolean configured;
+
   void configure(Iterable<CustomerTerms> customers) {
+    configured = true;
     terms.clear();
     for (CustomerTerms customer : customers) {
       terms.put(customer.name(), customer);
@@ -41,8 +45,15 @@
     sums[2] += (long) sign * size.accelerators();
   }
 
+  boolean configured() {
+    return configured;
+  }
+
   /** Tells whether so many more tasks of a size stay within the customer's limit. */
   boolean allows(String customer, Resources size, int count) {
+    if (!configured) {
+      return false;
+    }
     CustomerTerms customerTerms = terms.get(customer);
     if (customerTerms == null) {
       return true;
--- a/core/src/main/java/org/hickorypier/core/cell/Explanation.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Explanation.java
@@ -84,6 +84,9 @@
     if (cell.waitsForWorkers(submission, cell.unresolvedUpTo(now))) {
       return "workers that may run it already: " + unresolvedWorkers();
     }
+    if (!cell.usage.configured()) {
+      return "the configuration, which has the customers' limits";
+    }
     if (!cell.usage.allows(submission.spec().customer(), step.spec.each(), 1)) {
       return "its customer's limit";
     }
--- a/core/src/test/java/org/hickorypier/core/cell/CellFixture.java
+++ b/core/src/test/java/org/hickorypier/core/cell/CellFixture.java
@@ -44,6 +44,7 @@
 
   CellFixture(int epoch) {
     cell = new Cell(TERMS, this, (part, event, fields) -> {}, epoch, now);
+    cell.configure(List.of());
   }
 
   /** Takes the cell over at this moment with what is written, as a successor. */
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.hickorypier.core.cell.Cell;
@@ -75,7 +76,7 @@
       Instruments instruments,
       Takeover.Taken taken,
       AdviceDesk advice,
-      Collection<CustomerTerms> customers,
+      Optional<Collection<CustomerTerms>> customers,
       Consumer<String> lost) {
     this.instruments = instruments;
     this.epoch = taken.epoch();
@@ -94,7 +95,7 @@
             new Written());
     this.workerList = new WorkerList(instruments, this::listed);
     orders.connect(cell, journal);
-    cell.configure(customers);
+    customers.ifPresent(cell::configure);
     Estate estate = new Estate(taken.values(), instruments.log());
     this.predecessorEpoch = estate.owner().epoch();
     long wall = instruments.wall().getAsLong();
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Ownership.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Ownership.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BooleanSupplier;
@@ -83,7 +84,7 @@
   private final AdviceDesk advice;
   private OwnerCheck ownerCheck;
   private LongSupplier silentMillis = () -> 0;
-  private Collection<CustomerTerms> customers = List.of();
+  private Optional<Collection<CustomerTerms>> customers = Optional.empty();
   private Owner owner;
 
   /** The last ownership of this process, until the successor knows what it left on the workers. */
@@ -184,7 +185,7 @@
    * @param newer all customers
    */
   public void configure(Collection<CustomerTerms> newer) {
-    customers = newer;
+    customers = Optional.of(newer);
     if (owner != null) {
       owner.configure(newer);
     }
--- a/daemon/src/test/java/org/hickorypier/daemon/node/NodeTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/NodeTest.java
@@ -343,4 +343,27 @@
           .allMatch(left -> WAIT_TOLD_AFTER_MILLIS + left <= LASTING_TASK_RESTART_MILLIS);
     }
   }
+
+  /** An owner that had no configuration yet took a customer with a limit for one without. */
+  @Test
+  void ownerWithoutConfigurationStartsNothing() throws Exception {
+    try (SmallCluster cluster = new SmallCluster(1, 60_000)) {
+      SmallCluster.Instance first = cluster.start();
+      cluster.limitToOneProcessor();
+      cluster.until(() -> cluster.told(first, "version-in-force [version, 6"));
+      assertThat(cluster.submit(first, ID.formatted(1), 4).status()).isEqualTo(200);
+      cluster.until(() -> cluster.starts().size() == 1);
+      cluster.hideConfiguration();
+      NodeSettings settings = cluster.settings(Strength.UNKNOWN);
+      SmallCluster.await(cluster.vertx.deployVerticle(cluster.newNode(settings)));
+      cluster.kill(first);
+      String successor = settings.name();
+      cluster.until(
+          () ->
+              cluster.starts().size() > 1
+                  || cluster.eventsSince(successor + " owner owner-gained").stream()
+                      .anyMatch(event -> event.startsWith(successor + " run step-waits")));
+      assertThat(cluster.starts()).hasSize(1);
+    }
+  }
 }
--- a/daemon/src/test/java/org/hickorypier/daemon/node/SmallCluster.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/SmallCluster.java
@@ -142,6 +142,17 @@
     operator.configure(List.of(new CustomerAccess(terms, Set.of(keys))));
   }
 
+  /** Gives the customer a limit of one processor. */
+  void limitToOneProcessor() {
+    CustomerTerms terms = new CustomerTerms("customer", 100, new Resources(1_000, 0, 0));
+    operator.configure(List.of(new CustomerAccess(terms, Set.of(KEY))));
+  }
+
+  /** Hides the configuration from instances that start from now on. */
+  void hideConfiguration() {
+    store.put("keyed.op", "config", null);
+  }
+
   NodeSettings settings(Strength strength) throws IOException {
     String host = InetAddress.getLoopbackAddress().getHostAddress();
     int peerPort = LoopbackPort.free();
