Final roster: a worker that has left stays on it until its ends are durable

It is forgotten once its ends are durable. Test: TakenOverLeaseTest.departedWorkerIsOnTheFinalRosterUntilItsEndsAreDurable.

--- a/core/src/main/java/org/hickorypier/core/cell/WorkerBook.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerBook.java
@@ -141,7 +141,8 @@
       } else if (worker.silent && now > worker.leaseEnd()) {
         runs.leaseExpired(worker, now);
       }
-      boolean empty = worker.runs.isEmpty() && !cell.unresolved(worker, now);
+      boolean empty =
+          worker.runs.isEmpty() && worker.unsavedEnds.isEmpty() && !cell.unresolved(worker, now);
       if (worker.silent && empty && !worker.listed) {
         gone.add(worker.id());
       }
--- a/core/src/test/java/org/hickorypier/core/cell/TakenOverLeaseTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/TakenOverLeaseTest.java
@@ -182,6 +182,24 @@
     assertThat(successor.cell.find("s").shown()).isEqualTo(SubmissionState.COMPLETED);
   }
 
+  @Test
+  void departedWorkerIsOnTheFinalRosterUntilItsEndsAreDurable() {
+    final WorkerView leaving = fixture.worker("leaving");
+    fixture.submit(spec("s", QUEUE, CellFixture.step(1, 1_000, 500, false)));
+    fixture.confirmAll();
+    RunKey run = fixture.starts.get(0).run().key();
+    fixture.hear(leaving, new EndedRun(1, run, RunEnd.DONE, ""));
+    fixture.cell.holdUnanswered(leaving, fixture.now);
+    fixture.unlist("leaving");
+    fixture.cell.departed(List.of("leaving"), fixture.now);
+    assertThat(fixture.cell.finalRoster(fixture.now)).hasSize(1);
+
+    fixture.write();
+    fixture.cell.tick(fixture.now, fixture.now);
+    assertThat(fixture.cell.finalRoster(fixture.now)).isEmpty();
+    assertThat(fixture.cell.workers()).isEmpty();
+  }
+
   /** What a worker has reported since is newer than what the former owner knew. */
   @Test
   void formerOwnerChangesNothingAtWorkersThatWereHeard() {
