--- a/measure/src/main/java/org/hickorypier/measure/Arguments.java
+++ b/measure/src/main/java/org/hickorypier/measure/Arguments.java
@@ -1,7 +1,11 @@
 package org.hickorypier.measure;
 
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.apache.commons.cli.CommandLine;
 
 /**
@@ -60,6 +64,25 @@
     return numbers;
   }
 
+  /**
+   * Returns a directory, which is made if it is missing.
+   *
+   * @param option the long name of the option
+   * @return the directory, or empty if the option is not given
+   * @throws BadArgumentException if it cannot be made
+   */
+  public Optional<Path> directory(String option) throws BadArgumentException {
+    String text = commandLine.getOptionValue(option);
+    if (text == null) {
+      return Optional.empty();
+    }
+    try {
+      return Optional.of(Files.createDirectories(Path.of(text)));
+    } catch (IOException error) {
+      throw new BadArgumentException("--" + option + " cannot be made: " + text);
+    }
+  }
+
   private static int parse(String option, String text, int least, int most)
       throws BadArgumentException {
     String range = "--" + option + " is '" + text + "', allowed is " + least + " to " + most;
--- a/measure/src/main/java/org/hickorypier/measure/fleet/Fleet.java
+++ b/measure/src/main/java/org/hickorypier/measure/fleet/Fleet.java
@@ -2,10 +2,12 @@
 
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpMethod;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.UUID;
 import java.util.concurrent.ConcurrentSkipListMap;
@@ -31,6 +33,7 @@
   private static final String LISTENING = "listening ";
   private static final String DAEMON = "org.hickorypier.daemon.HickorydMain";
   private static final String STANDINS = "org.hickorypier.standins.main.";
+  private static final String LOG_ENDING = ".log";
   private static final String OPERATOR_KEY = "operator0.operator0-secret-of-the-fleet";
   private static final String PEER_SECRET = "peer-secret-of-the-fleet";
   private static final int STANDIN_HEAP_MEBIBYTES = 64;
@@ -47,6 +50,7 @@
   private final Thread reaper = new Thread(this::killAll);
   private ServiceAddress log;
   private ServiceAddress list;
+  private Optional<Path> logs = Optional.empty();
 
   private Fleet(FleetSettings settings) {
     this.settings = settings;
@@ -357,6 +361,19 @@
     }
   }
 
+  /**
+   * Writes the output of each daemon to a file of its name.
+   *
+   * @param directory the directory, which must exist
+   * @throws FleetException if a file cannot be written
+   */
+  public void logTo(Path directory) throws FleetException {
+    logs = Optional.of(directory);
+    for (EntryProcess entry : entries.values()) {
+      entry.process().copyOutput(directory.resolve(entry.name() + LOG_ENDING));
+    }
+  }
+
   private JavaProcess standIn(String name, String main, List<String> arguments)
       throws FleetException {
     JavaProcess process =
@@ -386,6 +403,9 @@
                 "--shutdown-millis=" + settings.shutdownMillis(),
                 "--connections-per-worker=8"));
     processes.add(process);
+    if (logs.isPresent()) {
+      process.copyOutput(logs.get().resolve(name + LOG_ENDING));
+    }
     return process;
   }
 
--- a/measure/src/main/java/org/hickorypier/measure/fleet/JavaProcess.java
+++ b/measure/src/main/java/org/hickorypier/measure/fleet/JavaProcess.java
@@ -2,7 +2,9 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.PrintWriter;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -26,6 +28,7 @@
   private final String name;
   private final Process process;
   private final Deque<String> output = new ArrayDeque<>();
+  private PrintWriter copy;
 
   private JavaProcess(String name, Process process) {
     this.name = name;
@@ -111,6 +114,23 @@
     }
   }
 
+  /**
+   * Writes all that is kept of the output, and all that comes, to a file as well.
+   *
+   * @param file the file, which is made anew
+   * @throws FleetException if it cannot be written
+   */
+  public void copyOutput(Path file) throws FleetException {
+    synchronized (output) {
+      try {
+        copy = new PrintWriter(Files.newBufferedWriter(file), true);
+      } catch (IOException error) {
+        throw new FleetException(name + ": no output to " + file, error);
+      }
+      output.forEach(copy::println);
+    }
+  }
+
   /**
    * Returns the number under which the operating system knows the process.
    *
@@ -230,6 +250,9 @@
   private void keep(String line) {
     synchronized (output) {
       output.addLast(line);
+      if (copy != null) {
+        copy.println(line);
+      }
       if (output.size() > KEPT_LINES) {
         output.removeFirst();
       }
--- a/measure/src/main/java/org/hickorypier/measure/takeover/CallerTurn.java
+++ b/measure/src/main/java/org/hickorypier/measure/takeover/CallerTurn.java
@@ -1,5 +1,7 @@
 package org.hickorypier.measure.takeover;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
@@ -23,6 +25,9 @@
   private static final int UNKNOWN_FATE = 504;
   private static final int FAILED = 502;
 
+  /** So many answers tell how a request that takes all the time came to its end. */
+  private static final int TOLD = 8;
+
   private final Fleet fleet;
   private final Supplier<EntryProcess> balancer;
   private final String team;
@@ -48,22 +53,21 @@
   LoadEntry settle() {
     boolean earlierLost = false;
     boolean refused = false;
-    int asked = 0;
-    String detail = "never asked";
+    List<String> answers = new ArrayList<>();
     while (System.nanoTime() - startNanos < GIVE_UP_NANOS) {
       EntryProcess instance = balancer.get();
       CallerAnswer answer = fleet.call(instance, key, form);
-      asked++;
-      detail = instance.name() + " answered at the try " + asked + ": " + answer.text();
+      long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+      answers.add(instance.name() + " at " + millis + " ms: " + answer.text().strip());
       Optional<Ending> ending = conclude(answer, earlierLost);
       if (ending.isPresent()) {
-        return entry(ending.get(), detail);
+        return entry(ending.get(), answers);
       }
       refused = answer.notRun();
       earlierLost |= !refused;
       LockSupport.parkNanos(PAUSE_NANOS);
     }
-    return entry(refused ? Ending.NOT_RUN : Ending.LOST, detail);
+    return entry(refused ? Ending.NOT_RUN : Ending.LOST, answers);
   }
 
   private Optional<Ending> conclude(CallerAnswer answer, boolean earlierLost) {
@@ -79,8 +83,15 @@
     return answer.status() == FAILED ? Optional.of(Ending.LOST) : Optional.empty();
   }
 
-  private LoadEntry entry(Ending ending, String detail) {
+  private LoadEntry entry(Ending ending, List<String> answers) {
+    List<String> last = answers.subList(Math.max(0, answers.size() - TOLD), answers.size());
     return new LoadEntry(
-        team, form.requestId(), form.idempotent(), ending, startNanos, System.nanoTime(), detail);
+        team,
+        form.requestId(),
+        form.idempotent(),
+        ending,
+        startNanos,
+        System.nanoTime(),
+        String.join("; ", last));
   }
 }
--- a/measure/src/main/java/org/hickorypier/measure/takeover/LoadEntry.java
+++ b/measure/src/main/java/org/hickorypier/measure/takeover/LoadEntry.java
@@ -13,7 +13,7 @@
  * @param ending what the caller concluded
  * @param startNanos when it was first asked
  * @param endNanos when the caller concluded
- * @param detail the last answer, in words
+ * @param detail the last answers, in words
  */
 record LoadEntry(
     String team,
--- a/measure/src/main/java/org/hickorypier/measure/takeover/TakeoverCommand.java
+++ b/measure/src/main/java/org/hickorypier/measure/takeover/TakeoverCommand.java
@@ -20,6 +20,7 @@
   private static final String RATE = "rate";
   private static final String ROUNDS = "rounds";
   private static final String LIMIT = "limit";
+  private static final String LOGS = "logs";
   private static final long LEASE_MILLIS = 5_000;
   private static final String COUNT = "-";
   private static final String MILLIS = "ms";
@@ -42,6 +43,7 @@
     options.addOption(null, RATE, true, "requests a second, 1 to 500 (100)");
     options.addOption(null, ROUNDS, true, "kills, and as many pauses, 1 to 50 (2)");
     options.addOption(null, LIMIT, true, "upper limit of each of three teams, 1 to 2400 (8)");
+    options.addOption(null, LOGS, true, "directory for the daemons' logs (none)");
     return options;
   }
 
@@ -55,7 +57,8 @@
             arguments.number(RATE, 100, 1, 500),
             arguments.number(ROUNDS, 2, 1, 50),
             arguments.number(LIMIT, 8, 1, 2_400),
-            LEASE_MILLIS);
+            LEASE_MILLIS,
+            arguments.directory(LOGS));
     TakeoverFigures figures;
     try {
       figures = new TakeoverRun(settings).run();
--- a/measure/src/main/java/org/hickorypier/measure/takeover/TakeoverRun.java
+++ b/measure/src/main/java/org/hickorypier/measure/takeover/TakeoverRun.java
@@ -49,6 +49,9 @@
   public TakeoverFigures run() throws FleetException {
     FleetSettings quick = FleetSettings.quick(settings.entries(), 1, settings.workers());
     try (Fleet fleet = Fleet.start(quick)) {
+      if (settings.logs().isPresent()) {
+        fleet.logTo(settings.logs().get());
+      }
       fleet.awaitControl();
       Disturbance disturbance = new Disturbance(fleet, settings);
       try (Balancer balancer = new Balancer(fleet)) {
@@ -104,6 +107,7 @@
     Set<String> ran = ran(history);
     return countCases(
         load,
+        history,
         entry -> entry.ending() == Ending.ANSWERED && !ran.contains(entry.workKey()),
         "no run");
   }
@@ -111,7 +115,10 @@
   private int untrueNotRun(List<LoadEntry> load, FleetHistory history) {
     Set<String> ran = ran(history);
     return countCases(
-        load, entry -> entry.ending() == Ending.NOT_RUN && ran.contains(entry.workKey()), "ran");
+        load,
+        history,
+        entry -> entry.ending() == Ending.NOT_RUN && ran.contains(entry.workKey()),
+        "ran");
   }
 
   private int doubled(List<LoadEntry> load, FleetHistory history) {
@@ -137,9 +144,11 @@
     return excess;
   }
 
-  private int countCases(List<LoadEntry> load, Predicate<LoadEntry> wrong, String what) {
+  private int countCases(
+      List<LoadEntry> load, FleetHistory history, Predicate<LoadEntry> wrong, String what) {
     List<LoadEntry> cases = load.stream().filter(wrong).toList();
-    cases.forEach(entry -> example(entry.ending() + " but " + what + " " + entry.workKey()));
+    cases.forEach(
+        entry -> example("but " + what + ": " + entry + ": " + runs(history, entry.workKey())));
     return cases.size();
   }
 
@@ -152,7 +161,11 @@
   private static List<String> runs(FleetHistory history, String key) {
     return history.starts().stream()
         .filter(run -> run.workKey().equals(key))
-        .map(run -> run.taskId() + " by " + run.owner() + " at " + run.startMillis())
+        .map(
+            run ->
+                String.format(
+                    "%s by %s from %d to %d, %s",
+                    run.taskId(), run.owner(), run.startMillis(), run.endMillis(), run.state()))
         .toList();
   }
 
--- a/measure/src/main/java/org/hickorypier/measure/takeover/TakeoverSettings.java
+++ b/measure/src/main/java/org/hickorypier/measure/takeover/TakeoverSettings.java
@@ -1,5 +1,8 @@
 package org.hickorypier.measure.takeover;
 
+import java.nio.file.Path;
+import java.util.Optional;
+
 /**
  * The size of a takeover measurement.
  *
@@ -11,6 +14,13 @@
  * @param rounds how often an instance is killed and another paused
  * @param teamLimit the upper limit of each team
  * @param leaseMillis the lease of a task on its worker
+ * @param logs the directory for the daemons' logs, if they are wanted
  */
 public record TakeoverSettings(
-    int entries, int workers, int perSecond, int rounds, int teamLimit, long leaseMillis) {}
+    int entries,
+    int workers,
+    int perSecond,
+    int rounds,
+    int teamLimit,
+    long leaseMillis,
+    Optional<Path> logs) {}
