An instance that was fenced off while it was paused serves again, as a new incarnation

An instance that is paused past the peer timeout is fenced off by the others, who free its permits. It wakes, claims its workers and is home of its share of the keys again, but the fold refuses its word for a worker and every permit, for as long as its process lives. Its work waits to the deadline; a caller times out and asks again, and one time in so many meets the same home. Each pause makes one more such instance.

The seeded model of the permits (PermitFleetTest) has always given a fenced member a new incarnation; the daemon had none.

The instance learns of its own fence from the log, refuses what waits, answers for a second what it can, and starts anew in the same process on the same ports under a higher number. No new record: a fence holds for incarnations up to its number, and tasks of the old one stay told from those of the new one. A number is never below the last one, though the clock be set back. While it ends it claims no worker (Cluster.shutDown, which nobody called).

--- a/core/src/main/java/org/hickorypier/core/permits/LocalPermits.java
+++ b/core/src/main/java/org/hickorypier/core/permits/LocalPermits.java
@@ -198,6 +198,16 @@
     return word.token() == token && word.controller().equals(self);
   }
 
+  /**
+   * Tells whether this instance was fenced off. It then never gets a permit again, nor may it start
+   * tasks on any worker: only a new incarnation can.
+   *
+   * @return true if so
+   */
+  public boolean isFenced() {
+    return state.isFenced(self);
+  }
+
   /**
    * Tells whether the tasks of an owner on a worker are covered by this instance's permits, and so
    * count as running in its demand.
--- a/daemon/src/main/java/org/hickorypier/daemon/DaemonConstants.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/DaemonConstants.java
@@ -50,6 +50,12 @@
   /** With five doublings the questions to a silent worker settle at one in 3.2 s. */
   static final int SETTLE_DOUBLINGS = 5;
 
+  /**
+   * For answers in progress when an incarnation is given up. Most requests are answered in less;
+   * longer, and all work of which this instance is home is refused meanwhile.
+   */
+  static final long ABANDON_MILLIS = 1_000;
+
   /** Ends of tasks on workers that others control are noticed within this time. */
   static final long POLL_MILLIS = 2_000;
 
--- a/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
@@ -84,7 +84,7 @@
  * <p>Thread safe. Everything that decides runs on one control thread; the event loops carry
  * traffic.
  */
-public final class Hickoryd implements AutoCloseable {
+public final class Hickoryd implements Incarnation {
 
   private static final Logger LOGGER = System.getLogger(Hickoryd.class.getName());
 
@@ -129,10 +129,12 @@
    * Wires a daemon; nothing runs until {@link #start}.
    *
    * @param settings the checked settings
+   * @param incarnation the number of its run, higher than those before
+   * @param onFenced is told once if this incarnation has been fenced off
    */
-  public Hickoryd(DaemonSettings settings) {
+  public Hickoryd(DaemonSettings settings, long incarnation, Runnable onFenced) {
     this.settings = settings;
-    PeerIdentity own = new PeerIdentity(settings.name(), System.currentTimeMillis());
+    PeerIdentity own = new PeerIdentity(settings.name(), incarnation);
     self = own.toString();
     cluster =
         new Cluster(
@@ -229,6 +231,7 @@
         streams.open(
             DaemonConstants.PERMIT_STREAM, PermitRecord.class, PermitRecord::recordId, permits);
     permits.connect(permitStream.appender(), permitStream.follower());
+    permits.onFenced(onFenced);
     keeper =
         new SnapshotKeeper(
             configuration, configurationStream, permits, permitStream, digests, cluster);
@@ -289,13 +292,8 @@
     network.listen(new ConfigurationGossip(network, configuration));
   }
 
-  /**
-   * Starts everything.
-   *
-   * @return the address of the HTTP interface
-   * @throws DaemonStartException if a port cannot be opened
-   */
-  public String start() throws DaemonStartException {
+  @Override
+  public DaemonAddress start() throws DaemonStartException {
     Router router = Router.router(vertx);
     EntryService entry =
         new EntryService(control, control, configuration, readiness, cluster, intake, jobs);
@@ -310,12 +308,9 @@
     int peerPort = network.start().await().atMost(START_TIMEOUT);
     control.execute(this::startControl);
     int httpPort = front.listen(router, settings.host(), settings.httpPort());
-    String text =
-        String.format(
-            "%s http %s:%d peer %s:%d",
-            settings.name(), settings.host(), httpPort, settings.host(), peerPort);
-    LOGGER.log(Level.INFO, "daemon: {0} listens, {1}", self, text);
-    return text;
+    DaemonAddress address = new DaemonAddress(settings.name(), settings.host(), httpPort, peerPort);
+    LOGGER.log(Level.INFO, "daemon: {0} listens, {1}", self, address);
+    return address;
   }
 
   private void mountOperators(Router router) {
@@ -417,6 +412,17 @@
     new GracefulShutdown(control, readiness, work, front, settings.shutdownMillis()).run();
   }
 
+  @Override
+  public void abandon() {
+    control.execute(
+        () -> {
+          readiness.shutDown();
+          cluster.shutDown();
+          work.refuseWaiting();
+        });
+    new GracefulShutdown(control, readiness, work, front, DaemonConstants.ABANDON_MILLIS).run();
+  }
+
   private static ServiceAddress address(HostAndPort from) {
     return new ServiceAddress(from.host(), from.port());
   }
--- a/daemon/src/main/java/org/hickorypier/daemon/HickorydMain.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/HickorydMain.java
@@ -45,20 +45,30 @@
   private static void run(DaemonSettings settings) {
     LogSetup.start(settings.logLevel(), System.err);
     LogSetup.start(settings.logLevel(), System.err);
-    Hickoryd daemon = new Hickoryd(settings);
+    Incarnations daemon =
+        new Incarnations(
+            (httpPort, peerPort, number, onFenced) ->
+                new Hickoryd(settings.withPorts(httpPort, peerPort), number, onFenced),
+            System::currentTimeMillis,
+            renewal -> new Thread(renewal, "incarnations").start(),
+            HickorydMain::notStarted);
     Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(daemon), "shutdown"));
     try {
       System.out.println("listening " + daemon.start());
     } catch (DaemonStartException error) {
-      System.err.println("hickoryd: " + error.getMessage());
-      exitCode = EXIT_NOT_STARTED;
-      System.exit(EXIT_NOT_STARTED);
+      notStarted(error);
     }
   }
 
+  private static void notStarted(DaemonStartException error) {
+    System.err.println("hickoryd: " + error.getMessage());
+    exitCode = EXIT_NOT_STARTED;
+    Runtime.getRuntime().exit(EXIT_NOT_STARTED);
+  }
+
   // After SIGTERM the platform ends the process with 143 whatever the hooks did, and a supervisor
   // takes a graceful shutdown for a crash. To halt with our own code, as the last act, prevents it.
-  private static void shutDown(Hickoryd daemon) {
+  private static void shutDown(Incarnations daemon) {
     try {
       daemon.close();
     } finally {
--- a/daemon/src/main/java/org/hickorypier/daemon/permit/PermitService.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/permit/PermitService.java
@@ -62,6 +62,8 @@
   private LogAppender<PermitRecord> appender;
   private LongConsumer seek = offset -> {};
   private LongSupplier logAgeMillis = () -> 0;
+  private Runnable fencedListener = () -> {};
+  private boolean fenced;
 
   /**
    * Creates the service.
@@ -90,6 +92,16 @@
     logAgeMillis = follower::millisSinceHeard;
   }
 
+  /**
+   * Sets who hears, once, that this instance has been fenced off. It gets no permits any more and
+   * its word for a worker is refused, whatever it does.
+   *
+   * @param listener the listener
+   */
+  public void onFenced(Runnable listener) {
+    fencedListener = listener;
+  }
+
   /** Starts to plan regularly. */
   public void start() {
     timers.every(PLAN_PERIOD, () -> List.copyOf(teams).forEach(this::plan));
@@ -211,6 +223,7 @@
     if (record instanceof PermitRecord.Snapshot && result.verdict() == Verdict.APPLIED) {
       seek.accept(local.state().offset() + 1);
     }
+    noteFence();
     if (record instanceof PermitRecord.Adopt word) {
       spoken(word);
     }
@@ -229,6 +242,14 @@
     local.passOver(offset);
   }
 
+  private void noteFence() {
+    if (!fenced && local.isFenced()) {
+      fenced = true;
+      LOGGER.log(Level.WARNING, "permits: this instance has been fenced off");
+      fencedListener.run();
+    }
+  }
+
   private void spoken(PermitRecord.Adopt word) {
     Long pending = pendingWords.get(word.worker());
     if (pending != null && pending == word.token()) {
--- a/daemon/src/main/java/org/hickorypier/daemon/settings/DaemonSettings.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/settings/DaemonSettings.java
@@ -52,4 +52,38 @@
     long deadlineDefaultMillis,
     int eventLoops,
     long shutdownMillis,
-    int connectionsPerWorker) {}
+    int connectionsPerWorker) {
+
+  /**
+   * Returns the same settings with other ports.
+   *
+   * @param otherHttpPort the port for callers and operators, 0 to leave it
+   * @param otherPeerPort the port for the other instances, 0 to leave it
+   * @return the settings
+   */
+  public DaemonSettings withPorts(int otherHttpPort, int otherPeerPort) {
+    return new DaemonSettings(
+        name,
+        dataCentre,
+        host,
+        otherHttpPort == 0 ? httpPort : otherHttpPort,
+        otherPeerPort == 0 ? peerPort : otherPeerPort,
+        logService,
+        instanceList,
+        peerSecret,
+        operatorKey,
+        logLevel,
+        leaseMillis,
+        renewalMillis,
+        heartbeatMillis,
+        peerTimeoutMillis,
+        digestMillis,
+        freshnessMillis,
+        queueLimit,
+        requestBytesLimit,
+        deadlineDefaultMillis,
+        eventLoops,
+        shutdownMillis,
+        connectionsPerWorker);
+  }
+}
--- a/daemon/src/main/java/org/hickorypier/daemon/work/WorkService.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/work/WorkService.java
@@ -224,6 +224,17 @@
     return true;
   }
 
+  /** Refuses all requests that have not started, as this instance can start nothing any more. */
+  public void refuseWaiting() {
+    for (WorkEntry entry : List.copyOf(entries.values())) {
+      if (entry.isQueued() && scheduler.cancelQueued(entry.item().key())) {
+        refuse(
+            entry,
+            new Refusal(RefusalReason.NOT_READY, "this instance starts anew", RETRY_AFTER_MILLIS));
+      }
+    }
+  }
+
   /**
    * Returns the number of synchronous requests without a final answer. Jobs are not counted: they
    * outlive an instance, and a shutdown that waited for a service would never end.
--- /dev/null
+++ b/daemon/src/test/java/org/hickorypier/daemon/IncarnationsTest.java
@@ -0,0 +1,93 @@
+package org.hickorypier.daemon;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class IncarnationsTest {
+
+  private static final int HTTP_PORT = 40_001;
+  private static final int PEER_PORT = 40_002;
+
+  private final List<String> events = new ArrayList<>();
+  private final List<Runnable> fences = new ArrayList<>();
+  private final List<Runnable> renewals = new ArrayList<>();
+  private long wallMillis = 1_000;
+  private final Incarnations incarnations =
+      new Incarnations(this::create, () -> wallMillis, renewals::add, error -> {});
+
+  @BeforeEach
+  void start() throws DaemonStartException {
+    incarnations.start();
+    events.clear();
+  }
+
+  // An instance that was fenced off during a pause kept its share of the work and started nothing.
+  @Test
+  void instanceFencedOffWhilePausedServesAgainOnItsPorts() {
+    wallMillis = 21_000;
+    fence(0);
+
+    assertThat(events)
+        .containsExactly("1000 abandoned", "21000 on " + HTTP_PORT + " and " + PEER_PORT);
+  }
+
+  // A number below the fence would be fenced off from the start.
+  @Test
+  void clockSetBackDoesNotLowerTheNumber() {
+    wallMillis = 10;
+    fence(0);
+
+    assertThat(events).last().asString().startsWith("1001 on ");
+  }
+
+  @Test
+  void fenceOfAnEarlierIncarnationChangesNothing() {
+    fence(0);
+    events.clear();
+
+    fence(0);
+
+    assertThat(events).isEmpty();
+  }
+
+  @Test
+  void nothingStartsAfterTheShutdown() {
+    incarnations.close();
+    events.clear();
+
+    fence(0);
+
+    assertThat(events).isEmpty();
+  }
+
+  private void fence(int incarnation) {
+    fences.get(incarnation).run();
+    renewals.forEach(Runnable::run);
+    renewals.clear();
+  }
+
+  private Incarnation create(int httpPort, int peerPort, long number, Runnable onFenced) {
+    fences.add(onFenced);
+    return new Incarnation() {
+      @Override
+      public DaemonAddress start() {
+        events.add(number + " on " + httpPort + " and " + peerPort);
+        return new DaemonAddress("entry-1", "127.0.0.1", HTTP_PORT, PEER_PORT);
+      }
+
+      @Override
+      public void close() {
+        events.add(number + " closed");
+      }
+
+      @Override
+      public void abandon() {
+        events.add(number + " abandoned");
+      }
+    };
+  }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/hickorypier/daemon/work/WorkBench.java
@@ -0,0 +1,221 @@
+package org.hickorypier.daemon.work;
+
+import io.smallrye.mutiny.Uni;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.hickorypier.core.model.Resources;
+import org.hickorypier.core.model.TaskId;
+import org.hickorypier.core.model.WorkClass;
+import org.hickorypier.core.model.WorkItem;
+import org.hickorypier.core.model.WorkKey;
+import org.hickorypier.core.model.WorkerDescription;
+import org.hickorypier.core.permits.Holder;
+import org.hickorypier.core.scheduling.PlacedTask;
+import org.hickorypier.core.scheduling.Scheduler;
+import org.hickorypier.core.scheduling.SchedulerFactory;
+import org.hickorypier.core.scheduling.SchedulerSettings;
+import org.hickorypier.core.scheduling.TaskEnd;
+import org.hickorypier.daemon.cluster.DigestBoard;
+import org.hickorypier.daemon.cluster.PermitDemands;
+import org.hickorypier.daemon.log.AppendSettings;
+import org.hickorypier.daemon.log.FollowSettings;
+import org.hickorypier.daemon.log.LogAppender;
+import org.hickorypier.daemon.log.LogFollower;
+import org.hickorypier.daemon.permit.PermitService;
+import org.hickorypier.daemon.permit.TaskOwners;
+import org.hickorypier.daemon.time.ManualTimerService;
+import org.hickorypier.daemon.worker.ControlView;
+import org.hickorypier.daemon.worker.WorkerFleet;
+import org.hickorypier.daemon.worker.WorkerLeaseSettings;
+import org.hickorypier.platform.log.LogPage;
+import org.hickorypier.platform.log.LogRange;
+import org.hickorypier.platform.log.LogService;
+import org.hickorypier.wire.MessagePackCodec;
+import org.hickorypier.wire.record.PermitRecord;
+import org.hickorypier.wire.record.PermitRecord.Hold;
+import org.hickorypier.wire.record.PermitRecord.Limit;
+
+/**
+ * One instance's work, decisions and permits, on fake time, with one worker. Placed tasks stop at
+ * the gate; a test says how they end. Not thread safe.
+ */
+final class WorkBench {
+
+  static final String TEAM = "norte";
+  static final String OTHER = "entry-2#1";
+
+  private static final Holder SELF = new Holder("entry-1", 1);
+  private static final Resources SMALL = new Resources(1_000, 1_024, 0);
+  private static final WorkerDescription WORKER =
+      new WorkerDescription("worker-1", "dc1", "rack1", new Resources(16_000, 65_536, 0), 8);
+  private static final long LEASE_MILLIS = 5_000;
+  private static final long DEADLINE_MILLIS = 10_000;
+
+  final ManualTimerService timers = new ManualTimerService();
+  final List<PlacedTask> placed = new ArrayList<>();
+  final List<WorkResult> answers = new ArrayList<>();
+  final WorkService work;
+  final PermitService permits;
+  private final Scheduler scheduler =
+      SchedulerFactory.create(SchedulerSettings.defaults().withQueueLimit(100), 7);
+  private final TaskOwners owners =
+      new TaskOwners((worker, owner) -> permits().covers(worker, owner));
+  private long offset;
+
+  WorkBench() {
+    work =
+        new WorkService(
+            new WorkSettings(3, 60_000, 1_024, 50, 600_000),
+            scheduler,
+            timers,
+            timers,
+            (placement, verdict) -> placed.addAll(placement.tasks()),
+            new WorkObserver() {});
+    permits =
+        new PermitService(
+            SELF,
+            new PermitDemands(
+                scheduler, new DigestBoard(scheduler, owners::isOurs), owners, work, worker -> {}),
+            timers,
+            task -> timers.after(Duration.ZERO, task));
+    WorkerFleet fleet =
+        new WorkerFleet(
+            new WorkerLeaseSettings(LEASE_MILLIS, 1_000, 1_000),
+            timers,
+            timers,
+            address -> null,
+            new NobodyElse(),
+            SELF.toString());
+    work.start(
+        new Dispatcher(
+            new DispatchSettings(LEASE_MILLIS, 100, 5, 2_000),
+            fleet,
+            timers,
+            timers,
+            SELF.toString(),
+            work));
+    openLog();
+    scheduler.putWorker(WORKER, true);
+  }
+
+  private PermitService permits() {
+    return permits;
+  }
+
+  /** Folds a limit of the team, and this instance's hold of some permits below it. */
+  void hold(int limit, int count) {
+    permits.onRecord(offset++, new Limit(TEAM, 1, limit));
+    plan();
+    permits.onRecord(offset++, new Hold(SELF.instance(), SELF.incarnation(), offset, TEAM, count));
+  }
+
+  void submit(String requestId, boolean idempotent) {
+    long now = timers.nowMillis();
+    WorkItem item =
+        new WorkItem(
+            new WorkKey(TEAM, requestId),
+            WorkClass.REQUEST,
+            "",
+            SMALL,
+            1,
+            idempotent,
+            now,
+            now + DEADLINE_MILLIS,
+            0);
+    work.submit(new Submission(item, new byte[0]), answers::add);
+  }
+
+  /** Finds a task that another instance started, and whose permit that instance still holds. */
+  TaskId findTaskOfAnother(String requestId) {
+    TaskId taskId = new TaskId(new WorkKey(TEAM, requestId), 1, 0);
+    long now = timers.nowMillis();
+    WorkItem item = new WorkItem(taskId.key(), WorkClass.BATCH, "", SMALL, 1, false, now, now, 0);
+    owners.put(taskId, OTHER);
+    work.adopt(new PlacedTask(taskId, WORKER.name(), WorkClass.BATCH, SMALL), item);
+    plan();
+    return taskId;
+  }
+
+  private void plan() {
+    permits.planSoon(TEAM);
+    timers.advance(Duration.ZERO);
+  }
+
+  void end(TaskId taskId, TaskEnd end) {
+    work.onEnded(taskId, TaskReport.without(end, "as the test says"));
+  }
+
+  List<String> placedRequests() {
+    return placed.stream().map(task -> task.taskId().key().requestId()).toList();
+  }
+
+  private void openLog() {
+    MessagePackCodec<PermitRecord> codec = new MessagePackCodec<>(PermitRecord.class);
+    LogService log = new QuietLog();
+    LogFollower<PermitRecord> follower =
+        new LogFollower<>(
+            log, "permits", codec, timers, timers, new Random(7), FollowSettings.DEFAULT);
+    permits.connect(
+        new LogAppender<>(
+            log,
+            "permits",
+            codec,
+            PermitRecord::recordId,
+            timers,
+            timers,
+            new Random(8),
+            AppendSettings.DEFAULT),
+        follower);
+    follower.start(0);
+  }
+
+  /** Has nothing to read and answers no append; the tests fold records themselves. */
+  private static final class QuietLog implements LogService {
+
+    private boolean heard;
+
+    @Override
+    public Uni<Long> append(String stream, List<byte[]> records) {
+      return Uni.createFrom().nothing();
+    }
+
+    @Override
+    public Uni<LogPage> read(String stream, long from, int limit, Duration wait) {
+      if (heard) {
+        return Uni.createFrom().nothing();
+      }
+      heard = true;
+      return Uni.createFrom().item(new LogPage(List.of(), from));
+    }
+
+    @Override
+    public Uni<LogRange> range(String stream) {
+      return Uni.createFrom().nothing();
+    }
+  }
+
+  private static final class NobodyElse implements ControlView {
+
+    @Override
+    public boolean isWanted(String worker) {
+      return true;
+    }
+
+    @Override
+    public boolean isLive(String controller) {
+      return false;
+    }
+
+    @Override
+    public boolean isDrained(String name) {
+      return false;
+    }
+
+    @Override
+    public void offer(String worker) {
+      // There is nobody to offer it to.
+    }
+  }
+}
