A request that may have run is answered as unknown, not refused as not run

An idempotent request whose run is lost with its worker is queued again under the same entry. If no place comes free before the deadline, or the queue is full, it is refused as not run, which is true of the last attempt only. The entry now remembers that an attempt ended other than not started; what would be a refusal is then "unknown", as docs/CALLERS.md promises.

WorkServiceTest.requestThatMayHaveRunIsNotRefusedAsNotRun, which failed before (NOT_RUN for UNKNOWN).

--- a/daemon/src/main/java/org/hickorypier/daemon/work/WorkEntry.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/work/WorkEntry.java
@@ -8,6 +8,7 @@
 import org.hickorypier.core.model.TaskId;
 import org.hickorypier.core.model.WorkItem;
 import org.hickorypier.core.scheduling.PlacedTask;
+import org.hickorypier.core.scheduling.TaskEnd;
 
 /**
  * One piece of work at this instance, from its submission until its answer is forgotten.
@@ -25,6 +26,7 @@
   private boolean cancelled;
   private boolean queued;
   private boolean movable = true;
+  private boolean mayHaveRun;
   private int retries;
   private int startedTasks;
   private long placedMillis;
@@ -110,6 +112,7 @@
       return false;
     }
     reports.add(report);
+    mayHaveRun |= report.end() != TaskEnd.NOT_STARTED;
     return live.isEmpty();
   }
 
@@ -117,6 +120,11 @@
     return List.copyOf(reports);
   }
 
+  /** Whether a task of an earlier attempt may have run, so that "not run" would not be true. */
+  boolean mayHaveRun() {
+    return mayHaveRun;
+  }
+
   boolean isCancelled() {
     return cancelled;
   }
--- a/daemon/src/main/java/org/hickorypier/daemon/work/WorkService.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/work/WorkService.java
@@ -412,7 +412,11 @@
   }
 
   private void refuse(WorkEntry entry, Refusal refusal) {
-    finish(entry, new WorkResult.Refused(refusal));
+    if (entry.mayHaveRun()) {
+      answer(entry, Outcome.UNKNOWN, refusal.detail(), TaskReport.NO_BODY);
+    } else {
+      finish(entry, new WorkResult.Refused(refusal));
+    }
   }
 
   private void finish(WorkEntry entry, WorkResult result) {
--- a/daemon/src/test/java/org/hickorypier/daemon/work/WorkServiceTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/work/WorkServiceTest.java
@@ -4,6 +4,8 @@
 
 import java.time.Duration;
 import org.hickorypier.core.model.Outcome;
+import org.hickorypier.core.model.TaskId;
+import org.hickorypier.core.scheduling.TaskEnd;
 import org.junit.jupiter.api.Test;
 
 class WorkServiceTest {
@@ -12,7 +14,22 @@
 
   private final WorkBench bench = new WorkBench();
 
-  // A request that was given up before anything of it was ordered must be said not to have run.
+  // A request whose first run was lost was said not to have run once its second found no place.
+  @Test
+  void requestThatMayHaveRunIsNotRefusedAsNotRun() {
+    bench.hold(1, 1);
+    bench.submit("first", true);
+    TaskId run = bench.placed.get(0).taskId();
+    bench.submit("second", true);
+
+    bench.end(run, TaskEnd.LOST);
+    bench.timers.advance(PAST_THE_DEADLINE);
+
+    assertThat(bench.placedRequests()).containsExactly("first", "second");
+    assertThat(bench.answers).extracting(WorkResult::outcome).containsExactly(Outcome.UNKNOWN);
+  }
+
+  // The same request, refused before anything of it was ordered, did not run.
   @Test
   void requestThatNeverStartedIsRefusedAsNotRun() {
     bench.hold(1, 1);
