A permit that another instance uses again is not used here too when its task ends

A task found on a worker that has just changed hands is covered by the permit of the instance that started it, so the decisions here are given one permit more for it, to keep the count right. When such a task ended its place in the count was free at once, but the permit was taken back only with the next plan of the team; in between the end itself started waiting work here, while the permit's holder used it again. So it needs scarce permits and a worker that has just changed hands, which is the second after an instance has come back.

WorkServiceTest .endOfAnotherInstancesTaskStartsNothingBeyondOwnPermits plays it and failed before (second started).

Before anything is placed, the permits of the teams that have tasks of others here are counted anew. Teams without such tasks cost nothing.

--- a/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
@@ -232,6 +232,7 @@
             DaemonConstants.PERMIT_STREAM, PermitRecord.class, PermitRecord::recordId, permits);
     permits.connect(permitStream.appender(), permitStream.follower());
     permits.onFenced(onFenced);
+    work.beforePlacing(permits::recount);
     keeper =
         new SnapshotKeeper(
             configuration, configurationStream, permits, permitStream, digests, cluster);
--- a/daemon/src/main/java/org/hickorypier/daemon/permit/PermitService.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/permit/PermitService.java
@@ -58,6 +58,7 @@
   private final Executor control;
   private final Set<String> teams = new HashSet<>();
   private final Set<String> dirty = new HashSet<>();
+  private final Set<String> withTasksOfOthers = new HashSet<>();
   private final Map<String, Long> pendingWords = new HashMap<>();
   private LogAppender<PermitRecord> appender;
   private LongConsumer seek = offset -> {};
@@ -107,6 +108,14 @@
     timers.every(PLAN_PERIOD, () -> List.copyOf(teams).forEach(this::plan));
   }
 
+  /**
+   * Takes back what the decisions were given for tasks of other instances that have ended since. To
+   * be called before anything is placed: whoever holds such a task's permit uses it again at once.
+   */
+  public void recount() {
+    List.copyOf(withTasksOfOthers).forEach(this::use);
+  }
+
   /**
    * Returns the permits of all as folded here.
    *
@@ -294,7 +303,13 @@
   }
 
   private void use(String team) {
-    work.use(team, local.usable(team) + work.coveredElsewhere(team));
+    int covered = work.coveredElsewhere(team);
+    if (covered > 0) {
+      withTasksOfOthers.add(team);
+    } else {
+      withTasksOfOthers.remove(team);
+    }
+    work.use(team, local.usable(team) + covered);
   }
 
   private List<AdoptedTasks> tasksOfFenced(String worker, List<TaskStatus> tasks) {
--- a/daemon/src/main/java/org/hickorypier/daemon/work/WorkService.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/work/WorkService.java
@@ -59,6 +59,7 @@
   private final AnswerCache answers;
   private final Map<WorkKey, WorkEntry> entries = new HashMap<>();
   private Dispatcher dispatcher;
+  private Runnable beforePlacing = () -> {};
   private boolean pumping;
 
   /**
@@ -98,6 +99,15 @@
     timers.every(OVERLONG_PERIOD, this::stopOverlong);
   }
 
+  /**
+   * Sets what is done each time before work is placed.
+   *
+   * @param step brings the permits up to date
+   */
+  public void beforePlacing(Runnable step) {
+    beforePlacing = step;
+  }
+
   /**
    * Takes work in, or joins it to the same work taken in before.
    *
@@ -264,6 +274,7 @@
     }
     pumping = true;
     try {
+      beforePlacing.run();
       List<Placement> placements = scheduler.place(timers.nowMillis());
       placements.forEach(this::begin);
     } finally {
--- a/daemon/src/test/java/org/hickorypier/daemon/work/WorkBench.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/work/WorkBench.java
@@ -80,6 +80,7 @@
                 scheduler, new DigestBoard(scheduler, owners::isOurs), owners, work, worker -> {}),
             timers,
             task -> timers.after(Duration.ZERO, task));
+    work.beforePlacing(permits::recount);
     WorkerFleet fleet =
         new WorkerFleet(
             new WorkerLeaseSettings(LEASE_MILLIS, 1_000, 1_000),
--- a/daemon/src/test/java/org/hickorypier/daemon/work/WorkServiceTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/work/WorkServiceTest.java
@@ -14,6 +14,21 @@
 
   private final WorkBench bench = new WorkBench();
 
+  // A permit that another instance holds and uses again was used here too: the team ran over its
+  // limit.
+  @Test
+  void endOfAnotherInstancesTaskStartsNothingBeyondOwnPermits() {
+    bench.hold(2, 1);
+    final TaskId foreign = bench.findTaskOfAnother("foreign");
+    bench.submit("first", true);
+    bench.submit("second", true);
+    assertThat(bench.placedRequests()).containsExactly("first");
+
+    bench.end(foreign, TaskEnd.COMPLETED);
+
+    assertThat(bench.placedRequests()).containsExactly("first");
+  }
+
   // A request whose first run was lost was said not to have run once its second found no place.
   @Test
   void requestThatMayHaveRunIsNotRefusedAsNotRun() {
