Nothing starts on a worker that was claimed again since the task was placed on it

The order is now checked under the token it carries; a first order ends as not started, one of unknown fate asks the worker again.

WorkerControlFailureTest.nothingStartsOnWorkerClaimedAnewBeforeItsWordIsReadBack fails with the check taken out.

--- a/acceptance/src/test/java/org/hickorypier/acceptance/control/ControllerNode.java
+++ b/acceptance/src/test/java/org/hickorypier/acceptance/control/ControllerNode.java
@@ -53,6 +53,7 @@
   private final Map<TaskId, Long> reportTimes = new HashMap<>();
   private final WorkerFleet fleet;
   private final Dispatcher dispatcher;
+  private boolean spoken = true;
   private boolean paused;
   private boolean draining;
 
@@ -71,7 +72,13 @@
             name);
     dispatcher =
         new Dispatcher(
-            new DispatchSettings(LEASE_MILLIS, 500, 4, 5_000), fleet, this, this, name, listener());
+            new DispatchSettings(LEASE_MILLIS, 500, 4, 5_000),
+            fleet,
+            this,
+            this,
+            name,
+            (worker, token) -> spoken,
+            listener());
     fleet.start(new FleetEvents());
     dispatcher.start();
   }
@@ -120,6 +127,11 @@
     return reportTimes.get(id);
   }
 
+  /** Says whether this instance's word for its workers has been read back from the log. */
+  void setSpoken(boolean readBack) {
+    spoken = readBack;
+  }
+
   void pause() {
     paused = true;
   }
--- a/acceptance/src/test/java/org/hickorypier/acceptance/control/WorkerControlFailureTest.java
+++ b/acceptance/src/test/java/org/hickorypier/acceptance/control/WorkerControlFailureTest.java
@@ -41,6 +41,20 @@
     assertThat(bench.worker.history().starts()).isNotEmpty();
   }
 
+  /** A task placed before a pause ran on a worker claimed after it, by a permit that was gone. */
+  @Test
+  void nothingStartsOnWorkerClaimedAnewBeforeItsWordIsReadBack() {
+    bench.firstTakesControl();
+    TaskId id = task("labels", 1);
+    bench.first.setSpoken(false);
+
+    start(bench.first, id, SERVICE);
+    bench.pass(1_000);
+
+    assertThat(bench.first.end(id)).isEqualTo(TaskEnd.NOT_STARTED);
+    assertThat(bench.worker.history().starts()).isEmpty();
+  }
+
   /** The same with the worker's safeguards off: the record shows the worker overfull. */
   @Test
   void twoControllersOverfillTheWorkerWithoutItsSafeguards() {
--- a/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
@@ -220,6 +220,7 @@
             control,
             control,
             self,
+            (worker, token) -> permits().mayStartOn(worker, token),
             work);
     permits =
         new PermitService(
--- a/daemon/src/main/java/org/hickorypier/daemon/work/Dispatcher.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/work/Dispatcher.java
@@ -45,6 +45,7 @@
   private final TimerService timers;
   private final Executor control;
   private final String self;
+  private final StartRule startRule;
   private final TaskListener listener;
   private final Map<TaskId, TaskRun> runs = new LinkedHashMap<>();
 
@@ -56,6 +57,7 @@
    * @param timers the time
    * @param control the control thread
    * @param self this instance's name and incarnation
+   * @param startRule says whether tasks may start on a worker
    * @param listener hears how the tasks go
    */
   public Dispatcher(
@@ -64,12 +66,14 @@
       TimerService timers,
       Executor control,
       String self,
+      StartRule startRule,
       TaskListener listener) {
     this.settings = settings;
     this.fleet = fleet;
     this.timers = timers;
     this.control = control;
     this.self = self;
+    this.startRule = startRule;
     this.listener = listener;
   }
 
@@ -180,7 +184,10 @@
   }
 
   private void sendStart(TaskRun run) {
-    Optional<WorkerHold> found = fleet.hold(run.task().worker());
+    // The worker may have been lost and claimed again since the task was placed on it.
+    String worker = run.task().worker();
+    Optional<WorkerHold> found =
+        fleet.hold(worker).filter(hold -> startRule.mayStartOn(worker, hold.token()));
     if (found.isEmpty()) {
       withoutHold(run);
       return;
--- a/daemon/src/test/java/org/hickorypier/daemon/work/WorkBench.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/work/WorkBench.java
@@ -96,6 +96,7 @@
             timers,
             timers,
             SELF.toString(),
+            (worker, token) -> true,
             work));
     openLog();
     scheduler.putWorker(WORKER, true);
