A new incarnation is not taken for dead before its link stands

Its word and its permits are in the log before it has linked to everybody; a peer that still knew the incarnation before took the new one for dead, found no worker under it, and fenced it. An incarnation newer than the linked one now looks live as long as its instance does. That errs to the safe side: what looks live is neither fenced nor claimed from.

MembershipViewTest.incarnationThatHasNotLinkedYetIsNotTakenForDead failed before.

--- a/core/src/main/java/org/hickorypier/core/membership/MembershipView.java
+++ b/core/src/main/java/org/hickorypier/core/membership/MembershipView.java
@@ -137,17 +137,18 @@
   }
 
   /**
-   * Tells whether one incarnation of an instance looks live.
+   * Tells whether one incarnation of an instance looks live. One that is newer than what was linked
+   * does: its link may not stand yet, and it acts from its first moment.
    *
    * @param name the instance's name
    * @param incarnation the incarnation
    * @param now the time
-   * @return false also if another incarnation has taken its place
+   * @return false also if a later incarnation has taken its place
    */
   public boolean isLive(String name, long incarnation, long now) {
     return Optional.ofNullable(members.get(name))
         .filter(member -> looksLive(name, member, now))
-        .map(member -> member.incarnation.orElse(incarnation) == incarnation)
+        .map(member -> member.incarnation.orElse(incarnation) <= incarnation)
         .orElse(false);
   }
 
--- a/core/src/test/java/org/hickorypier/core/membership/MembershipViewTest.java
+++ b/core/src/test/java/org/hickorypier/core/membership/MembershipViewTest.java
@@ -55,6 +55,18 @@
     assertThat(view.isLive("b", 2, 300)).isTrue();
   }
 
+  // A new incarnation was fenced off at once by those to whom it had not linked yet, and started
+  // anew.
+  @Test
+  void incarnationThatHasNotLinkedYetIsNotTakenForDead() {
+    view.listed(list("a", "b"), 0);
+    view.up("b", 1, 0);
+    view.down("b", 100);
+
+    assertThat(view.isLive("b", 2, 100 + TIMEOUT)).isTrue();
+    assertThat(view.isLive("b", 2, 101 + TIMEOUT)).isFalse();
+  }
+
   @Test
   void leavingAndDrainedPeersAreLiveButGetNothingNew() {
     view.listed(
