A process stays alive while its instance starts anew

Its log: 'daemon: stopped', then 'Shutdown in progress' from the start of the next. The thread that starts the next incarnation was made on the control thread, a daemon thread, and so was one too; when the last event loop of the old one ended first, the virtual machine ended the process.

The thread is no daemon thread now. An error of any kind while starting anew ends the process with its exit code, in place of one that stays without an instance. IncarnationsTest.processStaysAliveBetweenTwoIncarnations failed before.

--- a/daemon/src/main/java/org/hickorypier/daemon/HickorydMain.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/HickorydMain.java
@@ -50,7 +50,7 @@
             (httpPort, peerPort, number, onFenced) ->
                 new Hickoryd(settings.withPorts(httpPort, peerPort), number, onFenced),
             System::currentTimeMillis,
-            renewal -> new Thread(renewal, "incarnations").start(),
+            renewal -> renewalThread(renewal).start(),
             HickorydMain::notStarted);
     Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(daemon), "shutdown"));
     try {
@@ -60,7 +60,15 @@
     }
   }
 
-  private static void notStarted(DaemonStartException error) {
+  /** Makes a thread that keeps the process alive between two incarnations. */
+  static Thread renewalThread(Runnable renewal) {
+    Thread thread = new Thread(renewal, "incarnations");
+    // It is asked for on the control thread, a daemon thread, and would be one too.
+    thread.setDaemon(false);
+    return thread;
+  }
+
+  private static void notStarted(Exception error) {
     System.err.println("hickoryd: " + error.getMessage());
     exitCode = EXIT_NOT_STARTED;
     Runtime.getRuntime().exit(EXIT_NOT_STARTED);
--- a/daemon/src/main/java/org/hickorypier/daemon/Incarnations.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/Incarnations.java
@@ -38,7 +38,7 @@
   private final Factory factory;
   private final LongSupplier wallClock;
   private final Executor renewer;
-  private final Consumer<DaemonStartException> failed;
+  private final Consumer<Exception> failed;
   private Incarnation current;
   private DaemonAddress address;
   private long number;
@@ -53,10 +53,7 @@
    * @param failed hears if a later incarnation could not be started
    */
   Incarnations(
-      Factory factory,
-      LongSupplier wallClock,
-      Executor renewer,
-      Consumer<DaemonStartException> failed) {
+      Factory factory, LongSupplier wallClock, Executor renewer, Consumer<Exception> failed) {
     this.factory = factory;
     this.wallClock = wallClock;
     this.renewer = renewer;
@@ -95,7 +92,7 @@
   private void renewAfter(long fenced) {
     try {
       renew(fenced);
-    } catch (DaemonStartException error) {
+    } catch (DaemonStartException | RuntimeException error) {
       failed.accept(error);
     }
   }
--- a/daemon/src/test/java/org/hickorypier/daemon/IncarnationsTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/IncarnationsTest.java
@@ -15,9 +15,11 @@
   private final List<String> events = new ArrayList<>();
   private final List<Runnable> fences = new ArrayList<>();
   private final List<Runnable> renewals = new ArrayList<>();
+  private final List<Exception> failures = new ArrayList<>();
   private long wallMillis = 1_000;
+  private boolean isBroken;
   private final Incarnations incarnations =
-      new Incarnations(this::create, () -> wallMillis, renewals::add, error -> {});
+      new Incarnations(this::create, () -> wallMillis, renewals::add, failures::add);
 
   @BeforeEach
   void start() throws DaemonStartException {
@@ -54,6 +56,28 @@
     assertThat(events).isEmpty();
   }
 
+  // The virtual machine ended a process that had no other thread left between two incarnations.
+  @Test
+  void processStaysAliveBetweenTwoIncarnations() throws InterruptedException {
+    List<Thread> renewers = new ArrayList<>();
+    Thread control = new Thread(() -> renewers.add(HickorydMain.renewalThread(() -> {})));
+    control.setDaemon(true);
+    control.start();
+    control.join();
+
+    assertThat(renewers).extracting(Thread::isDaemon).containsExactly(false);
+  }
+
+  // An instance that cannot start anew must end, or it would stay away with its process running.
+  @Test
+  void incarnationThatCannotBeMadeIsReported() {
+    isBroken = true;
+
+    fence(0);
+
+    assertThat(failures).hasSize(1);
+  }
+
   @Test
   void nothingStartsAfterTheShutdown() {
     incarnations.close();
@@ -71,6 +95,9 @@
   }
 
   private Incarnation create(int httpPort, int peerPort, long number, Runnable onFenced) {
+    if (isBroken) {
+      throw new IllegalStateException("cannot be made");
+    }
     fences.add(onFenced);
     return new Incarnation() {
       @Override
