RosterWriter: what a successor has to know of the workers, apart from the book of workers

WorkerBook had grown to 300 lines with two jobs; the invariant of what is written and what is promised by it now stands in one class.

--- a/core/src/main/java/org/hickorypier/core/cell/RunBook.java
+++ b/core/src/main/java/org/hickorypier/core/cell/RunBook.java
@@ -278,6 +278,7 @@
   /** The worker has left, and with it all that it had, orders without an answer among them. */
   void workerLeft(WorkerView worker, long now) {
     cell.workerEvent("worker-left", worker, "runs", worker.runs.size());
+    worker.departed = false;
     worker.runsUnknown = false;
     worker.unanswered.clear();
     worker.refusals.clear();
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerBook.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerBook.java
@@ -1,13 +1,10 @@
 package org.hickorypier.core.cell;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -21,14 +18,6 @@
 
   private static final String PART = "cell";
 
-  /** While a lease runs out, the roster is written this often with what is left of it. */
-  private static final long COUNT_DOWN_MILLIS = 1_000;
-
-  /**
-   * With so many runs, of some 30 bytes each, a roster is well under the store's largest record.
-   */
-  private static final int MOST_NAMED_RUNS = 4_000;
-
   private final CellState cell;
   private final RunBook runs;
   private final RunAdoption adoption;
@@ -36,15 +25,14 @@
   /** The last submission that an earlier owner may have taken. */
   private final long lastOfEarlierOwners;
 
-  private boolean rosterStale;
-  private boolean rosterWriting;
-  private long rosterWrittenAt;
+  private final RosterWriter roster;
 
   WorkerBook(CellState cell, RunBook runs, RunAdoption adoption) {
     this.cell = cell;
     this.runs = runs;
     this.adoption = adoption;
     this.lastOfEarlierOwners = cell.lastNumber();
+    this.roster = new RosterWriter(cell);
   }
 
   void restoreRoster(Collection<RosterEntry> entries) {
@@ -85,11 +73,13 @@
       worker = new WorkerView(entry);
       cell.workers.put(entry.id(), worker);
       cell.log.event(PART, "worker-listed", "worker", entry.id(), "address", entry.address());
-      rosterStale = true;
+      roster.stale();
     } else if (entry.bornMillis() > worker.bornMillis) {
       // Only its own report tells what the new life runs; until then it gets nothing.
       unanswered(worker, now);
-      rosterStale |= !worker.entry().address().equals(entry.address());
+      if (!worker.entry().address().equals(entry.address())) {
+        roster.stale();
+      }
     }
     if (entry.draining() && !worker.entry().draining()) {
       cell.log.event(
@@ -129,7 +119,7 @@
 
   void tick(long now) {
     closeAndOpen(now);
-    writeRoster(now);
+    roster.write(now);
     settleLost(now);
   }
 
@@ -150,7 +140,7 @@
     if (!gone.isEmpty()) {
       cell.log.event(PART, "workers-gone", "workers", gone);
       cell.workers.keySet().removeAll(gone);
-      rosterStale = true;
+      roster.stale();
     }
   }
 
@@ -167,78 +157,26 @@
       if (worker.open() && worker.closing(now)) {
         worker.closedAfter = worker.heard ? cell.lastNumber() : lastOfEarlierOwners;
         worker.onRoster = false;
-        rosterStale = true;
+        roster.stale();
       } else if (!worker.open() && worker.heard && !worker.closing(now)) {
         worker.closedAfter = RosterEntry.OPEN;
         worker.onRoster = false;
-        rosterStale = true;
+        roster.stale();
       }
       boolean retired = !worker.open() && worker.empty() && !cell.unresolved(worker, now);
       if (retired != worker.retired) {
         worker.retired = retired;
-        rosterStale = true;
+        roster.stale();
+      }
+      if (!worker.open() && !retired && worker.leaseRunsOut(now) != worker.runsOutOnRoster) {
+        roster.stale();
       }
-      rosterStale |=
-          !worker.open() && !retired && leaseRunsOut(worker, now) != worker.runsOutOnRoster;
-    }
-  }
-
-  /** Tells whether a worker gets no renewal: it was never heard, or not for long. */
-  private static boolean leaseRunsOut(WorkerView worker, long now) {
-    return !worker.heard || worker.silentForLong(now);
-  }
-
-  private void writeRoster(long now) {
-    boolean countsDown = now - rosterWrittenAt >= COUNT_DOWN_MILLIS && anyLeaseRunsOut(now);
-    if (!rosterStale && !countsDown || rosterWriting) {
-      return;
-    }
-    rosterStale = false;
-    rosterWriting = true;
-    rosterWrittenAt = now;
-    List<WorkerView> written = new ArrayList<>(cell.workers.values());
-    written.removeIf(worker -> worker.retired);
-    List<RosterEntry> entries = entriesOf(written, now);
-    List<WorkerView> open = written.stream().filter(WorkerView::open).toList();
-    List<WorkerView> renewed = written.stream().filter(each -> !each.runsOutOnRoster).toList();
-    cell.output.saveRoster(
-        entries,
-        () -> {
-          rosterWriting = false;
-          open.forEach(worker -> worker.onRoster = worker.open());
-          renewed.forEach(worker -> worker.renewable = true);
-          cell.dirty = true;
-        });
-  }
-
-  /** Makes the entries; from here on a worker whose lease runs out by its entry is not renewed. */
-  private List<RosterEntry> entriesOf(List<WorkerView> written, long now) {
-    List<RosterEntry> entries = new ArrayList<>();
-    int namedRuns = 0;
-    for (WorkerView worker : written) {
-      RosterEntry entry = entryOf(worker, namedRuns, now);
-      namedRuns += entry.runs().map(List::size).orElse(0);
-      worker.runsOutOnRoster = !entry.renewed();
-      worker.renewable &= entry.renewed();
-      entries.add(entry);
     }
-    return entries;
   }
 
   /** Returns what may still run anywhere, from an owner that orders and renews nothing any more. */
   List<RosterEntry> finalRoster(long now) {
-    List<RosterEntry> entries = new ArrayList<>();
-    for (WorkerView worker : cell.workers.values()) {
-      if (!worker.runs.isEmpty() || !worker.unsavedEnds.isEmpty() || cell.unresolved(worker, now)) {
-        entries.add(
-            new RosterEntry(
-                worker.entry(),
-                worker.open() ? cell.lastNumber() : worker.closedAfter,
-                cell.mayRunMillis(worker, now),
-                namedRuns(worker, now)));
-      }
-    }
-    return entries;
+    return roster.finalRoster(now);
   }
 
   /**
@@ -260,7 +198,7 @@
         }
       }
     }
-    rosterStale = true;
+    roster.stale();
     cell.dirty = true;
   }
 
@@ -273,32 +211,4 @@
     }
     named.forEach(run -> adoption.named(worker, run, now));
   }
-
-  private boolean anyLeaseRunsOut(long now) {
-    for (WorkerView worker : cell.workers.values()) {
-      if (worker.runsOutOnRoster && !worker.retired && worker.leaseEnd() > now) {
-        return true;
-      }
-    }
-    return false;
-  }
-
-  private RosterEntry entryOf(WorkerView worker, int namedBefore, long now) {
-    if (worker.open()) {
-      return new RosterEntry(worker.entry(), RosterEntry.OPEN);
-    }
-    long lease = leaseRunsOut(worker, now) ? cell.mayRunMillis(worker, now) : RosterEntry.RENEWED;
-    Optional<List<RunKey>> named =
-        namedRuns(worker, now).filter(each -> namedBefore + each.size() <= MOST_NAMED_RUNS);
-    return new RosterEntry(worker.entry(), worker.closedAfter, lease, named);
-  }
-
-  private Optional<List<RunKey>> namedRuns(WorkerView worker, long now) {
-    if (cell.unresolved(worker, now)) {
-      return Optional.empty();
-    }
-    Set<RunKey> named = new LinkedHashSet<>(worker.runs.keySet());
-    named.addAll(worker.unsavedEnds);
-    return Optional.of(List.copyOf(named));
-  }
 }
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
@@ -282,6 +282,11 @@
     return entry.draining() || silentForLong(now);
   }
 
+  /** Tells whether it gets no renewal: it was never heard, or not for long. */
+  boolean leaseRunsOut(long now) {
+    return !heard || silentForLong(now);
+  }
+
   /** Tells whether it may be lost, so that its lease is left to run out. */
   boolean silentForLong(long now) {
     return silent && now - silentSince >= LONG_SILENCE_MILLIS;
