--- a/core/src/main/java/org/hickorypier/core/cell/Dispatch.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Dispatch.java
@@ -62,10 +62,14 @@
     return book.askedAt > 0 && now < book.askedAt + ADVICE_MILLIS;
   }
 
+  private static boolean anyTicket(AdviceBook book, List<WorkerView> workers, long now) {
+    return workers.stream().anyMatch(worker -> book.ticket(worker, now) != null);
+  }
+
   /** Asks the advisor for a step that is about to have its turn; it claims no room yet. */
   private void askAhead(StepRun step, List<WorkerView> workers, long now) {
     AdviceBook book = step.advice;
-    if (asking(book, now) || now < book.notBefore || book.anyTicket(now)) {
+    if (asking(book, now) || now < book.notBefore || anyTicket(book, workers, now)) {
       return;
     }
     step.urgent = true;
@@ -110,7 +114,7 @@
     }
     String customer = step.submission.spec().customer();
     Resources each = step.spec.each();
-    long free = unreserved(step, workers);
+    long free = unreserved(cell, step, workers);
     for (Task task : step.tasks) {
       int count = waiting.size() + 1;
       if (task.waiting()
@@ -125,9 +129,14 @@
     return waiting;
   }
 
-  private long unreserved(StepRun step, List<WorkerView> workers) {
+  /** Tells whether not even one task of a step may start beside the reserve for urgent work. */
+  static boolean beyondReserve(CellState cell, StepRun step, List<WorkerView> workers) {
+    return step.spec.each().milliProcessors() > unreserved(cell, step, workers);
+  }
+
+  private static long unreserved(CellState cell, StepRun step, List<WorkerView> workers) {
     QueueTerms queue = step.submission.spec().queue();
-    if (cell.urgent(step) || step.spec.flags().fills()) {
+    if (cell.urgent(step) || step.spec.flags().fills() || step.lasting()) {
       return Long.MAX_VALUE;
     }
     long free = -cell.reserve.processors(queue.service());
