--- a/core/src/main/java/org/hickorypier/core/cell/CellTerms.java
+++ b/core/src/main/java/org/hickorypier/core/cell/CellTerms.java
@@ -29,7 +29,7 @@
    * How long an owner renews leases without a proof of ownership: the store is away for some 4 to 5
    * s on the users' installations, and work should go on meanwhile.
    */
-  private static final long PROOF_MILLIS = 6_000;
+  private static final long PROOF_MILLIS = 3_000;
 
   /** Covers the rounding and the time on the wire when the end of a lease is worked out. */
   static final long LEASE_MARGIN_MILLIS = 300;
