--- a/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
@@ -82,6 +82,9 @@
   /** Ends up to this number have been taken in. */
   long endsTaken;
 
+  /** Runs whose end was taken in and is not durable: a successor must hear it from the worker. */
+  final Set<RunKey> unsavedEnds = new LinkedHashSet<>();
+
   /** Ends up to this number are durable, and may be forgotten by the worker. */
   long endsDurable;
 
@@ -179,6 +182,7 @@
     bornMillis = born;
     endsTaken = 0;
     endsDurable = 0;
+    unsavedEnds.clear();
     highestDeadline = 0;
     earlierLeasesEnd = 0;
     failureStreak = 0;
@@ -201,14 +205,14 @@
    * Returns the deadline for a renewal that is sent now, and remembers it. A worker that left the
    * last renewal without an answer gets none: otherwise each attempt would put off the moment when
    * its tasks can be given to others. Neither does one whose lease runs out for all that a
-   * successor can read.
+   * successor can read, nor one that was not heard for a while: it may have a new life and clock.
    *
    * @param now the time
    * @param leaseMillis the length of the lease
    * @return the deadline on the worker's clock, or -1 for a renewal that only asks
    */
   public long nextDeadline(long now, long leaseMillis) {
-    if (clockReading == NO_READING || silent || !renewable) {
+    if (clockReading == NO_READING || !fresh(now) || silent || !renewable) {
       return -1;
     }
     long deadline = clockAt(now) + leaseMillis;
@@ -289,7 +293,7 @@
 
   /** Tells whether nothing is there and nothing is on its way. */
   boolean empty() {
-    return runs.isEmpty() && unanswered.isEmpty() && refusals.isEmpty();
+    return runs.isEmpty() && unsavedEnds.isEmpty() && unanswered.isEmpty() && refusals.isEmpty();
   }
 
   /**
