--- a/daemon/src/main/java/org/hickorypier/daemon/work/WorkService.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/work/WorkService.java
@@ -59,6 +59,7 @@
   private final AnswerCache answers;
   private final Map<WorkKey, WorkEntry> entries = new HashMap<>();
   private Dispatcher dispatcher;
+  private Runnable beforePlacing = () -> {};
   private boolean pumping;
 
   /**
@@ -98,6 +99,15 @@
     timers.every(OVERLONG_PERIOD, this::stopOverlong);
   }
 
+  /**
+   * Sets what is done each time before work is placed.
+   *
+   * @param step brings the permits up to date
+   */
+  public void beforePlacing(Runnable step) {
+    beforePlacing = step;
+  }
+
   /**
    * Takes work in, or joins it to the same work taken in before.
    *
@@ -224,6 +234,17 @@
     return true;
   }
 
+  /** Refuses all requests that have not started, as this instance can start nothing any more. */
+  public void refuseWaiting() {
+    for (WorkEntry entry : List.copyOf(entries.values())) {
+      if (entry.isQueued() && scheduler.cancelQueued(entry.item().key())) {
+        refuse(
+            entry,
+            new Refusal(RefusalReason.NOT_READY, "this instance starts anew", RETRY_AFTER_MILLIS));
+      }
+    }
+  }
+
   /**
    * Returns the number of synchronous requests without a final answer. Jobs are not counted: they
    * outlive an instance, and a shutdown that waited for a service would never end.
@@ -253,6 +274,7 @@
     }
     pumping = true;
     try {
+      beforePlacing.run();
       List<Placement> placements = scheduler.place(timers.nowMillis());
       placements.forEach(this::begin);
     } finally {
@@ -401,7 +423,11 @@
   }
 
   private void refuse(WorkEntry entry, Refusal refusal) {
-    finish(entry, new WorkResult.Refused(refusal));
+    if (entry.mayHaveRun()) {
+      answer(entry, Outcome.UNKNOWN, refusal.detail(), TaskReport.NO_BODY);
+    } else {
+      finish(entry, new WorkResult.Refused(refusal));
+    }
   }
 
   private void finish(WorkEntry entry, WorkResult result) {
