--- a/daemon/src/test/java/org/hickorypier/daemon/node/NodeTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/NodeTest.java
@@ -17,6 +17,12 @@
 
   private static final String ID = "5c0e7a21d94b36f%x";
 
+  /** A task that lasts runs again at the latest so long after its last run. */
+  private static final long LASTING_TASK_RESTART_MILLIS = 9_000;
+
+  /** A step has waited for so long, at least, when the log tells what it waits for. */
+  private static final long WAIT_TOLD_AFTER_MILLIS = 2_000;
+
   @Test
   void submissionIsAcceptedRunAndShownAsCompleted() throws Exception {
     try (SmallCluster cluster = new SmallCluster(2, 50)) {
@@ -314,4 +320,50 @@
       cluster.until(() -> cluster.state(named, id).equals("completed"));
     }
   }
+
+  /** A successor waited 9.87 s from its own takeover for a worker that had left before it. */
+  @Test
+  void lastingTaskOfDepartedWorkerRunsAgainAfterPlannedHandover() throws Exception {
+    try (SmallCluster cluster = new SmallCluster(2, 60_000)) {
+      final SmallCluster.Instance owner = cluster.start();
+      final SmallCluster.Instance successor = cluster.start();
+      assertThat(cluster.submitLasting(owner, ID.formatted(15)).status()).isEqualTo(200);
+      cluster.until(() -> cluster.starts().size() == 1);
+      int departing = cluster.workers.get(0).history().isEmpty() ? 1 : 0;
+      cluster.drain(departing, 6_000);
+      cluster.until(() -> cluster.told(owner, "worker-draining"));
+      cluster.depart(departing);
+      cluster.until(() -> cluster.told(owner, "worker-silent"));
+      cluster.leave(owner, TimeUnit.MINUTES.toMillis(1));
+      cluster.until(() -> cluster.told(successor, "owner-gained"));
+      cluster.unlist(departing);
+      cluster.until(() -> cluster.starts().size() == 2);
+      assertThat(cluster.workers.get(1 - departing).history()).hasSize(1);
+      assertThat(cluster.waitsForWorker(successor, "w" + departing))
+          .allMatch(left -> WAIT_TOLD_AFTER_MILLIS + left <= LASTING_TASK_RESTART_MILLIS);
+    }
+  }
+
+  /** An owner that had no configuration yet took a customer with a limit for one without. */
+  @Test
+  void ownerWithoutConfigurationStartsNothing() throws Exception {
+    try (SmallCluster cluster = new SmallCluster(1, 60_000)) {
+      SmallCluster.Instance first = cluster.start();
+      cluster.limitToOneProcessor();
+      cluster.until(() -> cluster.told(first, "version-in-force [version, 6"));
+      assertThat(cluster.submit(first, ID.formatted(1), 4).status()).isEqualTo(200);
+      cluster.until(() -> cluster.starts().size() == 1);
+      cluster.hideConfiguration();
+      NodeSettings settings = cluster.settings(Strength.UNKNOWN);
+      SmallCluster.await(cluster.vertx.deployVerticle(cluster.newNode(settings)));
+      cluster.kill(first);
+      String successor = settings.name();
+      cluster.until(
+          () ->
+              cluster.starts().size() > 1
+                  || cluster.eventsSince(successor + " owner owner-gained").stream()
+                      .anyMatch(event -> event.startsWith(successor + " run step-waits")));
+      assertThat(cluster.starts()).hasSize(1);
+    }
+  }
 }
