--- a/daemon/src/main/java/org/hickorypier/daemon/permit/PermitService.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/permit/PermitService.java
@@ -58,10 +58,13 @@
   private final Executor control;
   private final Set<String> teams = new HashSet<>();
   private final Set<String> dirty = new HashSet<>();
+  private final Set<String> withTasksOfOthers = new HashSet<>();
   private final Map<String, Long> pendingWords = new HashMap<>();
   private LogAppender<PermitRecord> appender;
   private LongConsumer seek = offset -> {};
   private LongSupplier logAgeMillis = () -> 0;
+  private Runnable fencedListener = () -> {};
+  private boolean fenced;
 
   /**
    * Creates the service.
@@ -90,11 +93,29 @@
     logAgeMillis = follower::millisSinceHeard;
   }
 
+  /**
+   * Sets who hears, once, that this instance has been fenced off. It gets no permits any more and
+   * its word for a worker is refused, whatever it does.
+   *
+   * @param listener the listener
+   */
+  public void onFenced(Runnable listener) {
+    fencedListener = listener;
+  }
+
   /** Starts to plan regularly. */
   public void start() {
     timers.every(PLAN_PERIOD, () -> List.copyOf(teams).forEach(this::plan));
   }
 
+  /**
+   * Takes back what the decisions were given for tasks of other instances that have ended since. To
+   * be called before anything is placed: whoever holds such a task's permit uses it again at once.
+   */
+  public void recount() {
+    List.copyOf(withTasksOfOthers).forEach(this::use);
+  }
+
   /**
    * Returns the permits of all as folded here.
    *
@@ -211,6 +232,7 @@
     if (record instanceof PermitRecord.Snapshot && result.verdict() == Verdict.APPLIED) {
       seek.accept(local.state().offset() + 1);
     }
+    noteFence();
     if (record instanceof PermitRecord.Adopt word) {
       spoken(word);
     }
@@ -229,6 +251,14 @@
     local.passOver(offset);
   }
 
+  private void noteFence() {
+    if (!fenced && local.isFenced()) {
+      fenced = true;
+      LOGGER.log(Level.WARNING, "permits: this instance has been fenced off");
+      fencedListener.run();
+    }
+  }
+
   private void spoken(PermitRecord.Adopt word) {
     Long pending = pendingWords.get(word.worker());
     if (pending != null && pending == word.token()) {
@@ -273,7 +303,13 @@
   }
 
   private void use(String team) {
-    work.use(team, local.usable(team) + work.coveredElsewhere(team));
+    int covered = work.coveredElsewhere(team);
+    if (covered > 0) {
+      withTasksOfOthers.add(team);
+    } else {
+      withTasksOfOthers.remove(team);
+    }
+    work.use(team, local.usable(team) + covered);
   }
 
   private List<AdoptedTasks> tasksOfFenced(String worker, List<TaskStatus> tasks) {
