A worker counts as known while the instance that controls it is live, not for ever

Cause: a home that takes a key over asks the others whether they run it. Each answers 'unknown' only if it knows the tasks of all workers that it is wanted for. A worker that another instance controlled when it was last asked counted as known from then on, also after that instance was lost and before the worker was taken over, up to a look (1 s) later; its tasks run in that time. An instance that had read no list of workers yet counted as knowing all.

Change: the fleet remembers which instance controlled the worker, and asks the view of the others whether that one is live. No list read, not complete.

--- a/acceptance/src/test/java/org/hickorypier/acceptance/control/ControlBench.java
+++ b/acceptance/src/test/java/org/hickorypier/acceptance/control/ControlBench.java
@@ -30,7 +30,7 @@
   final ControllerNode first = new ControllerNode(time, "first#1", List.of(worker));
   final ControllerNode second = new ControllerNode(time, "second#1", List.of(worker));
 
-  private static final List<ListedInstance> LIST =
+  static final List<ListedInstance> LIST =
       List.of(
           new ListedInstance(
               WORKER, InstanceKind.WORKER, InstanceState.LIVE, WORKER, "", "dc1", "rack1"));
--- a/acceptance/src/test/java/org/hickorypier/acceptance/control/ControllerNode.java
+++ b/acceptance/src/test/java/org/hickorypier/acceptance/control/ControllerNode.java
@@ -114,6 +114,11 @@
     return fleet.held().contains(worker);
   }
 
+  /** Tells whether the tasks on all workers that this instance is wanted for are known. */
+  boolean knowsAllTasks() {
+    return fleet.isComplete();
+  }
+
   TaskEnd end(TaskId id) {
     TaskReport report = reports.get(id);
     return report == null ? null : report.end();
--- a/daemon/src/main/java/org/hickorypier/daemon/worker/ControlledWorker.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/worker/ControlledWorker.java
@@ -27,7 +27,7 @@
   private long failingSinceMillis;
   private WorkerDescription description;
   private boolean saysLeaving;
-  private boolean settledElsewhere;
+  private String otherController = "";
 
   ControlledWorker(String name, String address, WorkerService service) {
     this.name = name;
@@ -80,13 +80,16 @@
     return listedLeaving || saysLeaving;
   }
 
-  /** Whether its controller was another live instance when it was last asked. */
-  boolean isSettledElsewhere() {
-    return settledElsewhere;
+  /**
+   * Returns the other instance that controlled it when it was last asked, empty if none did. That
+   * instance may have been lost since.
+   */
+  String otherController() {
+    return otherController;
   }
 
-  void setSettledElsewhere(boolean elsewhere) {
-    settledElsewhere = elsewhere;
+  void setOtherController(String controller) {
+    otherController = controller;
   }
 
   int failures() {
--- a/daemon/src/main/java/org/hickorypier/daemon/worker/WorkerFleet.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/worker/WorkerFleet.java
@@ -50,6 +50,7 @@
   private final String self;
   private final Map<String, ControlledWorker> workers = new HashMap<>();
   private WorkerFleetListener listener;
+  private boolean listRead;
 
   /**
    * Creates a fleet without workers.
@@ -93,6 +94,7 @@
    * @param instances the whole list
    */
   public void onInstanceList(List<ListedInstance> instances) {
+    listRead = true;
     Set<String> listed = new HashSet<>();
     boolean isNew = false;
     for (ListedInstance instance : instances) {
@@ -187,21 +189,27 @@
    * Tells whether the tasks of every worker that we should control are known: each such worker is
    * held by us or by another live instance, or its leases have run out.
    *
-   * @return false while a takeover is under way
+   * @return false while a takeover is under way, and until the workers are listed
    */
   public boolean isComplete() {
-    return workers.values().stream().allMatch(this::isKnown);
+    return listRead && workers.values().stream().allMatch(this::isKnown);
   }
 
   private boolean isKnown(ControlledWorker worker) {
     long leases = settings.leaseMillis() + settings.marginMillis();
     return worker.isHeld()
         || !worker.isListed()
-        || worker.isSettledElsewhere()
+        || isControlledElsewhere(worker)
         || !view.isWanted(worker.name())
         || worker.millisFailing(timers.nowMillis()) > leases;
   }
 
+  // An instance that controlled the worker when it was last asked is no proof once it is gone: its
+  // tasks are found only when the worker is asked again, up to a look later.
+  private boolean isControlledElsewhere(ControlledWorker worker) {
+    return !worker.otherController().isEmpty() && view.isLive(worker.otherController());
+  }
+
   /**
    * Notes that an order which may have taken effect was sent, so its lease counts from now.
    *
@@ -331,7 +339,7 @@
             || isOffered
             || status.controller().equals(self)
             || !view.isLive(status.controller());
-    worker.setSettledElsewhere(!isFree);
+    worker.setOtherController(isFree ? "" : status.controller());
     if (isFree && !status.leaving()) {
       claim(worker, status.token());
     }
