A home that has just joined or started anew asks who was home before it

Cause: HomeHistory began empty in each instance and incarnation, and an empty history answered 'no former home' for as long as a request can run (20 min). That is no knowledge of the past but none at all.

Change: the history says how far back it reaches. A newcomer asks each other instance once for the candidates that it remembers, one question a start in place of one a request for 20 minutes; until all live ones have told, and where they do not reach back far enough, every live instance is asked after the key. An earlier life of this instance under its name counts as one that is gone. A gap in the notes longer than the peer timeout, as after a pause, begins it anew. Nothing before is certain at once only if the log of permits shows that no incarnation was ever lost. An instance that still takes the lost home for live has not begun to find its tasks, so it answers that it cannot tell.

HomeFailureTest.repeatedRequestIsNotRunTwiceByAnInstanceThatJoins and HomeHistoryTest.newcomerIsCertainOfNothingBeforeItIsTaught failed before. Open: refusals by an instance that cannot know are still told as not run.

--- a/acceptance/src/test/java/org/hickorypier/acceptance/process/HomeFailureTest.java
+++ b/acceptance/src/test/java/org/hickorypier/acceptance/process/HomeFailureTest.java
@@ -12,6 +12,7 @@
 import org.hickorypier.measure.fleet.FleetException;
 import org.hickorypier.measure.fleet.FleetSettings;
 import org.hickorypier.measure.fleet.RequestForm;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -19,6 +20,7 @@
 class HomeFailureTest {
 
   private static final String TEAM = "labels";
+  private static final Duration BOUND = Duration.ofSeconds(20);
 
   /**
    * Every caller of a live instance hears something, on its first and only try: the answer, or what
@@ -57,4 +59,31 @@
       assertThat(wrong).isEmpty();
     }
   }
+
+  /**
+   * Guards against a second run at an instance that has just joined and knows of no former home.
+   */
+  @Test
+  void repeatedRequestIsNotRunTwiceByAnInstanceThatJoins() throws FleetException {
+    try (Fleet fleet = Fleet.start(FleetSettings.quick(3, 1, 10))) {
+      fleet.awaitControl();
+      Callers callers = new Callers(fleet, fleet.createTeam(TEAM, 80));
+      List<EntryProcess> entries = fleet.entries();
+      List<RequestForm> forms = new ArrayList<>();
+      for (int number = 0; number < 60; number++) {
+        forms.add(RequestForm.request("r" + number, true, 15_000, 10));
+        callers.post(entries.get(number % 3), forms.get(number));
+      }
+      fleet.until("they run", BOUND, () -> fleet.workers().history().starts().size() >= 60);
+
+      EntryProcess newcomer = fleet.startEntry("newcomer");
+      fleet.until("it is ready", BOUND, () -> fleet.isReady(newcomer, 1_000));
+      List<CompletableFuture<CallerAnswer>> repeats = new ArrayList<>();
+      forms.forEach(form -> repeats.add(callers.post(newcomer, form)));
+      repeats.forEach(CompletableFuture::join);
+
+      callers.close();
+      assertThat(fleet.workers().history().overlapping()).isEmpty();
+    }
+  }
 }
--- a/core/src/main/java/org/hickorypier/core/permits/PermitState.java
+++ b/core/src/main/java/org/hickorypier/core/permits/PermitState.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Predicate;
 
 /**
  * The permits of all teams as folded up to an offset.
@@ -94,6 +95,18 @@
     return holders;
   }
 
+  /**
+   * Tells whether no incarnation that ever held permits is gone.
+   *
+   * @param isLive whether an incarnation looks live
+   * @return false also if one was fenced off that is remembered here
+   */
+  public boolean isFirstGeneration(Predicate<Holder> isLive) {
+    return fenced.isEmpty()
+        && sequences.keySet().stream().allMatch(isLive)
+        && holders().stream().allMatch(isLive);
+  }
+
   PermitState foldedAt(long newOffset) {
     return new PermitState(newOffset, teams, sequences, fenced, workers);
   }
--- /dev/null
+++ b/core/src/test/java/org/hickorypier/core/membership/HomeHistoryTest.java
@@ -0,0 +1,129 @@
+package org.hickorypier.core.membership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Set;
+import org.hickorypier.wire.message.HomeViews;
+import org.junit.jupiter.api.Test;
+
+/** What an instance can say of the homes that a key had. */
+class HomeHistoryTest {
+
+  private static final long KEEP_MILLIS = 60_000;
+  private static final long INTERRUPTION_MILLIS = 1_500;
+  private static final long START_MILLIS = 100_000;
+  private static final Set<String> BOTH = Set.of("entry-1", "entry-2");
+  private static final Set<String> ALL = Set.of("entry-1", "entry-2", "entry-3");
+
+  /** Guards against a second run at an instance that joined, and takes its empty memory for all. */
+  @Test
+  void newcomerIsCertainOfNothingBeforeItIsTaught() {
+    HomeHistory history = history("entry-3", ALL);
+
+    FormerHomes former = history.formerHomes("norte/r1", START_MILLIS);
+
+    assertThat(former.complete()).isFalse();
+    assertThat(former.none()).isFalse();
+  }
+
+  @Test
+  void newcomerLearnsWhoWasHomeBefore() {
+    HomeHistory old = history("entry-1", BOTH);
+    old.nothingBefore();
+    old.taughtByAll();
+    String moved = keyOf("entry-3", ALL);
+    HomeHistory history = history("entry-3", ALL);
+
+    history.learn("entry-1", old.tell(START_MILLIS), START_MILLIS);
+    history.taughtByAll();
+
+    FormerHomes former = history.formerHomes(moved, START_MILLIS);
+    assertThat(former.complete()).isTrue();
+    assertThat(former.others()).containsExactly(home(moved, BOTH));
+  }
+
+  /**
+   * Guards against "not run" at an instance that started anew and has forgotten its former life.
+   */
+  @Test
+  void restartedInstanceKnowsThatItsEarlierLifeWasHome() {
+    HomeHistory old = history("entry-1", ALL);
+    old.nothingBefore();
+    old.taughtByAll();
+    final String own = keyOf("entry-3", ALL);
+    HomeHistory history = new HomeHistory("entry-3", KEEP_MILLIS, INTERRUPTION_MILLIS, later(500));
+    history.note(ALL, later(500));
+
+    history.learn("entry-1", old.tell(later(500)), later(500));
+    history.taughtByAll();
+
+    assertThat(history.formerHomes(own, later(500)).ownEarlierLife()).isTrue();
+  }
+
+  /** Guards against an instance that wakes from a pause and takes its homes for its own still. */
+  @Test
+  void pausedInstanceIsCertainOfNothingUntilItIsTaughtAgain() {
+    HomeHistory history = history("entry-1", BOTH);
+    history.nothingBefore();
+    history.taughtByAll();
+    assertThat(history.formerHomes(keyOf("entry-1", BOTH), START_MILLIS).none()).isTrue();
+
+    long woken = later(INTERRUPTION_MILLIS + 1);
+
+    assertThat(history.formerHomes(keyOf("entry-1", BOTH), woken).none()).isFalse();
+    assertThat(history.isUnbroken(START_MILLIS, woken)).isFalse();
+    assertThat(history.unheard(Set.of("entry-2"))).containsExactly("entry-2");
+  }
+
+  @Test
+  void whatOnlyOneYoungInstanceTellsIsNotComplete() {
+    HomeHistory history = history("entry-3", ALL);
+    HomeViews young =
+        new HomeViews(KEEP_MILLIS / 2, List.of(new HomeViews.View(List.of("entry-1"), 30_000, 0)));
+
+    history.learn("entry-1", young, START_MILLIS);
+    history.taughtByAll();
+
+    assertThat(history.formerHomes("norte/r1", START_MILLIS, KEEP_MILLIS).complete()).isFalse();
+    assertThat(history.formerHomes("norte/r1", START_MILLIS, KEEP_MILLIS / 4).complete()).isTrue();
+  }
+
+  @Test
+  void homeOfLongAgoIsForgotten() {
+    HomeHistory history = history("entry-1", BOTH);
+    history.nothingBefore();
+    history.taughtByAll();
+    String lost = keyOf("entry-2", BOTH);
+    history.note(Set.of("entry-1"), later(1_000));
+    assertThat(history.formerHomes(lost, later(1_000)).others()).containsExactly("entry-2");
+
+    for (long passed = 2_000; passed <= KEEP_MILLIS + 2_000; passed += 1_000) {
+      history.note(Set.of("entry-1"), later(passed));
+    }
+
+    assertThat(history.formerHomes(lost, later(KEEP_MILLIS + 2_000)).none()).isTrue();
+  }
+
+  private static HomeHistory history(String own, Set<String> candidates) {
+    HomeHistory history = new HomeHistory(own, KEEP_MILLIS, INTERRUPTION_MILLIS, START_MILLIS);
+    history.note(candidates, START_MILLIS);
+    return history;
+  }
+
+  private static long later(long millis) {
+    return START_MILLIS + millis;
+  }
+
+  private static String home(String key, Set<String> among) {
+    return RendezvousHash.first(among, key).orElseThrow();
+  }
+
+  private static String keyOf(String home, Set<String> among) {
+    int number = 0;
+    while (!home("norte/r" + number, among).equals(home)) {
+      number++;
+    }
+    return "norte/r" + number;
+  }
+}
--- a/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
@@ -28,6 +28,7 @@
 import org.hickorypier.daemon.cluster.FleetQueries;
 import org.hickorypier.daemon.cluster.FleetWork;
 import org.hickorypier.daemon.cluster.FreshnessService;
+import org.hickorypier.daemon.cluster.HistoryExchange;
 import org.hickorypier.daemon.cluster.HomeIntake;
 import org.hickorypier.daemon.cluster.LocalRows;
 import org.hickorypier.daemon.cluster.PeerRequests;
@@ -88,7 +89,6 @@
 
   private static final Logger LOGGER = System.getLogger(Hickoryd.class.getName());
 
-  private static final Duration HISTORY_PERIOD = Duration.ofMillis(250);
   private static final Duration START_TIMEOUT = Duration.ofSeconds(10);
 
   private final DaemonSettings settings;
@@ -110,6 +110,7 @@
   private final LocalRows rows;
   private final FreshnessService freshness;
   private final HomeHistory history;
+  private final HistoryExchange historyExchange;
   private final HomeIntake intake;
   private final JournalService journal = new JournalService();
   private final LogStream<JournalRecord> journalStream;
@@ -260,7 +261,15 @@
             new MeterPeerCounters(registry),
             requests);
     cluster.connect(network);
-    history = new HomeHistory(own.name(), DaemonConstants.HOME_HISTORY_MILLIS);
+    history =
+        new HomeHistory(
+            own.name(),
+            DaemonConstants.HOME_HISTORY_MILLIS,
+            settings.peerTimeoutMillis(),
+            control.nowMillis());
+    historyExchange =
+        new HistoryExchange(
+            history, cluster, requests, control, control, fleet::isListRead, this::isFirstToServe);
     intake =
         new HomeIntake(
             cluster,
@@ -366,6 +375,11 @@
     return keeper.configurationObstacle().isEmpty();
   }
 
+  private boolean isFirstToServe() {
+    return keeper.permitObstacle().isEmpty()
+        && permits.state().isFirstGeneration(holder -> cluster.isLive(holder.toString()));
+  }
+
   private void sendDigest() {
     network.broadcast(
         digests.own(
@@ -389,7 +403,7 @@
     runner.start();
     shifter.start();
     control.every(Duration.ofMillis(settings.digestMillis()), this::sendDigest);
-    control.every(HISTORY_PERIOD, () -> history.note(cluster.candidates(), control.nowMillis()));
+    historyExchange.start();
     cluster.start();
     freshness.start(requests);
     dispatcher.start();
--- a/daemon/src/main/java/org/hickorypier/daemon/SnapshotKeeper.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/SnapshotKeeper.java
@@ -72,7 +72,7 @@
         digests.highestReadyOffset());
   }
 
-  private Optional<String> permitObstacle() {
+  Optional<String> permitObstacle() {
     return ReadinessRule.obstacle(
         permits.state().offset(), permitLog.nextOffset(), permitLog.isCaughtUp(), -1);
   }
--- a/daemon/src/main/java/org/hickorypier/daemon/cluster/HomeIntake.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/cluster/HomeIntake.java
@@ -2,13 +2,16 @@
 
 import io.smallrye.mutiny.Uni;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.Executor;
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import org.hickorypier.core.membership.FormerHomes;
 import org.hickorypier.core.membership.HomeHistory;
 import org.hickorypier.core.model.Refusal;
 import org.hickorypier.core.model.RefusalReason;
@@ -22,16 +25,14 @@
  * Takes in work at its home, after making sure that no former home still runs it.
  *
  * <p>Belongs to the control thread. When the home of a key has moved, the former home is asked if
- * it lives. If it is gone, every live instance is asked, since one of them has adopted its tasks;
- * while one of them cannot tell yet, the caller is sent away with a time to come back. That takes
- * as long as a takeover, and costs nothing while the membership is quiet.
+ * it lives. If it is gone or has started anew, or if this instance does not know yet who was home
+ * before it started, every live instance is asked, since one of them has adopted its tasks; while
+ * one of them cannot tell yet, the caller is sent away with a time to come back. That takes as long
+ * as a takeover, and costs nothing while the membership is quiet.
  */
 public final class HomeIntake {
 
   private static final long RETRY_AFTER_MILLIS = 1_000;
-  private static final String KNOWN = "known";
-  private static final String UNKNOWN = "unknown";
-  private static final String INCOMPLETE = "incomplete";
 
   private final Cluster cluster;
   private final HomeHistory history;
@@ -73,18 +74,23 @@
   /**
    * Answers another instance that asks after work.
    *
-   * @param key the work's key as text
+   * @param text the question
    * @return the answer's bytes
    */
-  public Uni<byte[]> knows(String key) {
-    return Uni.createFrom().item(Cluster.bytes(knownHere(key)));
+  public Uni<byte[]> knows(String text) {
+    KnowsQuestion question = KnowsQuestion.parse(text);
+    return Uni.createFrom().item(Cluster.bytes(knowledge(question).wireName()));
   }
 
-  private String knownHere(String key) {
-    if (work.knows(Cluster.workKey(key))) {
-      return KNOWN;
+  private WorkKnowledge knowledge(KnowsQuestion question) {
+    if (work.knows(question.key())) {
+      return WorkKnowledge.KNOWN;
     }
-    return workersComplete.getAsBoolean() ? UNKNOWN : INCOMPLETE;
+    // Whoever still takes a lost instance for live has not begun to look for its tasks.
+    boolean seesThemGone = Collections.disjoint(cluster.live(), question.gone());
+    return workersComplete.getAsBoolean() && seesThemGone
+        ? WorkKnowledge.NOT_RUNNING
+        : WorkKnowledge.INCOMPLETE;
   }
 
   /**
@@ -95,13 +101,18 @@
    */
   public void submit(Submission submission, Consumer<WorkResult> answer) {
     WorkKey key = submission.item().key();
-    Collection<String> former =
-        work.knows(key) ? List.of() : history.formerHomes(key.toString(), timers.nowMillis());
-    if (former.isEmpty()) {
+    if (work.knows(key)) {
       run(submission, answer);
       return;
     }
-    ask(key, whom(former), answers -> decide(submission, answer, answers));
+    FormerHomes former = history.formerHomes(key.toString(), timers.nowMillis());
+    if (former.none()) {
+      run(submission, answer);
+    } else {
+      Set<String> gone = new TreeSet<>(former.others());
+      gone.removeAll(cluster.live());
+      ask(new KnowsQuestion(key, gone), whom(former), told -> decide(submission, answer, told));
+    }
   }
 
   private void run(Submission submission, Consumer<WorkResult> answer) {
@@ -112,17 +123,17 @@
     }
   }
 
-  private Collection<String> whom(Collection<String> former) {
-    Set<String> live = cluster.live();
-    if (live.containsAll(former)) {
-      return former;
-    }
-    return cluster.liveOthers();
+  /** An earlier life of an instance may have left tasks on any worker, so that all are asked. */
+  private Collection<String> whom(FormerHomes former) {
+    boolean allLive = cluster.live().containsAll(former.others());
+    boolean suffices = former.complete() && !former.ownEarlierLife() && allLive;
+    return suffices ? former.others() : cluster.liveOthers();
   }
 
-  private void ask(WorkKey key, Collection<String> instances, Consumer<List<PeerReply>> told) {
+  private void ask(
+      KnowsQuestion question, Collection<String> instances, Consumer<List<PeerReply>> told) {
     cluster
-        .askAll(instances, QuestionKind.KNOWS, key.toString())
+        .askAll(instances, QuestionKind.KNOWS, question.text())
         .subscribe()
         .with(replies -> control.execute(() -> told.accept(replies)));
   }
@@ -130,13 +141,13 @@
   private void decide(Submission submission, Consumer<WorkResult> answer, List<PeerReply> replies) {
     Optional<String> holder =
         replies.stream()
-            .filter(reply -> reply.text().orElse("").equals(KNOWN))
+            .filter(reply -> WorkKnowledge.of(reply) == WorkKnowledge.KNOWN)
             .map(PeerReply::instance)
             .findFirst();
     boolean incomplete =
         !workersComplete.getAsBoolean()
             || replies.stream()
-                .anyMatch(reply -> reply.text().orElse(INCOMPLETE).equals(INCOMPLETE));
+                .anyMatch(reply -> WorkKnowledge.of(reply) == WorkKnowledge.INCOMPLETE);
     if (holder.isPresent()) {
       cluster
           .join(holder.get(), submission)
--- a/daemon/src/main/java/org/hickorypier/daemon/cluster/QuestionKind.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/cluster/QuestionKind.java
@@ -8,8 +8,10 @@
   OFFER("offer"),
   /** Stop the task named in the text; its owner does not control the worker. */
   STOP("stop"),
-  /** Tell whether the work named in the text is known there, and whether all tasks there are. */
+  /** Tell what is known there of work; the text is a {@link KnowsQuestion}. */
   KNOWS("knows"),
+  /** Tell which instances were candidates for homes. */
+  HOMES("homes"),
   /** Cancel the work named in the text. */
   CANCEL("cancel"),
   /** Say why the work named in the text waits. */
--- a/daemon/src/main/java/org/hickorypier/daemon/worker/WorkerFleet.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/worker/WorkerFleet.java
@@ -132,6 +132,15 @@
     return isNew;
   }
 
+  /**
+   * Tells whether the platform's list has been taken in.
+   *
+   * @return false for a moment after the start
+   */
+  public boolean isListRead() {
+    return listRead;
+  }
+
   /**
    * Returns our control of a worker.
    *
