'Not run' is said only by a home that can know it; the entry brings a request to the next home

Cause: four places spoke of one try where the request was meant. An instance without a link to the home, or not ready, had not run this try and knew nothing of earlier ones. A home that had taken a key over refused what a lost home may have run. A home forgot that it had told its caller 'unknown', and refused the repeat. An instance that was paused and fenced off refused what others were home of meanwhile.

Ruled out: a worker's word (NOT_STARTED needs a refusal of every order).

Change: a third result, unsettled: this try was not run, an earlier one may have been; the caller hears 'unknown' with the time to come back. A refusal is certain only if no other instance can have taken the request in for as long as callers come back (60 s): the history of homes reaches back that far, each home in it says for itself that it never took the request, this home remembers its own (RecentRequests), and its notes were not interrupted. Such a request is not sent away but brought to the next home by its entry (HomeRouting), which learns that an earlier try may have run. A home that takes a worker over also learns which requests ended there, and fetches their answers in place of a second run (FoundEnds). Joining never starts anything, also at an instance that takes nothing new. Work that is shifted is taken only from a home that has been one for 5 s, so that a woken one cannot pass on what others run.

--- a/acceptance/src/test/java/org/hickorypier/acceptance/process/HomeFailureTest.java
+++ b/acceptance/src/test/java/org/hickorypier/acceptance/process/HomeFailureTest.java
@@ -86,4 +86,35 @@
       assertThat(fleet.workers().history().overlapping()).isEmpty();
     }
   }
+
+  /** Guards against "not run" for a request that runs, by instances that cannot know it. */
+  @Test
+  void runningRequestRepeatedWhileItsHomeIsLostIsNeverCalledNotRun() throws FleetException {
+    try (Fleet fleet = Fleet.start(FleetSettings.quick(3, 1, 10))) {
+      fleet.awaitControl();
+      Callers callers = new Callers(fleet, fleet.createTeam(TEAM, 80));
+      List<EntryProcess> entries = fleet.entries();
+      List<RequestForm> forms = new ArrayList<>();
+      for (int number = 0; number < 60; number++) {
+        forms.add(RequestForm.request("r" + number, true, 6_000, 10));
+        callers.post(entries.get(number % 2), forms.get(number));
+      }
+      fleet.until("they run", BOUND, () -> fleet.workers().history().starts().size() >= 60);
+
+      fleet.killEntry(entries.get(2));
+      List<CompletableFuture<CallerAnswer>> repeats = new ArrayList<>();
+      forms.forEach(form -> repeats.add(callers.post(entries.get(0), form)));
+
+      List<String> untrue = new ArrayList<>();
+      for (CompletableFuture<CallerAnswer> repeat : repeats) {
+        CallerAnswer answer = repeat.join();
+        if (answer.notRun()) {
+          untrue.add(answer.text());
+        }
+      }
+      callers.close();
+      assertThat(untrue).isEmpty();
+      assertThat(fleet.workers().history().overlapping()).isEmpty();
+    }
+  }
 }
--- a/core/src/main/java/org/hickorypier/core/membership/HomeHistory.java
+++ b/core/src/main/java/org/hickorypier/core/membership/HomeHistory.java
@@ -210,6 +210,22 @@
     return new FormerHomes(homes, ownEarlierLife, complete);
   }
 
+  /**
+   * Tells whether an instance has been home of a key for some time.
+   *
+   * @param instance the instance
+   * @param key the key
+   * @param now the time
+   * @param sinceMillis for how long
+   * @return false if another was home meanwhile, or if the notes do not reach back so far
+   */
+  public boolean hasBeenHome(String instance, String key, long now, long sinceMillis) {
+    lookForInterruption(now);
+    Set<String> homes = new TreeSet<>();
+    addHomes(homes, views, key, now - sinceMillis);
+    return homes.equals(Set.of(instance)) && unbrokenSinceMillis <= now - sinceMillis;
+  }
+
   private static void addHomes(Set<String> homes, Collection<View> among, String key, long since) {
     for (View view : among) {
       if (view.endedMillis >= since) {
--- a/daemon/src/main/java/org/hickorypier/daemon/DaemonConstants.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/DaemonConstants.java
@@ -41,6 +41,9 @@
   /** An eighth of the heap; older answers go first. */
   static final long ANSWER_KEEP_BYTES = 8L * 1_024 * 1_024;
 
+  /** A minute of 500 requests a second, in some 5 MB. */
+  static final int RECENT_REQUESTS_LIMIT = 32_768;
+
   /** Waiting work is looked at on every event; the tick only finds passed deadlines. */
   static final long TICK_MILLIS = 50;
 
--- a/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
@@ -38,6 +38,7 @@
 import org.hickorypier.daemon.cluster.WorkerSightings;
 import org.hickorypier.daemon.configuration.ConfigurationService;
 import org.hickorypier.daemon.entry.EntryService;
+import org.hickorypier.daemon.entry.HomeRouting;
 import org.hickorypier.daemon.entry.ReadinessCheck;
 import org.hickorypier.daemon.instance.InstanceListPoller;
 import org.hickorypier.daemon.job.AttemptRecorder;
@@ -188,6 +189,7 @@
                 DaemonConstants.RETRY_LIMIT,
                 DaemonConstants.ANSWER_KEEP_MILLIS,
                 DaemonConstants.ANSWER_KEEP_BYTES,
+                DaemonConstants.RECENT_REQUESTS_LIMIT,
                 DaemonConstants.TICK_MILLIS,
                 DaemonConstants.LONGEST_RUN_MILLIS),
             scheduler,
@@ -235,10 +237,11 @@
     permits.connect(permitStream.appender(), permitStream.follower());
     permits.onFenced(onFenced);
     work.beforePlacing(permits::recount);
+    work.soleHomeSince(since -> history().isUnbroken(since, control.nowMillis()));
     keeper =
         new SnapshotKeeper(
             configuration, configurationStream, permits, permitStream, digests, cluster);
-    adopter = new TaskAdopter(scheduler, work, dispatcher, control, permits, owners);
+    adopter = new TaskAdopter(scheduler, work, dispatcher, control, permits, owners, self);
     requests = new PeerRequests(control, readiness, work);
     requests.answer(
         QuestionKind.OFFER,
@@ -278,6 +281,7 @@
             control,
             control,
             fleet::isComplete,
+            DaemonConstants.ANSWER_KEEP_MILLIS,
             (submission, answer) -> jobs().runOnce(submission, answer));
     recorder = new AttemptRecorder(journal, fleet, control, control, self);
     JobScope scope = new ClusterJobScope(cluster, readiness, dispatcher, requests);
@@ -306,8 +310,9 @@
   @Override
   public DaemonAddress start() throws DaemonStartException {
     Router router = Router.router(vertx);
+    HomeRouting routing = new HomeRouting(cluster, intake::submit, control, control);
     EntryService entry =
-        new EntryService(control, control, configuration, readiness, cluster, intake, jobs);
+        new EntryService(control, control, configuration, readiness, routing, jobs);
     new CallerApi(
             entry,
             new CallerRequestParser(settings.deadlineDefaultMillis()),
@@ -354,6 +359,10 @@
     return permits;
   }
 
+  private HomeHistory history() {
+    return history;
+  }
+
   private TaskAdopter adopter() {
     return adopter;
   }
--- a/daemon/src/main/java/org/hickorypier/daemon/caller/CallerApi.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/caller/CallerApi.java
@@ -125,10 +125,9 @@
 
   private void failed(RoutingContext context, Throwable failure) {
     if (failure instanceof DeniedException denied) {
-      Outcome outcome = denied.kind() == DenialKind.UNDECIDED ? Outcome.UNKNOWN : Outcome.NOT_RUN;
       error(
           context.response(),
-          outcome,
+          denied.kind().outcome(),
           denied.kind().status(),
           denied.getMessage(),
           denied.retryAfterMillis());
@@ -139,16 +138,8 @@
   }
 
   private void answer(HttpServerResponse response, WorkResult result) {
-    if (result instanceof WorkResult.Refused refused) {
-      Refusal refusal = refused.refusal();
-      DeniedException denied = DeniedException.of(refusal);
-      response.putHeader("Hickory-Reason", refusal.reason().name().toLowerCase(Locale.ROOT));
-      error(
-          response,
-          Outcome.NOT_RUN,
-          denied.kind().status(),
-          refusal.detail(),
-          refusal.retryAfterMillis());
+    if (result.refusal().isPresent()) {
+      refused(response, result.outcome(), result.refusal().get());
       return;
     }
     WorkResult.Answered answered = (WorkResult.Answered) result;
@@ -168,6 +159,13 @@
     }
   }
 
+  private static void refused(HttpServerResponse response, Outcome outcome, Refusal refusal) {
+    DeniedException denied = DeniedException.of(refusal);
+    response.putHeader("Hickory-Reason", refusal.reason().name().toLowerCase(Locale.ROOT));
+    int status = outcome == Outcome.UNKNOWN ? STATUS_UNKNOWN : denied.kind().status();
+    error(response, outcome, status, refusal.detail(), refusal.retryAfterMillis());
+  }
+
   private static void writeJob(HttpServerResponse response, int status, JobView view) {
     response.putHeader("Content-Type", "application/json");
     JsonObject body =
--- a/daemon/src/main/java/org/hickorypier/daemon/caller/DenialKind.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/caller/DenialKind.java
@@ -1,5 +1,6 @@
 package org.hickorypier.daemon.caller;
 
+import org.hickorypier.core.model.Outcome;
 import org.hickorypier.core.model.RefusalReason;
 
 /** Why a caller's request is not taken, with the HTTP status that says so. */
@@ -36,6 +37,16 @@
     return status;
   }
 
+  /**
+   * Returns what a denial of this kind says of the request. An instance that takes nothing now does
+   * not know whether an earlier try of it has run elsewhere.
+   *
+   * @return the outcome
+   */
+  public Outcome outcome() {
+    return this == UNDECIDED || this == UNAVAILABLE ? Outcome.UNKNOWN : Outcome.NOT_RUN;
+  }
+
   static DenialKind of(RefusalReason reason) {
     return switch (reason) {
       case NEVER_FITS, FAILS_EVERYWHERE -> IMPOSSIBLE;
--- a/daemon/src/main/java/org/hickorypier/daemon/caller/DeniedException.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/caller/DeniedException.java
@@ -2,7 +2,7 @@
 
 import org.hickorypier.core.model.Refusal;
 
-/** A caller's request is not taken. Nothing has run. */
+/** A call is not taken, and nothing of it has run; its kind tells what that says of the request. */
 public final class DeniedException extends Exception {
 
   private final DenialKind kind;
--- a/daemon/src/main/java/org/hickorypier/daemon/cluster/Cluster.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/cluster/Cluster.java
@@ -56,6 +56,9 @@
   /** Hops of work that its home has sent on; it goes no further, so it cannot go round. */
   static final int FROM_HOME = 2;
 
+  /** Hops of work that is only to be joined where it runs already, and not taken in. */
+  static final int TO_HOLDER = 3;
+
   private static final Duration LOST_PERIOD = Duration.ofMillis(250);
   private static final Duration QUESTION_TIMEOUT = Duration.ofSeconds(5);
 
@@ -255,16 +258,27 @@
   }
 
   /**
-   * Hands work to an instance that is to run it, or already does, whoever its home is.
+   * Hands work of which this instance is home to another one that is to run it.
    *
    * @param instance the instance's name
    * @param submission the work
    * @return the final answer
    */
-  public Uni<WorkResult> join(String instance, Submission submission) {
+  public Uni<WorkResult> shift(String instance, Submission submission) {
     return send(instance, submission, FROM_HOME);
   }
 
+  /**
+   * Waits for the answer to work that another instance has in hand.
+   *
+   * @param instance the instance's name
+   * @param submission the work
+   * @return the final answer; unsettled if that instance has lost it meanwhile
+   */
+  public Uni<WorkResult> join(String instance, Submission submission) {
+    return send(instance, submission, TO_HOLDER);
+  }
+
   private Uni<WorkResult> send(String instance, Submission submission, int hops) {
     long now = timers.nowMillis();
     long remaining = Math.max(0, submission.item().deadlineMillis() - now);
@@ -297,10 +311,10 @@
   }
 
   // A home that was lost after it took the work may have run it. Only a refusal by the link itself,
-  // before anything was written, is proof that it has not.
+  // before anything was written, is proof that it has not; and that says nothing of earlier tries.
   private static WorkResult unanswered(Throwable error) {
     if (error instanceof PeerException known && !known.mayHaveBeenTaken()) {
-      return new WorkResult.Refused(
+      return new WorkResult.Unsettled(
           new Refusal(RefusalReason.NOT_READY, known.getMessage(), RETRY_AFTER_MILLIS));
     }
     return new WorkResult.Answered(
--- a/daemon/src/main/java/org/hickorypier/daemon/cluster/ForwardCodec.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/cluster/ForwardCodec.java
@@ -38,7 +38,8 @@
         item.expectedRunMillis(),
         item.name(),
         submission.payload(),
-        hops);
+        hops,
+        submission.mayHaveRun());
   }
 
   static Submission submission(ForwardedWork work, long now) {
@@ -53,15 +54,15 @@
             now,
             now + work.remainingMillis(),
             work.expectedRunMillis());
-    return new Submission(item, work.payload());
+    return new Submission(item, work.payload(), work.mayHaveRun());
   }
 
   static ForwardedAnswer answer(WorkResult result) {
-    if (result instanceof WorkResult.Refused refused) {
-      Refusal refusal = refused.refusal();
+    if (result.refusal().isPresent()) {
+      Refusal refusal = result.refusal().get();
       return new ForwardedAnswer(
           0,
-          Outcome.NOT_RUN.name(),
+          result.outcome().name(),
           refusal.reason().name(),
           refusal.detail(),
           refusal.retryAfterMillis(),
@@ -74,12 +75,15 @@
 
   static WorkResult result(ForwardedAnswer answer) {
     Outcome outcome = Outcome.valueOf(answer.outcome().toUpperCase(Locale.ROOT));
-    if (outcome == Outcome.NOT_RUN) {
-      return new WorkResult.Refused(
+    if (!answer.refusalReason().isEmpty()) {
+      Refusal refusal =
           new Refusal(
               RefusalReason.valueOf(answer.refusalReason()),
               answer.detail(),
-              answer.retryAfterMillis()));
+              answer.retryAfterMillis());
+      return outcome == Outcome.NOT_RUN
+          ? new WorkResult.Refused(refusal)
+          : new WorkResult.Unsettled(refusal);
     }
     return new WorkResult.Answered(outcome, answer.detail(), answer.body());
   }
--- a/daemon/src/main/java/org/hickorypier/daemon/cluster/HomeIntake.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/cluster/HomeIntake.java
@@ -11,6 +11,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import org.hickorypier.core.journal.AttemptKey;
 import org.hickorypier.core.membership.FormerHomes;
 import org.hickorypier.core.membership.HomeHistory;
 import org.hickorypier.core.model.Refusal;
@@ -34,12 +35,19 @@
 
   private static final long RETRY_AFTER_MILLIS = 1_000;
 
+  /**
+   * An instance that was taken for gone while it was paused reads so in the log within this time;
+   * until then it goes on as if it were home of what others have taken over.
+   */
+  private static final long SETTLING_MILLIS = 5_000;
+
   private final Cluster cluster;
   private final HomeHistory history;
   private final WorkService work;
   private final TimerService timers;
   private final Executor control;
   private final BooleanSupplier workersComplete;
+  private final long comeBackMillis;
   private final BiConsumer<Submission, Consumer<WorkResult>> once;
 
   /**
@@ -52,6 +60,7 @@
    * @param control the control thread
    * @param workersComplete whether the tasks of all workers that this instance should control are
    *     known
+   * @param comeBackMillis how long after a try its caller may come back
    * @param once runs requests that are not idempotent
    */
   public HomeIntake(
@@ -61,6 +70,7 @@
       TimerService timers,
       Executor control,
       BooleanSupplier workersComplete,
+      long comeBackMillis,
       BiConsumer<Submission, Consumer<WorkResult>> once) {
     this.cluster = cluster;
     this.history = history;
@@ -68,6 +78,7 @@
     this.timers = timers;
     this.control = control;
     this.workersComplete = workersComplete;
+    this.comeBackMillis = comeBackMillis;
     this.once = once;
   }
 
@@ -88,9 +99,31 @@
     }
     // Whoever still takes a lost instance for live has not begun to look for its tasks.
     boolean seesThemGone = Collections.disjoint(cluster.live(), question.gone());
-    return workersComplete.getAsBoolean() && seesThemGone
-        ? WorkKnowledge.NOT_RUNNING
-        : WorkKnowledge.INCOMPLETE;
+    if (!workersComplete.getAsBoolean() || !seesThemGone) {
+      return WorkKnowledge.INCOMPLETE;
+    }
+    return neverTaken(question.key()) ? WorkKnowledge.NEVER_TAKEN : WorkKnowledge.NOT_RUNNING;
+  }
+
+  private boolean neverTaken(WorkKey key) {
+    FormerHomes lately = lately(key);
+    return lately.complete() && !lately.ownEarlierLife() && work.neverTaken(key);
+  }
+
+  private FormerHomes lately(WorkKey key) {
+    return history.formerHomes(key.toString(), timers.nowMillis(), comeBackMillis);
+  }
+
+  /**
+   * Tells whether an instance has been home of some work long enough for all to know it.
+   *
+   * @param instance the instance's name
+   * @param key the work, or an attempt of it
+   * @return false if another was home lately, as seen here
+   */
+  public boolean isSettledHome(String instance, WorkKey key) {
+    String home = AttemptKey.workOf(key).toString();
+    return history.hasBeenHome(instance, home, timers.nowMillis(), SETTLING_MILLIS);
   }
 
   /**
@@ -155,13 +188,25 @@
           .with(result -> control.execute(() -> answer.accept(result)));
     } else if (incomplete) {
       answer.accept(
-          new WorkResult.Refused(
+          new WorkResult.Unsettled(
               new Refusal(
                   RefusalReason.NOT_READY,
                   "an instance has changed and its work is being found again",
                   RETRY_AFTER_MILLIS)));
     } else {
-      run(submission, answer);
+      boolean first = isFirstTry(submission.item().key(), replies);
+      run(first ? submission : submission.afterEarlierTry(), answer);
     }
   }
+
+  // Nothing of it runs now. That no earlier try has run and ended is certain only if every home of
+  // the time in which its caller may come back says so for itself.
+  private boolean isFirstTry(WorkKey key, List<PeerReply> replies) {
+    FormerHomes lately = lately(key);
+    Set<String> unsure = new TreeSet<>(lately.others());
+    replies.stream()
+        .filter(reply -> WorkKnowledge.of(reply) == WorkKnowledge.NEVER_TAKEN)
+        .forEach(reply -> unsure.remove(reply.instance()));
+    return lately.complete() && !lately.ownEarlierLife() && unsure.isEmpty();
+  }
 }
--- a/daemon/src/main/java/org/hickorypier/daemon/cluster/LocalRows.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/cluster/LocalRows.java
@@ -8,6 +8,7 @@
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.hickorypier.core.journal.AttemptKey;
+import org.hickorypier.core.model.Refusal;
 import org.hickorypier.core.model.WorkItem;
 import org.hickorypier.core.model.WorkerDescription;
 import org.hickorypier.core.scheduling.PlacedTask;
@@ -122,7 +123,7 @@
                     kept.item().workClass(),
                     name,
                     dataCentre,
-                    kept.result().refusal().reason(),
+                    kept.refusal().reason(),
                     secondsSince(kept.whenMillis())))
         .toList();
   }
@@ -177,11 +178,13 @@
 
   @Override
   public void onFinished(WorkItem item, WorkResult result, long totalMillis) {
-    if (result instanceof WorkResult.Refused refused) {
-      refusals.addFirst(new KeptRefusal(item, refused, timers.nowMillis()));
-      if (refusals.size() > REFUSALS_KEPT) {
-        refusals.removeLast();
-      }
+    result.refusal().ifPresent(refusal -> keep(item, refusal));
+  }
+
+  private void keep(WorkItem item, Refusal refusal) {
+    refusals.addFirst(new KeptRefusal(item, refusal, timers.nowMillis()));
+    if (refusals.size() > REFUSALS_KEPT) {
+      refusals.removeLast();
     }
   }
 
@@ -189,5 +192,5 @@
     return (timers.nowMillis() - millis) / MILLIS_PER_SECOND;
   }
 
-  private record KeptRefusal(WorkItem item, WorkResult.Refused result, long whenMillis) {}
+  private record KeptRefusal(WorkItem item, Refusal refusal, long whenMillis) {}
 }
--- a/daemon/src/main/java/org/hickorypier/daemon/cluster/PeerRequests.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/cluster/PeerRequests.java
@@ -75,7 +75,7 @@
   @Override
   public Uni<? extends Answer> handle(PeerIdentity peer, Request request) {
     if (request instanceof ForwardedWork forwarded) {
-      return run(forwarded);
+      return run(peer, forwarded);
     }
     if (request instanceof Question question) {
       return reply(question);
@@ -83,28 +83,43 @@
     return Uni.createFrom().item(new Failure(0, false, "not understood"));
   }
 
-  private Uni<Answer> run(ForwardedWork forwarded) {
-    Optional<String> obstacle = readiness.obstacle();
-    if (obstacle.isPresent()) {
-      return Uni.createFrom()
-          .item(
-              ForwardCodec.answer(
-                  new WorkResult.Refused(
-                      new Refusal(RefusalReason.NOT_READY, obstacle.get(), RETRY_AFTER_MILLIS))));
-    }
+  private Uni<Answer> run(PeerIdentity peer, ForwardedWork forwarded) {
     Submission submission = ForwardCodec.submission(forwarded, timers.nowMillis());
     return Uni.createFrom()
         .emitter(
-            emitter -> {
-              Consumer<WorkResult> answer = result -> emitter.complete(ForwardCodec.answer(result));
-              if (forwarded.hops() == Cluster.TO_HOME) {
-                intake.submit(submission, answer);
-              } else if (submission.isJournaled()) {
-                journaled.accept(submission, answer);
-              } else {
-                work.submitFromHome(submission, answer);
-              }
-            });
+            emitter ->
+                take(
+                    peer,
+                    forwarded.hops(),
+                    submission,
+                    result -> emitter.complete(ForwardCodec.answer(result))));
+  }
+
+  private void take(
+      PeerIdentity peer, int hops, Submission submission, Consumer<WorkResult> answer) {
+    if (hops == Cluster.TO_HOLDER) {
+      // Also while this instance takes nothing new: what is joined is in hand already.
+      if (!work.join(submission, answer)) {
+        answer.accept(notTaken(RefusalReason.NO_ROOM, "the work has ended meanwhile"));
+      }
+      return;
+    }
+    Optional<String> obstacle = readiness.obstacle();
+    if (obstacle.isPresent()) {
+      answer.accept(notTaken(RefusalReason.NOT_READY, obstacle.get()));
+    } else if (hops == Cluster.TO_HOME) {
+      intake.submit(submission, answer);
+    } else if (!intake.isSettledHome(peer.name(), submission.item().key())) {
+      answer.accept(notTaken(RefusalReason.NO_ROOM, "its home has changed lately"));
+    } else if (submission.isJournaled()) {
+      journaled.accept(submission, answer);
+    } else {
+      work.submitFromHome(submission, answer);
+    }
+  }
+
+  private static WorkResult notTaken(RefusalReason reason, String detail) {
+    return new WorkResult.Unsettled(new Refusal(reason, detail, RETRY_AFTER_MILLIS));
   }
 
   private Uni<Answer> reply(Question question) {
--- a/daemon/src/main/java/org/hickorypier/daemon/cluster/WorkShifter.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/cluster/WorkShifter.java
@@ -117,7 +117,7 @@
         item.key(),
         submission ->
             cluster
-                .join(forward.peer(), submission)
+                .shift(forward.peer(), submission)
                 .invoke(
                     result ->
                         control.execute(() -> noteResult(item.key(), forward.peer(), result))));
@@ -126,7 +126,7 @@
   // The peer may have started the work before it was lost. A caller who comes back must not have it
   // run a second time beside that: the history makes the home ask for it first.
   private void noteResult(WorkKey key, String peer, WorkResult result) {
-    if (result instanceof WorkResult.Refused) {
+    if (result.refusal().isPresent()) {
       router.refused(peer);
     } else if (result.outcome() == Outcome.UNKNOWN) {
       history.sentTo(key.toString(), peer, timers.nowMillis());
--- a/daemon/src/main/java/org/hickorypier/daemon/entry/EntryService.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/entry/EntryService.java
@@ -13,7 +13,6 @@
 import org.hickorypier.daemon.caller.CallerRequest;
 import org.hickorypier.daemon.caller.DenialKind;
 import org.hickorypier.daemon.caller.DeniedException;
-import org.hickorypier.daemon.cluster.HomeIntake;
 import org.hickorypier.daemon.configuration.ConfigurationService;
 import org.hickorypier.daemon.job.JobService;
 import org.hickorypier.daemon.time.TimerService;
@@ -33,8 +32,7 @@
   private final TimerService timers;
   private final ConfigurationService configuration;
   private final Readiness readiness;
-  private final HomeDirectory homes;
-  private final HomeIntake intake;
+  private final HomeRouting routing;
   private final JobService jobs;
 
   /**
@@ -44,8 +42,7 @@
    * @param timers the time
    * @param configuration teams and keys
    * @param readiness whether new work is taken
-   * @param homes where work is decided
-   * @param intake takes work in at its home
+   * @param routing brings requests to their homes
    * @param jobs the jobs
    */
   public EntryService(
@@ -53,15 +50,13 @@
       TimerService timers,
       ConfigurationService configuration,
       Readiness readiness,
-      HomeDirectory homes,
-      HomeIntake intake,
+      HomeRouting routing,
       JobService jobs) {
     this.control = control;
     this.timers = timers;
     this.configuration = configuration;
     this.readiness = readiness;
-    this.homes = homes;
-    this.intake = intake;
+    this.routing = routing;
     this.jobs = jobs;
   }
 
@@ -70,15 +65,7 @@
     return onControl(
         emitter -> {
           Submission submission = admitted(presentedKey, request);
-          Optional<String> home = homes.remoteHome(submission.item().key());
-          if (home.isEmpty()) {
-            intake.submit(submission, emitter::complete);
-          } else {
-            homes
-                .forward(home.get(), submission)
-                .subscribe()
-                .with(emitter::complete, emitter::fail);
-          }
+          routing.route(submission, emitter::complete);
         });
   }
 
--- /dev/null
+++ b/daemon/src/main/java/org/hickorypier/daemon/entry/HomeRouting.java
@@ -0,0 +1,136 @@
+package org.hickorypier.daemon.entry;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.Executor;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import org.hickorypier.core.model.Outcome;
+import org.hickorypier.core.model.Refusal;
+import org.hickorypier.core.model.RefusalReason;
+import org.hickorypier.core.model.WorkKey;
+import org.hickorypier.daemon.time.TimerService;
+import org.hickorypier.daemon.work.Submission;
+import org.hickorypier.daemon.work.WorkResult;
+
+/**
+ * Brings a request to its home, and to the next home if that one is lost or cannot tell yet.
+ *
+ * <p>Belongs to the control thread. Load: homes die, sleep and start anew under their callers. Harm
+ * prevented: for the second or two until the others agree on the next home, the caller would be
+ * sent away again and again, each time with a part of what it is willing to wait gone. The home
+ * learns that an earlier try may have run. A request that is known not to be served in time is not
+ * tried again: its caller hears that at once.
+ */
+public final class HomeRouting {
+
+  private static final Logger LOGGER = System.getLogger(HomeRouting.class.getName());
+
+  /** A tenth of the time in which a lost instance is noticed. */
+  private static final Duration PAUSE = Duration.ofMillis(150);
+
+  /** A request that is lost with more instances than these may be what ends them. */
+  private static final int LOSSES_LIMIT = 2;
+
+  /** After these the same try may be taken a moment later, there or at the next home. */
+  private static final Set<RefusalReason> PASSING =
+      Set.of(RefusalReason.NOT_READY, RefusalReason.SHUTTING_DOWN, RefusalReason.NO_ROOM);
+
+  private final HomeDirectory homes;
+  private final BiConsumer<Submission, Consumer<WorkResult>> intake;
+  private final TimerService timers;
+  private final Executor control;
+
+  /**
+   * Creates the routing.
+   *
+   * @param homes where work is decided
+   * @param intake takes work in that is decided here
+   * @param timers the time
+   * @param control the control thread
+   */
+  public HomeRouting(
+      HomeDirectory homes,
+      BiConsumer<Submission, Consumer<WorkResult>> intake,
+      TimerService timers,
+      Executor control) {
+    this.homes = homes;
+    this.intake = intake;
+    this.timers = timers;
+    this.control = control;
+  }
+
+  /**
+   * Brings a request to its home.
+   *
+   * @param submission the request
+   * @param answer is given the final answer, on the control thread
+   */
+  public void route(Submission submission, Consumer<WorkResult> answer) {
+    new Route(submission, answer).go();
+  }
+
+  /** One request on its way. */
+  private final class Route {
+
+    private final Consumer<WorkResult> answer;
+    private Submission submission;
+    private int losses;
+
+    Route(Submission submission, Consumer<WorkResult> answer) {
+      this.submission = submission;
+      this.answer = answer;
+    }
+
+    void go() {
+      Optional<String> home = homes.remoteHome(key());
+      if (home.isEmpty()) {
+        intake.accept(submission, this::answered);
+        return;
+      }
+      homes
+          .forward(home.get(), submission)
+          .subscribe()
+          .with(
+              result -> control.execute(() -> answered(result)),
+              error -> control.execute(() -> answered(failed(error))));
+    }
+
+    private void answered(WorkResult result) {
+      boolean lost = result.refusal().isEmpty() && result.outcome() == Outcome.UNKNOWN;
+      if (lost) {
+        losses++;
+        submission = submission.afterEarlierTry();
+      }
+      boolean again = lost ? mayRunAgain() : isPassing(result);
+      boolean inTime = timers.nowMillis() + PAUSE.toMillis() < submission.item().deadlineMillis();
+      if (again && inTime) {
+        timers.after(PAUSE, this::go);
+      } else {
+        answer.accept(result);
+      }
+    }
+
+    private boolean mayRunAgain() {
+      return submission.item().idempotent() && losses <= LOSSES_LIMIT;
+    }
+
+    private boolean isPassing(WorkResult result) {
+      return result instanceof WorkResult.Unsettled
+          && result.refusal().map(Refusal::reason).filter(PASSING::contains).isPresent();
+    }
+
+    private WorkResult failed(Throwable error) {
+      LOGGER.log(Level.WARNING, "entry: {0} not forwarded: {1}", key(), error.getMessage());
+      return new WorkResult.Answered(
+          Outcome.UNKNOWN, "internal error: " + error.getMessage(), new byte[0]);
+    }
+
+    private WorkKey key() {
+      return submission.item().key();
+    }
+  }
+}
--- a/daemon/src/main/java/org/hickorypier/daemon/job/JobRunner.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/job/JobRunner.java
@@ -236,10 +236,10 @@
   private void settle(JournalEntry entry, AttemptKey key, WorkResult result) {
     settleAttempts(key, result);
     if (result instanceof WorkResult.Refused refused
-        && FINAL_REFUSALS.contains(refused.refusal().reason())
+        && FINAL_REFUSALS.contains(refused.cause().reason())
         && entry.accepted().job()) {
-      LOGGER.log(Level.INFO, "job: {0} not run: {1}", entry.key(), refused.refusal().detail());
-      endUnattempted(entry, key, refused.refusal().detail());
+      LOGGER.log(Level.INFO, "job: {0} not run: {1}", entry.key(), refused.cause().detail());
+      endUnattempted(entry, key, refused.cause().detail());
     }
   }
 
--- a/daemon/src/main/java/org/hickorypier/daemon/job/JobService.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/job/JobService.java
@@ -125,7 +125,7 @@
    */
   public void runOnce(Submission submission, Consumer<WorkResult> answer) {
     if (!logAnswers.getAsBoolean()) {
-      answer.accept(refused("the log does not answer, so it cannot be run at most once"));
+      answer.accept(unsettled("the log does not answer, so it cannot be run at most once"));
       return;
     }
     WorkKey key = submission.item().key();
@@ -139,7 +139,7 @@
         .subscribe()
         .with(
             offset -> again(journal.journal().find(key).orElseThrow(), submission, answer),
-            error -> answer.accept(refused(error.getMessage())));
+            error -> answer.accept(unsettled(error.getMessage())));
   }
 
   private void again(JournalEntry entry, Submission submission, Consumer<WorkResult> answer) {
@@ -175,8 +175,7 @@
   private void attemptAnswered(
       JournalEntry entry, Submission submission, WorkResult result, Consumer<WorkResult> answer) {
     boolean notStarted =
-        result instanceof WorkResult.Refused refused
-            && refused.refusal().reason() == RefusalReason.NO_ROOM;
+        result.refusal().map(Refusal::reason).filter(RefusalReason.NO_ROOM::equals).isPresent();
     if (!notStarted || timers.nowMillis() >= submission.item().deadlineMillis()) {
       answer.accept(result);
       return;
@@ -221,14 +220,16 @@
     }
   }
 
-  private static WorkResult refused(String detail) {
-    return new WorkResult.Refused(new Refusal(RefusalReason.NOT_READY, detail, RETRY_AFTER_MILLIS));
+  // An earlier try may be in what the journal holds and was not read here.
+  private static WorkResult unsettled(String detail) {
+    return new WorkResult.Unsettled(
+        new Refusal(RefusalReason.NOT_READY, detail, RETRY_AFTER_MILLIS));
   }
 
   private static DeniedException logSilent() {
     return new DeniedException(
         DenialKind.UNAVAILABLE,
-        "the log does not answer; nothing was accepted",
+        "the log does not answer; nothing was accepted by this call",
         RETRY_AFTER_MILLIS);
   }
 
--- a/daemon/src/main/java/org/hickorypier/daemon/metrics/WorkMetrics.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/metrics/WorkMetrics.java
@@ -61,9 +61,10 @@
             "outcome",
             result.outcome().text(),
             "reason",
-            result instanceof WorkResult.Refused refused
-                ? refused.refusal().reason().name().toLowerCase(Locale.ROOT)
-                : "")
+            result
+                .refusal()
+                .map(refusal -> refusal.reason().name().toLowerCase(Locale.ROOT))
+                .orElse(""))
         .increment();
   }
 
--- a/daemon/src/main/java/org/hickorypier/daemon/work/Dispatcher.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/work/Dispatcher.java
@@ -303,8 +303,12 @@
   }
 
   private void collect(TaskRun run) {
+    if (run.isAsking()) {
+      return;
+    }
     WorkerService service = fleet.service(run.task().worker()).orElse(null);
-    if (service == null || run.isAsking()) {
+    if (service == null) {
+      finish(run, TaskReport.without(TaskEnd.LOST, "the worker was lost"));
       return;
     }
     Uni<byte[]> whole =
--- a/daemon/src/main/java/org/hickorypier/daemon/work/Submission.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/work/Submission.java
@@ -8,8 +8,29 @@
  *
  * @param item the work as the decisions see it
  * @param payload what the caller sent for the tasks
+ * @param mayHaveRun whether an earlier try of the same work may have run, so that a refusal would
+ *     not be certain
  */
-public record Submission(WorkItem item, byte[] payload) {
+public record Submission(WorkItem item, byte[] payload, boolean mayHaveRun) {
+
+  /**
+   * Creates one of which no earlier try is known.
+   *
+   * @param item the work as the decisions see it
+   * @param payload what the caller sent for the tasks
+   */
+  public Submission(WorkItem item, byte[] payload) {
+    this(item, payload, false);
+  }
+
+  /**
+   * Returns the same work, of which an earlier try may have run.
+   *
+   * @return the copy
+   */
+  public Submission afterEarlierTry() {
+    return new Submission(item, payload, true);
+  }
 
   /**
    * Tells whether this is one attempt of journaled work. The journal then decides on further
--- a/daemon/src/main/java/org/hickorypier/daemon/work/TaskAdopter.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/work/TaskAdopter.java
@@ -37,6 +37,7 @@
   private final TimerService timers;
   private final PermitService permits;
   private final TaskOwners owners;
+  private final String self;
   private final Map<String, WorkerDescription> known = new HashMap<>();
   private final Set<String> waitingForWord = new HashSet<>();
 
@@ -49,6 +50,7 @@
    * @param timers the time
    * @param permits speaks for our workers
    * @param owners who started the tasks on our workers
+   * @param self this instance's name and incarnation
    */
   public TaskAdopter(
       Scheduler scheduler,
@@ -56,13 +58,15 @@
       Dispatcher dispatcher,
       TimerService timers,
       PermitService permits,
-      TaskOwners owners) {
+      TaskOwners owners,
+      String self) {
     this.scheduler = scheduler;
     this.work = work;
     this.dispatcher = dispatcher;
     this.timers = timers;
     this.permits = permits;
     this.owners = owners;
+    this.self = self;
   }
 
   @Override
@@ -77,6 +81,8 @@
     for (TaskStatus task : status.tasks()) {
       if (task.state() == TaskState.RUNNING) {
         running(worker.name(), task);
+      } else if (hasAnswer(task) && !task.owner().equals(self)) {
+        ended(worker.name(), task);
       }
     }
     permits.speakFor(worker.name(), status.token(), status.tasks());
@@ -114,6 +120,27 @@
     waitingForWord.remove(worker);
   }
 
+  private static boolean hasAnswer(TaskStatus task) {
+    return task.state() == TaskState.COMPLETED || task.state() == TaskState.FAILED;
+  }
+
+  private void ended(String worker, TaskStatus task) {
+    try {
+      TaskId taskId = TaskId.parse(task.taskId());
+      if (!dispatcher.isFollowed(taskId)) {
+        work.foundEnded(placed(worker, taskId, task));
+      }
+    } catch (IllegalArgumentException error) {
+      LOGGER.log(Level.WARNING, "work: worker {0} ran {1}, not one of ours", worker, task.taskId());
+    }
+  }
+
+  private static PlacedTask placed(String worker, TaskId taskId, TaskStatus task) {
+    Resources reserved =
+        new Resources(task.milliProcessors(), task.memoryMebibytes(), task.accelerators());
+    return new PlacedTask(taskId, worker, WorkClass.valueOf(task.workClass()), reserved);
+  }
+
   private void running(String worker, TaskStatus task) {
     try {
       TaskId taskId = TaskId.parse(task.taskId());
@@ -130,13 +157,13 @@
   }
 
   private void adopt(String worker, TaskId taskId, TaskStatus task) {
-    WorkClass workClass = WorkClass.valueOf(task.workClass());
-    Resources reserved =
-        new Resources(task.milliProcessors(), task.memoryMebibytes(), task.accelerators());
+    PlacedTask placed = placed(worker, taskId, task);
     long now = timers.nowMillis();
-    WorkItem item = new WorkItem(taskId.key(), workClass, "", reserved, 1, false, now, now, 0);
+    WorkItem item =
+        new WorkItem(
+            taskId.key(), placed.workClass(), "", placed.reserved(), 1, false, now, now, 0);
     owners.put(taskId, task.owner());
     LOGGER.log(Level.INFO, "work: adopted {0} on {1}", task.taskId(), worker);
-    work.adopt(new PlacedTask(taskId, worker, workClass, reserved), item);
+    work.adopt(placed, item);
   }
 }
--- a/daemon/src/main/java/org/hickorypier/daemon/work/WorkEntry.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/work/WorkEntry.java
@@ -33,6 +33,7 @@
 
   WorkEntry(Submission submission) {
     this.submission = submission;
+    this.mayHaveRun = submission.mayHaveRun();
   }
 
   WorkItem item() {
@@ -120,7 +121,7 @@
     return List.copyOf(reports);
   }
 
-  /** Whether a task of an earlier attempt may have run, so that "not run" would not be true. */
+  /** Whether an earlier attempt or try may have run, so that "not run" would not be true. */
   boolean mayHaveRun() {
     return mayHaveRun;
   }
--- a/daemon/src/main/java/org/hickorypier/daemon/work/WorkService.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/work/WorkService.java
@@ -11,6 +11,8 @@
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.LongPredicate;
+import org.hickorypier.core.journal.AttemptKey;
 import org.hickorypier.core.model.Outcome;
 import org.hickorypier.core.model.Refusal;
 import org.hickorypier.core.model.RefusalReason;
@@ -57,9 +59,12 @@
   private final AttemptGate gate;
   private final WorkObserver observer;
   private final AnswerCache answers;
+  private final RecentRequests recent;
+  private final FoundEnds foundEnds;
   private final Map<WorkKey, WorkEntry> entries = new HashMap<>();
   private Dispatcher dispatcher;
   private Runnable beforePlacing = () -> {};
+  private LongPredicate soleHomeSince = since -> true;
   private boolean pumping;
 
   /**
@@ -86,6 +91,8 @@
     this.gate = gate;
     this.observer = observer;
     this.answers = new AnswerCache(settings.answerKeepMillis(), settings.answerKeepBytes());
+    this.foundEnds = new FoundEnds(settings.answerKeepMillis(), settings.recentRequestsLimit());
+    this.recent = new RecentRequests(settings.answerKeepMillis(), settings.recentRequestsLimit());
   }
 
   /**
@@ -108,6 +115,16 @@
     beforePlacing = step;
   }
 
+  /**
+   * Sets what tells whether no other instance can have become home of this one's work unnoticed
+   * since a time. Without that a refusal is not certain.
+   *
+   * @param rule is given the time
+   */
+  public void soleHomeSince(LongPredicate rule) {
+    soleHomeSince = rule;
+  }
+
   /**
    * Takes work in, or joins it to the same work taken in before.
    *
@@ -115,22 +132,53 @@
    * @param answer is given the final answer, on the control thread
    */
   public void submit(Submission submission, Consumer<WorkResult> answer) {
+    WorkKey key = submission.item().key();
+    if (join(submission, answer)) {
+      return;
+    }
+    boolean mayHaveRun = recent.mayHaveRun(key, timers.nowMillis());
+    WorkEntry entry = new WorkEntry(mayHaveRun ? submission.afterEarlierTry() : submission);
+    entries.put(key, entry);
+    entry.addWaiter(answer);
+    enqueue(entry);
+    pump();
+  }
+
+  /**
+   * Joins work that waits or runs here, or was answered here lately.
+   *
+   * @param submission the work
+   * @param answer is given the final answer, on the control thread
+   * @return false if it is not known here, so that there is nothing to join
+   */
+  public boolean join(Submission submission, Consumer<WorkResult> answer) {
     WorkKey key = submission.item().key();
     Optional<WorkResult> known = answers.find(key, timers.nowMillis());
     if (known.isPresent()) {
       answer.accept(known.get());
-      return;
+      return true;
     }
     WorkEntry entry = entries.get(key);
-    if (entry != null) {
-      entry.addWaiter(answer);
-      return;
+    if (entry == null) {
+      return joinEnded(submission, answer);
     }
-    entry = new WorkEntry(submission);
-    entries.put(key, entry);
     entry.addWaiter(answer);
-    enqueue(entry);
-    pump();
+    return true;
+  }
+
+  private boolean joinEnded(Submission submission, Consumer<WorkResult> answer) {
+    long now = timers.nowMillis();
+    Optional<PlacedTask> ended = foundEnds.take(submission.item().key(), now);
+    ended.ifPresent(
+        task -> {
+          WorkEntry entry = new WorkEntry(submission.afterEarlierTry());
+          entries.put(submission.item().key(), entry);
+          entry.addWaiter(answer);
+          entry.placed(List.of(task), now);
+          entry.started();
+          dispatcher.adopt(task);
+        });
+    return ended.isPresent();
   }
 
   /**
@@ -179,8 +227,7 @@
 
   private void shifted(WorkEntry entry, WorkResult result) {
     boolean returned =
-        result instanceof WorkResult.Refused refused
-            && RETURNED.contains(refused.refusal().reason());
+        result.refusal().map(refusal -> RETURNED.contains(refusal.reason())).orElse(false);
     if (returned && entry.isCancelled()) {
       refuse(entry, new Refusal(RefusalReason.CANCELLED, "cancelled while it waited", 0));
     } else if (returned) {
@@ -213,6 +260,20 @@
     dispatcher.adopt(task);
   }
 
+  /**
+   * Notes a request that another instance ran, found on a worker after its end. Its answer is
+   * fetched from there when its caller comes back.
+   *
+   * @param task the task
+   */
+  public void foundEnded(PlacedTask task) {
+    WorkKey key = task.taskId().key();
+    boolean isRequest = task.workClass().isSynchronous() && AttemptKey.parse(key).isEmpty();
+    if (isRequest && !entries.containsKey(key)) {
+      foundEnds.put(task, timers.nowMillis());
+    }
+  }
+
   /**
    * Cancels work, waiting or running. Idempotent.
    *
@@ -234,13 +295,18 @@
     return true;
   }
 
-  /** Refuses all requests that have not started, as this instance can start nothing any more. */
+  /**
+   * Sends all requests that have not started away, as this instance can start nothing any more. It
+   * was fenced off, so others were home of them meanwhile and may have run them.
+   */
   public void refuseWaiting() {
     for (WorkEntry entry : List.copyOf(entries.values())) {
       if (entry.isQueued() && scheduler.cancelQueued(entry.item().key())) {
-        refuse(
+        String detail = "this instance starts anew";
+        finish(
             entry,
-            new Refusal(RefusalReason.NOT_READY, "this instance starts anew", RETRY_AFTER_MILLIS));
+            new WorkResult.Unsettled(
+                new Refusal(RefusalReason.NOT_READY, detail, RETRY_AFTER_MILLIS)));
       }
     }
   }
@@ -264,7 +330,20 @@
    * @return true if a submission would join it
    */
   public boolean knows(WorkKey key) {
-    return entries.containsKey(key) || answers.find(key, timers.nowMillis()).isPresent();
+    long now = timers.nowMillis();
+    return entries.containsKey(key)
+        || answers.find(key, now).isPresent()
+        || foundEnds.contains(key, now);
+  }
+
+  /**
+   * Tells whether work was certainly not taken in here for as long as callers come back.
+   *
+   * @param key the work
+   * @return false if it was, or if too much was taken in since to tell
+   */
+  public boolean neverTaken(WorkKey key) {
+    return !knows(key) && !recent.mayHaveRun(key, timers.nowMillis());
   }
 
   /** Places what can be placed now. Called whenever room, permits or work have come. */
@@ -423,11 +502,8 @@
   }
 
   private void refuse(WorkEntry entry, Refusal refusal) {
-    if (entry.mayHaveRun()) {
-      answer(entry, Outcome.UNKNOWN, refusal.detail(), TaskReport.NO_BODY);
-    } else {
-      finish(entry, new WorkResult.Refused(refusal));
-    }
+    boolean certain = !entry.mayHaveRun() && soleHomeSince.test(entry.item().submittedMillis());
+    finish(entry, certain ? new WorkResult.Refused(refusal) : new WorkResult.Unsettled(refusal));
   }
 
   private void finish(WorkEntry entry, WorkResult result) {
@@ -440,6 +516,10 @@
     if (isAnswer && entry.item().workClass().isSynchronous()) {
       answers.put(entry.item().key(), result, now);
     }
+    if (entry.item().workClass().isSynchronous() && !entry.submission().isJournaled()) {
+      boolean mayHaveRun = !(result instanceof WorkResult.Refused);
+      recent.put(entry.item().key(), mayHaveRun, now);
+    }
     observer.onFinished(entry.item(), result, now - entry.item().submittedMillis());
     entry.finish(result);
   }
--- a/daemon/src/main/java/org/hickorypier/daemon/work/WorkSettings.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/work/WorkSettings.java
@@ -9,6 +9,7 @@
  *     or was lost
  * @param answerKeepMillis how long a final answer is kept for a repeated request
  * @param answerKeepBytes how many bytes of final answers are kept at the most
+ * @param recentRequestsLimit how many answered or refused requests are remembered at the most
  * @param tickMillis how often waiting work is looked at when nothing else happens
  * @param longestRunMillis how long a synchronous request may run before it is stopped
  */
@@ -16,5 +17,6 @@
     int retryLimit,
     long answerKeepMillis,
     long answerKeepBytes,
+    int recentRequestsLimit,
     long tickMillis,
     long longestRunMillis) {}
--- a/daemon/src/test/java/org/hickorypier/daemon/peer/BadInputTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/peer/BadInputTest.java
@@ -249,7 +249,8 @@
         700,
         "print",
         new byte[50],
-        1);
+        1,
+        false);
   }
 
   private static byte[] nestedArrays(int depth) {
--- a/daemon/src/test/java/org/hickorypier/daemon/work/WorkBench.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/work/WorkBench.java
@@ -52,6 +52,10 @@
       new WorkerDescription("worker-1", "dc1", "rack1", new Resources(16_000, 65_536, 0), 8);
   private static final long LEASE_MILLIS = 5_000;
   private static final long DEADLINE_MILLIS = 10_000;
+  private static final int ANSWER_BYTES = 1_024;
+
+  /** Each takes some 200 bytes. */
+  static final int ANSWERS_KEPT = ANSWER_BYTES / 200;
 
   final ManualTimerService timers = new ManualTimerService();
   final List<PlacedTask> placed = new ArrayList<>();
@@ -67,7 +71,7 @@
   WorkBench() {
     work =
         new WorkService(
-            new WorkSettings(3, 60_000, 1_024, 50, 600_000),
+            new WorkSettings(3, 60_000, ANSWER_BYTES, 1_000, 50, 600_000),
             scheduler,
             timers,
             timers,
@@ -140,6 +144,12 @@
     return taskId;
   }
 
+  /** Finds the end of a request that another instance ran. */
+  void findEndOfAnother(String requestId) {
+    TaskId taskId = new TaskId(new WorkKey(TEAM, requestId), 1, 0);
+    work.foundEnded(new PlacedTask(taskId, "worker that has left", WorkClass.REQUEST, SMALL));
+  }
+
   private void plan() {
     permits.planSoon(TEAM);
     timers.advance(Duration.ZERO);
--- a/wire/src/main/java/org/hickorypier/wire/message/PeerMessage.java
+++ b/wire/src/main/java/org/hickorypier/wire/message/PeerMessage.java
@@ -262,6 +262,7 @@
    * @param name the caller's name for this sort of work
    * @param payload what the task is given
    * @param hops how many times it has been handed on, this time included
+   * @param mayHaveRun whether an earlier try of the same work may have run
    */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
   record ForwardedWork(
@@ -278,7 +279,8 @@
       long expectedRunMillis,
       String name,
       byte[] payload,
-      int hops)
+      int hops,
+      boolean mayHaveRun)
       implements Request {
 
     /** Checks that nothing is missing. */
@@ -306,7 +308,8 @@
           expectedRunMillis,
           name,
           payload,
-          hops);
+          hops,
+          mayHaveRun);
     }
   }
 
