bin/measure takeover takes a seed, and its balancer draws from it

To meet failures at other moments: whom is killed and paused, and where the balancer sends each try, was one fixed seed and none. A run does not repeat exactly all the same, as its processes and clocks are real.

--- a/measure/src/main/java/org/hickorypier/measure/takeover/Balancer.java
+++ b/measure/src/main/java/org/hickorypier/measure/takeover/Balancer.java
@@ -1,10 +1,10 @@
 package org.hickorypier.measure.takeover;
 
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.hickorypier.measure.fleet.EntryProcess;
@@ -24,6 +24,7 @@
   private static final int THREADS = 16;
 
   private final Fleet fleet;
+  private final Random random;
   private final ConcurrentHashMap<String, Boolean> unready = new ConcurrentHashMap<>();
   private final ConcurrentHashMap<String, Boolean> checking = new ConcurrentHashMap<>();
   private final ScheduledExecutorService executor =
@@ -35,8 +36,9 @@
             return thread;
           });
 
-  Balancer(Fleet fleet) {
+  Balancer(Fleet fleet, long seed) {
     this.fleet = fleet;
+    this.random = new Random(seed);
     executor.scheduleAtFixedRate(this::checkAll, 0, CHECK_MILLIS, TimeUnit.MILLISECONDS);
   }
 
@@ -46,7 +48,7 @@
     List<EntryProcess> ready =
         all.stream().filter(entry -> !unready.containsKey(entry.name())).toList();
     List<EntryProcess> choice = ready.isEmpty() ? all : ready;
-    return choice.get(ThreadLocalRandom.current().nextInt(choice.size()));
+    return choice.get(random.nextInt(choice.size()));
   }
 
   @Override
--- a/measure/src/main/java/org/hickorypier/measure/takeover/Disturbance.java
+++ b/measure/src/main/java/org/hickorypier/measure/takeover/Disturbance.java
@@ -21,13 +21,14 @@
 
   private final Fleet fleet;
   private final TakeoverSettings settings;
-  private final Random random = new Random(7);
+  private final Random random;
   private int kills;
   private int pauses;
 
   Disturbance(Fleet fleet, TakeoverSettings settings) {
     this.fleet = fleet;
     this.settings = settings;
+    this.random = new Random(settings.seed());
   }
 
   int kills() {
--- a/measure/src/main/java/org/hickorypier/measure/takeover/TakeoverCommand.java
+++ b/measure/src/main/java/org/hickorypier/measure/takeover/TakeoverCommand.java
@@ -20,6 +20,7 @@
   private static final String RATE = "rate";
   private static final String ROUNDS = "rounds";
   private static final String LIMIT = "limit";
+  private static final String SEED = "seed";
   private static final String LOGS = "logs";
   private static final long LEASE_MILLIS = 5_000;
   private static final String COUNT = "-";
@@ -43,6 +44,7 @@
     options.addOption(null, RATE, true, "requests a second, 1 to 500 (100)");
     options.addOption(null, ROUNDS, true, "kills, and as many pauses, 1 to 50 (2)");
     options.addOption(null, LIMIT, true, "upper limit of each of three teams, 1 to 2400 (8)");
+    options.addOption(null, SEED, true, "whom is done what, 0 to 1000000 (7)");
     options.addOption(null, LOGS, true, "directory for the daemons' logs (none)");
     return options;
   }
@@ -57,6 +59,7 @@
             arguments.number(RATE, 100, 1, 500),
             arguments.number(ROUNDS, 2, 1, 50),
             arguments.number(LIMIT, 8, 1, 2_400),
+            arguments.number(SEED, 7, 0, 1_000_000),
             LEASE_MILLIS,
             arguments.directory(LOGS));
     TakeoverFigures figures;
--- a/measure/src/main/java/org/hickorypier/measure/takeover/TakeoverRun.java
+++ b/measure/src/main/java/org/hickorypier/measure/takeover/TakeoverRun.java
@@ -54,7 +54,7 @@
       }
       fleet.awaitControl();
       Disturbance disturbance = new Disturbance(fleet, settings);
-      try (Balancer balancer = new Balancer(fleet)) {
+      try (Balancer balancer = new Balancer(fleet, settings.seed())) {
         Load load = new Load(fleet, balancer, keys(fleet), settings.perSecond());
         List<LoadEntry> entries;
         try {
--- a/measure/src/main/java/org/hickorypier/measure/takeover/TakeoverSettings.java
+++ b/measure/src/main/java/org/hickorypier/measure/takeover/TakeoverSettings.java
@@ -13,6 +13,7 @@
  * @param perSecond how many requests are posted a second, over three teams
  * @param rounds how often an instance is killed and another paused
  * @param teamLimit the upper limit of each team
+ * @param seed draws whom is done what
  * @param leaseMillis the lease of a task on its worker
  * @param logs the directory for the daemons' logs, if they are wanted
  */
@@ -22,5 +23,6 @@
     int perSecond,
     int rounds,
     int teamLimit,
+    long seed,
     long leaseMillis,
     Optional<Path> logs) {}
