Callers who come back are served before those who came later

Cause: each try was new work. Its time was that of the try, so it stood at the tail of its queue again and newer requests passed it; under a demand above the capacity the oldest starved. The estimate of the wait was that of the tail too. Told 'The estimated wait is 2571 ms, the deadline in 4881 ms', a caller could not know that a margin counts, nor when to come back: Retry-After was worked out without the margin, so it said at once.

The refusal names the margin, and Retry-After says when the margin is met.

--- a/core/src/main/java/org/hickorypier/core/scheduling/Admission.java
+++ b/core/src/main/java/org/hickorypier/core/scheduling/Admission.java
@@ -60,10 +60,17 @@
       String detail = "The team has " + settings.queueLimit() + " items waiting in this class.";
       return refusal(RefusalReason.QUEUE_FULL, detail, retryAfter(wait / 2));
     }
-    if (wait * settings.waitMargin() > remaining && !mayFindRoomElsewhere(item, team, now)) {
+    long safeWait = (long) (wait * settings.waitMargin());
+    if (safeWait > remaining && !mayFindRoomElsewhere(item, team, now)) {
       String detail =
-          "The estimated wait is " + wait + " ms, the deadline in " + remaining + " ms.";
-      return refusal(RefusalReason.DEADLINE_TOO_NEAR, detail, retryAfter(wait - remaining));
+          "The estimated wait is "
+              + wait
+              + " ms, with a margin "
+              + safeWait
+              + " ms, the deadline in "
+              + remaining
+              + " ms.";
+      return refusal(RefusalReason.DEADLINE_TOO_NEAR, detail, retryAfter(safeWait - remaining));
     }
     return Optional.empty();
   }
@@ -74,7 +81,7 @@
   // permits; used at once it sent callers away beside idle workers in the first second of a burst.
   private boolean mayFindRoomElsewhere(WorkItem item, TeamState team, long now) {
     QueuedItem head = team.queue(item.workClass()).head();
-    long waited = head == null ? 0 : now - head.item().submittedMillis();
+    long waited = head == null ? 0 : now - head.item().firstTriedMillis();
     long remaining = item.deadlineMillis() - now;
     return waited < Math.min(settings.shiftPatienceMillis(), remaining / PATIENCE_PART);
   }
--- a/core/src/main/java/org/hickorypier/core/scheduling/ClassQueue.java
+++ b/core/src/main/java/org/hickorypier/core/scheduling/ClassQueue.java
@@ -1,12 +1,15 @@
 package org.hickorypier.core.scheduling;
 
 import java.util.Collection;
-import java.util.LinkedHashMap;
-import java.util.Map;
-import org.hickorypier.core.model.WorkKey;
+import java.util.Comparator;
+import java.util.TreeSet;
 
 /**
- * The queue of one team and class, in order of arrival, and how fast it drains.
+ * The queue of one team and class, in the order in which callers first asked, and how fast it
+ * drains.
+ *
+ * <p>Load: under a demand above the capacity some callers have to come back. Harm prevented: in
+ * order of arrival each try would stand at the tail again, and the oldest would never be served.
  *
  * <p>Invariant: the waiting tasks are the sum over the items. Not thread safe.
  */
@@ -23,7 +26,11 @@
 
   private static final double MILLIS_PER_SECOND = 1_000;
 
-  private final Map<WorkKey, QueuedItem> items = new LinkedHashMap<>();
+  private static final Comparator<QueuedItem> FIRST_TRIED_FIRST =
+      Comparator.comparingLong((QueuedItem queued) -> queued.item().firstTriedMillis())
+          .thenComparingLong(QueuedItem::arrival);
+
+  private final TreeSet<QueuedItem> items = new TreeSet<>(FIRST_TRIED_FIRST);
   private final DecayedRate starts = new DecayedRate(RATE_WINDOW_MILLIS);
   private int waitingTasks;
   private int runningTasks;
@@ -32,11 +39,11 @@
   private double recentWaitMillis;
 
   Collection<QueuedItem> items() {
-    return items.values();
+    return items;
   }
 
   QueuedItem head() {
-    return items.isEmpty() ? null : items.values().iterator().next();
+    return items.isEmpty() ? null : items.first();
   }
 
   boolean headWasTriedInVain(long now) {
@@ -52,8 +59,23 @@
     return waitingTasks;
   }
 
+  /** Returns how many tasks wait for callers who first asked at a time or before. */
+  int waitingTasksUntil(long firstTriedMillis) {
+    if (items.isEmpty() || items.last().item().firstTriedMillis() <= firstTriedMillis) {
+      return waitingTasks;
+    }
+    int ahead = 0;
+    for (QueuedItem queued : items) {
+      if (queued.item().firstTriedMillis() > firstTriedMillis) {
+        return ahead;
+      }
+      ahead += queued.waitingTasks();
+    }
+    return ahead;
+  }
+
   void add(QueuedItem queued) {
-    items.put(queued.item().key(), queued);
+    items.add(queued);
     waitingTasks += queued.waitingTasks();
     if (completedTasks == 0) {
       meanRunMillis = queued.item().expectedRunMillis();
@@ -61,7 +83,7 @@
   }
 
   void remove(QueuedItem queued) {
-    items.remove(queued.item().key());
+    items.remove(queued);
     waitingTasks -= queued.waitingTasks();
   }
 
--- a/core/src/main/java/org/hickorypier/core/scheduling/ItemQueue.java
+++ b/core/src/main/java/org/hickorypier/core/scheduling/ItemQueue.java
@@ -33,6 +33,7 @@
   private final ShapeTable shapes;
   private final WorkHistory history;
   private int urgentItems;
+  private long arrivals;
 
   ItemQueue(FairOrder order, ShapeTable shapes, WorkHistory history) {
     this.order = order;
@@ -54,7 +55,8 @@
 
   void add(WorkItem item, Resources need) {
     int attempt = history.newAttempt(item.key(), item.tasks());
-    QueuedItem queued = new QueuedItem(item, shapes.intern(need, item.workClass()), attempt);
+    QueuedItem queued =
+        new QueuedItem(item, shapes.intern(need, item.workClass()), attempt, arrivals++);
     items.put(item.key(), queued);
     byDeadline.add(queued);
     urgentItems += item.workClass() == WorkClass.URGENT ? 1 : 0;
--- a/core/src/main/java/org/hickorypier/core/scheduling/QueuedItem.java
+++ b/core/src/main/java/org/hickorypier/core/scheduling/QueuedItem.java
@@ -15,16 +15,18 @@
   private final WorkItem item;
   private final Shape shape;
   private final int attempt;
+  private final long arrival;
   private int nextIndex;
   private long nextTryMillis = Long.MIN_VALUE;
   private long inVainSinceMillis = NEVER;
   private boolean gone;
   private boolean heldFor;
 
-  QueuedItem(WorkItem item, Shape shape, int attempt) {
+  QueuedItem(WorkItem item, Shape shape, int attempt, long arrival) {
     this.item = item;
     this.shape = shape;
     this.attempt = attempt;
+    this.arrival = arrival;
   }
 
   WorkItem item() {
@@ -43,6 +45,11 @@
     return attempt;
   }
 
+  /** Returns its number in the order of arrival; no two queued items have the same. */
+  long arrival() {
+    return arrival;
+  }
+
   int waitingTasks() {
     return item.tasks() - nextIndex;
   }
--- a/core/src/main/java/org/hickorypier/core/scheduling/WaitEstimate.java
+++ b/core/src/main/java/org/hickorypier/core/scheduling/WaitEstimate.java
@@ -41,8 +41,11 @@
       return 0;
     }
     if (queue.waitingTasks() > 0) {
-      long byRate = wait(queue.waitingTasks() + item.tasks(), queue.drainPerSecond(now));
-      return Math.max(byRate, (long) queue.recentWaitMillis());
+      int ahead = queue.waitingTasksUntil(item.firstTriedMillis());
+      long byRate = wait(ahead + item.tasks(), queue.drainPerSecond(now));
+      // What others waited lately, from the tail, says nothing of a place further ahead.
+      boolean atTail = ahead == queue.waitingTasks();
+      return atTail ? Math.max(byRate, (long) queue.recentWaitMillis()) : byRate;
     }
     if (!full) {
       return wait(1, team.drainPerSecond(now));
--- a/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
@@ -63,6 +63,7 @@
 import org.hickorypier.daemon.time.ControlThread;
 import org.hickorypier.daemon.work.DispatchSettings;
 import org.hickorypier.daemon.work.Dispatcher;
+import org.hickorypier.daemon.work.FirstTries;
 import org.hickorypier.daemon.work.TaskAdopter;
 import org.hickorypier.daemon.work.WorkObserver;
 import org.hickorypier.daemon.work.WorkService;
@@ -282,6 +283,8 @@
             control,
             fleet::isComplete,
             DaemonConstants.ANSWER_KEEP_MILLIS,
+            new FirstTries(
+                DaemonConstants.ANSWER_KEEP_MILLIS, DaemonConstants.RECENT_REQUESTS_LIMIT),
             (submission, answer) -> jobs().runOnce(submission, answer));
     recorder = new AttemptRecorder(journal, fleet, control, control, self);
     JobScope scope = new ClusterJobScope(cluster, readiness, dispatcher, requests);
--- a/daemon/src/main/java/org/hickorypier/daemon/cluster/ForwardCodec.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/cluster/ForwardCodec.java
@@ -39,7 +39,8 @@
         item.name(),
         submission.payload(),
         hops,
-        submission.mayHaveRun());
+        submission.mayHaveRun(),
+        Math.max(0, now - item.firstTriedMillis()));
   }
 
   static Submission submission(ForwardedWork work, long now) {
@@ -53,7 +54,8 @@
             work.idempotent(),
             now,
             now + work.remainingMillis(),
-            work.expectedRunMillis());
+            work.expectedRunMillis(),
+            now - work.triedForMillis());
     return new Submission(item, work.payload(), work.mayHaveRun());
   }
 
--- a/daemon/src/main/java/org/hickorypier/daemon/cluster/HomeIntake.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/cluster/HomeIntake.java
@@ -18,6 +18,7 @@
 import org.hickorypier.core.model.RefusalReason;
 import org.hickorypier.core.model.WorkKey;
 import org.hickorypier.daemon.time.TimerService;
+import org.hickorypier.daemon.work.FirstTries;
 import org.hickorypier.daemon.work.Submission;
 import org.hickorypier.daemon.work.WorkResult;
 import org.hickorypier.daemon.work.WorkService;
@@ -49,6 +50,7 @@
   private final BooleanSupplier workersComplete;
   private final long comeBackMillis;
   private final BiConsumer<Submission, Consumer<WorkResult>> once;
+  private final FirstTries firstTries;
 
   /**
    * Creates the intake.
@@ -61,6 +63,7 @@
    * @param workersComplete whether the tasks of all workers that this instance should control are
    *     known
    * @param comeBackMillis how long after a try its caller may come back
+   * @param firstTries remembers who came back
    * @param once runs requests that are not idempotent
    */
   public HomeIntake(
@@ -71,6 +74,7 @@
       Executor control,
       BooleanSupplier workersComplete,
       long comeBackMillis,
+      FirstTries firstTries,
       BiConsumer<Submission, Consumer<WorkResult>> once) {
     this.cluster = cluster;
     this.history = history;
@@ -79,6 +83,7 @@
     this.control = control;
     this.workersComplete = workersComplete;
     this.comeBackMillis = comeBackMillis;
+    this.firstTries = firstTries;
     this.once = once;
   }
 
@@ -148,7 +153,8 @@
     }
   }
 
-  private void run(Submission submission, Consumer<WorkResult> answer) {
+  private void run(Submission tried, Consumer<WorkResult> answer) {
+    Submission submission = firstTries.note(tried, timers.nowMillis());
     if (submission.item().idempotent()) {
       work.submit(submission, answer);
     } else {
--- a/daemon/src/main/java/org/hickorypier/daemon/job/JobRunner.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/job/JobRunner.java
@@ -105,6 +105,7 @@
    * @param entry the accepted work
    * @param key the attempt
    * @param deadlineMillis the latest start that is of use
+   * @param firstTriedMillis when its caller first asked
    * @param payload what the tasks are given
    * @param answer is given the result before it is journaled
    */
@@ -112,12 +113,14 @@
       JournalEntry entry,
       AttemptKey key,
       long deadlineMillis,
+      long firstTriedMillis,
       byte[] payload,
       Consumer<WorkResult> answer) {
     WorkKey attemptKey = key.workKey();
     OpenJob job = openJob(entry);
     if (job.submitted.add(attemptKey)) {
-      Submission submission = new Submission(item(entry, key, deadlineMillis), payload);
+      WorkItem item = item(entry, key, deadlineMillis).firstTriedAt(firstTriedMillis);
+      Submission submission = new Submission(item, payload);
       work.submit(
           submission,
           result -> {
@@ -229,6 +232,7 @@
         entry,
         new AttemptKey(entry.key(), index, attempt),
         deadline,
+        timers.nowMillis(),
         entry.accepted().payload(),
         result -> {});
   }
--- a/daemon/src/main/java/org/hickorypier/daemon/job/JobService.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/job/JobService.java
@@ -164,6 +164,7 @@
           entry,
           next,
           submission.item().deadlineMillis(),
+          submission.item().firstTriedMillis(),
           submission.payload(),
           result -> attemptAnswered(entry, submission, result, answer));
     }
--- /dev/null
+++ b/daemon/src/main/java/org/hickorypier/daemon/work/FirstTries.java
@@ -0,0 +1,65 @@
+package org.hickorypier.daemon.work;
+
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.hickorypier.core.model.WorkKey;
+
+/**
+ * Remembers when the callers of this home's requests first asked, whatever became of their tries.
+ *
+ * <p>Load: a demand above the capacity, with callers whose tries were refused, or ended as unknown
+ * with a lost instance. Harm prevented: whoever comes back would be the newest again.
+ *
+ * <p>Belongs to the control thread. Invariant: never more than the limit; whoever was not heard for
+ * the longest time goes first.
+ */
+public final class FirstTries {
+
+  private final long keepMillis;
+  private final int limit;
+  private final Map<WorkKey, Tried> tried = new LinkedHashMap<>();
+
+  /**
+   * Creates a memory without requests.
+   *
+   * @param keepMillis how long after a try its caller may come back
+   * @param limit how many requests are remembered
+   */
+  public FirstTries(long keepMillis, int limit) {
+    this.keepMillis = keepMillis;
+    this.limit = limit;
+  }
+
+  /**
+   * Notes a try.
+   *
+   * @param submission the request
+   * @param now the time
+   * @return the request with the time of its first try, as far as known here
+   */
+  public Submission note(Submission submission, long now) {
+    WorkKey key = submission.item().key();
+    long first = submission.item().firstTriedMillis();
+    Tried before = tried.remove(key);
+    if (before != null && now - before.lastMillis <= keepMillis) {
+      first = Math.min(first, before.firstMillis);
+    }
+    tried.put(key, new Tried(first, now));
+    dropOld(now);
+    return submission.firstTriedAt(first);
+  }
+
+  private void dropOld(long now) {
+    Iterator<Tried> oldest = tried.values().iterator();
+    while (oldest.hasNext()) {
+      boolean isOld = now - oldest.next().lastMillis > keepMillis;
+      if (!isOld && tried.size() <= limit) {
+        return;
+      }
+      oldest.remove();
+    }
+  }
+
+  private record Tried(long firstMillis, long lastMillis) {}
+}
--- a/daemon/src/main/java/org/hickorypier/daemon/work/Submission.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/work/Submission.java
@@ -32,6 +32,16 @@
     return new Submission(item, payload, true);
   }
 
+  /**
+   * Returns the same work with another time of its caller's first try.
+   *
+   * @param millis the time
+   * @return the copy
+   */
+  public Submission firstTriedAt(long millis) {
+    return new Submission(item.firstTriedAt(millis), payload, mayHaveRun);
+  }
+
   /**
    * Tells whether this is one attempt of journaled work. The journal then decides on further
    * attempts and remembers the outcome.
--- a/daemon/src/test/java/org/hickorypier/daemon/peer/BadInputTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/peer/BadInputTest.java
@@ -250,7 +250,8 @@
         "print",
         new byte[50],
         1,
-        false);
+        false,
+        0);
   }
 
   private static byte[] nestedArrays(int depth) {
--- a/wire/src/main/java/org/hickorypier/wire/message/PeerMessage.java
+++ b/wire/src/main/java/org/hickorypier/wire/message/PeerMessage.java
@@ -263,6 +263,7 @@
    * @param payload what the task is given
    * @param hops how many times it has been handed on, this time included
    * @param mayHaveRun whether an earlier try of the same work may have run
+   * @param triedForMillis how long ago its caller first asked, as far as known
    */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
   record ForwardedWork(
@@ -280,7 +281,8 @@
       String name,
       byte[] payload,
       int hops,
-      boolean mayHaveRun)
+      boolean mayHaveRun,
+      long triedForMillis)
       implements Request {
 
     /** Checks that nothing is missing. */
@@ -309,7 +311,8 @@
           name,
           payload,
           hops,
-          mayHaveRun);
+          mayHaveRun,
+          triedForMillis);
     }
   }
 
--- a/wire/src/test/java/org/hickorypier/wire/message/PeerMessageTest.java
+++ b/wire/src/test/java/org/hickorypier/wire/message/PeerMessageTest.java
@@ -51,7 +51,8 @@
         new PeerMessage.ConfigurationPush(12, DATA),
         new Part(0, 3, DATA),
         new ForwardedWork(
-            4, "labels", "r1", "BATCH", 500, 256, 1, 8, true, 9_000, 700, "print", DATA, 1, true),
+            4, "labels", "r1", "BATCH", 500, 256, 1, 8, true, 9_000, 700, "print", DATA, 1, true,
+            40),
         new ForwardedAnswer(4, "completed", "", "", 0, DATA),
         new Question(5, "query", "show teams"),
         new Reply(5, DATA),
