--- a/core/src/main/java/org/hickorypier/core/model/RefusalReason.java
+++ b/core/src/main/java/org/hickorypier/core/model/RefusalReason.java
@@ -16,6 +16,8 @@
   SHUTTING_DOWN,
   /** The instance cannot prove that its configuration is recent. */
   NOT_READY,
+  /** The platform's log does not answer, so that work cannot be run at most once. */
+  LOG_SILENT,
   /** The team's key was withdrawn while the work waited. */
   KEY_WITHDRAWN,
   /** The caller or an operator cancelled it. */
--- a/daemon/src/main/java/org/hickorypier/daemon/DaemonConstants.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/DaemonConstants.java
@@ -17,8 +17,8 @@
   /** A digest's period, so that the shifter has seen a peer's room at least once. */
   static final long SHIFT_PATIENCE_MILLIS = 1_200;
 
-  /** A long poll is answered within two seconds; past twice that the log counts as silent. */
-  static final long LOG_SILENT_MILLIS = 4_000;
+  /** An answer of the log that is overdue for so long is not about to come. */
+  static final long LOG_SILENT_MILLIS = 2_000;
 
   /** The platform's list lags by seconds; asking more often brings nothing new. */
   static final Duration LIST_PERIOD = Duration.ofSeconds(1);
--- a/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
@@ -45,6 +45,7 @@
 import org.hickorypier.daemon.job.JobRunner;
 import org.hickorypier.daemon.job.JobScope;
 import org.hickorypier.daemon.job.JobService;
+import org.hickorypier.daemon.job.JournalReading;
 import org.hickorypier.daemon.job.JournalService;
 import org.hickorypier.daemon.job.KeptAnswers;
 import org.hickorypier.daemon.job.OrphanResolver;
@@ -302,7 +303,8 @@
             control,
             scope);
     jobs =
-        new JobService(journal, runner, new KeptAnswers(fleet, control), control, this::logAnswers);
+        new JobService(
+            journal, runner, new KeptAnswers(fleet, control), control, this::journalReading);
     requests.takeInBy(intake, runner::runForHome);
     shifter = new WorkShifter(cluster, scheduler, work, control, control, history, random.split());
     network.listen(shifter);
@@ -378,9 +380,11 @@
     return jobs;
   }
 
-  private boolean logAnswers() {
-    return journalStream.follower().isCaughtUp()
-        && journalStream.follower().millisSinceHeard() < DaemonConstants.LOG_SILENT_MILLIS;
+  private JournalReading journalReading() {
+    if (journalStream.follower().millisOverdue() > DaemonConstants.LOG_SILENT_MILLIS) {
+      return JournalReading.SILENT;
+    }
+    return journalStream.follower().isCaughtUp() ? JournalReading.CURRENT : JournalReading.BEHIND;
   }
 
   private boolean isConfigured() {
--- a/daemon/src/main/java/org/hickorypier/daemon/job/JobService.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/job/JobService.java
@@ -4,8 +4,8 @@
 import java.time.Duration;
 import java.util.Locale;
 import java.util.Optional;
-import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.hickorypier.core.journal.AttemptKey;
 import org.hickorypier.core.journal.JournalEntry;
 import org.hickorypier.core.journal.JournalTask;
@@ -44,7 +44,7 @@
   private final JobRunner runner;
   private final KeptAnswers kept;
   private final TimerService timers;
-  private final BooleanSupplier logAnswers;
+  private final Supplier<JournalReading> reading;
 
   /**
    * Creates the service.
@@ -53,19 +53,19 @@
    * @param runner runs the attempts
    * @param kept fetches answers that workers still hold
    * @param timers the time
-   * @param logAnswers whether the log has been heard of late
+   * @param reading how far the journal is read
    */
   public JobService(
       JournalService journal,
       JobRunner runner,
       KeptAnswers kept,
       TimerService timers,
-      BooleanSupplier logAnswers) {
+      Supplier<JournalReading> reading) {
     this.journal = journal;
     this.runner = runner;
     this.kept = kept;
     this.timers = timers;
-    this.logAnswers = logAnswers;
+    this.reading = reading;
   }
 
   /**
@@ -80,7 +80,7 @@
     if (known.isPresent()) {
       return Uni.createFrom().item(view(known.get()));
     }
-    if (!logAnswers.getAsBoolean()) {
+    if (reading.get() != JournalReading.CURRENT) {
       return Uni.createFrom().failure(logSilent());
     }
     Accepted record = record(submission, true);
@@ -124,8 +124,16 @@
    * @param answer is given the final answer, on the control thread
    */
   public void runOnce(Submission submission, Consumer<WorkResult> answer) {
-    if (!logAnswers.getAsBoolean()) {
-      answer.accept(unsettled("the log does not answer, so it cannot be run at most once"));
+    JournalReading journalRead = reading.get();
+    if (journalRead == JournalReading.SILENT) {
+      answer.accept(
+          unsettled(
+              RefusalReason.LOG_SILENT,
+              "the log does not answer, so it cannot be run at most once"));
+      return;
+    }
+    if (journalRead == JournalReading.BEHIND) {
+      answer.accept(unsettled(RefusalReason.NOT_READY, "this instance still reads the journal"));
       return;
     }
     WorkKey key = submission.item().key();
@@ -139,7 +147,7 @@
         .subscribe()
         .with(
             offset -> again(journal.journal().find(key).orElseThrow(), submission, answer),
-            error -> answer.accept(unsettled(error.getMessage())));
+            error -> answer.accept(unsettled(RefusalReason.LOG_SILENT, error.getMessage())));
   }
 
   private void again(JournalEntry entry, Submission submission, Consumer<WorkResult> answer) {
@@ -185,7 +193,7 @@
         NEXT_ATTEMPT,
         () -> {
           boolean closed = entry.tasks().get(0).open().isEmpty();
-          if (closed && logAnswers.getAsBoolean()) {
+          if (closed && reading.get() == JournalReading.CURRENT) {
             again(entry, submission, answer);
           } else {
             attemptAnswered(entry, submission, result, answer);
@@ -222,9 +230,8 @@
   }
 
   // An earlier try may be in what the journal holds and was not read here.
-  private static WorkResult unsettled(String detail) {
-    return new WorkResult.Unsettled(
-        new Refusal(RefusalReason.NOT_READY, detail, RETRY_AFTER_MILLIS));
+  private static WorkResult unsettled(RefusalReason reason, String detail) {
+    return new WorkResult.Unsettled(new Refusal(reason, detail, RETRY_AFTER_MILLIS));
   }
 
   private static DeniedException logSilent() {
--- a/daemon/src/main/java/org/hickorypier/daemon/log/LogFollower.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/log/LogFollower.java
@@ -43,6 +43,7 @@
   private boolean caughtUp;
   private boolean heard;
   private long lastHeardMillis;
+  private long answerDueMillis = Long.MAX_VALUE;
   private long unreadable;
   private long failures;
   // Each read has a number. A late answer to a read that was given up carries an old one and is
@@ -153,6 +154,16 @@
     return heard ? timers.nowMillis() - lastHeardMillis : Long.MAX_VALUE;
   }
 
+  /**
+   * Returns for how long the log has owed an answer. Unlike {@link #millisSinceHeard} this does not
+   * grow while the log holds a read as it was asked to, with nothing to return.
+   *
+   * @return milliseconds, 0 while no answer is due
+   */
+  public long millisOverdue() {
+    return Math.max(0, timers.nowMillis() - answerDueMillis);
+  }
+
   /**
    * Returns how many records could not be read.
    *
@@ -181,6 +192,9 @@
     giveUpRead();
     long read = currentRead;
     long sentMillis = timers.nowMillis();
+    Duration wait = caughtUp ? settings.longPoll() : Duration.ZERO;
+    // A read that follows a failed one is due since that was.
+    answerDueMillis = Math.min(answerDueMillis, sentMillis + wait.toMillis());
     // A connection can go silent for good. The service answers within the wait it was given, so an
     // answer that is overdue by the margin is not coming; a new read goes out on a new call.
     timer =
@@ -188,11 +202,7 @@
             settings.longPoll().plus(settings.answerMargin()),
             () -> onFailure(read, "no answer", null));
     call =
-        log.read(
-                stream,
-                nextOffset,
-                settings.pageRecords(),
-                caughtUp ? settings.longPoll() : Duration.ZERO)
+        log.read(stream, nextOffset, settings.pageRecords(), wait)
             .subscribe()
             .with(
                 page -> control.execute(() -> onPage(read, sentMillis, page)),
@@ -215,6 +225,7 @@
       }
     }
     nextOffset = page.nextOffset();
+    answerDueMillis = Long.MAX_VALUE;
     backoff.reset();
     if (page.records().size() < settings.pageRecords()) {
       caughtUp = true;
--- a/daemon/src/main/java/org/hickorypier/daemon/permit/PermitService.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/permit/PermitService.java
@@ -49,8 +49,8 @@
   /** Between the events that plan at once, this brings back idle permits and follows digests. */
   private static final Duration PLAN_PERIOD = Duration.ofSeconds(1);
 
-  /** A long poll of the log is answered within two seconds; past this age it is silent. */
-  private static final long LOG_SILENT_MILLIS = 3_000;
+  /** An answer of the log that is overdue for so long is not about to come. */
+  private static final long LOG_SILENT_MILLIS = 1_000;
 
   private final LocalPermits local;
   private final PermitWork work;
@@ -62,7 +62,7 @@
   private final Map<String, Long> pendingWords = new HashMap<>();
   private LogAppender<PermitRecord> appender;
   private LongConsumer seek = offset -> {};
-  private LongSupplier logAgeMillis = () -> 0;
+  private LongSupplier logOverdueMillis = () -> 0;
   private Runnable fencedListener = () -> {};
   private boolean fenced;
 
@@ -90,7 +90,7 @@
   public void connect(LogAppender<PermitRecord> log, LogFollower<PermitRecord> follower) {
     appender = log;
     seek = follower::seek;
-    logAgeMillis = follower::millisSinceHeard;
+    logOverdueMillis = follower::millisOverdue;
   }
 
   /**
@@ -292,7 +292,7 @@
   // of asking, whether it arrives or not; an instance that gave idle permits up in an outage could
   // start nothing until its end.
   private void plan(String team) {
-    if (logAgeMillis.getAsLong() > LOG_SILENT_MILLIS) {
+    if (logOverdueMillis.getAsLong() > LOG_SILENT_MILLIS) {
       use(team);
       return;
     }
--- a/daemon/src/test/java/org/hickorypier/daemon/log/FakeLogService.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/log/FakeLogService.java
@@ -48,6 +48,7 @@
   private final Deque<AppendFault> faults = new ArrayDeque<>();
   private boolean down;
   private boolean silent;
+  private Duration lag = Duration.ZERO;
   private int appendCalls;
   private int readCalls;
   private int largestBatch;
@@ -78,6 +79,11 @@
     }
   }
 
+  /** Has reads with nothing to return answered later than they ask for. */
+  void setLag(Duration lag) {
+    this.lag = lag;
+  }
+
   void expireBefore(String stream, int offset) {
     oldest.put(stream, offset);
   }
@@ -153,7 +159,7 @@
               }
               Poll poll = new Poll(stream, from, limit, emitter);
               polls.add(poll);
-              timers.after(wait, () -> answer(poll, true));
+              timers.after(wait.plus(lag), () -> answer(poll, true));
               answer(poll, false);
             });
   }
--- a/daemon/src/test/java/org/hickorypier/daemon/log/LogFollowerTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/log/LogFollowerTest.java
@@ -7,6 +7,7 @@
 
 class LogFollowerTest {
 
+  private static final Duration LAG = Duration.ofMillis(20);
   private static final Duration BOUND = Duration.ofSeconds(8);
 
   private final LogTestBench bench = new LogTestBench();
@@ -43,6 +44,32 @@
     assertThat(bench.follower.millisSinceHeard()).isLessThan(BOUND.toMillis());
   }
 
+  /** Guards against a quiet log that passes for one that does not answer, just before it does. */
+  @Test
+  void quietLogOwesNoAnswer() {
+    bench.log.setLag(LAG);
+    bench.follower.start(0);
+    bench.timers.advance(BOUND);
+
+    for (int step = 0; step < 2_000; step++) {
+      bench.timers.advance(Duration.ofMillis(10));
+      assertThat(bench.follower.millisOverdue()).isLessThanOrEqualTo(LAG.toMillis());
+    }
+  }
+
+  @Test
+  void logThatAnswersNoReadIsOverdue() {
+    bench.follower.start(0);
+    bench.put("a");
+    bench.log.setSilent(true);
+    bench.timers.advance(Duration.ofSeconds(30));
+    assertThat(bench.follower.millisOverdue()).isGreaterThan(25_000);
+
+    bench.log.setSilent(false);
+    bench.timers.advance(BOUND);
+    assertThat(bench.follower.millisOverdue()).isZero();
+  }
+
   // The connection goes silent for good in the middle of a read: no error and no answer. New
   // connections work. The read is given up after its time and the record arrives with the next one.
   @Test
