404, and 'no instance knows it', are said only by who can know

JobServiceTest.jobIsNotSaidToBeUnknownBeforeTheJournalIsRead failed before by its 404. Left: an instance that is some milliseconds behind the log's end may still answer 404 for a job accepted through another one in that moment.

--- a/daemon/src/main/java/org/hickorypier/daemon/cluster/FleetWork.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/cluster/FleetWork.java
@@ -2,6 +2,7 @@
 
 import io.smallrye.mutiny.Uni;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.hickorypier.core.journal.AttemptKey;
@@ -12,6 +13,8 @@
 import org.hickorypier.daemon.job.JobService;
 import org.hickorypier.daemon.job.JournalService;
 import org.hickorypier.daemon.operator.CancelOutcome;
+import org.hickorypier.daemon.operator.OperatorFailureException;
+import org.hickorypier.daemon.operator.OperatorFailureKind;
 import org.hickorypier.daemon.operator.WorkCanceller;
 import org.hickorypier.daemon.operator.WorkExplainer;
 import org.hickorypier.daemon.time.TimerService;
@@ -76,8 +79,26 @@
     if (cancelHere(key)) {
       return Uni.createFrom().item(CancelOutcome.CANCELLED);
     }
-    return firstAnswer(QuestionKind.CANCEL, key)
-        .map(found -> found.isPresent() ? CancelOutcome.CANCELLED : CancelOutcome.NOT_FOUND);
+    return cluster
+        .askAll(cluster.listedOthers(), QuestionKind.CANCEL, key.toString())
+        .flatMap(this::cancelledThere);
+  }
+
+  // An instance that gives no answer, or that is gone with tasks still to be found, may have it.
+  private Uni<CancelOutcome> cancelledThere(List<PeerReply> replies) {
+    if (firstText(replies).isPresent()) {
+      return Uni.createFrom().item(CancelOutcome.CANCELLED);
+    }
+    boolean allAnswered = replies.stream().allMatch(reply -> reply.text().isPresent());
+    if (allAnswered && jobs.hasReadAll()) {
+      return Uni.createFrom().item(CancelOutcome.NOT_FOUND);
+    }
+    return Uni.createFrom()
+        .failure(
+            new OperatorFailureException(
+                OperatorFailureKind.UNKNOWN_FATE,
+                "not every instance can tell whether it has the work; repeat it, that is"
+                    + " harmless"));
   }
 
   @Override
@@ -107,14 +128,14 @@
   }
 
   private Uni<Optional<String>> firstAnswer(QuestionKind kind, WorkKey key) {
-    return cluster
-        .askAll(cluster.liveOthers(), kind, key.toString())
-        .map(
-            replies ->
-                replies.stream()
-                    .flatMap(reply -> reply.text().stream())
-                    .filter(text -> !text.isEmpty())
-                    .findFirst());
+    return cluster.askAll(cluster.liveOthers(), kind, key.toString()).map(FleetWork::firstText);
+  }
+
+  private static Optional<String> firstText(List<PeerReply> replies) {
+    return replies.stream()
+        .flatMap(reply -> reply.text().stream())
+        .filter(text -> !text.isEmpty())
+        .findFirst();
   }
 
   private static Uni<byte[]> reply(String text) {
--- a/daemon/src/main/java/org/hickorypier/daemon/job/JobService.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/job/JobService.java
@@ -80,7 +80,7 @@
     if (known.isPresent()) {
       return Uni.createFrom().item(view(known.get()));
     }
-    if (reading.get() != JournalReading.CURRENT) {
+    if (!hasReadAll()) {
       return Uni.createFrom().failure(logSilent());
     }
     Accepted record = record(submission, true);
@@ -92,16 +92,32 @@
    *
    * @param key the job
    * @return where it stands
-   * @throws DeniedException if there is no such job
+   * @throws DeniedException if there is no such job, or if the journal is not read far enough to
+   *     tell
    */
   public JobView find(WorkKey key) throws DeniedException {
     Optional<JournalEntry> entry = journal.journal().find(key);
+    if (entry.isEmpty() && !hasReadAll()) {
+      throw new DeniedException(
+          DenialKind.UNAVAILABLE,
+          "this instance has not read the journal to its end",
+          RETRY_AFTER_MILLIS);
+    }
     if (entry.isEmpty() || !entry.get().accepted().job()) {
       throw new DeniedException(DenialKind.NOT_FOUND, "no job " + key.requestId(), 0);
     }
     return view(entry.get());
   }
 
+  /**
+   * Tells whether work that the journal here does not hold was not accepted.
+   *
+   * @return false after a start, and while the log does not answer
+   */
+  public boolean hasReadAll() {
+    return reading.get() == JournalReading.CURRENT;
+  }
+
   /**
    * Cancels a job. Idempotent.
    *
@@ -193,7 +209,7 @@
         NEXT_ATTEMPT,
         () -> {
           boolean closed = entry.tasks().get(0).open().isEmpty();
-          if (closed && reading.get() == JournalReading.CURRENT) {
+          if (closed && hasReadAll()) {
             again(entry, submission, answer);
           } else {
             attemptAnswered(entry, submission, result, answer);
