A new home learns when a caller first asked; a caller hears in time that no home can tell

Any instance that the caller asked, as home or on the way there, remembers its first try, and tells it with what it knows of the work when the new home asks.

The entry now answers after 5 s, and the answer names the instances that cannot tell.

HomeRoutingTest.callerHearsInTimeThatNoHomeCanTell failed before.

--- a/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
@@ -115,6 +115,8 @@
   private final HomeHistory history;
   private final HistoryExchange historyExchange;
   private final HomeIntake intake;
+  private final FirstTries firstTries =
+      new FirstTries(DaemonConstants.ANSWER_KEEP_MILLIS, DaemonConstants.RECENT_REQUESTS_LIMIT);
   private final JournalService journal = new JournalService();
   private final LogStream<JournalRecord> journalStream;
   private final AttemptRecorder recorder;
@@ -284,8 +286,7 @@
             control,
             fleet::isComplete,
             DaemonConstants.ANSWER_KEEP_MILLIS,
-            new FirstTries(
-                DaemonConstants.ANSWER_KEEP_MILLIS, DaemonConstants.RECENT_REQUESTS_LIMIT),
+            firstTries,
             (submission, answer) -> jobs().runOnce(submission, answer));
     recorder = new AttemptRecorder(journal, fleet, control, control, self);
     JobScope scope = new ClusterJobScope(cluster, readiness, dispatcher, requests);
@@ -317,7 +318,7 @@
     Router router = Router.router(vertx);
     HomeRouting routing = new HomeRouting(cluster, intake::submit, control, control);
     EntryService entry =
-        new EntryService(control, control, configuration, readiness, routing, jobs);
+        new EntryService(control, control, configuration, readiness, routing, firstTries, jobs);
     new CallerApi(
             entry,
             new CallerRequestParser(settings.deadlineDefaultMillis()),
--- a/daemon/src/main/java/org/hickorypier/daemon/cluster/HomeIntake.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/cluster/HomeIntake.java
@@ -95,7 +95,9 @@
    */
   public Uni<byte[]> knows(String text) {
     KnowsQuestion question = KnowsQuestion.parse(text);
-    return Uni.createFrom().item(Cluster.bytes(knowledge(question).wireName()));
+    long triedFor = firstTries.triedForMillis(question.key(), timers.nowMillis());
+    KnowsReply reply = new KnowsReply(cluster.own().name(), knowledge(question), triedFor);
+    return Uni.createFrom().item(Cluster.bytes(reply.text()));
   }
 
   private WorkKnowledge knowledge(KnowsQuestion question) {
@@ -170,34 +172,35 @@
   }
 
   private void ask(
-      KnowsQuestion question, Collection<String> instances, Consumer<List<PeerReply>> told) {
+      KnowsQuestion question, Collection<String> instances, Consumer<List<KnowsReply>> told) {
     cluster
         .askAll(instances, QuestionKind.KNOWS, question.text())
         .subscribe()
-        .with(replies -> control.execute(() -> told.accept(replies)));
+        .with(
+            replies ->
+                control.execute(() -> told.accept(replies.stream().map(KnowsReply::of).toList())));
   }
 
-  private void decide(Submission submission, Consumer<WorkResult> answer, List<PeerReply> replies) {
+  private void decide(Submission asked, Consumer<WorkResult> answer, List<KnowsReply> replies) {
+    Submission submission = withFirstTry(asked, replies);
     Optional<String> holder =
         replies.stream()
-            .filter(reply -> WorkKnowledge.of(reply) == WorkKnowledge.KNOWN)
-            .map(PeerReply::instance)
+            .filter(reply -> reply.knowledge() == WorkKnowledge.KNOWN)
+            .map(KnowsReply::instance)
             .findFirst();
-    boolean incomplete =
-        !workersComplete.getAsBoolean()
-            || replies.stream()
-                .anyMatch(reply -> WorkKnowledge.of(reply) == WorkKnowledge.INCOMPLETE);
+    Set<String> searching = searching(replies);
     if (holder.isPresent()) {
       cluster
           .join(holder.get(), submission)
           .subscribe()
           .with(result -> control.execute(() -> answer.accept(result)));
-    } else if (incomplete) {
+    } else if (!searching.isEmpty()) {
       answer.accept(
           new WorkResult.Unsettled(
               new Refusal(
                   RefusalReason.NOT_READY,
-                  "an instance has changed and its work is being found again",
+                  "an instance has changed and its work is being found again by "
+                      + String.join(", ", searching),
                   RETRY_AFTER_MILLIS)));
     } else {
       boolean first = isFirstTry(submission.item().key(), replies);
@@ -205,13 +208,32 @@
     }
   }
 
+  /** Returns the instances that cannot tell yet. */
+  private Set<String> searching(List<KnowsReply> replies) {
+    Set<String> searching = new TreeSet<>();
+    replies.stream()
+        .filter(reply -> reply.knowledge() == WorkKnowledge.INCOMPLETE)
+        .forEach(reply -> searching.add(reply.instance()));
+    if (!workersComplete.getAsBoolean()) {
+      searching.add(cluster.own().name());
+    }
+    return searching;
+  }
+
+  // The caller may have asked elsewhere before, and keeps its place by that.
+  private Submission withFirstTry(Submission submission, List<KnowsReply> replies) {
+    long longest = replies.stream().mapToLong(KnowsReply::triedForMillis).max().orElse(0);
+    long first = Math.min(submission.item().firstTriedMillis(), timers.nowMillis() - longest);
+    return submission.firstTriedAt(first);
+  }
+
   // Nothing of it runs now. That no earlier try has run and ended is certain only if every home of
   // the time in which its caller may come back says so for itself.
-  private boolean isFirstTry(WorkKey key, List<PeerReply> replies) {
+  private boolean isFirstTry(WorkKey key, List<KnowsReply> replies) {
     FormerHomes lately = lately(key);
     Set<String> unsure = new TreeSet<>(lately.others());
     replies.stream()
-        .filter(reply -> WorkKnowledge.of(reply) == WorkKnowledge.NEVER_TAKEN)
+        .filter(reply -> reply.knowledge() == WorkKnowledge.NEVER_TAKEN)
         .forEach(reply -> unsure.remove(reply.instance()));
     return lately.complete() && !lately.ownEarlierLife() && unsure.isEmpty();
   }
--- a/daemon/src/main/java/org/hickorypier/daemon/cluster/WorkKnowledge.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/cluster/WorkKnowledge.java
@@ -1,7 +1,5 @@
 package org.hickorypier.daemon.cluster;
 
-import java.util.Locale;
-
 /** What an instance can say of work that another one asks after, from the least to the most. */
 enum WorkKnowledge {
   /** Tasks of a lost instance are still being found; nothing can be said. */
@@ -11,19 +9,5 @@
   /** It was not taken in there for as long as callers come back. */
   NEVER_TAKEN,
   /** It waits or runs there, or was answered there lately. */
-  KNOWN;
-
-  String wireName() {
-    return name().toLowerCase(Locale.ROOT);
-  }
-
-  /** Reads a reply; one that is missing or of another version says nothing. */
-  static WorkKnowledge of(PeerReply reply) {
-    for (WorkKnowledge knowledge : values()) {
-      if (reply.text().orElse("").equals(knowledge.wireName())) {
-        return knowledge;
-      }
-    }
-    return INCOMPLETE;
-  }
+  KNOWN
 }
--- a/daemon/src/main/java/org/hickorypier/daemon/entry/EntryService.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/entry/EntryService.java
@@ -16,6 +16,7 @@
 import org.hickorypier.daemon.configuration.ConfigurationService;
 import org.hickorypier.daemon.job.JobService;
 import org.hickorypier.daemon.time.TimerService;
+import org.hickorypier.daemon.work.FirstTries;
 import org.hickorypier.daemon.work.Submission;
 import org.hickorypier.daemon.work.WorkResult;
 
@@ -33,6 +34,7 @@
   private final ConfigurationService configuration;
   private final Readiness readiness;
   private final HomeRouting routing;
+  private final FirstTries firstTries;
   private final JobService jobs;
 
   /**
@@ -43,6 +45,7 @@
    * @param configuration teams and keys
    * @param readiness whether new work is taken
    * @param routing brings requests to their homes
+   * @param firstTries remembers who came back
    * @param jobs the jobs
    */
   public EntryService(
@@ -51,12 +54,14 @@
       ConfigurationService configuration,
       Readiness readiness,
       HomeRouting routing,
+      FirstTries firstTries,
       JobService jobs) {
     this.control = control;
     this.timers = timers;
     this.configuration = configuration;
     this.readiness = readiness;
     this.routing = routing;
+    this.firstTries = firstTries;
     this.jobs = jobs;
   }
 
@@ -65,7 +70,7 @@
     return onControl(
         emitter -> {
           Submission submission = admitted(presentedKey, request);
-          routing.route(submission, emitter::complete);
+          routing.route(firstTries.note(submission, timers.nowMillis()), emitter::complete);
         });
   }
 
--- a/daemon/src/main/java/org/hickorypier/daemon/entry/HomeRouting.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/entry/HomeRouting.java
@@ -32,6 +32,11 @@
   /** A tenth of the time in which a lost instance is noticed. */
   private static final Duration PAUSE = Duration.ofMillis(150);
 
+  /**
+   * A takeover takes less. Past it the caller hears how things stand, while it may still choose.
+   */
+  private static final long PATIENCE_MILLIS = 5_000;
+
   /** A request that is lost with more instances than these may be what ends them. */
   private static final int LOSSES_LIMIT = 2;
 
@@ -77,12 +82,15 @@
   private final class Route {
 
     private final Consumer<WorkResult> answer;
+    private final long untilMillis;
     private Submission submission;
     private int losses;
 
     Route(Submission submission, Consumer<WorkResult> answer) {
       this.submission = submission;
       this.answer = answer;
+      this.untilMillis =
+          Math.min(submission.item().deadlineMillis(), timers.nowMillis() + PATIENCE_MILLIS);
     }
 
     void go() {
@@ -106,7 +114,8 @@
         submission = submission.afterEarlierTry();
       }
       boolean again = lost ? mayRunAgain() : isPassing(result);
-      boolean inTime = timers.nowMillis() + PAUSE.toMillis() < submission.item().deadlineMillis();
+      long until = lost ? submission.item().deadlineMillis() : untilMillis;
+      boolean inTime = timers.nowMillis() + PAUSE.toMillis() < until;
       if (again && inTime) {
         timers.after(PAUSE, this::go);
       } else {
--- a/daemon/src/main/java/org/hickorypier/daemon/work/FirstTries.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/work/FirstTries.java
@@ -6,7 +6,8 @@
 import org.hickorypier.core.model.WorkKey;
 
 /**
- * Remembers when the callers of this home's requests first asked, whatever became of their tries.
+ * Remembers when callers first asked this instance, as home of their requests or on the way there,
+ * whatever became of their tries.
  *
  * <p>Load: a demand above the capacity, with callers whose tries were refused, or ended as unknown
  * with a lost instance. Harm prevented: whoever comes back would be the newest again.
@@ -50,6 +51,19 @@
     return submission.firstTriedAt(first);
   }
 
+  /**
+   * Tells for how long a caller has been asking.
+   *
+   * @param key the request
+   * @param now the time
+   * @return milliseconds since its first try, 0 if none is known
+   */
+  public long triedForMillis(WorkKey key, long now) {
+    dropOld(now);
+    Tried known = tried.get(key);
+    return known == null ? 0 : now - known.firstMillis;
+  }
+
   private void dropOld(long now) {
     Iterator<Tried> oldest = tried.values().iterator();
     while (oldest.hasNext()) {
--- a/daemon/src/test/java/org/hickorypier/daemon/entry/HomeRoutingTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/entry/HomeRoutingTest.java
@@ -92,6 +92,17 @@
     assertThat(answers).extracting(WorkResult::outcome).containsExactly(Outcome.UNKNOWN);
   }
 
+  /** Guards against a caller who hears nothing until its own patience ends, tries after tries. */
+  @Test
+  void callerHearsInTimeThatNoHomeCanTell() {
+    homes.endless = NO_LINK;
+
+    routing.route(request(true, 60_000), answers::add);
+    timers.advance(Duration.ofSeconds(5));
+
+    assertThat(answers).containsExactly(NO_LINK);
+  }
+
   @Test
   void requestThatCannotBeServedInTimeIsAnsweredAtOnce() {
     WorkResult tooLate = unsettled(RefusalReason.DEADLINE_TOO_NEAR);
@@ -107,6 +118,10 @@
   }
 
   private static Submission request(boolean idempotent) {
+    return request(idempotent, DEADLINE_MILLIS);
+  }
+
+  private static Submission request(boolean idempotent, long deadlineMillis) {
     WorkItem item =
         new WorkItem(
             new WorkKey("norte", "r1"),
@@ -116,7 +131,7 @@
             1,
             idempotent,
             0,
-            DEADLINE_MILLIS,
+            deadlineMillis,
             100);
     return new Submission(item, new byte[0]);
   }
--- a/daemon/src/test/java/org/hickorypier/daemon/work/FirstTriesTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/work/FirstTriesTest.java
@@ -40,6 +40,14 @@
     assertThat(firstTry("r2", 6_000)).isEqualTo(6_000);
   }
 
+  @Test
+  void tellsForHowLongACallerHasBeenAsking() {
+    firstTry("r1", 1_000);
+
+    assertThat(tries.triedForMillis(new WorkKey("norte", "r1"), 4_000)).isEqualTo(3_000);
+    assertThat(tries.triedForMillis(new WorkKey("norte", "r2"), 4_000)).isZero();
+  }
+
   private long firstTry(String requestId, long now) {
     WorkItem item =
         new WorkItem(
