An incarnation opens its ports before it is linked, and waits for a port that is taken

The next incarnation opened its links, was home of its keys, found its port taken, and the process ended by its graceful shutdown, up to 30 s, as a live home that takes nothing.

Change: HTTP port, peer port, then links; a port that is taken is tried for 10 s. IncarnationsTest.incarnationWhosePortIsTakenIsTriedAgain failed before.

--- a/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/Hickoryd.java
@@ -327,14 +327,25 @@
         .mount(router);
     mountOperators(router);
     new HealthRoutes(control, readiness, registry).mount(router);
-    int peerPort = network.start().await().atMost(START_TIMEOUT);
-    control.execute(this::startControl);
     int httpPort = front.listen(router, settings.host(), settings.httpPort());
+    int peerPort = openPeerPort();
+    control.execute(this::startControl);
     DaemonAddress address = new DaemonAddress(settings.name(), settings.host(), httpPort, peerPort);
     LOGGER.log(Level.INFO, "daemon: {0} listens, {1}", self, address);
     return address;
   }
 
+  private int openPeerPort() throws DaemonStartException {
+    try {
+      return network.start().await().atMost(START_TIMEOUT);
+    } catch (RuntimeException error) {
+      front.stop(Duration.ZERO);
+      control.close();
+      throw new DaemonStartException(
+          "cannot listen on " + settings.host() + ":" + settings.peerPort(), error);
+    }
+  }
+
   private void mountOperators(Router router) {
     OperatorDesk desk =
         new OperatorDesk(settings, control, cluster, digests, configuration, readiness);
--- a/daemon/src/main/java/org/hickorypier/daemon/HickorydMain.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/HickorydMain.java
@@ -1,6 +1,7 @@
 package org.hickorypier.daemon;
 
 import java.util.List;
+import java.util.concurrent.locks.LockSupport;
 import org.hickorypier.daemon.logging.LogSetup;
 import org.hickorypier.daemon.settings.DaemonSettings;
 import org.hickorypier.daemon.settings.SettingsException;
@@ -51,6 +52,7 @@
                 new Hickoryd(settings.withPorts(httpPort, peerPort), number, onFenced),
             System::currentTimeMillis,
             renewal -> renewalThread(renewal).start(),
+            time -> LockSupport.parkNanos(time.toNanos()),
             HickorydMain::notStarted);
     Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(daemon), "shutdown"));
     try {
--- a/daemon/src/main/java/org/hickorypier/daemon/HttpFront.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/HttpFront.java
@@ -45,6 +45,7 @@
       server = opened.listen(port, host).toCompletionStage().toCompletableFuture().get();
       return server.actualPort();
     } catch (ExecutionException | InterruptedException error) {
+      await(vertx.close(), CLOSE_LIMIT, "connections were still open at the end");
       throw new DaemonStartException("cannot listen on " + host + ":" + port, error);
     }
   }
--- a/daemon/src/main/java/org/hickorypier/daemon/Incarnation.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/Incarnation.java
@@ -4,7 +4,7 @@
 interface Incarnation extends AutoCloseable {
 
   /**
-   * Starts everything.
+   * Starts everything, or nothing: no other instance hears of one that could not open its ports.
    *
    * @return where it listens
    * @throws DaemonStartException if a port cannot be opened
--- a/daemon/src/main/java/org/hickorypier/daemon/Incarnations.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/Incarnations.java
@@ -2,6 +2,7 @@
 
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.time.Duration;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -19,6 +20,14 @@
 
   private static final Logger LOGGER = System.getLogger(Incarnations.class.getName());
 
+  /**
+   * Between the end of an incarnation and the start of the next its ports are free, and any
+   * connection that leaves this machine may be given one of them for a while.
+   */
+  private static final Duration TRY_AGAIN = Duration.ofMillis(100);
+
+  private static final int TRIES = 100;
+
   /** Makes an incarnation. */
   @FunctionalInterface
   interface Factory {
@@ -38,6 +47,7 @@
   private final Factory factory;
   private final LongSupplier wallClock;
   private final Executor renewer;
+  private final Consumer<Duration> pause;
   private final Consumer<Exception> failed;
   private Incarnation current;
   private DaemonAddress address;
@@ -50,13 +60,19 @@
    * @param factory makes the incarnations
    * @param wallClock numbers them, in milliseconds
    * @param renewer runs the changes from one to the next, which block
+   * @param pause blocks its caller for a time
    * @param failed hears if a later incarnation could not be started
    */
   Incarnations(
-      Factory factory, LongSupplier wallClock, Executor renewer, Consumer<Exception> failed) {
+      Factory factory,
+      LongSupplier wallClock,
+      Executor renewer,
+      Consumer<Duration> pause,
+      Consumer<Exception> failed) {
     this.factory = factory;
     this.wallClock = wallClock;
     this.renewer = renewer;
+    this.pause = pause;
     this.failed = failed;
   }
 
@@ -103,6 +119,15 @@
     }
     LOGGER.log(Level.WARNING, "daemon: {0} starts anew", address.name());
     current.abandon();
+    for (int tried = 1; tried < TRIES; tried++) {
+      try {
+        startNext(address.httpPort(), address.peerPort());
+        return;
+      } catch (DaemonStartException error) {
+        LOGGER.log(Level.WARNING, "daemon: not started yet: {0}", error.getMessage());
+        pause.accept(TRY_AGAIN);
+      }
+    }
     startNext(address.httpPort(), address.peerPort());
   }
 }
--- a/daemon/src/test/java/org/hickorypier/daemon/IncarnationsTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/IncarnationsTest.java
@@ -18,8 +18,14 @@
   private final List<Exception> failures = new ArrayList<>();
   private long wallMillis = 1_000;
   private boolean isBroken;
+  private int takenTries;
   private final Incarnations incarnations =
-      new Incarnations(this::create, () -> wallMillis, renewals::add, failures::add);
+      new Incarnations(
+          this::create,
+          () -> wallMillis,
+          renewals::add,
+          time -> events.add("waits"),
+          failures::add);
 
   @BeforeEach
   void start() throws DaemonStartException {
@@ -78,6 +84,28 @@
     assertThat(failures).hasSize(1);
   }
 
+  /** Guards against an instance that ends for good since its port was taken for a moment. */
+  @Test
+  void incarnationWhosePortIsTakenIsTriedAgain() {
+    takenTries = 2;
+
+    fence(0);
+
+    assertThat(failures).isEmpty();
+    assertThat(events)
+        .containsExactly("1000 abandoned", "waits", "waits", "1003 on 40001 and 40002");
+  }
+
+  /** Guards against a process that stays without ever serving again. */
+  @Test
+  void incarnationWhosePortStaysTakenIsReported() {
+    takenTries = Integer.MAX_VALUE;
+
+    fence(0);
+
+    assertThat(failures).hasSize(1);
+  }
+
   @Test
   void nothingStartsAfterTheShutdown() {
     incarnations.close();
@@ -101,7 +129,11 @@
     fences.add(onFenced);
     return new Incarnation() {
       @Override
-      public DaemonAddress start() {
+      public DaemonAddress start() throws DaemonStartException {
+        if (takenTries > 0) {
+          takenTries--;
+          throw new DaemonStartException("cannot listen", null);
+        }
         events.add(number + " on " + httpPort + " and " + peerPort);
         return new DaemonAddress("entry-1", "127.0.0.1", HTTP_PORT, PEER_PORT);
       }
