A former home that started anew is not enough to ask

Found by reading the diff of the mends: a home whose former home lives asked that one alone. If it had started anew since, it knows nothing of tasks that its earlier life started and that others have adopted; a run longer than the minute in which callers come back could be repeated beside itself.

Change: a former home answers for its whole time or says only that nothing runs there; then all live instances are asked.

--- a/daemon/src/main/java/org/hickorypier/daemon/cluster/HomeIntake.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/cluster/HomeIntake.java
@@ -1,10 +1,8 @@
 package org.hickorypier.daemon.cluster;
 
 import io.smallrye.mutiny.Uni;
-import java.util.Collection;
 import java.util.Collections;
 import java.util.List;
-import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.Executor;
@@ -112,9 +110,10 @@
     return neverTaken(question.key()) ? WorkKnowledge.NEVER_TAKEN : WorkKnowledge.NOT_RUNNING;
   }
 
+  // What an earlier life of this instance started may run for longer than callers come back.
   private boolean neverTaken(WorkKey key) {
-    FormerHomes lately = lately(key);
-    return lately.complete() && !lately.ownEarlierLife() && work.neverTaken(key);
+    FormerHomes former = history.formerHomes(key.toString(), timers.nowMillis());
+    return lately(key).complete() && !former.ownEarlierLife() && work.neverTaken(key);
   }
 
   private FormerHomes lately(WorkKey key) {
@@ -149,9 +148,7 @@
     if (former.none()) {
       run(submission, answer);
     } else {
-      Set<String> gone = new TreeSet<>(former.others());
-      gone.removeAll(cluster.live());
-      ask(new KnowsQuestion(key, gone), whom(former), told -> decide(submission, answer, told));
+      ask(submission, former, whom(former), answer);
     }
   }
 
@@ -165,51 +162,64 @@
   }
 
   /** An earlier life of an instance may have left tasks on any worker, so that all are asked. */
-  private Collection<String> whom(FormerHomes former) {
+  private Set<String> whom(FormerHomes former) {
     boolean allLive = cluster.live().containsAll(former.others());
     boolean suffices = former.complete() && !former.ownEarlierLife() && allLive;
     return suffices ? former.others() : cluster.liveOthers();
   }
 
   private void ask(
-      KnowsQuestion question, Collection<String> instances, Consumer<List<KnowsReply>> told) {
+      Submission submission,
+      FormerHomes former,
+      Set<String> instances,
+      Consumer<WorkResult> answer) {
+    Set<String> gone = new TreeSet<>(former.others());
+    gone.removeAll(cluster.live());
+    KnowsQuestion question = new KnowsQuestion(submission.item().key(), gone);
+    boolean asksAll = instances.equals(cluster.liveOthers());
     cluster
         .askAll(instances, QuestionKind.KNOWS, question.text())
         .subscribe()
         .with(
             replies ->
-                control.execute(() -> told.accept(replies.stream().map(KnowsReply::of).toList())));
+                control.execute(
+                    () -> {
+                      List<KnowsReply> told = replies.stream().map(KnowsReply::of).toList();
+                      told(withFirstTry(submission, told), former, asksAll, told, answer);
+                    }));
+  }
+
+  private void told(
+      Submission submission,
+      FormerHomes former,
+      boolean askedAll,
+      List<KnowsReply> replies,
+      Consumer<WorkResult> answer) {
+    FormerHomes lately = lately(submission.item().key());
+    switch (TakeInRule.decide(lately, askedAll, workersComplete.getAsBoolean(), replies)) {
+      case JOIN -> join(submission, replies, answer);
+      case WAIT -> answer.accept(notYet(replies));
+      case ASK_ALL -> ask(submission, former, cluster.liveOthers(), answer);
+      case RUN_AFTER_EARLIER_TRY -> run(submission.afterEarlierTry(), answer);
+      case RUN -> run(submission, answer);
+      default -> throw new IllegalStateException("unknown step");
+    }
   }
 
-  private void decide(Submission asked, Consumer<WorkResult> answer, List<KnowsReply> replies) {
-    Submission submission = withFirstTry(asked, replies);
-    Optional<String> holder =
+  private void join(Submission submission, List<KnowsReply> replies, Consumer<WorkResult> answer) {
+    String holder =
         replies.stream()
             .filter(reply -> reply.knowledge() == WorkKnowledge.KNOWN)
             .map(KnowsReply::instance)
-            .findFirst();
-    Set<String> searching = searching(replies);
-    if (holder.isPresent()) {
-      cluster
-          .join(holder.get(), submission)
-          .subscribe()
-          .with(result -> control.execute(() -> answer.accept(result)));
-    } else if (!searching.isEmpty()) {
-      answer.accept(
-          new WorkResult.Unsettled(
-              new Refusal(
-                  RefusalReason.NOT_READY,
-                  "an instance has changed and its work is being found again by "
-                      + String.join(", ", searching),
-                  RETRY_AFTER_MILLIS)));
-    } else {
-      boolean first = isFirstTry(submission.item().key(), replies);
-      run(first ? submission : submission.afterEarlierTry(), answer);
-    }
+            .findFirst()
+            .orElseThrow();
+    cluster
+        .join(holder, submission)
+        .subscribe()
+        .with(result -> control.execute(() -> answer.accept(result)));
   }
 
-  /** Returns the instances that cannot tell yet. */
-  private Set<String> searching(List<KnowsReply> replies) {
+  private WorkResult notYet(List<KnowsReply> replies) {
     Set<String> searching = new TreeSet<>();
     replies.stream()
         .filter(reply -> reply.knowledge() == WorkKnowledge.INCOMPLETE)
@@ -217,7 +227,11 @@
     if (!workersComplete.getAsBoolean()) {
       searching.add(cluster.own().name());
     }
-    return searching;
+    String detail =
+        "an instance has changed and its work is being found again by "
+            + String.join(", ", searching);
+    return new WorkResult.Unsettled(
+        new Refusal(RefusalReason.NOT_READY, detail, RETRY_AFTER_MILLIS));
   }
 
   // The caller may have asked elsewhere before, and keeps its place by that.
@@ -226,15 +240,4 @@
     long first = Math.min(submission.item().firstTriedMillis(), timers.nowMillis() - longest);
     return submission.firstTriedAt(first);
   }
-
-  // Nothing of it runs now. That no earlier try has run and ended is certain only if every home of
-  // the time in which its caller may come back says so for itself.
-  private boolean isFirstTry(WorkKey key, List<KnowsReply> replies) {
-    FormerHomes lately = lately(key);
-    Set<String> unsure = new TreeSet<>(lately.others());
-    replies.stream()
-        .filter(reply -> reply.knowledge() == WorkKnowledge.NEVER_TAKEN)
-        .forEach(reply -> unsure.remove(reply.instance()));
-    return lately.complete() && !lately.ownEarlierLife() && unsure.isEmpty();
-  }
 }
