An instance that appears is asked what it took in before it had a link

An instance that had read its list before the others stood on it took its view, itself alone, for the whole history, and what another took in while it was alone as well was known to nobody.

Change: every instance that appears, or whose link comes back, tells its views once; until it has, nothing is certain and all are asked. Views of others that began after this one's start count too, but not as an earlier life of this one. HomeHistoryTest.instanceThatAppearsTellsWhatItTookInAlone failed before.

--- a/core/src/main/java/org/hickorypier/core/membership/HomeHistory.java
+++ b/core/src/main/java/org/hickorypier/core/membership/HomeHistory.java
@@ -37,6 +37,10 @@
   private final long interruptionMillis;
   private final Deque<View> views = new ArrayDeque<>();
   private final Map<Set<String>, View> learned = new HashMap<>();
+
+  /** Views of others since this instance notes, such as that of one that had no link yet. */
+  private final Map<Set<String>, View> beside = new HashMap<>();
+
   private final Set<String> heard = new HashSet<>();
   private final Map<String, Lost> lostWith = new HashMap<>();
   private long unbrokenSinceMillis;
@@ -116,11 +120,14 @@
    */
   public void learn(String instance, HomeViews told, long now) {
     heard.add(instance);
-    for (HomeViews.View view : told.views()) {
-      if (now - view.sinceMillis() <= unbrokenSinceMillis) {
-        View past = new View(Set.copyOf(view.candidates()), now - view.sinceMillis());
-        past.endedMillis = Math.min(now - view.endedMillis(), unbrokenSinceMillis);
-        learned.merge(past.candidates, past, View::join);
+    for (HomeViews.View past : told.views()) {
+      View view = new View(Set.copyOf(past.candidates()), now - past.sinceMillis());
+      view.endedMillis = now - past.endedMillis();
+      if (view.sinceMillis <= unbrokenSinceMillis) {
+        view.endedMillis = Math.min(view.endedMillis, unbrokenSinceMillis);
+        learned.merge(view.candidates, view, View::join);
+      } else {
+        beside.merge(view.candidates, view, View::join);
       }
     }
     boolean ever = told.knownForMillis() == HomeViews.EVER;
@@ -129,15 +136,18 @@
   }
 
   /**
-   * Returns which instances are still to be heard.
+   * Returns which instances are still to be heard. Until they are nothing is certain: one that has
+   * just appeared may have been home by its own view alone.
    *
    * @param others the other instances that look live
-   * @return those that have not told yet what they know; none once all have
+   * @return those that have not told yet what they know
    */
   public Set<String> unheard(Set<String> others) {
+    heard.retainAll(others);
     Set<String> missing = new TreeSet<>(others);
     missing.removeAll(heard);
-    return taughtByAll ? Set.of() : missing;
+    taughtByAll &= missing.isEmpty();
+    return missing;
   }
 
   /** Notes that every other instance has told what it knows. */
@@ -197,6 +207,7 @@
     forget(now);
     Set<String> homes = new TreeSet<>();
     addHomes(homes, views, key, now - backMillis);
+    addHomes(homes, beside.values(), key, now - backMillis);
     Lost lost = lostWith.get(key);
     if (lost != null && lost.sinceMillis >= now - backMillis) {
       homes.add(lost.instance);
@@ -248,6 +259,8 @@
     // What was noted belongs to the time before now, like what the others will tell.
     views.forEach(view -> learned.merge(view.candidates, view, View::join));
     views.clear();
+    beside.forEach((candidates, view) -> learned.merge(candidates, view, View::join));
+    beside.clear();
     heard.clear();
     taughtByAll = false;
     unbrokenSinceMillis = now;
@@ -258,6 +271,7 @@
   private void forget(long now) {
     lostWith.values().removeIf(lost -> now - lost.sinceMillis > keepMillis);
     learned.values().removeIf(view -> now - view.endedMillis > keepMillis);
+    beside.values().removeIf(view -> now - view.endedMillis > keepMillis);
     while (views.size() > 1 && now - views.peekFirst().endedMillis > keepMillis) {
       views.removeFirst();
     }
--- a/core/src/test/java/org/hickorypier/core/membership/HomeHistoryTest.java
+++ b/core/src/test/java/org/hickorypier/core/membership/HomeHistoryTest.java
@@ -89,6 +89,27 @@
     assertThat(history.formerHomes("norte/r1", START_MILLIS, KEEP_MILLIS / 4).complete()).isTrue();
   }
 
+  /** Guards against a second run of what an instance took in before it had a link to this one. */
+  @Test
+  void instanceThatAppearsTellsWhatItTookInAlone() {
+    HomeHistory history = history("entry-1", Set.of("entry-1"));
+    history.nothingBefore();
+    history.taughtByAll();
+    String taken = keyOf("entry-1", BOTH);
+    HomeHistory alone = new HomeHistory("entry-2", KEEP_MILLIS, INTERRUPTION_MILLIS, later(500));
+    alone.note(Set.of("entry-2"), later(500));
+    alone.note(BOTH, later(1_000));
+    history.note(BOTH, later(1_000));
+
+    assertThat(history.unheard(Set.of("entry-2"))).containsExactly("entry-2");
+    assertThat(history.formerHomes(taken, later(1_000)).none()).isFalse();
+    history.learn("entry-2", alone.tell(later(1_100)), later(1_100));
+    history.taughtByAll();
+
+    assertThat(history.formerHomes(taken, later(1_100)).others()).containsExactly("entry-2");
+    assertThat(history.formerHomes(taken, later(1_100)).ownEarlierLife()).isFalse();
+  }
+
   @Test
   void homeOfLongAgoIsForgotten() {
     HomeHistory history = history("entry-1", BOTH);
--- a/daemon/src/main/java/org/hickorypier/daemon/cluster/HistoryExchange.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/cluster/HistoryExchange.java
@@ -76,11 +76,11 @@
   private void look() {
     long now = timers.nowMillis();
     history.note(cluster.candidates(), now);
-    if (history.isTaught(now) || !listRead.getAsBoolean()) {
+    if (!listRead.getAsBoolean()) {
       return;
     }
     Set<String> unheard = history.unheard(cluster.liveOthers());
-    if (unheard.isEmpty()) {
+    if (unheard.isEmpty() && !history.isTaught(now)) {
       if (firstGeneration.getAsBoolean()) {
         history.nothingBefore();
       }
