Revert: whoever has come back is refused only if the estimated wait itself is too long

Why: callers wait 8 s at the most for an answer, and an estimate is off by its margin often enough; a wait in vain costs them a third of their time, a refusal 0.2 s.

--- a/core/src/main/java/org/hickorypier/core/scheduling/Admission.java
+++ b/core/src/main/java/org/hickorypier/core/scheduling/Admission.java
@@ -60,7 +60,7 @@
       String detail = "The team has " + settings.queueLimit() + " items waiting in this class.";
       return refusal(RefusalReason.QUEUE_FULL, detail, retryAfter(wait / 2));
     }
-    long safeWait = (long) (wait * margin(item));
+    long safeWait = (long) (wait * settings.waitMargin());
     if (safeWait > remaining && !mayFindRoomElsewhere(item, team, now)) {
       String detail =
           "The estimated wait is "
@@ -75,13 +75,6 @@
     return Optional.empty();
   }
 
-  // The margin keeps callers from waiting in vain. Whoever has come back keeps its place in the
-  // queue over its tries, so that a wait in vain brings it nearer; being sent away does not.
-  private double margin(WorkItem item) {
-    boolean cameBack = item.firstTriedMillis() < item.submittedMillis();
-    return cameBack ? 1 : settings.waitMargin();
-  }
-
   // While the first of the queue has hardly waited, permits may be on their way from the log and
   // the
   // shifter has not yet looked for room at peers. The estimate knows only own workers and present
