An instance that cannot end its incarnation ends its process, whatever the error

Builds of ours in the tree from which the daemons run had replaced its files. The thread that renews an incarnation caught exceptions, not errors: it ended between the two, and the process stayed as a linked home that takes nothing.

Change: an error of loading classes is reported like any other failure, and the process ends. IncarnationsTest.incarnationThatCannotBeEndedIsReported failed before by the error.

--- a/daemon/src/main/java/org/hickorypier/daemon/HickorydMain.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/HickorydMain.java
@@ -70,8 +70,9 @@
     return thread;
   }
 
-  private static void notStarted(Exception error) {
-    System.err.println("hickoryd: " + error.getMessage());
+  private static void notStarted(Throwable error) {
+    boolean isExpected = error instanceof DaemonStartException;
+    System.err.println("hickoryd: " + (isExpected ? error.getMessage() : error));
     exitCode = EXIT_NOT_STARTED;
     Runtime.getRuntime().exit(EXIT_NOT_STARTED);
   }
--- a/daemon/src/main/java/org/hickorypier/daemon/Incarnations.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/Incarnations.java
@@ -48,7 +48,7 @@
   private final LongSupplier wallClock;
   private final Executor renewer;
   private final Consumer<Duration> pause;
-  private final Consumer<Exception> failed;
+  private final Consumer<Throwable> failed;
   private Incarnation current;
   private DaemonAddress address;
   private long number;
@@ -68,7 +68,7 @@
       LongSupplier wallClock,
       Executor renewer,
       Consumer<Duration> pause,
-      Consumer<Exception> failed) {
+      Consumer<Throwable> failed) {
     this.factory = factory;
     this.wallClock = wallClock;
     this.renewer = renewer;
@@ -108,7 +108,9 @@
   private void renewAfter(long fenced) {
     try {
       renew(fenced);
-    } catch (DaemonStartException | RuntimeException error) {
+    } catch (DaemonStartException | RuntimeException | LinkageError error) {
+      // Also if a class cannot be loaded any more, as when the program's files were replaced: an
+      // instance that stays between two incarnations is a home that takes nothing.
       failed.accept(error);
     }
   }
--- a/daemon/src/test/java/org/hickorypier/daemon/IncarnationsTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/IncarnationsTest.java
@@ -15,10 +15,11 @@
   private final List<String> events = new ArrayList<>();
   private final List<Runnable> fences = new ArrayList<>();
   private final List<Runnable> renewals = new ArrayList<>();
-  private final List<Exception> failures = new ArrayList<>();
+  private final List<Throwable> failures = new ArrayList<>();
   private long wallMillis = 1_000;
   private boolean isBroken;
   private int takenTries;
+  private boolean isUnloadable;
   private final Incarnations incarnations =
       new Incarnations(
           this::create,
@@ -106,6 +107,16 @@
     assertThat(failures).hasSize(1);
   }
 
+  /** Guards against a process that stays as a home which takes nothing, its files replaced. */
+  @Test
+  void incarnationThatCannotBeEndedIsReported() {
+    isUnloadable = true;
+
+    fence(0);
+
+    assertThat(failures).hasSize(1);
+  }
+
   @Test
   void nothingStartsAfterTheShutdown() {
     incarnations.close();
@@ -145,6 +156,9 @@
 
       @Override
       public void abandon() {
+        if (isUnloadable) {
+          throw new NoClassDefFoundError("as the test says");
+        }
         events.add(number + " abandoned");
       }
     };
