--- a/core/src/test/java/org/hickorypier/core/membership/HomeHistoryTest.java
+++ b/core/src/test/java/org/hickorypier/core/membership/HomeHistoryTest.java
@@ -95,7 +95,7 @@
     HomeHistory history = history("entry-1", Set.of("entry-1"));
     history.nothingBefore();
     history.taughtByAll();
-    String taken = keyOf("entry-1", BOTH);
+    final String taken = keyOf("entry-1", BOTH);
     HomeHistory alone = new HomeHistory("entry-2", KEEP_MILLIS, INTERRUPTION_MILLIS, later(500));
     alone.note(Set.of("entry-2"), later(500));
     alone.note(BOTH, later(1_000));
