--- a/daemon/src/test/java/org/hickorypier/daemon/entry/HomeRoutingTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/entry/HomeRoutingTest.java
@@ -50,7 +50,7 @@
   }
 
   @Test
-  void nextHomeLearnsThatALostOneMayHaveRunTheRequest() {
+  void nextHomeLearnsThatTheLostOneMayHaveRunTheRequest() {
     homes.answers.addAll(List.of(LOST, COMPLETED));
 
     routing.route(request(true), answers::add);
--- a/daemon/src/test/java/org/hickorypier/daemon/work/FirstTriesTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/work/FirstTriesTest.java
@@ -41,7 +41,7 @@
   }
 
   @Test
-  void tellsForHowLongACallerHasBeenAsking() {
+  void tellsForHowLongCallersHaveBeenAsking() {
     firstTry("r1", 1_000);
 
     assertThat(tries.triedForMillis(new WorkKey("norte", "r1"), 4_000)).isEqualTo(3_000);
--- a/daemon/src/test/java/org/hickorypier/daemon/work/WorkServiceTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/work/WorkServiceTest.java
@@ -90,7 +90,7 @@
 
   /** Guards against "not run" for a request that ran, and whose answer had no room to be kept. */
   @Test
-  void repeatOfARequestWhoseAnswerWasDroppedIsNotRefusedAsNotRun() {
+  void repeatAfterDroppedAnswerIsNotRefusedAsNotRun() {
     bench.hold(1, 1);
     bench.submit("ran", true);
     bench.end(bench.placed.get(0).taskId(), TaskEnd.COMPLETED);
@@ -109,7 +109,7 @@
 
   /** Guards against "not run" by a home that was paused while others were home of its work. */
   @Test
-  void refusalAfterAPauseIsNotCertain() {
+  void refusalAfterPauseIsNotCertain() {
     bench.hold(1, 1);
     bench.submit("running", true);
     bench.submit("waiting", true);
@@ -122,7 +122,7 @@
 
   /** Guards against a request that waits for ever for the answer of a worker that has left. */
   @Test
-  void requestThatEndedOnAWorkerThatHasLeftIsRunAgain() {
+  void requestThatEndedOnWorkerThatHasLeftIsRunAgain() {
     bench.hold(1, 1);
     bench.findEndOfAnother("ran");
     assertThat(bench.work.knows(new WorkKey(WorkBench.TEAM, "ran"))).isTrue();
