One way to join work in hand; one fixture for the running requests of two tests

JobRunner.join asked whether the work is known and then submitted it, which joins; WorkService.join does both and takes nothing in. Two tests of HomeFailureTest repeated the same posts.

No behaviour and no assertion is changed. Checked: formatter, linter, HomeFailureTest (4), JobServiceTest, WorkServiceTest.

--- a/acceptance/src/test/java/org/hickorypier/acceptance/process/HomeFailureTest.java
+++ b/acceptance/src/test/java/org/hickorypier/acceptance/process/HomeFailureTest.java
@@ -69,12 +69,7 @@
       fleet.awaitControl();
       Callers callers = new Callers(fleet, fleet.createTeam(TEAM, 80));
       List<EntryProcess> entries = fleet.entries();
-      List<RequestForm> forms = new ArrayList<>();
-      for (int number = 0; number < 60; number++) {
-        forms.add(RequestForm.request("r" + number, true, 15_000, 10));
-        callers.post(entries.get(number % 3), forms.get(number));
-      }
-      fleet.until("they run", BOUND, () -> fleet.workers().history().starts().size() >= 60);
+      List<RequestForm> forms = run(fleet, callers, entries.subList(0, 3), 15_000);
 
       EntryProcess newcomer = fleet.startEntry("newcomer");
       fleet.until("it is ready", BOUND, () -> fleet.isReady(newcomer, 1_000));
@@ -94,12 +89,7 @@
       fleet.awaitControl();
       Callers callers = new Callers(fleet, fleet.createTeam(TEAM, 80));
       List<EntryProcess> entries = fleet.entries();
-      List<RequestForm> forms = new ArrayList<>();
-      for (int number = 0; number < 60; number++) {
-        forms.add(RequestForm.request("r" + number, true, 6_000, 10));
-        callers.post(entries.get(number % 2), forms.get(number));
-      }
-      fleet.until("they run", BOUND, () -> fleet.workers().history().starts().size() >= 60);
+      List<RequestForm> forms = run(fleet, callers, entries.subList(0, 2), 6_000);
 
       fleet.killEntry(entries.get(2));
       List<CompletableFuture<CallerAnswer>> repeats = new ArrayList<>();
@@ -117,4 +107,16 @@
       assertThat(fleet.workers().history().overlapping()).isEmpty();
     }
   }
+
+  /** Posts sixty idempotent requests over some instances, and waits until all run. */
+  private static List<RequestForm> run(
+      Fleet fleet, Callers callers, List<EntryProcess> over, int runMillis) throws FleetException {
+    List<RequestForm> forms = new ArrayList<>();
+    for (int number = 0; number < 60; number++) {
+      forms.add(RequestForm.request("r" + number, true, runMillis, 10));
+      callers.post(over.get(number % over.size()), forms.get(number));
+    }
+    fleet.until("they run", BOUND, () -> fleet.workers().history().starts().size() >= 60);
+    return forms;
+  }
 }
--- a/daemon/src/main/java/org/hickorypier/daemon/job/JobRunner.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/job/JobRunner.java
@@ -164,11 +164,7 @@
    * @return false if the attempt is not known here
    */
   boolean join(JournalEntry entry, AttemptKey key, Consumer<WorkResult> answer) {
-    boolean known = work.knows(key.workKey());
-    if (known) {
-      work.submit(new Submission(item(entry, key, 0), entry.accepted().payload()), answer);
-    }
-    return known;
+    return work.join(new Submission(item(entry, key, 0), entry.accepted().payload()), answer);
   }
 
   private void look(JournalEntry entry) {
