Relay start orders through other instances where they would fill the owner's link

Cause: in the small twin of the large deployment each machine has a link of 2 Mbit/s. Each start order carries the whole text of its submission (1.2 KB on average), so some 150 starts a second take 84% of the owner's link; renewals of leases, appends and calls for advice take more than the rest. It does not recover. Ruled out: processors. Change: OrderRelayPolicy (core) compares what the orders would take with the owner's link. Above an eighth of it the first order of each run goes through a linked instance: the one that forwarded the submission, which has its text, or another one, which gets the text once. A repeated order goes directly. The relay sends an order at once or never, under the owner's fencing token, and refuses it if its process was suspended since the link was opened. Instances of earlier versions are not used as relays.

--- a/core/src/main/java/org/hickorypier/core/cell/Run.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Run.java
@@ -84,6 +84,15 @@
     return task == null ? "" : task.checkpoint;
   }
 
+  /**
+   * Returns whether the present order is the first one of the run, not a repetition.
+   *
+   * @return true until the order is sent again
+   */
+  public boolean isFirstOrder() {
+    return orderCopies <= 1;
+  }
+
   boolean isConfirmed() {
     return confirmedAt > 0;
   }
--- a/daemon/src/main/java/org/hickorypier/daemon/link/LinkCodec.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/link/LinkCodec.java
@@ -6,8 +6,12 @@
 import java.util.List;
 import java.util.Map;
 import org.hickorypier.core.cell.RosterCodec;
+import org.hickorypier.core.cell.RunKey;
+import org.hickorypier.core.cell.StartOutcome;
+import org.hickorypier.core.cell.TaskName;
 import org.hickorypier.core.submission.SubmissionCodec;
 import org.hickorypier.core.submission.SubmissionState;
+import org.hickorypier.platform.execution.StartOrder;
 import org.hickorypier.wire.UndecodableException;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
@@ -21,6 +25,7 @@
   /** The lowest type code of a reply; all requests have lower type codes. */
   private static final int ACCEPTED = 11;
 
+  private static final int START_RUN = -1;
   private static final int FORMER_OWNER = 0;
   private static final int SUBMIT = 1;
   private static final int INQUIRE = 2;
@@ -41,6 +46,7 @@
   private static final int FAILED = 18;
   private static final int NOTED = 19;
   private static final int LINES = 20;
+  private static final int STARTED = 21;
 
   private LinkCodec() {}
 
@@ -81,10 +87,14 @@
       packer.packInt(EXPLAIN).packString(explain.id());
     } else if (request instanceof LinkRequest.Introduce introduce) {
       packer.packInt(INTRODUCE).packInt(introduce.strength()).packLong(introduce.ageMillis());
+      packer.packBoolean(introduce.relaysOrders());
     } else if (request instanceof LinkRequest.FormerOwner former) {
       byte[] roster = RosterCodec.encode(former.roster());
       packer.packInt(FORMER_OWNER).packInt(former.epoch());
       packer.packBinaryHeader(roster.length).writePayload(roster);
+    } else if (request instanceof LinkRequest.StartRun start) {
+      packer.packInt(START_RUN);
+      packOrder(packer, start);
     } else if (request instanceof LinkRequest.ProveOwnership) {
       packer.packInt(PROVE_OWNERSHIP);
     } else if (request instanceof LinkRequest.MeasurePace) {
@@ -114,6 +124,8 @@
     } else if (reply instanceof LinkReply.Lines lines) {
       packer.packInt(LINES);
       packStrings(packer, lines.lines());
+    } else if (reply instanceof LinkReply.Started started) {
+      packer.packInt(STARTED).packInt(started.outcome().ordinal());
     } else if (reply instanceof LinkReply.NotOwner) {
       packer.packInt(NOT_OWNER);
     } else if (reply instanceof LinkReply.Failed) {
@@ -123,6 +135,59 @@
     }
   }
 
+  private static void packOrder(MessagePacker packer, LinkRequest.StartRun start)
+      throws IOException {
+    StartOrder order = start.order();
+    TaskName task = order.run().task();
+    packer.packString(order.worker()).packString(order.address());
+    packer.packString(task.submission()).packInt(task.occurrence());
+    packer.packInt(task.step()).packInt(task.index()).packInt(order.run().number());
+    packer.packLong(order.deadlineMillis()).packLong(order.token());
+    packer.packString(order.checkpoint());
+    packOptional(packer, order.ticket());
+    packOptional(packer, start.textIncluded() ? order.text() : null);
+  }
+
+  private static LinkRequest.StartRun unpackOrder(MessageUnpacker unpacker) throws IOException {
+    String worker = unpacker.unpackString();
+    String address = unpacker.unpackString();
+    TaskName task =
+        new TaskName(
+            unpacker.unpackString(),
+            unpacker.unpackInt(),
+            unpacker.unpackInt(),
+            unpacker.unpackInt());
+    RunKey run = new RunKey(task, unpacker.unpackInt());
+    long deadlineMillis = unpacker.unpackLong();
+    long token = unpacker.unpackLong();
+    String checkpoint = unpacker.unpackString();
+    String ticket = unpackOptional(unpacker);
+    String text = unpackOptional(unpacker);
+    StartOrder order =
+        new StartOrder(
+            worker,
+            address,
+            run,
+            text == null ? "" : text,
+            deadlineMillis,
+            token,
+            checkpoint,
+            ticket);
+    return new LinkRequest.StartRun(order, text != null);
+  }
+
+  private static void packOptional(MessagePacker packer, String text) throws IOException {
+    if (text == null) {
+      packer.packNil();
+    } else {
+      packer.packString(text);
+    }
+  }
+
+  private static String unpackOptional(MessageUnpacker unpacker) throws IOException {
+    return unpacker.tryUnpackNil() ? null : unpacker.unpackString();
+  }
+
   private static void packStrings(MessagePacker packer, List<String> texts) throws IOException {
     packer.packArrayHeader(texts.size());
     for (String text : texts) {
@@ -183,9 +248,13 @@
       case PROVE_OWNERSHIP:
         return new LinkRequest.ProveOwnership();
       case INTRODUCE:
-        // Earlier versions do not send the age.
+        // Earlier versions end after the strength or after the age.
         return new LinkRequest.Introduce(
-            unpacker.unpackInt(), unpacker.hasNext() ? unpacker.unpackLong() : 0);
+            unpacker.unpackInt(),
+            unpacker.hasNext() ? unpacker.unpackLong() : 0,
+            unpacker.hasNext() && unpacker.unpackBoolean());
+      case START_RUN:
+        return unpackOrder(unpacker);
       case MEASURE_PACE:
         return new LinkRequest.MeasurePace();
       case TAKE_OVER:
@@ -218,6 +287,8 @@
         return new LinkReply.Tickets(tickets, validMillis);
       case LINES:
         return new LinkReply.Lines(unpackStrings(unpacker));
+      case STARTED:
+        return new LinkReply.Started(StartOutcome.values()[unpacker.unpackInt()]);
       case NOT_OWNER:
         return new LinkReply.NotOwner();
       case FAILED:
--- a/daemon/src/main/java/org/hickorypier/daemon/link/LinkReply.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/link/LinkReply.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import org.hickorypier.core.cell.StartOutcome;
 import org.hickorypier.core.submission.SubmissionState;
 
 /** A reply to a {@link LinkRequest}. All implementations are immutable. */
@@ -62,6 +63,13 @@
     }
   }
 
+  /**
+   * The outcome of a relayed start order.
+   *
+   * @param outcome the worker's answer
+   */
+  record Started(StartOutcome outcome) implements LinkReply {}
+
   /** The instance is not, or no longer, the owner; the request may be sent to the next owner. */
   record NotOwner() implements LinkReply {}
 
--- a/daemon/src/main/java/org/hickorypier/daemon/link/LinkRequest.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/link/LinkRequest.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import org.hickorypier.core.cell.RosterEntry;
 import org.hickorypier.core.submission.SubmissionSpec;
+import org.hickorypier.platform.execution.StartOrder;
 
 /** A request from one instance to another. All implementations are immutable. */
 public sealed interface LinkRequest {
@@ -68,8 +69,9 @@
    *
    * @param strength the score of the machine, in thousandths of a core
    * @param ageMillis how long the sender's process has run, in milliseconds; 0 if unknown
+   * @param relaysOrders whether the sender takes {@link StartRun} requests
    */
-  record Introduce(int strength, long ageMillis) implements LinkRequest {}
+  record Introduce(int strength, long ageMillis, boolean relaysOrders) implements LinkRequest {}
 
   /** Asks how long a fixed piece of work currently takes the receiver, in microseconds. */
   record MeasurePace() implements LinkRequest {}
@@ -88,6 +90,15 @@
     }
   }
 
+  /**
+   * Asks the receiver to send a start order to a worker on behalf of the owner.
+   *
+   * @param order the order; its text is empty if it is not included
+   * @param textIncluded whether the order has its text; if not, the receiver has it from the
+   *     submission or from an earlier order of it
+   */
+  record StartRun(StartOrder order, boolean textIncluded) implements LinkRequest {}
+
   /** Asks the receiver to take the cell over: the owner is leaving, or the store refuses it. */
   record TakeOver() implements LinkRequest {}
 }
--- a/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
@@ -18,6 +18,8 @@
 import org.hickorypier.daemon.link.LinkRequestHandler;
 import org.hickorypier.daemon.owner.Candidate;
 import org.hickorypier.daemon.owner.ConfigurationWatcher;
+import org.hickorypier.daemon.owner.OrderRelay;
+import org.hickorypier.daemon.owner.OrderRoute;
 import org.hickorypier.daemon.owner.OwnerDependencies;
 import org.hickorypier.daemon.owner.OwnerDirectory;
 import org.hickorypier.daemon.owner.OwnerGateway;
@@ -61,6 +63,8 @@
    */
   private static final Duration SPEED_SAMPLE_PERIOD = Duration.ofMillis(250);
 
+  private static final double BYTES_PER_MEGABIT = 125_000;
+
   /** Longer than a takeover takes. */
   private static final long EXPLAIN_TIMEOUT_MILLIS = 2_000;
 
@@ -132,7 +136,8 @@
             suspensionDetector,
             log,
             settings.cellTimings(),
-            settings.workerHeartbeatMillis());
+            settings.workerHeartbeatMillis(),
+            settings.linkMegabits() * BYTES_PER_MEGABIT);
     String peerAddress = "" + settings.advertisedPeer();
     OwnerDirectory directory = new OwnerDirectory(store, timers, log, this::handleOwnerChange);
     Candidate self = new Candidate(peerAddress, settings.strength());
@@ -164,6 +169,8 @@
             directory,
             ownership,
             this::answerPeer,
+            new OrderRelay(
+                dependencies.workers(), suspensionDetector, log, () -> directory.owner().epoch()),
             self,
             speedMonitor);
     timers.every(Duration.ofMillis(100), () -> ownerlessMillis = gateway.ownerlessMillis());
@@ -183,10 +190,12 @@
               String address = socket.remoteAddress().hostAddress();
               handler.peer = handover.addPeer(link, address);
               Runnable removeAdvisorClient = ownership.addAdvisorClient(address, link::sendRequest);
+              handler.peerOrders = ownership.orderRoute(address, link::sendRequest);
               link.onClose(
                   () -> {
                     handover.removePeer(handler.peer);
                     removeAdvisorClient.run();
+                    handler.peerOrders.close();
                   });
             })
         .listen(settings.peerPort(), settings.address())
@@ -239,13 +248,20 @@
   private final class PeerHandler implements LinkRequestHandler {
 
     private Peer peer;
+    private OrderRoute peerOrders;
 
     @Override
     public Future<LinkReply> answer(LinkRequest request) {
       if (request instanceof LinkRequest.Introduce introduce) {
         peer.recordIntroduction(introduce, timers.nowMillis());
+        if (introduce.relaysOrders()) {
+          peerOrders.open();
+        }
         return Future.succeededFuture(new LinkReply.Noted());
       }
+      if (request instanceof LinkRequest.Submit submit && ownership.isOwner()) {
+        peerOrders.recordText(submit.spec().id());
+      }
       return answerPeer(request);
     }
   }
--- a/daemon/src/main/java/org/hickorypier/daemon/node/NodeSettings.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/NodeSettings.java
@@ -32,6 +32,7 @@
  * @param graceMillis the time that a process has to exit after SIGTERM
  * @param workerHeartbeatMillis the interval at which a worker writes its entry in the list of
  *     workers
+ * @param linkMegabits the bandwidth of this machine's link, in Mbit/s
  */
 public record NodeSettings(
     String name,
@@ -48,7 +49,8 @@
     long revokeMillis,
     long groupLifetimeMillis,
     long graceMillis,
-    long workerHeartbeatMillis) {
+    long workerHeartbeatMillis,
+    double linkMegabits) {
 
   /**
    * Time without a heartbeat after which the group assigns a lost owner's cell to another instance.
@@ -122,7 +124,8 @@
         (long) reader.number("revokeMillis", MIN_REVOKE_MILLIS),
         groupLifetimeMillis,
         graceMillis,
-        (long) reader.number("workerHeartbeatMillis", 1));
+        (long) reader.number("workerHeartbeatMillis", 1),
+        reader.number("linkMegabits", MIN_LINK_MEGABITS));
   }
 
   /** Reads values and reports an invalid one by its name. */
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/OrderSender.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/OrderSender.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.hickorypier.core.cell.Cell;
 import org.hickorypier.core.cell.CellOutput;
+import org.hickorypier.core.cell.OrderRelayPolicy;
 import org.hickorypier.core.cell.RosterCodec;
 import org.hickorypier.core.cell.RosterEntry;
 import org.hickorypier.core.cell.Run;
@@ -30,9 +31,15 @@
 
   private static final String PART = "owner";
 
+  /** Size of a start order beside the text of its submission: HTTP headers and JSON names. */
+  private static final int ORDER_OVERHEAD_BYTES = 350;
+
   private final OwnerDependencies dependencies;
   private final int epoch;
   private final AdviceCallBalancer adviceCallBalancer;
+  private final OrderRouter orderRouter;
+  private final OrderRelayPolicy relayPolicy;
+  private boolean relaying;
   private final Events events;
   private Cell cell;
   private JournalWriter journal;
@@ -54,10 +61,13 @@
       OwnerDependencies dependencies,
       int epoch,
       AdviceCallBalancer adviceCallBalancer,
+      OrderRouter orderRouter,
       Events events) {
     this.dependencies = dependencies;
     this.epoch = epoch;
     this.adviceCallBalancer = adviceCallBalancer;
+    this.orderRouter = orderRouter;
+    this.relayPolicy = new OrderRelayPolicy(dependencies.linkBytesPerSecond());
     this.events = events;
   }
 
@@ -88,7 +98,46 @@
             epoch,
             run.checkpoint(),
             ticket);
-    dependencies.workers().start(order).onSuccess(outcome -> handleStartOutcome(run, outcome));
+    boolean relay = decideRelaying(ORDER_OVERHEAD_BYTES + text.length());
+    // A repeated order goes directly: the relay may be the reason why the first had no answer.
+    Future<StartOutcome> sent =
+        relay && run.isFirstOrder()
+            ? startThroughRelay(order)
+            : dependencies.workers().start(order);
+    sent.onSuccess(outcome -> handleStartOutcome(run, outcome));
+  }
+
+  private boolean decideRelaying(int orderBytes) {
+    boolean relay = relayPolicy.shouldRelay(orderBytes, now());
+    if (relay != relaying) {
+      relaying = relay;
+      dependencies
+          .log()
+          .event(
+              PART,
+              relay ? "order-relaying-started" : "order-relaying-ended",
+              "epoch",
+              epoch,
+              "order_bytes_per_second",
+              relayPolicy.demandBytesPerSecond(),
+              "link_bytes_per_second",
+              Math.round(dependencies.linkBytesPerSecond()));
+    }
+    return relay;
+  }
+
+  private Future<StartOutcome> startThroughRelay(StartOrder order) {
+    return orderRouter
+        .start(order)
+        .compose(
+            outcome ->
+                outcome.map(Future::succeededFuture).orElseGet(() -> startUnlessEnded(order)));
+  }
+
+  private Future<StartOutcome> startUnlessEnded(StartOrder order) {
+    return events.isEnded()
+        ? Future.succeededFuture(StartOutcome.UNKNOWN)
+        : dependencies.workers().start(order);
   }
 
   private void handleStartOutcome(Run run, StartOutcome outcome) {
@@ -176,6 +225,7 @@
 
   @Override
   public void drop(String id) {
+    orderRouter.forget(id);
     journal.put(JournalKeys.specKey(id), null);
     journal.put(JournalKeys.progressKey(id), null);
   }
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
@@ -79,6 +79,7 @@
       OwnerDependencies dependencies,
       Takeover.Result taken,
       AdviceCallBalancer adviceCallBalancer,
+      OrderRouter orderRouter,
       Optional<Collection<CustomerLimits>> customers,
       Consumer<String> onLost) {
     this.dependencies = dependencies;
@@ -86,7 +87,7 @@
     this.onLost = onLost;
     long now = dependencies.timers().nowMillis();
     OrderSender orders =
-        new OrderSender(dependencies, taken.epoch(), adviceCallBalancer, workerEvents);
+        new OrderSender(dependencies, taken.epoch(), adviceCallBalancer, orderRouter, workerEvents);
     this.cell = new Cell(dependencies.timings(), orders, dependencies.log(), taken.epoch(), now);
     this.journal =
         new JournalWriter(
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerDependencies.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerDependencies.java
@@ -22,6 +22,7 @@
  * @param timings the parameters of the cell
  * @param workerHeartbeatMillis the interval at which a worker writes its entry in the list of
  *     workers
+ * @param linkBytesPerSecond the bandwidth of this machine's link, in bytes per second
  */
 public record OwnerDependencies(
     StoreClient store,
@@ -31,4 +32,5 @@
     SuspensionDetector suspensionDetector,
     EventLog log,
     CellTimings timings,
-    long workerHeartbeatMillis) {}
+    long workerHeartbeatMillis,
+    double linkBytesPerSecond) {}
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerGateway.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerGateway.java
@@ -65,6 +65,7 @@
   private final OwnerDirectory directory;
   private final Ownership ownership;
   private final LinkRequestHandler handler;
+  private final OrderRelay orderRelay;
   private final Candidate self;
   private final ProcessorSpeedMonitor speedMonitor;
   private final Set<PendingRequest> pendingRequests = new LinkedHashSet<>();
@@ -88,6 +89,7 @@
    * @param directory knows the present owner
    * @param ownership answers requests if this instance is the owner
    * @param handler answers the owner's requests over the link
+   * @param orderRelay sends the owner's start orders to the workers
    * @param self this instance as a candidate for ownership
    * @param speedMonitor tells whether this machine has slowed down
    */
@@ -98,6 +100,7 @@
       OwnerDirectory directory,
       Ownership ownership,
       LinkRequestHandler handler,
+      OrderRelay orderRelay,
       Candidate self,
       ProcessorSpeedMonitor speedMonitor) {
     this.client = client;
@@ -106,6 +109,7 @@
     this.directory = directory;
     this.ownership = ownership;
     this.handler = handler;
+    this.orderRelay = orderRelay;
     this.self = self;
     this.speedMonitor = speedMonitor;
     this.startedAt = timers.nowMillis();
@@ -298,11 +302,12 @@
                 connect();
                 return;
               }
-              Link opened = new Link(socket, handler, timers);
+              long openedAt = timers.nowMillis();
+              Link opened = new Link(socket, request -> answerOwner(request, openedAt), timers);
               opened.onClose(() -> handleLinkClosed(opened));
               long age = timers.nowMillis() - startedAt;
               opened.sendRequest(
-                  new LinkRequest.Introduce(self.strength().score(), age),
+                  new LinkRequest.Introduce(self.strength().score(), age, true),
                   PROOF_REPLY_TIMEOUT_MILLIS);
               ownership.notifySuccessor(
                   target.epoch(),
@@ -333,6 +338,12 @@
             });
   }
 
+  private Future<LinkReply> answerOwner(LinkRequest request, long linkOpenedAt) {
+    return request instanceof LinkRequest.StartRun start
+        ? orderRelay.start(start, linkOpenedAt)
+        : handler.answer(request);
+  }
+
   private Duration takeoverDelay() {
     boolean weak = directory.owner().strength().isMuchStrongerThan(self.strength());
     return TakeoverDelay.of(self.address(), weak, speedMonitor.isSlowed());
@@ -380,6 +391,9 @@
       pending.sendCount++;
       ownership.answer(pending.request).onSuccess(reply -> handleReply(pending, reply));
     } else if (link != null) {
+      if (pending.request instanceof LinkRequest.Submit submit) {
+        orderRelay.keepText(submit.spec());
+      }
       pending.sendCount++;
       pending.sentAt = timers.nowMillis();
       long remainingMillis = Math.max(1, pending.deadline - timers.nowMillis());
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Ownership.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Ownership.java
@@ -96,6 +96,7 @@
   private final long lifetimeMillis;
   private final OwnerDirectory directory;
   private final AdviceCallBalancer adviceCallBalancer;
+  private final OrderRouter orderRouter;
   private OwnerCheck ownerCheck;
   private LongSupplier silentMillis = () -> 0;
   private Optional<Collection<CustomerLimits>> customers = Optional.empty();
@@ -133,6 +134,7 @@
       OwnerDirectory directory) {
     this.dependencies = dependencies;
     this.adviceCallBalancer = new AdviceCallBalancer(dependencies.timers());
+    this.orderRouter = new OrderRouter(dependencies.timers());
     this.memberName = member;
     this.self = self;
     this.lifetimeMillis = lifetimeMillis;
@@ -247,6 +249,17 @@
     return () -> adviceCallBalancer.remove(helper);
   }
 
+  /**
+   * Creates the way of start orders through an instance that has opened a link to this one.
+   *
+   * @param address the instance's address
+   * @param sender sends requests to that instance
+   * @return the route, which is closed until it is opened
+   */
+  public OrderRoute orderRoute(String address, OrderRouter.Sender sender) {
+    return new OrderRoute(orderRouter, address, sender);
+  }
+
   /** An instance that can ask the advisor. */
   @FunctionalInterface
   public interface AdvisorClient {
@@ -392,7 +405,13 @@
               // nevertheless, and the cell would have no owner if this one gave it up. It becomes
               // the owner and hands over in its turn.
               owner =
-                  new Owner(dependencies, taken, adviceCallBalancer, customers, this::endOwnership);
+                  new Owner(
+                      dependencies,
+                      taken,
+                      adviceCallBalancer,
+                      orderRouter,
+                      customers,
+                      this::endOwnership);
               announceOwner(self.toOwnerRecord(taken.epoch()));
               return Future.succeededFuture(true);
             });
@@ -578,6 +597,7 @@
       owner = null;
       onLost.run();
       endedOwner.end(reason);
+      orderRouter.forgetAll();
       formerOwnership =
           new FormerOwnership(
               endedOwner.epoch(), endedOwner.finalRoster(), dependencies.timers().nowMillis());
--- a/daemon/src/test/java/org/hickorypier/daemon/link/LinkCodecTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/link/LinkCodecTest.java
@@ -16,6 +16,7 @@
 import org.hickorypier.core.submission.StepSpec;
 import org.hickorypier.core.submission.SubmissionSpec;
 import org.hickorypier.core.submission.SubmissionState;
+import org.hickorypier.platform.execution.StartOrder;
 import org.hickorypier.wire.UndecodableException;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -44,6 +45,17 @@
           3_400,
           Optional.of(List.of(new RunKey(new TaskName("id", 0, 1, 2), 3))));
 
+  private static final StartOrder ORDER =
+      new StartOrder(
+          "w",
+          "10.0.0.1:1",
+          new RunKey(new TaskName("id", 1, 2, 3), 4),
+          "text",
+          5_000,
+          6,
+          "checkpoint",
+          null);
+
   static List<LinkRequest> requests() {
     return List.of(
         new LinkRequest.Submit(SPEC),
@@ -52,7 +64,9 @@
         new LinkRequest.Count("q"),
         new LinkRequest.Advise("id.0.0", List.of("w1", "w2"), 900),
         new LinkRequest.Explain("id"),
-        new LinkRequest.Introduce(1_500, 62_000),
+        new LinkRequest.Introduce(1_500, 62_000, true),
+        new LinkRequest.StartRun(ORDER, true),
+        new LinkRequest.StartRun(ORDER.withText(""), false),
         new LinkRequest.ProveOwnership(),
         new LinkRequest.MeasurePace(),
         new LinkRequest.FormerOwner(4, List.of(ROSTER_ENTRY)),
--- a/daemon/src/test/java/org/hickorypier/daemon/node/NodeTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/NodeTest.java
@@ -79,6 +79,48 @@
     }
   }
 
+  /**
+   * Guards against an owner whose start orders fill its slow link: other instances relay them, also
+   * those of a submission that the owner accepted itself.
+   */
+  @Test
+  void ownerOnSlowLinkHasItsOrdersRelayed() throws Exception {
+    try (SmallCluster cluster = new SmallCluster(2, 20)) {
+      cluster.linkMegabits = 0.1;
+      SmallCluster.Instance owner = cluster.start();
+      SmallCluster.Instance other = cluster.start();
+      String forwarded = ID_FORMAT.formatted(1);
+      String own = ID_FORMAT.formatted(2);
+      cluster.waitUntil(() -> cluster.hasLogged(other, "owner-linked"));
+      assertThat(cluster.submit(other, forwarded, 8).status()).isEqualTo(200);
+      assertThat(cluster.submit(owner, own, 8).status()).isEqualTo(200);
+      cluster.waitUntil(() -> cluster.state(owner, forwarded).equals("completed"));
+      cluster.waitUntil(() -> cluster.state(other, own).equals("completed"));
+      assertThat(cluster.hasLogged(owner, "order-relaying-started")).isTrue();
+      assertThat(cluster.hasLogged(other, "order-not-relayed")).isFalse();
+      assertThat(cluster.starts()).hasSize(16).doesNotHaveDuplicates();
+    }
+  }
+
+  /** Guards against tasks that are lost or run twice when the relay of their orders is killed. */
+  @Test
+  void ordersReachTheWorkersWhenTheirRelayIsKilled() throws Exception {
+    try (SmallCluster cluster = new SmallCluster(2, 20)) {
+      cluster.linkMegabits = 0.1;
+      SmallCluster.Instance owner = cluster.start();
+      SmallCluster.Instance other = cluster.start();
+      cluster.waitUntil(() -> cluster.hasLogged(other, "owner-linked"));
+      String before = ID_FORMAT.formatted(1);
+      assertThat(cluster.submit(other, before, 20).status()).isEqualTo(200);
+      cluster.kill(other);
+      String after = ID_FORMAT.formatted(2);
+      assertThat(cluster.submit(owner, after, 8).status()).isEqualTo(200);
+      cluster.waitUntil(() -> cluster.state(owner, before).equals("completed"));
+      cluster.waitUntil(() -> cluster.state(owner, after).equals("completed"));
+      assertThat(cluster.starts()).hasSize(28).doesNotHaveDuplicates();
+    }
+  }
+
   /**
    * Guards against a wrong answer to the caller when the store executes an append and its reply is
    * lost. The append is retried with the same sequence number, and the submission is accepted once.
--- a/daemon/src/test/java/org/hickorypier/daemon/node/SmallCluster.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/SmallCluster.java
@@ -74,6 +74,9 @@
   EventLog log = (part, event, fields) -> {};
   Runnable onClose = () -> {};
 
+  /** Bandwidth of the link of instances created from now on. */
+  double linkMegabits = 1_000;
+
   /** Duration of the benchmark workload on instances created from now on. */
   long workNanos = 20_000;
 
@@ -177,7 +180,8 @@
         5_000,
         1_000,
         3_000,
-        1_500);
+        1_500,
+        linkMegabits);
   }
 
   /** Records an owner that accepts connections and answers nothing. */
