Name only as many workers to the advisor as a step can use

Cause: each request named up to 40 workers, also for a check of three tasks. Change: SuitabilityEstimator learns by queue which share of the named workers is suitable; a request names workers until their expected room is three times what the step needs, at least 10 and at most 40.

--- a/core/src/main/java/org/hickorypier/core/cell/CellState.java
+++ b/core/src/main/java/org/hickorypier/core/cell/CellState.java
@@ -33,6 +33,7 @@
   final CustomerUsage usage = new CustomerUsage();
   final RunDurationEstimator durationEstimator = new RunDurationEstimator();
   final WorkerKindSpeedEstimator speedEstimator = new WorkerKindSpeedEstimator();
+  final SuitabilityEstimator suitabilityEstimator = new SuitabilityEstimator();
   final UrgentReserve reserve = new UrgentReserve();
   final Map<String, Submission> submissions = new HashMap<>();
 
--- a/core/src/main/java/org/hickorypier/core/cell/Dispatcher.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Dispatcher.java
@@ -23,6 +23,18 @@
    */
   private static final int MAX_WORKERS_PER_REQUEST = 40;
 
+  /**
+   * Bounds a request from below: workers that are named to several steps at the same time may be
+   * full when the answer arrives.
+   */
+  private static final int MIN_WORKERS_PER_REQUEST = 10;
+
+  /**
+   * Expected room on suitable workers for each waiting task. Other steps take some of it while the
+   * request is under way, and a task that fails needs another worker.
+   */
+  private static final double ROOM_PER_TASK = 3;
+
   /** Timeout of an advice request. */
   private static final long ADVICE_TIMEOUT_MILLIS = 4_000;
 
@@ -227,9 +239,28 @@
     unrated.sort(
         Comparator.comparingDouble((WorkerView worker) -> Placer.speedPenalty(step, worker))
             .thenComparingInt(worker -> -slots.get(worker)));
-    return unrated.size() <= MAX_WORKERS_PER_REQUEST
-        ? unrated
-        : unrated.subList(0, MAX_WORKERS_PER_REQUEST);
+    return unrated.subList(0, requestSize(step, wanted, unrated, slots));
+  }
+
+  /**
+   * Returns how many of the workers to name: as many as are expected to give the step room enough.
+   *
+   * <p>Each named worker lengthens the call and its answer. A check of 3 tasks that names 40
+   * workers waits half as long again for its advice, and at 30 checks a second these calls take an
+   * eighth of a link of 2 Mbit/s.
+   */
+  private int requestSize(
+      StepRun step, int wanted, List<WorkerView> unrated, Map<WorkerView, Integer> slots) {
+    double share = cell.suitabilityEstimator.share(step.submission.spec().queue().name());
+    double expectedRoom = 0;
+    int size = 0;
+    int limit = Math.min(unrated.size(), MAX_WORKERS_PER_REQUEST);
+    while (size < limit
+        && (size < MIN_WORKERS_PER_REQUEST || expectedRoom < ROOM_PER_TASK * wanted)) {
+      expectedRoom += share * Math.min(wanted, slots.get(unrated.get(size)));
+      size++;
+    }
+    return size;
   }
 
   private void reserveResources(StepRun step, Map<Task, WorkerView> planned, long now) {
@@ -260,6 +291,8 @@
       long validMillis,
       long now) {
     step.advice.recordAnswer(named, tickets, validMillis, now);
+    cell.suitabilityEstimator.recordAnswer(
+        step.submission.spec().queue().name(), named.size(), tickets.size());
     step.advice.nextRequestAt = tickets.isEmpty() ? now + ADVICE_RETRY_MILLIS : now;
     cell.dirty = true;
   }
--- a/core/src/test/java/org/hickorypier/core/cell/StepAdviceTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/StepAdviceTest.java
@@ -127,6 +127,32 @@
     assertThat(fixture.adviceRequests).hasSize(1);
   }
 
+  /** Guards against checks that wait for advice about many more workers than they can use. */
+  @Test
+  void narrowStepNamesFewWorkersAndWideGangNamesMany() {
+    for (int index = 0; index < 40; index++) {
+      fixture.addWorker("w" + index);
+    }
+    fixture.submit(spec("narrow", ADVISED, step(3, 4_000, 500, false)));
+    fixture.submit(spec("wide", ADVISED, step(60, 4_500, 500, true)));
+    assertThat(fixture.adviceRequests.get(0).workers()).hasSizeLessThan(15);
+    assertThat(fixture.adviceRequests.get(1).workers()).hasSize(40);
+  }
+
+  /** Guards against too few suitable workers where the advisor refuses most of them. */
+  @Test
+  void requestGrowsWhereFewWorkersAreSuitable() {
+    for (int index = 0; index < 40; index++) {
+      fixture.addWorker("w" + index);
+    }
+    for (int request = 0; request < 30; request++) {
+      fixture.submit(spec("s" + request, ADVISED, step(3, 4_000, 500, false)));
+      answer(request, Map.of());
+    }
+    int last = fixture.adviceRequests.size() - 1;
+    assertThat(fixture.adviceRequests.get(last).workers()).hasSizeGreaterThan(30);
+  }
+
   private void answer(int request, Map<String, String> tickets) {
     CellFixture.AdviceRequest pending = fixture.adviceRequests.get(request);
     fixture.cell.adviceAnswered(pending.step(), pending.workers(), tickets, 2_500, fixture.now);
