--- a/core/src/main/java/org/hickorypier/core/cell/Archive.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Archive.java
@@ -9,6 +9,10 @@
 /**
  * Converts ended submissions to their archived form, and deletes that after the retention time.
  *
+ * <p>The archived form lacks the text that workers get, nine tenths of a specification. The store
+ * keeps it too, so that a takeover reads the texts of open submissions only: with those of the last
+ * two minutes it would read some megabytes, for which a slow link takes longer than callers wait.
+ *
  * <p>Invariant: a submission is archived only once its end state is durable and visible. Confined
  * to the control thread.
  */
@@ -36,14 +40,13 @@
 
   private void archive(Submission submission) {
     String id = submission.spec().id();
+    byte[] spec = SubmissionCodec.encode(submission.spec().withoutText());
     cell.submissions.remove(id);
     cell.endedSubmissions.put(
         id,
         new EndedSubmission(
-            submission.spec().customer(),
-            submission.state,
-            submission.endedAtMillis,
-            SubmissionCodec.encode(submission.spec())));
+            submission.spec().customer(), submission.state, submission.endedAtMillis, spec));
+    cell.output.saveEnded(id, spec);
   }
 
   private void removeExpired(long wallMillis) {
--- a/core/src/main/java/org/hickorypier/core/cell/Cell.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Cell.java
@@ -317,6 +317,15 @@
     return new ArrayList<>(state.workers.values());
   }
 
+  /**
+   * Returns the number of workers that are listed or may still hold runs.
+   *
+   * @return the number
+   */
+  public int workerCount() {
+    return state.workers.size();
+  }
+
   /**
    * Applies a worker's answer to a lease renewal.
    *
@@ -331,6 +340,19 @@
     }
   }
 
+  /**
+   * Applies the ends in a worker's answer that arrived after it had counted as missing.
+   *
+   * @param worker the worker
+   * @param report the answer
+   * @param now the time
+   */
+  public void renewalAnsweredLate(WorkerView worker, RenewalReport report, long now) {
+    if (isKnown(worker)) {
+      reports.handleLateReport(worker, report, now);
+    }
+  }
+
   /**
    * Records that a lease renewal was not answered in time.
    *
--- a/core/src/main/java/org/hickorypier/core/cell/CellOutput.java
+++ b/core/src/main/java/org/hickorypier/core/cell/CellOutput.java
@@ -38,6 +38,14 @@
    */
   void save(Submission submission);
 
+  /**
+   * Replaces the stored specification of a submission whose end state is durable.
+   *
+   * @param id the submission's id
+   * @param spec the encoded specification to store
+   */
+  void saveEnded(String id, byte[] spec);
+
   /**
    * Deletes the stored state of a submission whose retention time is over.
    *
--- a/core/src/main/java/org/hickorypier/core/cell/EndedSubmission.java
+++ b/core/src/main/java/org/hickorypier/core/cell/EndedSubmission.java
@@ -11,7 +11,8 @@
  * @param customer its customer, or empty on a public queue
  * @param state the end state
  * @param endedAtMillis wall-clock time of its end, milliseconds since 1970
- * @param spec its encoded specification; decoded only if a worker still holds a run of it
+ * @param spec its encoded specification, without the text; decoded only if a worker still holds a
+ *     run of it
  */
 public record EndedSubmission(
     String customer, SubmissionState state, long endedAtMillis, byte[] spec) {}
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerReportHandler.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerReportHandler.java
@@ -70,6 +70,17 @@
     cell.dirty = true;
   }
 
+  /**
+   * Handles a report that arrived after it had counted as missing. Only its ends are used: they
+   * stand for good, while the worker may have restarted or started other runs since.
+   */
+  void handleLateReport(WorkerView worker, RenewalReport report, long now) {
+    if (worker.bornMillis == report.bornMillis()) {
+      handleEnds(worker, report, now);
+      cell.dirty = true;
+    }
+  }
+
   private void handleEnds(WorkerView worker, RenewalReport report, long now) {
     long lastEnd = worker.lastProcessedEnd;
     List<RunKey> processed = new ArrayList<>();
--- a/core/src/main/java/org/hickorypier/core/submission/SubmissionSpec.java
+++ b/core/src/main/java/org/hickorypier/core/submission/SubmissionSpec.java
@@ -33,6 +33,16 @@
     steps = List.copyOf(steps);
   }
 
+  /**
+   * Returns this specification without the text for the workers.
+   *
+   * @return a copy with an empty text
+   */
+  public SubmissionSpec withoutText() {
+    return new SubmissionSpec(
+        id, customer, queue, "", steps, times, startAtMillis, intervalMillis, acceptedAtMillis);
+  }
+
   /**
    * Returns the number of occurrences.
    *
--- a/core/src/test/java/org/hickorypier/core/cell/CellFixture.java
+++ b/core/src/test/java/org/hickorypier/core/cell/CellFixture.java
@@ -33,6 +33,7 @@
   final List<RunKey> stops = new ArrayList<>();
   final List<AdviceRequest> adviceRequests = new ArrayList<>();
   final List<Submission> saved = new ArrayList<>();
+  final Map<String, byte[]> savedEnds = new HashMap<>();
   List<RosterEntry> roster = List.of();
   private List<RosterEntry> unwrittenRoster = List.of();
   private final List<Runnable> afterSave = new ArrayList<>();
@@ -220,6 +221,11 @@
     saved.add(submission);
   }
 
+  @Override
+  public void saveEnded(String id, byte[] spec) {
+    savedEnds.put(id, spec);
+  }
+
   @Override
   public void drop(String id) {
     // The tests of the journal check deletions; the tests of the cell do not.
--- a/core/src/test/java/org/hickorypier/core/cell/model/ModelOwner.java
+++ b/core/src/test/java/org/hickorypier/core/cell/model/ModelOwner.java
@@ -265,6 +265,11 @@
     unsavedSubmissions.add(submission);
   }
 
+  @Override
+  public void saveEnded(String id, byte[] spec) {
+    // The journal of the model keeps specifications as they are; their texts are not checked.
+  }
+
   @Override
   public void drop(String id) {
     // A scenario is shorter than the retention time of terminal states.
--- a/daemon/src/main/java/org/hickorypier/daemon/link/LinkCodec.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/link/LinkCodec.java
@@ -25,6 +25,7 @@
   /** The lowest type code of a reply; all requests have lower type codes. */
   private static final int ACCEPTED = 11;
 
+  private static final int STAND_BY = -2;
   private static final int START_RUN = -1;
   private static final int FORMER_OWNER = 0;
   private static final int SUBMIT = 1;
@@ -87,7 +88,7 @@
       packer.packInt(EXPLAIN).packString(explain.id());
     } else if (request instanceof LinkRequest.Introduce introduce) {
       packer.packInt(INTRODUCE).packInt(introduce.strength()).packLong(introduce.ageMillis());
-      packer.packBoolean(introduce.relaysOrders());
+      packer.packInt(introduce.version());
     } else if (request instanceof LinkRequest.FormerOwner former) {
       byte[] roster = RosterCodec.encode(former.roster());
       packer.packInt(FORMER_OWNER).packInt(former.epoch());
@@ -95,6 +96,8 @@
     } else if (request instanceof LinkRequest.StartRun start) {
       packer.packInt(START_RUN);
       packOrder(packer, start);
+    } else if (request instanceof LinkRequest.StandBy) {
+      packer.packInt(STAND_BY);
     } else if (request instanceof LinkRequest.ProveOwnership) {
       packer.packInt(PROVE_OWNERSHIP);
     } else if (request instanceof LinkRequest.MeasurePace) {
@@ -252,7 +255,9 @@
         return new LinkRequest.Introduce(
             unpacker.unpackInt(),
             unpacker.hasNext() ? unpacker.unpackLong() : 0,
-            unpacker.hasNext() && unpacker.unpackBoolean());
+            unpacker.hasNext() ? unpacker.unpackInt() : 0);
+      case STAND_BY:
+        return new LinkRequest.StandBy();
       case START_RUN:
         return unpackOrder(unpacker);
       case MEASURE_PACE:
--- a/daemon/src/main/java/org/hickorypier/daemon/link/LinkRequest.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/link/LinkRequest.java
@@ -8,6 +8,12 @@
 /** A request from one instance to another. All implementations are immutable. */
 public sealed interface LinkRequest {
 
+  /** The present version of the protocol. */
+  int VERSION = 1;
+
+  /** The first version whose instances take {@link StartRun} and {@link StandBy} requests. */
+  int FIRST_VERSION_WITH_RELAYS = 1;
+
   /**
    * Accepts a submission.
    *
@@ -69,9 +75,9 @@
    *
    * @param strength the score of the machine, in thousandths of a core
    * @param ageMillis how long the sender's process has run, in milliseconds; 0 if unknown
-   * @param relaysOrders whether the sender takes {@link StartRun} requests
+   * @param version the sender's version of this protocol; 0 if unknown
    */
-  record Introduce(int strength, long ageMillis, boolean relaysOrders) implements LinkRequest {}
+  record Introduce(int strength, long ageMillis, int version) implements LinkRequest {}
 
   /** Asks how long a fixed piece of work currently takes the receiver, in microseconds. */
   record MeasurePace() implements LinkRequest {}
@@ -99,6 +105,9 @@
    */
   record StartRun(StartOrder order, boolean textIncluded) implements LinkRequest {}
 
+  /** Asks the receiver to follow the journal for some seconds, so that it can take over at once. */
+  record StandBy() implements LinkRequest {}
+
   /** Asks the receiver to take the cell over: the owner is leaving, or the store refuses it. */
   record TakeOver() implements LinkRequest {}
 }
--- a/daemon/src/main/java/org/hickorypier/daemon/node/Handover.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Handover.java
@@ -35,6 +35,14 @@
 
   private static final Duration CHECK_PERIOD = Duration.ofMillis(100);
 
+  private static final Duration STANDBY_PERIOD = Duration.ofSeconds(1);
+
+  /** The loss of the owner and of one more machine leaves a standby. */
+  private static final int STANDBY_COUNT = 2;
+
+  /** A link that is silent for this long is closed. */
+  private static final long STANDBY_REPLY_TIMEOUT_MILLIS = 3_000;
+
   /**
    * Number of instances that an owner without a store asks in one round. If the store serves two
    * thirds of the machines, three instances include one of those in 24 of 25 cases; if the store is
@@ -111,6 +119,16 @@
 
   void start() {
     timers.every(CHECK_PERIOD, this::checkHandover);
+    timers.every(STANDBY_PERIOD, this::requestStandbys);
+  }
+
+  private void requestStandbys() {
+    if (ownership.isOwner()) {
+      List<Successor> linked = peers.stream().filter(Peer::relays).map(Peer::asSuccessor).toList();
+      for (Successor standby : Successor.standbys(linked, STANDBY_COUNT)) {
+        standby.peer().link().sendRequest(new LinkRequest.StandBy(), STANDBY_REPLY_TIMEOUT_MILLIS);
+      }
+    }
   }
 
   /** Adds an instance that has opened a link to this one. */
--- a/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
@@ -137,7 +137,8 @@
             log,
             settings.cellTimings(),
             settings.workerHeartbeatMillis(),
-            settings.linkMegabits() * BYTES_PER_MEGABIT);
+            settings.linkMegabits() * BYTES_PER_MEGABIT,
+            settings.processors());
     String peerAddress = "" + settings.advertisedPeer();
     OwnerDirectory directory = new OwnerDirectory(store, timers, log, this::handleOwnerChange);
     Candidate self = new Candidate(peerAddress, settings.strength());
@@ -172,7 +173,8 @@
             new OrderRelay(
                 dependencies.workers(), suspensionDetector, log, () -> directory.owner().epoch()),
             self,
-            speedMonitor);
+            speedMonitor,
+            dependencies.burstDelayMillis());
     timers.every(Duration.ofMillis(100), () -> ownerlessMillis = gateway.ownerlessMillis());
     timers.every(SPEED_SAMPLE_PERIOD, speedMonitor::sample);
     configurationWatcher.start();
@@ -254,7 +256,7 @@
     public Future<LinkReply> answer(LinkRequest request) {
       if (request instanceof LinkRequest.Introduce introduce) {
         peer.recordIntroduction(introduce, timers.nowMillis());
-        if (introduce.relaysOrders()) {
+        if (peer.relays()) {
           peerOrders.open();
         }
         return Future.succeededFuture(new LinkReply.Noted());
@@ -280,6 +282,10 @@
               ? new LinkReply.Failed()
               : new LinkReply.Number(speedMonitor.measureMicros()));
     }
+    if (request instanceof LinkRequest.StandBy) {
+      ownership.standBy();
+      return Future.succeededFuture(new LinkReply.Noted());
+    }
     if (request instanceof LinkRequest.TakeOver) {
       return ownership
           .takeOverOnRequest()
--- a/daemon/src/main/java/org/hickorypier/daemon/node/NodeSettings.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/NodeSettings.java
@@ -33,6 +33,7 @@
  * @param workerHeartbeatMillis the interval at which a worker writes its entry in the list of
  *     workers
  * @param linkMegabits the bandwidth of this machine's link, in Mbit/s
+ * @param processors the cores of this machine, of which a part counts too
  */
 public record NodeSettings(
     String name,
@@ -50,7 +51,8 @@
     long groupLifetimeMillis,
     long graceMillis,
     long workerHeartbeatMillis,
-    double linkMegabits) {
+    double linkMegabits,
+    double processors) {
 
   /**
    * Time without a heartbeat after which the group assigns a lost owner's cell to another instance.
@@ -99,6 +101,10 @@
     long groupLifetimeMillis =
         Math.max(MIN_GROUP_LIFETIME_MILLIS, (long) reader.number("leastGroupLifetimeMillis", 1));
     long graceMillis = Math.round(reader.number("graceSeconds", 1) * MILLIS_PER_SECOND);
+    double processors =
+        reader.number("processorShare", MIN_PROCESSOR_SHARE)
+            * reader.number("processorSpeed", MIN_PROCESSOR_SHARE);
+    double linkMegabits = reader.number("linkMegabits", MIN_LINK_MEGABITS);
     long stateRetentionMillis =
         Math.round(reader.number("stateKeptSeconds", 1) * MILLIS_PER_SECOND);
     return new NodeSettings(
@@ -117,15 +123,13 @@
             (long) reader.number("longestLeaseMillis", 1),
             (long) reader.number("gangMillis", 1),
             stateRetentionMillis),
-        Strength.of(
-            reader.number("processorShare", MIN_PROCESSOR_SHARE)
-                * reader.number("processorSpeed", MIN_PROCESSOR_SHARE),
-            reader.number("linkMegabits", MIN_LINK_MEGABITS)),
+        Strength.of(processors, linkMegabits),
         (long) reader.number("revokeMillis", MIN_REVOKE_MILLIS),
         groupLifetimeMillis,
         graceMillis,
         (long) reader.number("workerHeartbeatMillis", 1),
-        reader.number("linkMegabits", MIN_LINK_MEGABITS));
+        linkMegabits,
+        processors);
   }
 
   /** Reads values and reports an invalid one by its name. */
--- a/daemon/src/main/java/org/hickorypier/daemon/node/Peer.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Peer.java
@@ -12,6 +12,7 @@
   private final String address;
   private int strength;
   private long startedAtMillis;
+  private int version;
   private long askedAtMillis = NEVER_ASKED_MILLIS;
   private int workMicros = Successor.NO_ANSWER_MICROS;
 
@@ -30,9 +31,15 @@
 
   void recordIntroduction(LinkRequest.Introduce introduce, long nowMillis) {
     strength = introduce.strength();
+    version = introduce.version();
     startedAtMillis = nowMillis - introduce.ageMillis();
   }
 
+  /** Returns whether this instance relays orders and can stand by. */
+  boolean relays() {
+    return version >= LinkRequest.FIRST_VERSION_WITH_RELAYS;
+  }
+
   Successor asSuccessor() {
     return new Successor(this, strength, startedAtMillis, workMicros);
   }
--- a/daemon/src/main/java/org/hickorypier/daemon/node/Successor.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Successor.java
@@ -49,6 +49,16 @@
     return ordered;
   }
 
+  /**
+   * Returns the instances that should stand by: those that an owner that leaves would ask first.
+   *
+   * @param all all linked instances
+   * @param count the number of instances that stand by
+   */
+  static List<Successor> standbys(List<Successor> all, int count) {
+    return all.stream().sorted(PREFERENCE_ORDER).limit(count).toList();
+  }
+
   private boolean isSlow(long fastestMicros) {
     return workMicros > SLOWNESS_RATIO * fastestMicros || workMicros == NO_ANSWER_MICROS;
   }
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/LeaseRenewer.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/LeaseRenewer.java
@@ -3,7 +3,9 @@
 import java.time.Duration;
 import java.util.function.BooleanSupplier;
 import org.hickorypier.core.cell.Cell;
+import org.hickorypier.core.cell.RenewalInterval;
 import org.hickorypier.core.cell.RenewalReport;
+import org.hickorypier.core.cell.WorkerTimeout;
 import org.hickorypier.core.cell.WorkerView;
 import org.hickorypier.platform.execution.LeaseRenewal;
 import org.hickorypier.platform.execution.WorkerCallException;
@@ -16,13 +18,6 @@
  */
 final class LeaseRenewer {
 
-  /**
-   * A worker answers after this time at the latest, or at once when a run ends. A busy worker ends
-   * some four runs a second, so it rarely waits. When an answer is lost, the owner learns of no end
-   * until it gives the answer up, and short checks on that worker come too late.
-   */
-  private static final long ANSWER_WAIT_MILLIS = 400;
-
   /**
    * The wait at the worker while the roster that allows the next renewal to carry a lease is being
    * written.
@@ -52,6 +47,7 @@
   private final WorkerView worker;
   private final long fencingToken;
   private final BooleanSupplier mayOrder;
+  private final WorkerTimeout timeout;
   private final Events events;
   private boolean stopped;
 
@@ -74,12 +70,14 @@
       WorkerView worker,
       long fencingToken,
       BooleanSupplier mayOrder,
+      WorkerTimeout timeout,
       Events events) {
     this.dependencies = dependencies;
     this.cell = cell;
     this.worker = worker;
     this.fencingToken = fencingToken;
     this.mayOrder = mayOrder;
+    this.timeout = timeout;
     this.events = events;
   }
 
@@ -119,8 +117,12 @@
                 deadline,
                 fencingToken,
                 worker.acknowledgedEnd(sentAt),
-                wait))
-        .onComplete(report -> handleReport(report, sentAt, wait), this::handleFailure);
+                wait),
+            timeout.millis(),
+            this::handleLateReport)
+        .onComplete(
+            report -> handleReport(report, sentAt, wait),
+            error -> handleFailure(error, sentAt, wait));
   }
 
   private long waitMillis(long deadline) {
@@ -129,7 +131,9 @@
     }
     // No lease can be requested without a reading of the worker's clock, so the first answer is
     // wanted at once.
-    return deadline < 0 ? 0 : ANSWER_WAIT_MILLIS;
+    return deadline < 0
+        ? 0
+        : RenewalInterval.waitMillis(cell.workerCount(), dependencies.linkBytesPerSecond());
   }
 
   private void handleReport(RenewalReport report, long sentAt, long wait) {
@@ -137,6 +141,9 @@
       return;
     }
     long now = dependencies.timers().nowMillis();
+    if (now - sentAt >= wait) {
+      timeout.record(now - sentAt - wait);
+    }
     cell.renewalAnswered(worker, report, sentAt, now);
     events.workerAnswered();
     if (wait == 0) {
@@ -154,6 +161,18 @@
     }
   }
 
+  /**
+   * Handles a report that arrives after its timeout. It is no sign of life, but the ends in it
+   * count: otherwise a task that has ended would run again once the lease of its worker has
+   * expired.
+   */
+  private void handleLateReport(RenewalReport report) {
+    if (!stopped) {
+      cell.renewalAnsweredLate(worker, report, dependencies.timers().nowMillis());
+      events.workerAnswered();
+    }
+  }
+
   /** Runs an action on the first call only. */
   private static final class Once implements Runnable {
 
@@ -173,7 +192,7 @@
     }
   }
 
-  private void handleFailure(Throwable error) {
+  private void handleFailure(Throwable error, long sentAt, long wait) {
     if (stopped) {
       return;
     }
@@ -181,8 +200,10 @@
       events.fenced(worker.id());
       return;
     }
+    long now = dependencies.timers().nowMillis();
+    timeout.record(now - sentAt - wait);
     boolean alreadySilent = worker.silent();
-    cell.renewalUnanswered(worker, dependencies.timers().nowMillis());
+    cell.renewalUnanswered(worker, now);
     dependencies.timers().after(alreadySilent ? RETRY_DELAY : FIRST_RETRY_DELAY, this::renew);
   }
 }
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/OrderRelay.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/OrderRelay.java
@@ -27,6 +27,9 @@
   /** Bound of the texts that are kept, in characters; the texts that were used last remain. */
   private static final int MAX_TEXT_CHARACTERS = 1 << 20;
 
+  /** The owner considers an order whose outcome is not known a little later as unanswered. */
+  private static final long WORKER_TIMEOUT_MILLIS = 300;
+
   private final WorkerClient workers;
   private final SuspensionDetector suspensionDetector;
   private final EventLog log;
@@ -96,7 +99,7 @@
     if (text == null) {
       return refuse(order, "the text is not kept");
     }
-    return workers.start(order.withText(text)).map(LinkReply.Started::new);
+    return workers.start(order.withText(text), WORKER_TIMEOUT_MILLIS).map(LinkReply.Started::new);
   }
 
   private Future<LinkReply> refuse(StartOrder order, String reason) {
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/OrderRouter.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/OrderRouter.java
@@ -27,7 +27,7 @@
 public final class OrderRouter {
 
   /** A relay answers an order after the worker's answer, some 3 ms, or after its timeout. */
-  private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(450);
+  private static final long ANSWER_TIMEOUT_MILLIS = 450;
 
   /**
    * The link is closed if a reply is later than this. A busy relay must not lose its link, on which
@@ -36,11 +36,18 @@
   private static final long LINK_TIMEOUT_MILLIS = 3_000;
 
   private final TimerService timers;
+  private final Duration answerTimeout;
   private final List<Relay> relays = new ArrayList<>();
   private final Map<String, Relay> relayBySubmission = new HashMap<>();
 
-  OrderRouter(TimerService timers) {
+  /**
+   * Creates a router without relays.
+   *
+   * @param burstDelayMillis how long a message may wait on this machine's link, in milliseconds
+   */
+  OrderRouter(TimerService timers, long burstDelayMillis) {
     this.timers = timers;
+    this.answerTimeout = Duration.ofMillis(ANSWER_TIMEOUT_MILLIS + burstDelayMillis);
   }
 
   /** Sends requests to another instance. */
@@ -119,7 +126,7 @@
     Promise<Optional<StartOutcome>> result = Promise.promise();
     TimerSubscription timer =
         timers.after(
-            ANSWER_TIMEOUT,
+            answerTimeout,
             () -> {
               relay.silent = true;
               result.tryComplete(Optional.of(StartOutcome.UNKNOWN));
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/OrderSender.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/OrderSender.java
@@ -14,6 +14,7 @@
 import org.hickorypier.core.cell.StepRun;
 import org.hickorypier.core.cell.Submission;
 import org.hickorypier.core.cell.WorkerEntry;
+import org.hickorypier.core.cell.WorkerTimeout;
 import org.hickorypier.core.cell.WorkerView;
 import org.hickorypier.core.submission.AdviceTerms;
 import org.hickorypier.daemon.link.LinkReply;
@@ -38,6 +39,7 @@
   private final int epoch;
   private final AdviceCallBalancer adviceCallBalancer;
   private final OrderRouter orderRouter;
+  private final WorkerTimeout workerTimeout;
   private final OrderRelayPolicy relayPolicy;
   private boolean relaying;
   private final Events events;
@@ -62,11 +64,13 @@
       int epoch,
       AdviceCallBalancer adviceCallBalancer,
       OrderRouter orderRouter,
+      WorkerTimeout workerTimeout,
       Events events) {
     this.dependencies = dependencies;
     this.epoch = epoch;
     this.adviceCallBalancer = adviceCallBalancer;
     this.orderRouter = orderRouter;
+    this.workerTimeout = workerTimeout;
     this.relayPolicy = new OrderRelayPolicy(dependencies.linkBytesPerSecond());
     this.events = events;
   }
@@ -101,9 +105,7 @@
     boolean relay = decideRelaying(ORDER_OVERHEAD_BYTES + text.length());
     // A repeated order goes directly: the relay may be the reason why the first had no answer.
     Future<StartOutcome> sent =
-        relay && run.isFirstOrder()
-            ? startThroughRelay(order)
-            : dependencies.workers().start(order);
+        relay && run.isFirstOrder() ? startThroughRelay(order) : startDirectly(order);
     sent.onSuccess(outcome -> handleStartOutcome(run, outcome));
   }
 
@@ -135,9 +137,15 @@
   }
 
   private Future<StartOutcome> startUnlessEnded(StartOrder order) {
-    return events.isEnded()
-        ? Future.succeededFuture(StartOutcome.UNKNOWN)
-        : dependencies.workers().start(order);
+    return events.isEnded() ? Future.succeededFuture(StartOutcome.UNKNOWN) : startDirectly(order);
+  }
+
+  private Future<StartOutcome> startDirectly(StartOrder order) {
+    long sentAt = now();
+    return dependencies
+        .workers()
+        .start(order, workerTimeout.millis())
+        .onSuccess(outcome -> workerTimeout.record(now() - sentAt));
   }
 
   private void handleStartOutcome(Run run, StartOutcome outcome) {
@@ -156,7 +164,7 @@
   public void stop(WorkerView worker, RunKey run) {
     dependencies
         .workers()
-        .stop(worker.id(), worker.entry().address(), run, epoch)
+        .stop(worker.id(), worker.entry().address(), run, epoch, workerTimeout.millis())
         .onSuccess(outcome -> handleStopOutcome(worker, run, outcome));
   }
 
@@ -223,6 +231,12 @@
     journal.save(submission);
   }
 
+  @Override
+  public void saveEnded(String id, byte[] spec) {
+    orderRouter.forget(id);
+    journal.put(JournalKeys.specKey(id), spec);
+  }
+
   @Override
   public void drop(String id) {
     orderRouter.forget(id);
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
@@ -18,6 +18,7 @@
 import org.hickorypier.core.cell.Submission;
 import org.hickorypier.core.cell.SubmissionStatus;
 import org.hickorypier.core.cell.WorkerEntry;
+import org.hickorypier.core.cell.WorkerTimeout;
 import org.hickorypier.core.cell.WorkerView;
 import org.hickorypier.core.submission.SubmissionSpec;
 import org.hickorypier.daemon.link.LinkReply;
@@ -69,6 +70,7 @@
   /** Cancellations that wait for the journal. */
   private final List<Promise<LinkReply>> pendingCancellations = new ArrayList<>();
 
+  private final WorkerTimeout workerTimeout;
   private final WorkerEvents workerEvents = new WorkerEvents();
   private final TimerSubscription tickTimer;
   private boolean passScheduled;
@@ -86,8 +88,15 @@
     this.epoch = taken.epoch();
     this.onLost = onLost;
     long now = dependencies.timers().nowMillis();
+    this.workerTimeout = new WorkerTimeout(dependencies.burstDelayMillis());
     OrderSender orders =
-        new OrderSender(dependencies, taken.epoch(), adviceCallBalancer, orderRouter, workerEvents);
+        new OrderSender(
+            dependencies,
+            taken.epoch(),
+            adviceCallBalancer,
+            orderRouter,
+            workerTimeout,
+            workerEvents);
     this.cell = new Cell(dependencies.timings(), orders, dependencies.log(), taken.epoch(), now);
     this.journal =
         new JournalWriter(
@@ -338,7 +347,14 @@
           current.stop();
         }
         LeaseRenewer renewal =
-            new LeaseRenewer(dependencies, cell, worker, epoch, this::maySendOrders, workerEvents);
+            new LeaseRenewer(
+                dependencies,
+                cell,
+                worker,
+                epoch,
+                this::maySendOrders,
+                workerTimeout,
+                workerEvents);
         leaseRenewers.put(worker.id(), renewal);
         renewal.renew();
       }
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerDependencies.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerDependencies.java
@@ -1,6 +1,7 @@
 package org.hickorypier.daemon.owner;
 
 import java.util.function.LongSupplier;
+import org.hickorypier.core.cell.BurstDelay;
 import org.hickorypier.core.cell.CellTimings;
 import org.hickorypier.core.cell.EventLog;
 import org.hickorypier.daemon.time.SuspensionDetector;
@@ -23,6 +24,7 @@
  * @param workerHeartbeatMillis the interval at which a worker writes its entry in the list of
  *     workers
  * @param linkBytesPerSecond the bandwidth of this machine's link, in bytes per second
+ * @param processors the cores of this machine, of which a part counts too
  */
 public record OwnerDependencies(
     StoreClient store,
@@ -33,4 +35,16 @@
     EventLog log,
     CellTimings timings,
     long workerHeartbeatMillis,
-    double linkBytesPerSecond) {}
+    double linkBytesPerSecond,
+    double processors) {
+
+  /**
+   * Returns how long a message may wait behind a burst of work on a machine. The other machines are
+   * taken to be like this one.
+   *
+   * @return the time in milliseconds
+   */
+  public long burstDelayMillis() {
+    return BurstDelay.millis(processors, linkBytesPerSecond);
+  }
+}
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerFailureDetector.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerFailureDetector.java
@@ -31,6 +31,13 @@
    */
   private static final long PROBE_AFTER_MILLIS = 200;
 
+  /**
+   * A new owner hears all workers, takes all waiting requests and starts what is ready, on a weak
+   * machine for seconds. Meanwhile it is not suspected, or each owner would be replaced before it
+   * has served anybody.
+   */
+  private static final int NEW_OWNER_BURSTS = 6;
+
   /** An owner that does not answer the probe within this time is suspected to be lost. */
   private static final long PROBE_TIMEOUT_MILLIS = 250;
 
@@ -40,8 +47,14 @@
   private final Ownership ownership;
   private final Requests requests;
   private final Supplier<Duration> takeoverDelay;
+  private final long burstDelayMillis;
   private boolean probeInFlight;
 
+  /** The owner that was seen last, and when it was first seen. */
+  private OwnerRecord observedOwner = OwnerRecord.NONE;
+
+  private long ownerSince;
+
   /** The requests that wait for the owner. */
   interface Requests {
 
@@ -64,19 +77,26 @@
     void ownerResponded();
   }
 
+  /**
+   * Creates the detector.
+   *
+   * @param burstDelayMillis how long a reply may wait on the owner's link, in milliseconds
+   */
   OwnerFailureDetector(
       TimerService timers,
       EventLog log,
       OwnerDirectory directory,
       Ownership ownership,
       Requests requests,
-      Supplier<Duration> takeoverDelay) {
+      Supplier<Duration> takeoverDelay,
+      long burstDelayMillis) {
     this.timers = timers;
     this.log = log;
     this.directory = directory;
     this.ownership = ownership;
     this.requests = requests;
     this.takeoverDelay = takeoverDelay;
+    this.burstDelayMillis = burstDelayMillis;
   }
 
   void start() {
@@ -85,15 +105,20 @@
 
   private void checkOwner() {
     Link link = requests.link();
+    if (!directory.owner().equals(observedOwner)) {
+      observedOwner = directory.owner();
+      ownerSince = timers.nowMillis();
+    }
     if (link == null
+        || timers.nowMillis() - ownerSince < NEW_OWNER_BURSTS * burstDelayMillis
         || probeInFlight
         || requests.pendingCount() == 0
-        || requests.silentMillis() < PROBE_AFTER_MILLIS) {
+        || requests.silentMillis() < PROBE_AFTER_MILLIS + burstDelayMillis) {
       return;
     }
     probeInFlight = true;
     OwnerRecord probed = requests.linkedOwner();
-    link.sendRequest(new LinkRequest.ProveOwnership(), PROBE_TIMEOUT_MILLIS)
+    link.sendRequest(new LinkRequest.ProveOwnership(), PROBE_TIMEOUT_MILLIS + burstDelayMillis)
         .onComplete(
             reply -> {
               probeInFlight = false;
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerGateway.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerGateway.java
@@ -74,6 +74,7 @@
   private boolean connecting;
   private int consecutiveRefusals;
   private int denials;
+  private final long burstDelayMillis;
   private final long startedAt;
   private long ownerlessSince;
 
@@ -92,6 +93,7 @@
    * @param orderRelay sends the owner's start orders to the workers
    * @param self this instance as a candidate for ownership
    * @param speedMonitor tells whether this machine has slowed down
+   * @param burstDelayMillis how long a message may wait on the owner's link, in milliseconds
    */
   public OwnerGateway(
       NetClient client,
@@ -102,7 +104,8 @@
       LinkRequestHandler handler,
       OrderRelay orderRelay,
       Candidate self,
-      ProcessorSpeedMonitor speedMonitor) {
+      ProcessorSpeedMonitor speedMonitor,
+      long burstDelayMillis) {
     this.client = client;
     this.timers = timers;
     this.log = log;
@@ -112,6 +115,7 @@
     this.orderRelay = orderRelay;
     this.self = self;
     this.speedMonitor = speedMonitor;
+    this.burstDelayMillis = burstDelayMillis;
     this.startedAt = timers.nowMillis();
     this.ownerlessSince = startedAt;
     this.repliedAt = ownerlessSince;
@@ -138,7 +142,7 @@
    * @return the reply; {@link LinkReply.NotOwner} if the outcome stays unknown; never fails
    */
   public Future<LinkReply> ask(LinkRequest request, long timeoutMillis) {
-    PendingRequest pending = new PendingRequest(request, timers.nowMillis() + timeoutMillis);
+    PendingRequest pending = new PendingRequest(request);
     if (pendingRequests.isEmpty()) {
       repliedAt = timers.nowMillis();
     }
@@ -157,7 +161,13 @@
   /** Starts failure detection for the owner. */
   public void start() {
     new OwnerFailureDetector(
-            timers, log, directory, ownership, new PendingRequestStatus(), this::takeoverDelay)
+            timers,
+            log,
+            directory,
+            ownership,
+            new PendingRequestStatus(),
+            this::takeoverDelay,
+            burstDelayMillis)
         .start();
   }
 
@@ -233,7 +243,8 @@
               && !directory.owner().address().equals(self.address())
               && timers.nowMillis() - ownerlessSince < LINK_OPEN_TIMEOUT_MILLIS);
     }
-    return link.sendRequest(new LinkRequest.ProveOwnership(), PROOF_REPLY_TIMEOUT_MILLIS)
+    return link.sendRequest(
+            new LinkRequest.ProveOwnership(), PROOF_REPLY_TIMEOUT_MILLIS + burstDelayMillis)
         .map(this::evaluateProofReply)
         .otherwise(false);
   }
@@ -307,7 +318,7 @@
               opened.onClose(() -> handleLinkClosed(opened));
               long age = timers.nowMillis() - startedAt;
               opened.sendRequest(
-                  new LinkRequest.Introduce(self.strength().score(), age, true),
+                  new LinkRequest.Introduce(self.strength().score(), age, LinkRequest.VERSION),
                   PROOF_REPLY_TIMEOUT_MILLIS);
               ownership.notifySuccessor(
                   target.epoch(),
@@ -346,7 +357,9 @@
 
   private Duration takeoverDelay() {
     boolean weak = directory.owner().strength().isMuchStrongerThan(self.strength());
-    return TakeoverDelay.of(self.address(), weak, speedMonitor.isSlowed());
+    return ownership.isStandby()
+        ? TakeoverDelay.ofStandby(self.address())
+        : TakeoverDelay.of(self.address(), weak, speedMonitor.isSlowed());
   }
 
   private void requestTakeover(OwnerRecord lostOwner) {
@@ -396,10 +409,7 @@
       }
       pending.sendCount++;
       pending.sentAt = timers.nowMillis();
-      long remainingMillis = Math.max(1, pending.deadline - timers.nowMillis());
-      link.sendRequest(
-              pending.request,
-              Math.min(remainingMillis + REPLY_TIMEOUT_MILLIS, REPLY_TIMEOUT_MILLIS))
+      link.sendRequest(pending.request, REPLY_TIMEOUT_MILLIS + burstDelayMillis)
           .onComplete(reply -> handleReply(pending, reply), error -> scheduleResend(pending));
     }
   }
@@ -456,15 +466,13 @@
   private static final class PendingRequest {
 
     private final LinkRequest request;
-    private final long deadline;
     private final Promise<LinkReply> promise = Promise.promise();
     private TimerSubscription deadlineTimer = () -> {};
     private int sendCount;
     private long sentAt;
 
-    PendingRequest(LinkRequest request, long deadline) {
+    PendingRequest(LinkRequest request) {
       this.request = request;
-      this.deadline = deadline;
     }
   }
 }
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Ownership.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Ownership.java
@@ -97,6 +97,7 @@
   private final OwnerDirectory directory;
   private final AdviceCallBalancer adviceCallBalancer;
   private final OrderRouter orderRouter;
+  private final JournalFollower journalFollower;
   private OwnerCheck ownerCheck;
   private LongSupplier silentMillis = () -> 0;
   private Optional<Collection<CustomerLimits>> customers = Optional.empty();
@@ -134,7 +135,9 @@
       OwnerDirectory directory) {
     this.dependencies = dependencies;
     this.adviceCallBalancer = new AdviceCallBalancer(dependencies.timers());
-    this.orderRouter = new OrderRouter(dependencies.timers());
+    this.orderRouter = new OrderRouter(dependencies.timers(), dependencies.burstDelayMillis());
+    this.journalFollower =
+        new JournalFollower(dependencies.store(), dependencies.timers(), dependencies.log());
     this.memberName = member;
     this.self = self;
     this.lifetimeMillis = lifetimeMillis;
@@ -236,6 +239,22 @@
     return owner != null;
   }
 
+  /** Follows the journal for some seconds, at the owner's request, unless this is the owner. */
+  public void standBy() {
+    if (owner == null && !leaving) {
+      journalFollower.follow();
+    }
+  }
+
+  /**
+   * Returns whether this instance follows the journal and could take over at once.
+   *
+   * @return true if it has read all but the records of the last moments
+   */
+  public boolean isStandby() {
+    return journalFollower.isReady();
+  }
+
   /**
    * Adds an instance through which the advisor can be asked.
    *
@@ -379,7 +398,17 @@
       return Future.succeededFuture(false);
     }
     takingOver = true;
-    dependencies.log().event(PART, "taking-over", "reason", reason, "generation", generation);
+    dependencies
+        .log()
+        .event(
+            PART,
+            "taking-over",
+            "reason",
+            reason,
+            "generation",
+            generation,
+            "standby",
+            journalFollower.isReady());
     return new Takeover(
             dependencies.store(),
             dependencies.log(),
@@ -387,7 +416,8 @@
             randomFirstSequence(),
             directory.owner().epoch(),
             wanted,
-            livenessDelay)
+            livenessDelay,
+            journalFollower.snapshot())
         .run()
         .transform(
             (taken, error) -> {
@@ -412,6 +442,7 @@
                       orderRouter,
                       customers,
                       this::endOwnership);
+              journalFollower.stop();
               announceOwner(self.toOwnerRecord(taken.epoch()));
               return Future.succeededFuture(true);
             });
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Takeover.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Takeover.java
@@ -3,11 +3,13 @@
 import io.vertx.core.Future;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.BooleanSupplier;
 import org.hickorypier.core.cell.EventLog;
 import org.hickorypier.platform.store.Append;
 import org.hickorypier.platform.store.KeyedRecord;
+import org.hickorypier.platform.store.Snapshot;
 import org.hickorypier.platform.store.StoreClient;
 import org.hickorypier.platform.store.StoreError;
 import org.hickorypier.platform.store.StoreException;
@@ -51,6 +53,7 @@
   private final int replacedEpoch;
   private final BooleanSupplier stillWanted;
   private final Delay livenessDelay;
+  private final Optional<Snapshot> start;
   private final AppendTimeout timeout = new AppendTimeout();
   private OwnerRecord predecessor;
 
@@ -64,6 +67,7 @@
    * @param livenessDelay ends when a live owner would have written something; null if the owner
    *     need not be checked, as when it is known to be gone. If the owner has written meanwhile,
    *     the takeover is abandoned
+   * @param start what this instance has read of the journal, if it stands by
    */
   Takeover(
       StoreClient store,
@@ -72,7 +76,8 @@
       long sequence,
       int replacedEpoch,
       BooleanSupplier stillWanted,
-      Delay livenessDelay) {
+      Delay livenessDelay,
+      Optional<Snapshot> start) {
     this.store = store;
     this.log = log;
     this.candidate = candidate;
@@ -80,6 +85,7 @@
     this.replacedEpoch = replacedEpoch;
     this.stillWanted = stillWanted;
     this.livenessDelay = livenessDelay;
+    this.start = start;
   }
 
   /** A delay before the claim. */
@@ -104,11 +110,23 @@
   record Result(int epoch, long sequence, Map<String, byte[]> values) {}
 
   Future<Result> run() {
+    return start
+        .map(known -> readToEnd(known.from(), known.values(), 0, 0).recover(this::restartIfExpired))
+        .orElseGet(this::readAll);
+  }
+
+  private Future<Result> readAll() {
     return store
         .readSnapshot(JournalKeys.TOPIC, JournalKeys.PARTITION)
         .compose(snapshot -> readToEnd(snapshot.from(), snapshot.values(), 0, 0));
   }
 
+  private Future<Result> restartIfExpired(Throwable error) {
+    return error instanceof StoreException failure && failure.error() == StoreError.EXPIRED
+        ? readAll()
+        : Future.failedFuture(error);
+  }
+
   private Future<Result> readToEnd(
       long from, Map<String, byte[]> values, int retries, int fencedEpoch) {
     return store
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/TakeoverDelay.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/TakeoverDelay.java
@@ -21,8 +21,20 @@
   /** The additional delay of a weak or slowed machine, three times the spread of the others. */
   static final int WEAK_OR_SLOWED_EXTRA_MILLIS = 750;
 
+  /** The range of the delays of standbys, which need no time to read the journal. */
+  private static final int STANDBY_SPREAD_MILLIS = 40;
+
   private TakeoverDelay() {}
 
+  /**
+   * Returns the delay of an instance that follows the journal.
+   *
+   * @param address the instance's address
+   */
+  static Duration ofStandby(String address) {
+    return Duration.ofMillis(1 + Math.floorMod(address.hashCode(), STANDBY_SPREAD_MILLIS));
+  }
+
   /**
    * Returns the delay of an instance.
    *
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/TopicReader.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/TopicReader.java
@@ -62,6 +62,11 @@
     return read.onFailure(this::restartIfExpired);
   }
 
+  /** Returns the offset of the next record to read; meaningful after a successful read. */
+  long position() {
+    return position;
+  }
+
   private Changes fromSnapshot(Snapshot snapshot) {
     position = snapshot.from();
     List<KeyedRecord> records = new ArrayList<>();
--- a/daemon/src/test/java/org/hickorypier/daemon/node/NodeTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/NodeTest.java
@@ -107,7 +107,7 @@
   void ordersReachTheWorkersWhenTheirRelayIsKilled() throws Exception {
     try (SmallCluster cluster = new SmallCluster(2, 20)) {
       cluster.linkMegabits = 0.1;
-      SmallCluster.Instance owner = cluster.start();
+      final SmallCluster.Instance owner = cluster.start();
       SmallCluster.Instance other = cluster.start();
       cluster.waitUntil(() -> cluster.hasLogged(other, "owner-linked"));
       String before = ID_FORMAT.formatted(1);
--- a/daemon/src/test/java/org/hickorypier/daemon/node/SmallCluster.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/SmallCluster.java
@@ -181,7 +181,8 @@
         1_000,
         3_000,
         1_500,
-        linkMegabits);
+        linkMegabits,
+        1);
   }
 
   /** Records an owner that accepts connections and answers nothing. */
--- a/daemon/src/test/java/org/hickorypier/daemon/owner/OrderRouterTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/owner/OrderRouterTest.java
@@ -24,7 +24,7 @@
   private static final LinkReply STARTED = new LinkReply.Started(StartOutcome.STARTED);
 
   private final ManualTimerService timers = new ManualTimerService();
-  private final OrderRouter router = new OrderRouter(timers);
+  private final OrderRouter router = new OrderRouter(timers, 0);
 
   /** Records the orders that it gets and answers with the reply that is set. */
   private static final class FakeInstance implements OrderRouter.Sender {
--- a/daemon/src/test/java/org/hickorypier/daemon/owner/TakeoverTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/owner/TakeoverTest.java
@@ -7,6 +7,7 @@
 import io.vertx.core.http.HttpServer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.hickorypier.platform.http.PooledHttpClient;
@@ -67,7 +68,8 @@
         sequence,
         replacedEpoch,
         () -> wanted,
-        livenessDelay);
+        livenessDelay,
+        Optional.empty());
   }
 
   private static <T> T await(Future<T> future) throws Exception {
