Bound what waits on the owner's link, and say what fills it

Each instance forwards all that waits as soon as it is linked, and again 150 ms later for what had been on the broken link; a request without an answer for 1.3 s closed the link, and all of it was sent once more. The answers of store and workers came behind that. Then the store's group named another instance, since the owner was late with its heartbeats too. Change: TrafficCounter counts bytes by purpose (metric hickorypier_link_bytes, log line link-busy above 30% of the link); InFlightWindow bounds what an instance has forwarded without an answer to 20 ms of the link; a request is on one link at a time; the failure detector, not the age of one request, decides that a link is silent; a request that was never sent is refused as not run at its deadline.

--- a/core/src/main/java/org/hickorypier/core/cell/WorkerTimeout.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerTimeout.java
@@ -31,7 +31,8 @@
   /**
    * Creates the timeout of an owner that has heard no worker yet.
    *
-   * @param burstDelayMillis how long a message may wait on the owner's link, in milliseconds
+   * @param burstDelayMillis how long an answer may wait behind a burst of work at the owner, in
+   *     milliseconds
    */
   public WorkerTimeout(long burstDelayMillis) {
     this.minTimeoutMillis = Math.min(MAX_TIMEOUT_MILLIS, MIN_TIMEOUT_MILLIS + burstDelayMillis);
--- a/daemon/src/main/java/org/hickorypier/daemon/link/Link.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/link/Link.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import org.hickorypier.daemon.time.TimerService;
+import org.hickorypier.platform.http.TrafficCounter;
 import org.hickorypier.wire.UndecodableException;
 
 /**
@@ -25,12 +26,16 @@
 
   private static final int LENGTH_PREFIX_BYTES = 4;
 
+  /** The replies received, of all kinds. */
+  private static final String REPLY_PURPOSE = "link-reply";
+
   /** Exceeds the frame of any submission; a faulty sender may announce up to 2 GB. */
   private static final int MAX_FRAME_BYTES = 1 << 20;
 
   private final NetSocket socket;
   private final LinkRequestHandler handler;
   private final TimerService timers;
+  private final TrafficCounter traffic;
   private final Map<Long, Promise<LinkReply>> pendingReplies = new HashMap<>();
   private final List<Runnable> closeHandlers = new ArrayList<>();
   private long lastRequestNumber;
@@ -42,11 +47,14 @@
    * @param socket the connection
    * @param handler handles the requests of the other side
    * @param timers the timers for reply timeouts
+   * @param traffic counts the bytes of requests and replies
    */
-  public Link(NetSocket socket, LinkRequestHandler handler, TimerService timers) {
+  public Link(
+      NetSocket socket, LinkRequestHandler handler, TimerService timers, TrafficCounter traffic) {
     this.socket = socket;
     this.handler = handler;
     this.timers = timers;
+    this.traffic = traffic;
     RecordParser parser = RecordParser.newFixed(LENGTH_PREFIX_BYTES);
     parser.handler(
         new Handler<>() {
@@ -88,7 +96,7 @@
     long requestNumber = ++lastRequestNumber;
     Promise<LinkReply> promise = Promise.promise();
     pendingReplies.put(requestNumber, promise);
-    writeFrame(LinkCodec.encode(requestNumber, request));
+    writeFrame(LinkCodec.encode(requestNumber, request), purposeOf(request));
     var timer =
         timers.after(
             Duration.ofMillis(timeoutMillis),
@@ -129,19 +137,27 @@
       return;
     }
     if (frame.request() != null) {
+      String purpose = purposeOf(frame.request());
+      traffic.record(purpose, 0, LENGTH_PREFIX_BYTES + bytes.length);
       handler
           .answer(frame.request())
-          .onSuccess(reply -> writeFrame(LinkCodec.encode(frame.requestNumber(), reply)));
+          .onSuccess(reply -> writeFrame(LinkCodec.encode(frame.requestNumber(), reply), purpose));
       return;
     }
+    traffic.record(REPLY_PURPOSE, 0, LENGTH_PREFIX_BYTES + bytes.length);
     Promise<LinkReply> promise = pendingReplies.get(frame.requestNumber());
     if (promise != null) {
       promise.tryComplete(frame.reply());
     }
   }
 
-  private void writeFrame(byte[] frame) {
+  private static String purposeOf(LinkRequest request) {
+    return "link-" + request.getClass().getSimpleName();
+  }
+
+  private void writeFrame(byte[] frame, String purpose) {
     if (!closed) {
+      traffic.record(purpose, LENGTH_PREFIX_BYTES + frame.length, 0);
       socket.write(
           Buffer.buffer(LENGTH_PREFIX_BYTES + frame.length)
               .appendInt(frame.length)
--- a/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.hickorypier.core.cell.EventLog;
+import org.hickorypier.core.cell.InFlightWindow;
 import org.hickorypier.core.cluster.ClusterConfiguration;
 import org.hickorypier.daemon.front.DrainReport;
 import org.hickorypier.daemon.front.FrontServer;
@@ -31,6 +32,7 @@
 import org.hickorypier.platform.advice.AdviceClient;
 import org.hickorypier.platform.execution.WorkerClient;
 import org.hickorypier.platform.http.PooledHttpClient;
+import org.hickorypier.platform.http.TrafficCounter;
 import org.hickorypier.platform.store.StoreClient;
 
 /**
@@ -63,6 +65,9 @@
    */
   private static final Duration SPEED_SAMPLE_PERIOD = Duration.ofMillis(250);
 
+  /** Heartbeats that may be late on a weak machine, right after it has taken the cell over. */
+  private static final int HEARTBEAT_BURSTS = 6;
+
   private static final double BYTES_PER_MEGABIT = 125_000;
 
   /** Longer than a takeover takes. */
@@ -79,6 +84,7 @@
   private final EventLog log;
   private final LongSupplier wallClock;
   private final ProcessorSpeedMonitor speedMonitor;
+  private final TrafficCounter traffic = new TrafficCounter();
   private ConfigurationWatcher configurationWatcher;
   private Ownership ownership;
   private OwnerGateway gateway;
@@ -122,15 +128,16 @@
     timers = new VertxTimerService(vertx, context);
     SuspensionDetector suspensionDetector = new SuspensionDetector(timers::nowMillis, wallClock);
     StoreClient store =
-        new StoreClient(new PooledHttpClient(vertx, STORE_CONNECTIONS), settings.store());
+        new StoreClient(new PooledHttpClient(vertx, STORE_CONNECTIONS, traffic), settings.store());
     advisorClient =
         settings.advisor() == null
             ? null
-            : new AdviceClient(new PooledHttpClient(vertx, ADVICE_CONNECTIONS), settings.advisor());
+            : new AdviceClient(
+                new PooledHttpClient(vertx, ADVICE_CONNECTIONS, traffic), settings.advisor());
     OwnerDependencies dependencies =
         new OwnerDependencies(
             store,
-            new WorkerClient(new PooledHttpClient(vertx, WORKER_CONNECTIONS)),
+            new WorkerClient(new PooledHttpClient(vertx, WORKER_CONNECTIONS, traffic)),
             timers,
             wallClock,
             suspensionDetector,
@@ -147,7 +154,7 @@
             dependencies,
             settings.name() + "@" + peerAddress,
             self,
-            settings.groupLifetimeMillis(),
+            settings.groupLifetimeMillis() + HEARTBEAT_BURSTS * dependencies.burstDelayMillis(),
             directory);
     ownership.addAdvisorClient(settings.address(), (request, timeout) -> advise(request));
     configurationWatcher =
@@ -174,21 +181,27 @@
                 dependencies.workers(), suspensionDetector, log, () -> directory.owner().epoch()),
             self,
             speedMonitor,
-            dependencies.burstDelayMillis());
+            dependencies.burstDelayMillis(),
+            traffic,
+            new InFlightWindow(dependencies.linkBytesPerSecond()));
     timers.every(Duration.ofMillis(100), () -> ownerlessMillis = gateway.ownerlessMillis());
     timers.every(SPEED_SAMPLE_PERIOD, speedMonitor::sample);
+    TrafficReporter trafficReporter =
+        new TrafficReporter(
+            traffic, log, timers::nowMillis, settings.linkMegabits() * BYTES_PER_MEGABIT);
+    timers.every(TrafficReporter.PERIOD, trafficReporter::reportIfBusy);
     configurationWatcher.start();
     directory.start();
     gateway.start();
     // A caller whose connection is refused uses up one of its few attempts, so the front starts
     // first.
-    Future<?> traffic = startTraffic(context);
+    Future<?> frontStarted = startTraffic(context);
     return vertx
         .createNetServer()
         .connectHandler(
             socket -> {
               PeerHandler handler = new PeerHandler();
-              Link link = new Link(socket, handler, timers);
+              Link link = new Link(socket, handler, timers, traffic);
               String address = socket.remoteAddress().hostAddress();
               handler.peer = handover.addPeer(link, address);
               Runnable removeAdvisorClient = ownership.addAdvisorClient(address, link::sendRequest);
@@ -206,7 +219,7 @@
               ownership.start(gateway::checkOwnerAlive, gateway::silentMillis);
               handover.start();
             })
-        .compose(listening -> traffic);
+        .compose(listening -> frontStarted);
   }
 
   private Future<?> startTraffic(Context control) {
@@ -444,6 +457,15 @@
     return shutdownRequested;
   }
 
+  /**
+   * Returns the bytes sent and received by purpose; callable from any thread.
+   *
+   * @return the counter
+   */
+  public TrafficCounter traffic() {
+    return traffic;
+  }
+
   Context controlContext() {
     return context;
   }
--- a/daemon/src/main/java/org/hickorypier/daemon/node/NodeMain.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/NodeMain.java
@@ -136,6 +136,7 @@
         .description("log lines left out by their budget or a slow reader")
         .register(registry);
     log.bindTo(registry);
+    TrafficMetrics trafficMetrics = new TrafficMetrics(node.traffic());
     if (settings.metricsPort() == 0) {
       return;
     }
@@ -147,6 +148,9 @@
                 node.explain(request.path().substring(EXPLAIN_PATH.length()))
                     .onSuccess(text -> request.response().end(text));
               } else {
+                // Purposes appear with the first message; those that are registered stay as they
+                // are.
+                trafficMetrics.bindTo(registry);
                 request.response().end(registry.scrape());
               }
             })
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/JournalFollower.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/JournalFollower.java
@@ -101,6 +101,9 @@
       }
     }
     position = current.position();
-    complete = true;
+    if (!complete) {
+      complete = true;
+      log.event(PART, "following-ready", "keys", values.size(), "position", position);
+    }
   }
 }
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/OrderRouter.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/OrderRouter.java
@@ -43,7 +43,7 @@
   /**
    * Creates a router without relays.
    *
-   * @param burstDelayMillis how long a message may wait on this machine's link, in milliseconds
+   * @param burstDelayMillis how long a message may wait behind a burst of work, in milliseconds
    */
   OrderRouter(TimerService timers, long burstDelayMillis) {
     this.timers = timers;
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerDirectory.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerDirectory.java
@@ -1,6 +1,7 @@
 package org.hickorypier.daemon.owner;
 
 import java.time.Duration;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.hickorypier.core.cell.EventLog;
 import org.hickorypier.daemon.time.TimerService;
@@ -28,6 +29,9 @@
   private final Consumer<OwnerRecord> listener;
   private OwnerRecord owner = OwnerRecord.NONE;
 
+  /** When the present owner replaced another one; empty if it is the first that was read. */
+  private OptionalLong changedAt = OptionalLong.empty();
+
   /**
    * Creates the directory.
    *
@@ -60,6 +64,16 @@
     return owner;
   }
 
+  /**
+   * Returns whether the present owner has replaced another one within some time.
+   *
+   * @param millis the time, in milliseconds
+   * @return false also if the owner is the first one that this instance has read of
+   */
+  public boolean hasChangedWithin(long millis) {
+    return changedAt.isPresent() && timers.nowMillis() - changedAt.getAsLong() < millis;
+  }
+
   /**
    * Applies an owner record from the store or from another instance, unless its epoch is not newer.
    *
@@ -76,6 +90,7 @@
           newer.address(),
           "before",
           owner.epoch());
+      changedAt = owner.epoch() == 0 ? OptionalLong.empty() : OptionalLong.of(timers.nowMillis());
       owner = newer;
       listener.accept(newer);
     }
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerFailureDetector.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerFailureDetector.java
@@ -36,7 +36,7 @@
    * machine for seconds. Meanwhile it is not suspected, or each owner would be replaced before it
    * has served anybody.
    */
-  private static final int NEW_OWNER_BURSTS = 6;
+  private static final int NEW_OWNER_BURSTS = 12;
 
   /** An owner that does not answer the probe within this time is suspected to be lost. */
   private static final long PROBE_TIMEOUT_MILLIS = 250;
@@ -50,11 +50,6 @@
   private final long burstDelayMillis;
   private boolean probeInFlight;
 
-  /** The owner that was seen last, and when it was first seen. */
-  private OwnerRecord observedOwner = OwnerRecord.NONE;
-
-  private long ownerSince;
-
   /** The requests that wait for the owner. */
   interface Requests {
 
@@ -80,7 +75,8 @@
   /**
    * Creates the detector.
    *
-   * @param burstDelayMillis how long a reply may wait on the owner's link, in milliseconds
+   * @param burstDelayMillis how long a reply may wait behind a burst of work at the owner, in
+   *     milliseconds
    */
   OwnerFailureDetector(
       TimerService timers,
@@ -99,18 +95,24 @@
     this.burstDelayMillis = burstDelayMillis;
   }
 
+  /**
+   * Returns how long a new owner is not suspected.
+   *
+   * @param burstDelayMillis how long a message may wait behind a burst of work at the owner, in
+   *     milliseconds
+   */
+  static long newOwnerGraceMillis(long burstDelayMillis) {
+    return NEW_OWNER_BURSTS * burstDelayMillis;
+  }
+
   void start() {
     timers.every(CHECK_PERIOD, this::checkOwner);
   }
 
   private void checkOwner() {
     Link link = requests.link();
-    if (!directory.owner().equals(observedOwner)) {
-      observedOwner = directory.owner();
-      ownerSince = timers.nowMillis();
-    }
     if (link == null
-        || timers.nowMillis() - ownerSince < NEW_OWNER_BURSTS * burstDelayMillis
+        || directory.hasChangedWithin(newOwnerGraceMillis(burstDelayMillis))
         || probeInFlight
         || requests.pendingCount() == 0
         || requests.silentMillis() < PROBE_AFTER_MILLIS + burstDelayMillis) {
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerGateway.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerGateway.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashSet;
 import java.util.Set;
 import org.hickorypier.core.cell.EventLog;
+import org.hickorypier.core.cell.InFlightWindow;
 import org.hickorypier.core.cell.RetryAfter;
 import org.hickorypier.daemon.link.Link;
 import org.hickorypier.daemon.link.LinkReply;
@@ -17,6 +18,7 @@
 import org.hickorypier.daemon.time.TimerService;
 import org.hickorypier.daemon.time.TimerSubscription;
 import org.hickorypier.platform.http.ServiceAddress;
+import org.hickorypier.platform.http.TrafficCounter;
 
 /**
  * Forwards requests to the present owner, local or remote, and to its successor if the owner is
@@ -35,8 +37,11 @@
 
   private static final Duration RETRY_DELAY = Duration.ofMillis(150);
 
+  /** Size of a request beside the text of a submission. */
+  private static final int FRAME_BYTES = 200;
+
   /** Delay of the first attempt after a link broke: a killed process refuses it immediately. */
-  private static final Duration FIRST_RECONNECT_DELAY = Duration.ofMillis(30);
+  private static final Duration RECONNECT_DELAY = Duration.ofMillis(30);
 
   /** A link opens within some 10 ms. */
   private static final long LINK_OPEN_TIMEOUT_MILLIS = 300;
@@ -75,6 +80,8 @@
   private int consecutiveRefusals;
   private int denials;
   private final long burstDelayMillis;
+  private final TrafficCounter traffic;
+  private final InFlightWindow window;
   private final long startedAt;
   private long ownerlessSince;
 
@@ -93,7 +100,10 @@
    * @param orderRelay sends the owner's start orders to the workers
    * @param self this instance as a candidate for ownership
    * @param speedMonitor tells whether this machine has slowed down
-   * @param burstDelayMillis how long a message may wait on the owner's link, in milliseconds
+   * @param burstDelayMillis how long a reply may wait behind a burst of work at the owner, in
+   *     milliseconds
+   * @param traffic counts the bytes on the links
+   * @param window bounds the requests without a reply
    */
   public OwnerGateway(
       NetClient client,
@@ -105,7 +115,9 @@
       OrderRelay orderRelay,
       Candidate self,
       ProcessorSpeedMonitor speedMonitor,
-      long burstDelayMillis) {
+      long burstDelayMillis,
+      TrafficCounter traffic,
+      InFlightWindow window) {
     this.client = client;
     this.timers = timers;
     this.log = log;
@@ -116,6 +128,8 @@
     this.self = self;
     this.speedMonitor = speedMonitor;
     this.burstDelayMillis = burstDelayMillis;
+    this.traffic = traffic;
+    this.window = window;
     this.startedAt = timers.nowMillis();
     this.ownerlessSince = startedAt;
     this.repliedAt = ownerlessSince;
@@ -142,7 +156,7 @@
    * @return the reply; {@link LinkReply.NotOwner} if the outcome stays unknown; never fails
    */
   public Future<LinkReply> ask(LinkRequest request, long timeoutMillis) {
-    PendingRequest pending = new PendingRequest(request);
+    PendingRequest pending = new PendingRequest(request, timers.nowMillis() + timeoutMillis);
     if (pendingRequests.isEmpty()) {
       repliedAt = timers.nowMillis();
     }
@@ -235,6 +249,9 @@
     if (ownership.isOwner()) {
       return Future.succeededFuture(true);
     }
+    if (directory.hasChangedWithin(OwnerFailureDetector.newOwnerGraceMillis(burstDelayMillis))) {
+      return Future.succeededFuture(true);
+    }
     if (link == null) {
       // A link that is still being opened, as after a start, gets time to open; the next check
       // asks again.
@@ -314,7 +331,8 @@
                 return;
               }
               long openedAt = timers.nowMillis();
-              Link opened = new Link(socket, request -> answerOwner(request, openedAt), timers);
+              Link opened =
+                  new Link(socket, request -> answerOwner(request, openedAt), timers, traffic);
               opened.onClose(() -> handleLinkClosed(opened));
               long age = timers.nowMillis() - startedAt;
               opened.sendRequest(
@@ -377,7 +395,7 @@
     link = null;
     linkedTo = OwnerRecord.NONE;
     ownerlessSince = timers.nowMillis();
-    timers.after(FIRST_RECONNECT_DELAY, this::connect);
+    timers.after(RECONNECT_DELAY, this::connect);
   }
 
   private void closeLink() {
@@ -390,38 +408,64 @@
     ownerlessSince = timers.nowMillis();
   }
 
+  /** Sends all requests that have no reply to the present owner, oldest first. */
   private void sendAll() {
+    pendingRequests.forEach(PendingRequest::endRetryDelay);
+    sendReady();
+  }
+
+  /** Sends the requests that are ready and fit into the window, oldest first. */
+  private void sendReady() {
     for (PendingRequest pending : new ArrayList<>(pendingRequests)) {
       send(pending);
     }
   }
 
   private void send(PendingRequest pending) {
-    if (pending.promise.future().isComplete()) {
+    if (pending.promise.future().isComplete() || pending.stage != Stage.READY) {
       return;
     }
     if (ownership.isOwner()) {
+      pending.stage = Stage.IN_FLIGHT;
       pending.sendCount++;
       ownership.answer(pending.request).onSuccess(reply -> handleReply(pending, reply));
-    } else if (link != null) {
+    } else if (link != null && window.tryTake(pending.bytes)) {
       if (pending.request instanceof LinkRequest.Submit submit) {
         orderRelay.keepText(submit.spec());
       }
+      pending.stage = Stage.IN_FLIGHT;
       pending.sendCount++;
       pending.sentAt = timers.nowMillis();
-      link.sendRequest(pending.request, REPLY_TIMEOUT_MILLIS + burstDelayMillis)
-          .onComplete(reply -> handleReply(pending, reply), error -> scheduleResend(pending));
+      // The failure detector finds a silent link long before this timeout.
+      long remainingMillis = Math.max(0, pending.deadline - pending.sentAt);
+      link.sendRequest(pending.request, remainingMillis + REPLY_TIMEOUT_MILLIS + burstDelayMillis)
+          .onComplete(
+              reply -> {
+                window.release(pending.bytes);
+                handleReply(pending, reply);
+                sendReady();
+              },
+              error -> {
+                window.release(pending.bytes);
+                scheduleResend(pending, RECONNECT_DELAY);
+              });
     }
   }
 
-  private void scheduleResend(PendingRequest pending) {
-    timers.after(RETRY_DELAY, () -> send(pending));
+  private void scheduleResend(PendingRequest pending, Duration delay) {
+    pending.stage = Stage.RETRY_DELAY;
+    timers.after(
+        delay,
+        () -> {
+          pending.endRetryDelay();
+          send(pending);
+        });
   }
 
   private void handleReply(PendingRequest pending, LinkReply reply) {
     repliedAt = timers.nowMillis();
     if (reply instanceof LinkReply.NotOwner) {
-      scheduleResend(pending);
+      scheduleResend(pending, RETRY_DELAY);
       return;
     }
     boolean mayBeAccepted = reply instanceof LinkReply.Refused && pending.sendCount > 1;
@@ -462,17 +506,41 @@
     pending.promise.tryComplete(reply);
   }
 
+  /** The stages of a request without a final reply. */
+  private enum Stage {
+    /** To be sent once an owner is reachable and the window has room. */
+    READY,
+    /** Sent, without a reply yet. */
+    IN_FLIGHT,
+    /** Not answered, or answered by an instance that does not own the cell. */
+    RETRY_DELAY
+  }
+
   /** A request that waits for its reply. */
   private static final class PendingRequest {
 
     private final LinkRequest request;
+    private final long bytes;
+    private final long deadline;
     private final Promise<LinkReply> promise = Promise.promise();
     private TimerSubscription deadlineTimer = () -> {};
     private int sendCount;
     private long sentAt;
 
-    PendingRequest(LinkRequest request) {
+    private Stage stage = Stage.READY;
+
+    PendingRequest(LinkRequest request, long deadline) {
       this.request = request;
+      this.deadline = deadline;
+      this.bytes =
+          FRAME_BYTES
+              + (request instanceof LinkRequest.Submit submit ? submit.spec().text().length() : 0);
+    }
+
+    private void endRetryDelay() {
+      if (stage == Stage.RETRY_DELAY) {
+        stage = Stage.READY;
+      }
     }
   }
 }
--- a/daemon/src/test/java/org/hickorypier/daemon/node/NodeTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/NodeTest.java
@@ -79,6 +79,27 @@
     }
   }
 
+  /**
+   * Guards against takeovers that read the whole journal while callers wait: an instance follows it
+   * at the owner's request, and serves from it when the owner is killed.
+   */
+  @Test
+  void standbyTakesOverFromWhatItHasRead() throws Exception {
+    try (SmallCluster cluster = new SmallCluster(2, 800)) {
+      final SmallCluster.Instance owner = cluster.start();
+      SmallCluster.Instance standby = cluster.start();
+      cluster.waitUntil(() -> cluster.hasLogged(standby, "following-ready"));
+      String id = ID_FORMAT.formatted(1);
+      assertThat(cluster.submit(standby, id, 3).status()).isEqualTo(200);
+      cluster.waitUntil(() -> cluster.starts().size() == 3);
+      cluster.kill(owner);
+      cluster.waitUntil(() -> cluster.hasLogged(standby, "owner-gained"));
+      assertThat(cluster.hasLogged(standby, "standby, true")).isTrue();
+      cluster.waitUntil(() -> cluster.state(standby, id).equals("completed"));
+      assertThat(cluster.starts()).hasSize(3).doesNotHaveDuplicates();
+    }
+  }
+
   /**
    * Guards against an owner whose start orders fill its slow link: other instances relay them, also
    * those of a submission that the owner accepted itself.
