Name up to 100 workers to the advisor for a wide gang; free the room of cancelled gangs

A request named 40 workers at the most, of which a third is suitable, with one free slot or two each; a gang of 21 asked again and again, 0.6 s each, while others took the room. 9,717 calls kept the advisor busy for 2,216 s of the 2,350 s that it has. The protocol takes 100. Change: up to 100 workers are named where a step is expected to need so many (since the sizing by need, small steps name 10).

Found on the way: RunController.stopSubmission took the steps of a cancelled submission from the ready steps without releasing what was reserved for them; that room was lost until the next owner. Reservations are now released there, and before the step's tasks are counted, so that a step that may not start at present keeps none. The new test failed before.

--- a/core/src/main/java/org/hickorypier/core/cell/CellState.java
+++ b/core/src/main/java/org/hickorypier/core/cell/CellState.java
@@ -34,6 +34,7 @@
   final RunDurationEstimator durationEstimator = new RunDurationEstimator();
   final WorkerKindSpeedEstimator speedEstimator = new WorkerKindSpeedEstimator();
   final SuitabilityEstimator suitabilityEstimator = new SuitabilityEstimator();
+  final Reservations reservations = new Reservations();
   final UrgentReserve reserve = new UrgentReserve();
   final Map<String, Submission> submissions = new HashMap<>();
 
--- a/core/src/main/java/org/hickorypier/core/cell/Dispatcher.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Dispatcher.java
@@ -21,7 +21,7 @@
    * Bounds the time of a request, which grows with each worker named; so many workers are enough to
    * find a good set for a wide gang.
    */
-  private static final int MAX_WORKERS_PER_REQUEST = 40;
+  private static final int MAX_WORKERS_PER_REQUEST = 100;
 
   /**
    * Bounds a request from below: workers that are named to several steps at the same time may be
@@ -60,7 +60,7 @@
     Map<String, List<WorkerView>> workersByService = new HashMap<>();
     for (StepRun step : UrgencyOrder.sorted(cell.readySteps, cell.durationEstimator, now)) {
       if (!step.submission.isLive() || !step.hasWaitingTasks()) {
-        releaseReservation(step);
+        cell.reservations.release(step);
         cell.readySteps.remove(step);
       } else if (!cell.waitsForUnheardWorkers(step.submission, unresolvedUpTo)) {
         String service = step.submission.spec().queue().service();
@@ -104,12 +104,12 @@
 
   private void placeStep(StepRun step, List<WorkerView> workers, long now) {
     step.urgent = cell.isUrgent(step);
+    final StepReservation reservation = step.reservation;
+    cell.reservations.release(step);
     List<Task> tasks = startableTasks(step, workers);
     if (tasks.isEmpty()) {
       return;
     }
-    final StepReservation reservation = step.reservation;
-    releaseReservation(step);
     StepAdvice advice = step.advice;
     Map<Task, WorkerView> chosen =
         Placer.choose(
@@ -124,11 +124,9 @@
     }
     if (isRequestPending(advice, now)) {
       if (reservation != null && now < reservation.until()) {
-        reserve(step, reservation);
+        cell.reservations.reserve(step, reservation);
       }
-      return;
-    }
-    if (now >= advice.nextRequestAt) {
+    } else if (now >= advice.nextRequestAt) {
       requestAdvice(step, startableTasks(step, workers), workers, now);
     }
   }
@@ -269,19 +267,8 @@
       resources.merge(worker, step.spec.taskResources(), Resources::plus);
     }
     long call = Math.round(step.advice.terms.callMillis(resources.size()));
-    reserve(step, new StepReservation(resources, now + 2 * call + ADVICE_RETRY_MILLIS));
-  }
-
-  private void reserve(StepRun step, StepReservation reservation) {
-    step.reservation = reservation;
-    reservation.resources().forEach((worker, size) -> worker.reserve(size, 1));
-  }
-
-  private void releaseReservation(StepRun step) {
-    if (step.reservation != null) {
-      step.reservation.resources().forEach((worker, size) -> worker.reserve(size, -1));
-      step.reservation = null;
-    }
+    cell.reservations.reserve(
+        step, new StepReservation(resources, now + 2 * call + ADVICE_RETRY_MILLIS));
   }
 
   void adviceAnswered(
@@ -300,7 +287,7 @@
   void adviceFailed(StepRun step, long now) {
     step.advice.requestedAt = 0;
     step.advice.nextRequestAt = now + ADVICE_RETRY_MILLIS;
-    releaseReservation(step);
+    cell.reservations.release(step);
     cell.dirty = true;
   }
 }
--- a/core/src/main/java/org/hickorypier/core/cell/RunController.java
+++ b/core/src/main/java/org/hickorypier/core/cell/RunController.java
@@ -200,6 +200,7 @@
     for (StepRun[] steps : submission.occurrences) {
       for (StepRun step : steps) {
         cell.readySteps.remove(step);
+        cell.reservations.release(step);
         stopStep(step, now);
       }
     }
--- a/core/src/main/java/org/hickorypier/core/cell/RunEndHandler.java
+++ b/core/src/main/java/org/hickorypier/core/cell/RunEndHandler.java
@@ -131,6 +131,7 @@
     Submission submission = step.submission;
     submission.unfinishedSteps--;
     cell.readySteps.remove(step);
+    cell.reservations.release(step);
     if (submission.unfinishedSteps > 0) {
       cell.stepsMayBeReady = true;
       return;
--- a/core/src/test/java/org/hickorypier/core/cell/StepAdviceTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/StepAdviceTest.java
@@ -5,8 +5,11 @@
 import static org.hickorypier.core.cell.CellFixture.spec;
 import static org.hickorypier.core.cell.CellFixture.step;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.hickorypier.core.model.Resources;
+import org.hickorypier.core.submission.StepFlags;
 import org.hickorypier.core.submission.StepSpec;
 import org.junit.jupiter.api.Test;
 
@@ -51,6 +54,22 @@
     assertThat(fixture.starts).allMatch(next -> next.ticket().equals("new"));
   }
 
+  /** Guards against room that stays reserved for a cancelled gang, and is lost to the cell. */
+  @Test
+  void roomOfCancelledGangIsFreed() {
+    WorkerView worker = fixture.addWorker("w");
+    final Submission wide = fixture.submit(spec("wide", ADVISED, step(3, 5_000, 500, true)));
+    fixture.cell.renewalUnanswered(worker, fixture.now);
+    answer(0, Map.of("w", "old"));
+    fixture.advance(3_000);
+    fixture.reportFrom(worker);
+    fixture.pass();
+    fixture.cell.cancel(wide, fixture.now);
+    fixture.pass();
+    fixture.submit(spec("small", CellFixture.QUEUE, step(4, 4_000, 100, false)));
+    assertThat(fixture.starts).hasSize(4);
+  }
+
   @Test
   void adviceIsRequestedBeforeTheLeaseOfLostWorkerExpires() {
     final WorkerView lost = fixture.addWorker("lost");
@@ -139,6 +158,42 @@
     assertThat(fixture.adviceRequests.get(1).workers()).hasSize(40);
   }
 
+  /**
+   * Guards against gangs that ask the advisor several times, half a second each, in a busy cell: of
+   * 120 workers with room for one task each a third suits the gang.
+   */
+  @Test
+  void gangStartsAfterOneAnswerInBusyCell() {
+    for (int index = 0; index < 120; index++) {
+      fixture.addWorker("w" + index);
+    }
+    StepSpec twoTasksOnEachWorker =
+        new StepSpec(
+            240,
+            new Resources(5_000, 1_000, 0),
+            60_000,
+            List.of(),
+            StepFlags.NONE,
+            "",
+            "",
+            2,
+            "",
+            0,
+            0);
+    fixture.submit(spec("filler", CellFixture.QUEUE, twoTasksOnEachWorker));
+    fixture.confirmAll();
+    final int fillerStarts = fixture.starts.size();
+    fixture.submit(spec("gang", ADVISED, step(21, 4_500, 4_000, true)));
+    Map<String, String> tickets = new HashMap<>();
+    for (WorkerView worker : fixture.adviceRequests.get(0).workers()) {
+      if (Integer.parseInt(worker.id().substring(1)) % 3 == 0) {
+        tickets.put(worker.id(), "ticket");
+      }
+    }
+    answer(0, tickets);
+    assertThat(fixture.starts).hasSize(fillerStarts + 21);
+  }
+
   /** Guards against too few suitable workers where the advisor refuses most of them. */
   @Test
   void requestGrowsWhereFewWorkersAreSuitable() {
--- a/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
@@ -20,13 +20,13 @@
 import org.hickorypier.daemon.owner.Candidate;
 import org.hickorypier.daemon.owner.ConfigurationWatcher;
 import org.hickorypier.daemon.owner.OrderRelay;
-import org.hickorypier.daemon.owner.OrderRoute;
 import org.hickorypier.daemon.owner.OwnerDependencies;
 import org.hickorypier.daemon.owner.OwnerDirectory;
 import org.hickorypier.daemon.owner.OwnerGateway;
 import org.hickorypier.daemon.owner.OwnerRecord;
 import org.hickorypier.daemon.owner.Ownership;
 import org.hickorypier.daemon.owner.ProcessorSpeedMonitor;
+import org.hickorypier.daemon.owner.RelayRegistration;
 import org.hickorypier.daemon.time.SuspensionDetector;
 import org.hickorypier.daemon.time.VertxTimerService;
 import org.hickorypier.platform.advice.AdviceClient;
@@ -205,12 +205,12 @@
               String address = socket.remoteAddress().hostAddress();
               handler.peer = handover.addPeer(link, address);
               Runnable removeAdvisorClient = ownership.addAdvisorClient(address, link::sendRequest);
-              handler.peerOrders = ownership.orderRoute(address, link::sendRequest);
+              handler.relayRegistration = ownership.relayRegistration(address, link::sendRequest);
               link.onClose(
                   () -> {
                     handover.removePeer(handler.peer);
                     removeAdvisorClient.run();
-                    handler.peerOrders.close();
+                    handler.relayRegistration.cancel();
                   });
             })
         .listen(settings.peerPort(), settings.address())
@@ -263,19 +263,19 @@
   private final class PeerHandler implements LinkRequestHandler {
 
     private Peer peer;
-    private OrderRoute peerOrders;
+    private RelayRegistration relayRegistration;
 
     @Override
     public Future<LinkReply> answer(LinkRequest request) {
       if (request instanceof LinkRequest.Introduce introduce) {
         peer.recordIntroduction(introduce, timers.nowMillis());
         if (peer.relays()) {
-          peerOrders.open();
+          relayRegistration.register();
         }
         return Future.succeededFuture(new LinkReply.Noted());
       }
       if (request instanceof LinkRequest.Submit submit && ownership.isOwner()) {
-        peerOrders.recordText(submit.spec().id());
+        relayRegistration.recordText(submit.spec().id());
       }
       return answerPeer(request);
     }
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Ownership.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Ownership.java
@@ -269,14 +269,15 @@
   }
 
   /**
-   * Creates the way of start orders through an instance that has opened a link to this one.
+   * Creates the registration of an instance that has opened a link to this one as a relay of start
+   * orders.
    *
    * @param address the instance's address
    * @param sender sends requests to that instance
-   * @return the route, which is closed until it is opened
+   * @return the registration; the instance is no relay until it is registered
    */
-  public OrderRoute orderRoute(String address, OrderRouter.Sender sender) {
-    return new OrderRoute(orderRouter, address, sender);
+  public RelayRegistration relayRegistration(String address, OrderRouter.Sender sender) {
+    return new RelayRegistration(orderRouter, address, sender);
   }
 
   /** An instance that can ask the advisor. */
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/OrderRoute.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/RelayRegistration.java
@@ -1,25 +1,26 @@
 package org.hickorypier.daemon.owner;
 
 /**
- * The way of the owner's start orders through one linked instance.
+ * Registration of one linked instance as a relay of the owner's start orders.
  *
- * <p>Closed until the instance says that it relays orders. Confined to the control thread.
+ * <p>The instance is registered once it has said that it relays orders, until its link is closed.
+ * Confined to the control thread.
  */
-public final class OrderRoute {
+public final class RelayRegistration {
 
   private final OrderRouter router;
   private final String address;
   private final OrderRouter.Sender sender;
   private OrderRouter.Relay relay;
 
-  OrderRoute(OrderRouter router, String address, OrderRouter.Sender sender) {
+  RelayRegistration(OrderRouter router, String address, OrderRouter.Sender sender) {
     this.router = router;
     this.address = address;
     this.sender = sender;
   }
 
-  /** Opens the route: the instance relays orders. */
-  public void open() {
+  /** Registers the instance as a relay, unless it is one already. */
+  public void register() {
     if (relay == null) {
       relay = router.add(address, sender);
     }
@@ -36,8 +37,8 @@
     }
   }
 
-  /** Closes the route: the link to the instance is closed. */
-  public void close() {
+  /** Cancels the registration, since the link to the instance is closed. */
+  public void cancel() {
     if (relay != null) {
       router.remove(relay);
       relay = null;
