--- a/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerGateway.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerGateway.java
@@ -490,10 +490,16 @@
     finish(
         pending,
         pending.sendCount == 0
-            ? new LinkReply.Refused("no owner can be reached", retryAfterMillis(pending.request))
+            ? new LinkReply.Refused(notSentReason(), retryAfterMillis(pending.request))
             : new LinkReply.NotOwner());
   }
 
+  private String notSentReason() {
+    return isOwnerReachable()
+        ? "the owner is behind with earlier requests"
+        : "no owner can be reached";
+  }
+
   private static long retryAfterMillis(LinkRequest request) {
     return request instanceof LinkRequest.Submit submit
         ? RetryAfter.delayMillis(submit.spec())
