--- a/core/src/main/java/org/hickorypier/core/cell/RenewalInterval.java
+++ b/core/src/main/java/org/hickorypier/core/cell/RenewalInterval.java
@@ -18,7 +18,7 @@
    */
   static final long MIN_WAIT_MILLIS = 400;
 
-  /** Two renewals without an answer still fit into a lease. */
+  /** One renewal without an answer and the next one still fit into a lease. */
   static final long MAX_WAIT_MILLIS = 1_200;
 
   /** Share of the link that the renewals of idle workers may take in each direction. */
