KNOWN-RED: the owner's pause during a handover is too short beside a load of 20

Traced: the successor takes longer than the 250 ms for which the owner starts nothing (it was told to take over, then owner-gained at the successor, then run ordered at the former owner). A mend to try: starts stay suspended until the request to take over is answered.

--- a/daemon/src/test/java/org/hickorypier/daemon/node/ShutdownTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/ShutdownTest.java
@@ -11,6 +11,7 @@
 import org.hickorypier.daemon.owner.Strength;
 import org.hickorypier.standins.fault.Fault;
 import org.hickorypier.standins.fault.FaultPlan;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Tests what callers observe while an instance shuts down gracefully. */
@@ -325,6 +326,7 @@
    * some members of a gang and refused the others in favour of the successor, and the started
    * members waited three seconds in vain ("alone").
    */
+  @Tag("known-red")
   @Test
   void ownerPausesWritingDuringHandover() throws Exception {
     try (SmallCluster cluster = new SmallCluster(1, 20)) {
