Read through the change: relays spread by the rendezvous hash, suitability of new ratings only, starts wait for the successor

Addresses that differ in their last character have neighbouring hashes, so one relay gets nearly all submissions; RendezvousHash, which the project has, says so and mixes the bits. It is used now. - SuitabilityEstimator counted renewals of tickets, which name only workers that are known to be suitable, so the share rose towards 1 and requests named too few workers. Only workers that were not rated before count. - The owner started nothing for 250 ms of a handover, and the successor may claim the cell after that: starts now wait until the request to take over is answered (0.9 s at most); appends pause as before. That is what ShutdownTest.ownerPausesWritingDuringHandover guards, which failed beside load; its tag is gone and it is part of the build again. - JsonLineLog waits for its close or the next write on a latch, not in a sleep. HickoryMain's sleep is the one real wait between polls and is passed in; its comment says so.

--- a/cli/src/main/java/org/hickorypier/cli/HickoryMain.java
+++ b/cli/src/main/java/org/hickorypier/cli/HickoryMain.java
@@ -34,6 +34,7 @@
                 terminal,
                 System.getenv(),
                 () -> UUID.randomUUID().toString(),
+                // The wait between two polls; tests of the command pass a fake one.
                 duration -> Thread.sleep(duration.toMillis()))
             .run(List.of(arguments));
     terminal.output().flush();
--- a/core/src/main/java/org/hickorypier/core/cell/Dispatcher.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Dispatcher.java
@@ -17,10 +17,7 @@
  */
 final class Dispatcher {
 
-  /**
-   * Bounds the time of a request, which grows with each worker named; so many workers are enough to
-   * find a good set for a wide gang.
-   */
+  /** The advisor takes no more workers in one request. */
   private static final int MAX_WORKERS_PER_REQUEST = 100;
 
   /**
@@ -277,13 +274,22 @@
       Map<String, String> tickets,
       long validMillis,
       long now) {
+    recordSuitability(step, named, tickets);
     step.advice.recordAnswer(named, tickets, validMillis, now);
-    cell.suitabilityEstimator.recordAnswer(
-        step.submission.spec().queue().name(), named.size(), tickets.size());
     step.advice.nextRequestAt = tickets.isEmpty() ? now + ADVICE_RETRY_MILLIS : now;
     cell.dirty = true;
   }
 
+  /** Records which share of the workers that were not rated before is suitable. */
+  private void recordSuitability(
+      StepRun step, List<WorkerView> named, Map<String, String> tickets) {
+    List<WorkerView> newlyRated =
+        named.stream().filter(worker -> !step.advice.isRated(worker)).toList();
+    long suitable = newlyRated.stream().filter(worker -> tickets.containsKey(worker.id())).count();
+    cell.suitabilityEstimator.recordAnswer(
+        step.submission.spec().queue().name(), newlyRated.size(), suitable);
+  }
+
   void adviceFailed(StepRun step, long now) {
     step.advice.requestedAt = 0;
     step.advice.nextRequestAt = now + ADVICE_RETRY_MILLIS;
--- a/core/src/main/java/org/hickorypier/core/cell/SuitabilityEstimator.java
+++ b/core/src/main/java/org/hickorypier/core/cell/SuitabilityEstimator.java
@@ -23,7 +23,8 @@
 
   private record Totals(double suitable, double named) {}
 
-  void recordAnswer(String queue, int named, int suitable) {
+  /** Records an answer about workers that were not rated for the step before. */
+  void recordAnswer(String queue, long named, long suitable) {
     Totals earlier = totalsByQueue.getOrDefault(queue, new Totals(0, 0));
     totalsByQueue.put(
         queue, new Totals(earlier.suitable * DECAY + suitable, earlier.named * DECAY + named));
--- a/core/src/test/java/org/hickorypier/core/cell/StepAdviceTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/StepAdviceTest.java
@@ -194,6 +194,33 @@
     assertThat(fixture.starts).hasSize(fillerStarts + 21);
   }
 
+  /**
+   * Guards against requests that name too few workers, since tickets were renewed for workers that
+   * were known to be suitable.
+   */
+  @Test
+  void renewedTicketsDoNotCountAsSuitableShare() {
+    SuitabilityEstimator estimator = new SuitabilityEstimator();
+    final double before = estimator.share("queue");
+    estimator.recordAnswer("queue", 0, 0);
+    assertThat(estimator.share("queue")).isEqualTo(before);
+    WorkerView worker = fixture.addWorker("w");
+    fixture.submit(spec("wide", ADVISED, step(3, 5_000, 500, true)));
+    for (int request = 0; request < 10; request++) {
+      fixture.cell.renewalUnanswered(worker, fixture.now);
+      answer(request, Map.of("w", "ticket"));
+      fixture.advance(3_000);
+      fixture.reportFrom(worker);
+      fixture.pass();
+    }
+    for (int index = 0; index < 40; index++) {
+      fixture.addWorker("v" + index);
+    }
+    fixture.submit(spec("next", ADVISED, step(13, 4_500, 500, true)));
+    int last = fixture.adviceRequests.size() - 1;
+    assertThat(fixture.adviceRequests.get(last).workers()).hasSizeGreaterThan(35);
+  }
+
   /** Guards against too few suitable workers where the advisor refuses most of them. */
   @Test
   void requestGrowsWhereFewWorkersAreSuitable() {
--- a/daemon/src/main/java/org/hickorypier/daemon/node/Handover.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Handover.java
@@ -75,9 +75,10 @@
   private static final long TAKE_OVER_TIMEOUT_MILLIS = 900;
 
   /**
-   * Longest time for which this owner stops writing during a takeover request. A fast successor
-   * reads the journal and claims the cell within about 50 ms, one with much to read within 100 ms;
-   * callers that submit work wait meanwhile.
+   * Longest time for which this owner appends nothing during a takeover request. It starts nothing
+   * until the request is answered, since the successor may claim the cell at any time. A fast
+   * successor reads the journal and claims the cell within about 50 ms, one with much to read
+   * within 100 ms; callers that submit work wait meanwhile.
    */
   private static final long WRITE_PAUSE_MILLIS = 250;
 
@@ -124,7 +125,8 @@
 
   private void requestStandbys() {
     if (ownership.isOwner()) {
-      List<Successor> linked = peers.stream().filter(Peer::relays).map(Peer::asSuccessor).toList();
+      List<Successor> linked =
+          peers.stream().filter(Peer::supportsRelays).map(Peer::asSuccessor).toList();
       for (Successor standby : Successor.standbys(linked, STANDBY_COUNT)) {
         standby.peer().link().sendRequest(new LinkRequest.StandBy(), STANDBY_REPLY_TIMEOUT_MILLIS);
       }
@@ -294,7 +296,7 @@
     next.recordTakeOverRequest(timers.nowMillis());
     writingPaused = !isStoreUnavailable();
     if (writingPaused) {
-      ownership.pauseWriting(WRITE_PAUSE_MILLIS);
+      ownership.pauseWriting(WRITE_PAUSE_MILLIS, TAKE_OVER_TIMEOUT_MILLIS);
     }
     return next.link()
         .sendRequest(new LinkRequest.TakeOver(), TAKE_OVER_TIMEOUT_MILLIS)
--- a/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
@@ -269,7 +269,7 @@
     public Future<LinkReply> answer(LinkRequest request) {
       if (request instanceof LinkRequest.Introduce introduce) {
         peer.recordIntroduction(introduce, timers.nowMillis());
-        if (peer.relays()) {
+        if (peer.supportsRelays()) {
           relayRegistration.register();
         }
         return Future.succeededFuture(new LinkReply.Noted());
--- a/daemon/src/main/java/org/hickorypier/daemon/node/Peer.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Peer.java
@@ -35,8 +35,8 @@
     startedAtMillis = nowMillis - introduce.ageMillis();
   }
 
-  /** Returns whether this instance relays orders and can stand by. */
-  boolean relays() {
+  /** Returns whether this instance takes requests to relay orders and to stand by. */
+  boolean supportsRelays() {
     return version >= LinkRequest.FIRST_VERSION_WITH_RELAYS;
   }
 
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/OrderRouter.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/OrderRouter.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.hickorypier.core.cell.StartOutcome;
+import org.hickorypier.core.membership.RendezvousHash;
 import org.hickorypier.daemon.link.LinkReply;
 import org.hickorypier.daemon.link.LinkRequest;
 import org.hickorypier.daemon.time.TimerService;
@@ -154,17 +155,16 @@
     return Optional.empty();
   }
 
-  /** Selects a relay by the submission's id, so that the submissions are spread evenly. */
+  /** Selects a relay that answers, by the submission's id, so that the submissions are spread. */
   private Relay select(String submission) {
-    Relay best = null;
-    int bestRank = 0;
+    Map<String, Relay> answering = new HashMap<>();
     for (Relay relay : relays) {
-      int rank = (submission + relay.address).hashCode();
-      if (!relay.silent && (best == null || rank > bestRank)) {
-        best = relay;
-        bestRank = rank;
+      if (!relay.silent) {
+        answering.put(relay.address, relay);
       }
     }
-    return best;
+    return RendezvousHash.preferred(answering.keySet(), submission)
+        .map(answering::get)
+        .orElse(null);
   }
 }
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
@@ -304,10 +304,10 @@
     }
   }
 
-  /** Suspends journal writes and starts for the given time, while a successor claims the cell. */
-  void suspendWriting(long millis) {
-    journal.pauseAppends(millis);
-    startsSuspendedUntil = now() + millis;
+  /** Suspends journal writes and starts for the given times, while a successor claims the cell. */
+  void suspendWriting(long appendsPauseMillis, long startsPauseMillis) {
+    journal.pauseAppends(appendsPauseMillis);
+    startsSuspendedUntil = now() + startsPauseMillis;
   }
 
   /**
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Ownership.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Ownership.java
@@ -516,11 +516,12 @@
   /**
    * Appends and starts nothing for some time, while a successor claims the cell.
    *
-   * @param millis the time, in milliseconds
+   * @param appendsPauseMillis how long nothing is appended, in milliseconds
+   * @param startsPauseMillis how long nothing is started, in milliseconds
    */
-  public void pauseWriting(long millis) {
+  public void pauseWriting(long appendsPauseMillis, long startsPauseMillis) {
     if (owner != null) {
-      owner.suspendWriting(millis);
+      owner.suspendWriting(appendsPauseMillis, startsPauseMillis);
     }
   }
 
--- a/daemon/src/main/java/org/hickorypier/daemon/report/JsonLineLog.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/report/JsonLineLog.java
@@ -7,6 +7,8 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Queue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.hickorypier.core.cell.EventLog;
 
@@ -43,6 +45,7 @@
   private final Thread writer;
   private long droppedLines;
   private volatile boolean closed;
+  private final CountDownLatch closeRequested = new CountDownLatch(1);
 
   /**
    * Creates the log and starts its writer thread.
@@ -89,7 +92,7 @@
   @Override
   public void close() {
     closed = true;
-    writer.interrupt();
+    closeRequested.countDown();
     try {
       writer.join(WRITE_PERIOD_MILLIS);
     } catch (InterruptedException error) {
@@ -111,12 +114,13 @@
     }
   }
 
-  private static void awaitNextWrite() {
+  /** Waits for the next write, so that the lines of a period share one; ends early at the close. */
+  private void awaitNextWrite() {
     try {
-      Thread.sleep(WRITE_PERIOD_MILLIS);
+      closeRequested.await(WRITE_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
     } catch (InterruptedException error) {
-      // The log is closed; a final write follows.
-      return;
+      // Nobody interrupts the writer but the end of the process; a final write follows.
+      closed = true;
     }
   }
 
--- a/daemon/src/test/java/org/hickorypier/daemon/node/ShutdownTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/ShutdownTest.java
@@ -11,7 +11,6 @@
 import org.hickorypier.daemon.owner.Strength;
 import org.hickorypier.standins.fault.Fault;
 import org.hickorypier.standins.fault.FaultPlan;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Tests what callers observe while an instance shuts down gracefully. */
@@ -326,7 +325,6 @@
    * some members of a gang and refused the others in favour of the successor, and the started
    * members waited three seconds in vain ("alone").
    */
-  @Tag("known-red")
   @Test
   void ownerPausesWritingDuringHandover() throws Exception {
     try (SmallCluster cluster = new SmallCluster(1, 20)) {
--- a/daemon/src/test/java/org/hickorypier/daemon/owner/OrderRouterTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/owner/OrderRouterTest.java
@@ -44,7 +44,11 @@
   }
 
   private static StartOrder order(int task) {
-    RunKey run = new RunKey(new TaskName(SUBMISSION, 0, 0, task), 1);
+    return order(SUBMISSION, task);
+  }
+
+  private static StartOrder order(String submission, int task) {
+    RunKey run = new RunKey(new TaskName(submission, 0, 0, task), 1);
     return new StartOrder("w", "10.0.0.1:1", run, "text", 2_000, 3, "", null);
   }
 
@@ -81,6 +85,20 @@
     assertThat(first.orders.size() + second.orders.size()).isEqualTo(5);
   }
 
+  /** Guards against one relay that gets nearly all orders because addresses are alike. */
+  @Test
+  void submissionsAreSpreadOverInstancesWithNeighbouringAddresses() {
+    List<FakeInstance> instances = new ArrayList<>();
+    for (int index = 0; index < 8; index++) {
+      instances.add(new FakeInstance());
+      router.add("10.1.0." + (20 + index), instances.get(index));
+    }
+    for (int submission = 0; submission < 800; submission++) {
+      router.start(order("%016x".formatted(submission), 0));
+    }
+    assertThat(instances).allMatch(instance -> instance.orders.size() > 50);
+  }
+
   @Test
   void closedLinkMovesItsSubmissionsToAnotherRelay() {
     OrderRouter.Relay lost = router.add("10.0.0.2", new FakeInstance());
