Keep a link whose replies are late, and send nothing to an instance that denies its ownership

Class: a timeout that assumes a processor that is there, and whose expiry makes the work that is late.

--- a/daemon/src/main/java/org/hickorypier/daemon/link/Link.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/link/Link.java
@@ -2,15 +2,11 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Handler;
-import io.vertx.core.Promise;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetSocket;
 import io.vertx.core.parsetools.RecordParser;
-import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import org.hickorypier.daemon.time.TimerService;
 import org.hickorypier.platform.http.TrafficCounter;
 import org.hickorypier.wire.UndecodableException;
@@ -19,8 +15,8 @@
  * A connection between two instances over which both sides may send requests.
  *
  * <p>Invariants: every request ends with a reply or with a {@link LinkException}; the connection is
- * closed when a request times out, since a connection may stay silent for good while new ones work.
- * Confined to the control thread.
+ * closed when a request times out and nothing has arrived since it was sent, since a connection may
+ * stay silent for good while new ones work. Confined to the control thread.
  */
 public final class Link {
 
@@ -34,11 +30,9 @@
 
   private final NetSocket socket;
   private final LinkRequestHandler handler;
-  private final TimerService timers;
   private final TrafficCounter traffic;
-  private final Map<Long, Promise<LinkReply>> pendingReplies = new HashMap<>();
+  private final PendingReplies pendingReplies;
   private final List<Runnable> closeHandlers = new ArrayList<>();
-  private long lastRequestNumber;
   private boolean closed;
 
   /**
@@ -53,8 +47,8 @@
       NetSocket socket, LinkRequestHandler handler, TimerService timers, TrafficCounter traffic) {
     this.socket = socket;
     this.handler = handler;
-    this.timers = timers;
     this.traffic = traffic;
+    this.pendingReplies = new PendingReplies(timers, socket::close);
     RecordParser parser = RecordParser.newFixed(LENGTH_PREFIX_BYTES);
     parser.handler(
         new Handler<>() {
@@ -93,25 +87,18 @@
     if (closed) {
       return Future.failedFuture(new LinkException("the link is closed"));
     }
-    long requestNumber = ++lastRequestNumber;
-    Promise<LinkReply> promise = Promise.promise();
-    pendingReplies.put(requestNumber, promise);
-    writeFrame(LinkCodec.encode(requestNumber, request), purposeOf(request));
-    var timer =
-        timers.after(
-            Duration.ofMillis(timeoutMillis),
-            () -> {
-              if (promise.tryFail(new LinkException("no reply before the timeout"))) {
-                socket.close();
-              }
-            });
-    return promise
-        .future()
-        .onComplete(
-            done -> {
-              timer.cancel();
-              pendingReplies.remove(requestNumber);
-            });
+    PendingReplies.Registration registered = pendingReplies.register(timeoutMillis);
+    writeFrame(LinkCodec.encode(registered.requestNumber(), request), purposeOf(request));
+    return registered.reply();
+  }
+
+  /**
+   * Returns how many requests and replies have arrived. An increase shows that the other side runs.
+   *
+   * @return the number of frames since the link was opened
+   */
+  public long framesReceived() {
+    return pendingReplies.framesReceived();
   }
 
   /**
@@ -136,6 +123,7 @@
       socket.close();
       return;
     }
+    pendingReplies.recordFrame();
     if (frame.request() != null) {
       String purpose = purposeOf(frame.request());
       traffic.record(purpose, 0, LENGTH_PREFIX_BYTES + bytes.length);
@@ -145,10 +133,7 @@
       return;
     }
     traffic.record(REPLY_PURPOSE, 0, LENGTH_PREFIX_BYTES + bytes.length);
-    Promise<LinkReply> promise = pendingReplies.get(frame.requestNumber());
-    if (promise != null) {
-      promise.tryComplete(frame.reply());
-    }
+    pendingReplies.complete(frame.requestNumber(), frame.reply());
   }
 
   private static String purposeOf(LinkRequest request) {
@@ -167,9 +152,7 @@
 
   private void handleClosed() {
     closed = true;
-    for (Promise<LinkReply> promise : List.copyOf(pendingReplies.values())) {
-      promise.tryFail(new LinkException("the link was closed before the reply arrived"));
-    }
+    pendingReplies.failAll();
     closeHandlers.forEach(Runnable::run);
   }
 }
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerFailureDetector.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerFailureDetector.java
@@ -120,6 +120,7 @@
     }
     probeInFlight = true;
     OwnerRecord probed = requests.linkedOwner();
+    long framesBefore = link.framesReceived();
     link.sendRequest(new LinkRequest.ProveOwnership(), PROBE_TIMEOUT_MILLIS + burstDelayMillis)
         .onComplete(
             reply -> {
@@ -128,7 +129,10 @@
             },
             error -> {
               probeInFlight = false;
-              suspectOwner(probed);
+              // Whatever has arrived meanwhile is a sign of life too; the reply is only late.
+              if (link.framesReceived() == framesBefore) {
+                suspectOwner(probed);
+              }
             });
   }
 
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerGateway.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerGateway.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import org.hickorypier.core.cell.EventLog;
 import org.hickorypier.core.cell.InFlightWindow;
+import org.hickorypier.core.cell.OwnershipDenial;
 import org.hickorypier.core.cell.RetryAfter;
 import org.hickorypier.daemon.link.Link;
 import org.hickorypier.daemon.link.LinkReply;
@@ -79,6 +80,7 @@
   private boolean connecting;
   private int consecutiveRefusals;
   private int denials;
+  private final OwnershipDenial denial = new OwnershipDenial();
   private final long burstDelayMillis;
   private final TrafficCounter traffic;
   private final InFlightWindow window;
@@ -163,8 +165,8 @@
     pendingRequests.add(pending);
     pending.deadlineTimer =
         timers.after(Duration.ofMillis(timeoutMillis), () -> giveUp(pending, "deadline"));
-    if (!isOwnerReachable() && timers.nowMillis() - ownerlessSince > MAX_OWNERLESS_WAIT_MILLIS) {
-      // No owner has been reachable for too long, so the caller is answered immediately.
+    if (unservedMillis() > MAX_OWNERLESS_WAIT_MILLIS) {
+      // No owner has served requests for too long, so the caller is answered immediately.
       giveUp(pending, "no owner");
     } else {
       send(pending);
@@ -219,6 +221,11 @@
     }
   }
 
+  /** Returns for how long no request could be sent to an owner, in milliseconds. */
+  private long unservedMillis() {
+    return Math.max(ownerlessMillis(), denial.deniedMillis(timers.nowMillis()));
+  }
+
   private long firstSentAt() {
     return pendingRequests.isEmpty() ? 0 : pendingRequests.iterator().next().sentAt;
   }
@@ -227,6 +234,7 @@
   public void ownerChanged() {
     OwnerRecord owner = directory.owner();
     denials = 0;
+    denial.clear();
     if (owner.address().equals(self.address())) {
       closeLink();
       if (!ownership.isOwner()) {
@@ -260,10 +268,13 @@
               && !directory.owner().address().equals(self.address())
               && timers.nowMillis() - ownerlessSince < LINK_OPEN_TIMEOUT_MILLIS);
     }
-    return link.sendRequest(
+    Link asked = link;
+    long framesBefore = asked.framesReceived();
+    return asked
+        .sendRequest(
             new LinkRequest.ProveOwnership(), PROOF_REPLY_TIMEOUT_MILLIS + burstDelayMillis)
         .map(this::evaluateProofReply)
-        .otherwise(false);
+        .otherwise(error -> asked.framesReceived() > framesBefore);
   }
 
   /**
@@ -335,12 +346,13 @@
                   new Link(socket, request -> answerOwner(request, openedAt), timers, traffic);
               opened.onClose(() -> handleLinkClosed(opened));
               long age = timers.nowMillis() - startedAt;
+              long firstReplyTimeoutMillis = firstReplyTimeoutMillis();
               opened.sendRequest(
                   new LinkRequest.Introduce(self.strength().score(), age, LinkRequest.VERSION),
-                  PROOF_REPLY_TIMEOUT_MILLIS);
+                  firstReplyTimeoutMillis);
               ownership.notifySuccessor(
-                  target.epoch(),
-                  request -> opened.sendRequest(request, PROOF_REPLY_TIMEOUT_MILLIS));
+                  target.epoch(), request -> opened.sendRequest(request, firstReplyTimeoutMillis));
+              denial.clear();
               link = opened;
               consecutiveRefusals = 0;
               linkedTo = target;
@@ -367,6 +379,11 @@
             });
   }
 
+  /** A new owner replies late, and a link that is opened anew only adds to its work. */
+  private long firstReplyTimeoutMillis() {
+    return PROOF_REPLY_TIMEOUT_MILLIS + OwnerFailureDetector.newOwnerGraceMillis(burstDelayMillis);
+  }
+
   private Future<LinkReply> answerOwner(LinkRequest request, long linkOpenedAt) {
     return request instanceof LinkRequest.StartRun start
         ? orderRelay.start(start, linkOpenedAt)
@@ -429,7 +446,7 @@
       pending.stage = Stage.IN_FLIGHT;
       pending.sendCount++;
       ownership.answer(pending.request).onSuccess(reply -> handleReply(pending, reply));
-    } else if (link != null && window.tryTake(pending.bytes)) {
+    } else if (link != null && !denial.isDenied() && window.tryTake(pending.bytes)) {
       if (pending.request instanceof LinkRequest.Submit submit) {
         orderRelay.keepText(submit.spec());
       }
@@ -465,6 +482,9 @@
   private void handleReply(PendingRequest pending, LinkReply reply) {
     repliedAt = timers.nowMillis();
     if (reply instanceof LinkReply.NotOwner) {
+      if (link != null && denial.record(repliedAt)) {
+        scheduleProof(link);
+      }
       scheduleResend(pending, RETRY_DELAY);
       return;
     }
@@ -472,6 +492,32 @@
     finish(pending, mayBeAccepted ? new LinkReply.NotOwner() : reply);
   }
 
+  /** Asks the linked instance, after a while, whether it owns the cell by now. */
+  private void scheduleProof(Link denying) {
+    timers.after(
+        Duration.ofMillis(denial.nextDelayMillis()),
+        () -> {
+          if (link == denying && denial.isDenied()) {
+            denying
+                .sendRequest(new LinkRequest.ProveOwnership(), firstReplyTimeoutMillis())
+                .onComplete(reply -> handleProof(denying, reply), error -> scheduleProof(denying));
+          }
+        });
+  }
+
+  private void handleProof(Link denying, LinkReply reply) {
+    if (link != denying) {
+      return;
+    }
+    repliedAt = timers.nowMillis();
+    if (reply instanceof LinkReply.Noted) {
+      denial.clear();
+      sendAll();
+    } else {
+      scheduleProof(denying);
+    }
+  }
+
   private void giveUp(PendingRequest pending, String reason) {
     if (pending.promise.future().isComplete()) {
       return;
@@ -495,7 +541,7 @@
   }
 
   private String notSentReason() {
-    return isOwnerReachable()
+    return isOwnerReachable() && !denial.isDenied()
         ? "the owner is behind with earlier requests"
         : "no owner can be reached";
   }
