Call the workers of a new owner a few at a time while they have not answered

Cause: a new owner opened a connection to each of some 105 workers within one turn of its control thread. Starts wait for what may still run on unheard workers. Change: ContactWindow (core): 100 calls per core to unheard workers at once, one more with each answer, so a strong machine calls nearly all at once.

--- a/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
@@ -181,6 +181,15 @@
     return silent || !answeredRecently(now) ? 0 : lastDurableEnd;
   }
 
+  /**
+   * Returns whether the worker has answered a renewal under this owner's token.
+   *
+   * @return false until its first answer
+   */
+  public boolean hasAnswered() {
+    return hasAnswered;
+  }
+
   /**
    * Returns whether the last renewal had no answer.
    *
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/LeaseRenewer.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/LeaseRenewer.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import org.hickorypier.core.cell.Cell;
+import org.hickorypier.core.cell.ContactWindow;
 import org.hickorypier.core.cell.RenewalInterval;
 import org.hickorypier.core.cell.RenewalReport;
 import org.hickorypier.core.cell.WorkerTimeout;
@@ -48,6 +50,7 @@
   private final long fencingToken;
   private final BooleanSupplier mayOrder;
   private final WorkerTimeout timeout;
+  private final ContactWindow contactWindow;
   private final Events events;
   private boolean stopped;
 
@@ -71,6 +74,7 @@
       long fencingToken,
       BooleanSupplier mayOrder,
       WorkerTimeout timeout,
+      ContactWindow contactWindow,
       Events events) {
     this.dependencies = dependencies;
     this.cell = cell;
@@ -78,6 +82,7 @@
     this.fencingToken = fencingToken;
     this.mayOrder = mayOrder;
     this.timeout = timeout;
+    this.contactWindow = contactWindow;
     this.events = events;
   }
 
@@ -105,6 +110,24 @@
       dependencies.timers().after(RETRY_DELAY, this::renew);
       return;
     }
+    if (worker.hasAnswered()) {
+      send(report -> {}, error -> {});
+    } else {
+      contactWindow.begin(this::sendFirst);
+    }
+  }
+
+  /** Calls a worker that has not answered yet; the room in the window is given back in any case. */
+  private void sendFirst() {
+    if (stopped || !cell.isKnown(worker) || !mayOrder.getAsBoolean()) {
+      contactWindow.unanswered();
+      renew();
+    } else {
+      send(report -> contactWindow.answered(), error -> contactWindow.unanswered());
+    }
+  }
+
+  private void send(Consumer<RenewalReport> onAnswer, Consumer<Throwable> onFailure) {
     long sentAt = dependencies.timers().nowMillis();
     long deadline = worker.nextDeadline(sentAt, dependencies.timings().leaseMillis());
     long wait = waitMillis(deadline);
@@ -121,8 +144,14 @@
             timeout.millis(),
             this::handleLateReport)
         .onComplete(
-            report -> handleReport(report, sentAt, wait),
-            error -> handleFailure(error, sentAt, wait));
+            report -> {
+              handleReport(report, sentAt, wait);
+              onAnswer.accept(report);
+            },
+            error -> {
+              handleFailure(error, sentAt, wait);
+              onFailure.accept(error);
+            });
   }
 
   private long waitMillis(long deadline) {
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.hickorypier.core.cell.Cell;
+import org.hickorypier.core.cell.ContactWindow;
 import org.hickorypier.core.cell.CustomerLimits;
 import org.hickorypier.core.cell.RetryAfter;
 import org.hickorypier.core.cell.RosterEntry;
@@ -71,6 +72,7 @@
   private final List<Promise<LinkReply>> pendingCancellations = new ArrayList<>();
 
   private final WorkerTimeout workerTimeout;
+  private final ContactWindow contactWindow;
   private final WorkerEvents workerEvents = new WorkerEvents();
   private final TimerSubscription tickTimer;
   private boolean passScheduled;
@@ -89,6 +91,7 @@
     this.onLost = onLost;
     long now = dependencies.timers().nowMillis();
     this.workerTimeout = new WorkerTimeout(dependencies.burstDelayMillis());
+    this.contactWindow = new ContactWindow(dependencies.processors());
     OrderSender orders =
         new OrderSender(
             dependencies,
@@ -354,6 +357,7 @@
                 epoch,
                 this::maySendOrders,
                 workerTimeout,
+                contactWindow,
                 workerEvents);
         leaseRenewers.put(worker.id(), renewal);
         renewal.renew();
