Log processor time, lateness of the control thread and messages by purpose

The line processor-busy gives, for a second near the limit, the processor time used and available, the largest lateness of the control thread's timers, and the messages by purpose.

--- a/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
@@ -1,10 +1,12 @@
 package org.hickorypier.daemon.node;
 
+import com.sun.management.OperatingSystemMXBean;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.VerticleBase;
 import io.vertx.core.net.NetClientOptions;
+import java.lang.management.ManagementFactory;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -190,6 +192,9 @@
         new TrafficReporter(
             traffic, log, timers::nowMillis, settings.linkMegabits() * BYTES_PER_MEGABIT);
     timers.every(TrafficReporter.PERIOD, trafficReporter::reportIfBusy);
+    new ProcessorReporter(
+            traffic, log, timers::nowMillis, Node::processorMillis, settings.processors())
+        .start(timers);
     configurationWatcher.start();
     directory.start();
     gateway.start();
@@ -222,6 +227,11 @@
         .compose(listening -> frontStarted);
   }
 
+  private static long processorMillis() {
+    return TimeUnit.NANOSECONDS.toMillis(
+        ManagementFactory.getPlatformMXBean(OperatingSystemMXBean.class).getProcessCpuTime());
+  }
+
   private Future<?> startTraffic(Context control) {
     return vertx.deployVerticle(
         new VerticleBase() {
--- a/daemon/src/main/java/org/hickorypier/daemon/node/TrafficMetrics.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/TrafficMetrics.java
@@ -9,8 +9,6 @@
 /** Exposes the bytes on the machine's link by purpose as metrics. Immutable, thus thread-safe. */
 final class TrafficMetrics implements MeterBinder {
 
-  private static final TrafficCounter.Total NONE = new TrafficCounter.Total(0, 0);
-
   private final TrafficCounter counter;
 
   TrafficMetrics(TrafficCounter counter) {
@@ -33,7 +31,8 @@
     FunctionCounter.builder(
             "hickorypier.link.bytes",
             counter,
-            source -> bytes.applyAsLong(source.totals().getOrDefault(purpose, NONE)))
+            source ->
+                bytes.applyAsLong(source.totals().getOrDefault(purpose, TrafficCounter.Total.NONE)))
         .tag("purpose", purpose)
         .tag("direction", direction)
         .description("bytes on the link of this machine by purpose")
--- a/daemon/src/main/java/org/hickorypier/daemon/node/TrafficReporter.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/TrafficReporter.java
@@ -83,8 +83,7 @@
     List<Use> uses = new ArrayList<>();
     totals.forEach(
         (purpose, total) -> {
-          TrafficCounter.Total before =
-              reported.getOrDefault(purpose, new TrafficCounter.Total(0, 0));
+          TrafficCounter.Total before = reported.getOrDefault(purpose, TrafficCounter.Total.NONE);
           uses.add(
               new Use(purpose, total.sent() - before.sent(), total.received() - before.received()));
         });
