Widen the window of first calls with quick answers only

ContactWindowTest.slowProcessorHearsWorkersInTime plays a control thread on which opening a connection takes 30 ms and reading an answer 15 ms, in fake time. An answer that took more than 0.1 s has waited for this machine and widens nothing now; the test misses none. NodeTest.ownerThatDeniesItsOwnershipIsSentNoRequestTwice covers the denial over real sockets: one submission is sent, later ones are refused as not run.

--- a/core/src/main/java/org/hickorypier/core/cell/ContactWindow.java
+++ b/core/src/main/java/org/hickorypier/core/cell/ContactWindow.java
@@ -10,8 +10,8 @@
  * many connections, and the machine is still busy with them when the first timeouts expire. The
  * answers that wait unread then count as missing, and every worker is called again over a new
  * connection. The window therefore begins with what the machine handles well within a timeout, and
- * grows by one with each answer, so that all workers of a large fleet are called within a few round
- * trips where the machine keeps up.
+ * grows by one with each quick answer, so that all workers of a large fleet are called within a few
+ * round trips where the machine keeps up.
  *
  * <p>Invariant: every call that was begun is ended by exactly one of {@link #answered} and {@link
  * #unanswered}. Confined to the control thread.
@@ -23,6 +23,9 @@
 
   private static final int MIN_LIMIT = 4;
 
+  /** A worker answers within some 3 ms; an answer this late has waited for this machine. */
+  static final long QUICK_ANSWER_MILLIS = 100;
+
   private final int initialLimit;
   private final Queue<Runnable> waiting = new ArrayDeque<>();
   private int limit;
@@ -48,10 +51,16 @@
     beginNext();
   }
 
-  /** Records that a worker has answered its call. */
-  public void answered() {
+  /**
+   * Records that a worker has answered its call.
+   *
+   * @param millis the time from the call to the answer, in milliseconds
+   */
+  public void answered(long millis) {
     underWay--;
-    limit++;
+    if (millis <= QUICK_ANSWER_MILLIS) {
+      limit++;
+    }
     beginNext();
   }
 
--- a/core/src/test/java/org/hickorypier/core/cell/ContactWindowTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/ContactWindowTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayDeque;
+import java.util.Queue;
 import org.junit.jupiter.api.Test;
 
 class ContactWindowTest {
@@ -26,6 +28,60 @@
     assertThat(begun).isBetween(4, 16);
   }
 
+  /**
+   * A control thread on a slow processor: it handles one event after another, each of which takes
+   * time, and a timeout counts from the moment at which its call was begun.
+   */
+  private static final class SlowControlThread {
+
+    private static final long OPEN_MILLIS = 30;
+    private static final long READ_MILLIS = 15;
+    private static final long TIMEOUT_MILLIS = 730;
+
+    private final Queue<Runnable> events = new ArrayDeque<>();
+    private long nowMillis;
+    private int heard;
+    private int missed;
+
+    private void call(ContactWindow window) {
+      long begunAt = nowMillis;
+      nowMillis += OPEN_MILLIS;
+      events.add(
+          () -> {
+            boolean inTime = nowMillis - begunAt < TIMEOUT_MILLIS;
+            nowMillis += READ_MILLIS;
+            heard += inTime ? 1 : 0;
+            missed += inTime ? 0 : 1;
+            if (inTime) {
+              window.answered(nowMillis - begunAt);
+            } else {
+              window.unanswered();
+            }
+          });
+    }
+
+    private void hearAll(ContactWindow window) {
+      for (int worker = 0; worker < WORKERS; worker++) {
+        window.begin(() -> call(window));
+      }
+      while (!events.isEmpty()) {
+        events.remove().run();
+      }
+    }
+  }
+
+  /** Failure: answers that wait unread on a slow processor count as missing, most at a time. */
+  @Test
+  void slowProcessorHearsWorkersInTime() {
+    SlowControlThread windowed = new SlowControlThread();
+    windowed.hearAll(new ContactWindow(WEAK_MACHINE));
+    SlowControlThread allAtOnce = new SlowControlThread();
+    allAtOnce.hearAll(new ContactWindow(WORKERS));
+    assertThat(allAtOnce.missed).isGreaterThan(WORKERS / 2);
+    assertThat(windowed.missed).isZero();
+    assertThat(windowed.heard).isEqualTo(WORKERS);
+  }
+
   @Test
   void answersOpenTheWindowUntilAllAreCalled() {
     ContactWindow window = windowWithAllWaiting(WEAK_MACHINE);
@@ -35,7 +91,7 @@
       roundTrips++;
       int underWay = begun - answered;
       for (int answer = 0; answer < underWay; answer++) {
-        window.answered();
+        window.answered(3);
       }
       answered += underWay;
     }
@@ -43,6 +99,16 @@
     assertThat(roundTrips).isLessThanOrEqualTo(5);
   }
 
+  @Test
+  void slowAnswersKeepTheWindowAsItIs() {
+    ContactWindow window = windowWithAllWaiting(WEAK_MACHINE);
+    int first = begun;
+    for (int call = 0; call < first; call++) {
+      window.answered(ContactWindow.QUICK_ANSWER_MILLIS + 1);
+    }
+    assertThat(begun).isEqualTo(2 * first);
+  }
+
   @Test
   void missingAnswersMakeRoomForTheNextCalls() {
     ContactWindow window = windowWithAllWaiting(WEAK_MACHINE);
@@ -58,7 +124,7 @@
     ContactWindow window = windowWithAllWaiting(WEAK_MACHINE);
     int first = begun;
     for (int call = 0; call < first; call++) {
-      window.answered();
+      window.answered(3);
     }
     int second = begun - first;
     window.unanswered();
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/LeaseRenewer.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/LeaseRenewer.java
@@ -2,7 +2,7 @@
 
 import java.time.Duration;
 import java.util.function.BooleanSupplier;
-import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import org.hickorypier.core.cell.Cell;
 import org.hickorypier.core.cell.ContactWindow;
 import org.hickorypier.core.cell.RenewalInterval;
@@ -111,7 +111,7 @@
       return;
     }
     if (worker.hasAnswered()) {
-      send(report -> {}, error -> {});
+      send(ignored -> {}, () -> {});
     } else {
       contactWindow.begin(this::sendFirst);
     }
@@ -123,11 +123,17 @@
       contactWindow.unanswered();
       renew();
     } else {
-      send(report -> contactWindow.answered(), error -> contactWindow.unanswered());
+      send(contactWindow::answered, contactWindow::unanswered);
     }
   }
 
-  private void send(Consumer<RenewalReport> onAnswer, Consumer<Throwable> onFailure) {
+  /**
+   * Sends a renewal.
+   *
+   * @param onAnswer receives the time from the renewal to its answer, in milliseconds
+   * @param onFailure runs if there is no answer
+   */
+  private void send(LongConsumer onAnswer, Runnable onFailure) {
     long sentAt = dependencies.timers().nowMillis();
     long deadline = worker.nextDeadline(sentAt, dependencies.timings().leaseMillis());
     long wait = waitMillis(deadline);
@@ -146,11 +152,11 @@
         .onComplete(
             report -> {
               handleReport(report, sentAt, wait);
-              onAnswer.accept(report);
+              onAnswer.accept(dependencies.timers().nowMillis() - sentAt);
             },
             error -> {
               handleFailure(error, sentAt, wait);
-              onFailure.accept(error);
+              onFailure.run();
             });
   }
 
--- a/daemon/src/test/java/org/hickorypier/daemon/link/PendingRepliesTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/link/PendingRepliesTest.java
@@ -27,7 +27,7 @@
   /** Failure: an owner behind with its work loses its links, and each new one brings all again. */
   @Test
   void lateReplyOnLinkThatCarriesOtherFramesIsNoSilence() {
-    Future<LinkReply> late = pending.register(TIMEOUT_MILLIS).reply();
+    final Future<LinkReply> late = pending.register(TIMEOUT_MILLIS).reply();
     timers.advance(TIMEOUT.dividedBy(2));
     pending.recordFrame();
     timers.advance(TIMEOUT);
--- a/daemon/src/test/java/org/hickorypier/daemon/node/NodeTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/NodeTest.java
@@ -6,6 +6,7 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.net.NetSocket;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.hickorypier.daemon.owner.Strength;
 import org.hickorypier.standins.fault.Fault;
@@ -317,6 +318,18 @@
     }
   }
 
+  /** Failure: an owner that reads the journal after a restart gets all requests again and again. */
+  @Test
+  void ownerThatDeniesItsOwnershipIsSentNoRequestTwice() throws Exception {
+    try (SmallCluster cluster = new SmallCluster(1, 20)) {
+      AtomicInteger submissions = cluster.installDenyingOwner();
+      SmallCluster.Instance instance = cluster.startWithoutOwner(Strength.UNKNOWN);
+      cluster.submit(instance, ID_FORMAT.formatted(13), 1);
+      assertThat(cluster.submit(instance, ID_FORMAT.formatted(14), 1).status()).isEqualTo(503);
+      assertThat(submissions.get()).isEqualTo(1);
+    }
+  }
+
   /**
    * Guards against requests that are read but never answered. A caller keeps its connection open
    * during a graceful shutdown and sends its next request just as the process exits. The exit took
--- a/daemon/src/test/java/org/hickorypier/daemon/node/SmallCluster.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/SmallCluster.java
@@ -1,6 +1,7 @@
 package org.hickorypier.daemon.node;
 
 import io.vertx.core.Future;
+import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
@@ -21,6 +22,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import java.util.regex.Matcher;
@@ -31,11 +33,17 @@
 import org.hickorypier.core.cluster.CustomerAccess;
 import org.hickorypier.core.model.Resources;
 import org.hickorypier.core.submission.QueueTerms;
+import org.hickorypier.daemon.link.Link;
+import org.hickorypier.daemon.link.LinkReply;
+import org.hickorypier.daemon.link.LinkRequest;
+import org.hickorypier.daemon.link.LinkRequestHandler;
 import org.hickorypier.daemon.owner.ProcessorSpeedMonitor;
 import org.hickorypier.daemon.owner.Strength;
+import org.hickorypier.daemon.time.VertxTimerService;
 import org.hickorypier.platform.http.HttpReply;
 import org.hickorypier.platform.http.PooledHttpClient;
 import org.hickorypier.platform.http.ServiceAddress;
+import org.hickorypier.platform.http.TrafficCounter;
 import org.hickorypier.platform.store.Append;
 import org.hickorypier.platform.store.KeyedRecord;
 import org.hickorypier.platform.store.StoreClient;
@@ -187,14 +195,38 @@
 
   /** Records an owner that accepts connections and answers nothing. */
   void installUnresponsiveOwner() throws Exception {
-    NetServer silent =
+    installOwner(socket -> socket.handler(bytes -> {}));
+  }
+
+  /** Records an owner that does not own the cell yet, and counts the submissions that it gets. */
+  AtomicInteger installDenyingOwner() throws Exception {
+    AtomicInteger submissions = new AtomicInteger();
+    LinkRequestHandler denial =
+        request -> {
+          if (request instanceof LinkRequest.Submit) {
+            submissions.incrementAndGet();
+          }
+          return Future.succeededFuture(new LinkReply.NotOwner());
+        };
+    installOwner(
+        socket ->
+            new Link(
+                socket,
+                denial,
+                new VertxTimerService(vertx, vertx.getOrCreateContext()),
+                new TrafficCounter()));
+    return submissions;
+  }
+
+  private void installOwner(Handler<NetSocket> connections) throws Exception {
+    NetServer server =
         await(
             vertx
                 .createNetServer()
-                .connectHandler(socket -> socket.handler(bytes -> {}))
+                .connectHandler(connections)
                 .listen(0, InetAddress.getLoopbackAddress().getHostAddress()));
     String address =
-        new ServiceAddress(InetAddress.getLoopbackAddress().getHostAddress(), silent.actualPort())
+        new ServiceAddress(InetAddress.getLoopbackAddress().getHostAddress(), server.actualPort())
             .toString();
     byte[] owner = ("1 " + address).getBytes(StandardCharsets.UTF_8);
     write("keyed.hickorypier-journal", "owner", owner);
