Draw no conclusion from a timeout during which the control thread was delayed

Cause: the owner of epoch 4 was up to 1.05 s late from 55 to 59 s. It heard none of some 20 workers within 0.73 s, although they answered, took their leases for expired at 57.7 s and started their tasks again. Change: DelayMonitor samples the control thread. A renewal or an append without an answer, during which the thread was 0.2 s late or more, is repeated and says nothing about the worker or the store. Leases still run out: a worker gets no deadline 3 s after its last answer. LeaseRenewerTest.missingAnswerWhileControlThreadIsDelayedSaysNothing: silent after one call before.

--- a/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
@@ -29,6 +29,7 @@
 import org.hickorypier.daemon.owner.Ownership;
 import org.hickorypier.daemon.owner.ProcessorSpeedMonitor;
 import org.hickorypier.daemon.owner.RelayRegistration;
+import org.hickorypier.daemon.time.DelayMonitor;
 import org.hickorypier.daemon.time.SuspensionDetector;
 import org.hickorypier.daemon.time.VertxTimerService;
 import org.hickorypier.platform.advice.AdviceClient;
@@ -136,6 +137,7 @@
             ? null
             : new AdviceClient(
                 new PooledHttpClient(vertx, ADVICE_CONNECTIONS, traffic), settings.advisor());
+    DelayMonitor delayMonitor = new DelayMonitor(timers);
     OwnerDependencies dependencies =
         new OwnerDependencies(
             store,
@@ -143,6 +145,7 @@
             timers,
             wallClock,
             suspensionDetector,
+            delayMonitor,
             log,
             settings.cellTimings(),
             settings.workerHeartbeatMillis(),
@@ -197,8 +200,8 @@
             traffic, log, timers::nowMillis, settings.linkMegabits() * BYTES_PER_MEGABIT);
     timers.every(TrafficReporter.PERIOD, trafficReporter::reportIfBusy);
     new ProcessorReporter(
-            traffic, log, timers::nowMillis, Node::processorMillis, settings.processors())
-        .start(timers);
+            traffic, log, timers, delayMonitor, Node::processorMillis, settings.processors())
+        .start();
     configurationWatcher.start();
     directory.start();
     gateway.start();
--- a/daemon/src/main/java/org/hickorypier/daemon/node/ProcessorReporter.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/ProcessorReporter.java
@@ -6,6 +6,7 @@
 import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
 import org.hickorypier.core.cell.EventLog;
+import org.hickorypier.daemon.time.DelayMonitor;
 import org.hickorypier.daemon.time.TimerService;
 import org.hickorypier.platform.http.TrafficCounter;
 
@@ -21,8 +22,6 @@
 
   static final Duration PERIOD = Duration.ofSeconds(1);
 
-  static final Duration SAMPLE_PERIOD = Duration.ofMillis(50);
-
   private static final String PART = "processor";
 
   /** Share of the machine's processor time from which on its use is logged. */
@@ -36,58 +35,52 @@
 
   private final TrafficCounter counter;
   private final EventLog log;
-  private final LongSupplier clock;
+  private final TimerService timers;
+  private final DelayMonitor delayMonitor;
   private final LongSupplier processorMillis;
   private final double processors;
   private Map<String, TrafficCounter.Total> reported = Map.of();
   private long reportedAt;
   private long reportedProcessorMillis;
-  private long sampledAt;
-  private long maxLateMillis;
 
   /**
    * Creates the reporter.
    *
    * @param counter counts the messages by purpose
    * @param log receives the lines
-   * @param clock the monotonic clock, in milliseconds
+   * @param timers the clock and the timers of the control thread
+   * @param delayMonitor measures how late the control thread runs
    * @param processorMillis returns the processor time of this process, in milliseconds
    * @param processors the cores of this machine, of which a part counts too
    */
   ProcessorReporter(
       TrafficCounter counter,
       EventLog log,
-      LongSupplier clock,
+      TimerService timers,
+      DelayMonitor delayMonitor,
       LongSupplier processorMillis,
       double processors) {
     this.counter = counter;
     this.log = log;
-    this.clock = clock;
+    this.timers = timers;
+    this.delayMonitor = delayMonitor;
     this.processorMillis = processorMillis;
     this.processors = processors;
-    this.reportedAt = clock.getAsLong();
-    this.sampledAt = reportedAt;
+    this.reportedAt = timers.nowMillis();
   }
 
-  void start(TimerService timers) {
-    timers.every(SAMPLE_PERIOD, this::sample);
+  void start() {
     timers.every(PERIOD, this::reportIfBusy);
   }
 
-  /** Measures by how much the control thread runs later than planned. */
-  void sample() {
-    long now = clock.getAsLong();
-    maxLateMillis = Math.max(maxLateMillis, now - sampledAt - SAMPLE_PERIOD.toMillis());
-    sampledAt = now;
-  }
-
-  void reportIfBusy() {
-    long now = clock.getAsLong();
+  private void reportIfBusy() {
+    long now = timers.nowMillis();
+    long lateMillis = delayMonitor.takeMaxDelayMillis();
     long available = Math.round(processors * (now - reportedAt));
     long processor = processorMillis.getAsLong();
     long used = processor - reportedProcessorMillis;
     Map<String, TrafficCounter.Total> totals = counter.totals();
-    if (used >= BUSY_SHARE * available || maxLateMillis >= LATE_MILLIS) {
+    if (used >= BUSY_SHARE * available || lateMillis >= LATE_MILLIS) {
       log.event(
           PART,
           "processor-busy",
@@ -96,14 +89,13 @@
           "available_ms",
           available,
           "late_ms",
-          maxLateMillis,
+          lateMillis,
           "messages_by_purpose",
           describeSinceLastReport(totals));
     }
     reported = totals;
     reportedAt = now;
     reportedProcessorMillis = processor;
-    maxLateMillis = 0;
   }
 
   private String describeSinceLastReport(Map<String, TrafficCounter.Total> totals) {
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/JournalWriter.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/JournalWriter.java
@@ -12,6 +12,7 @@
 import org.hickorypier.core.cell.EventLog;
 import org.hickorypier.core.cell.Submission;
 import org.hickorypier.core.submission.SubmissionCodec;
+import org.hickorypier.daemon.time.DelayMonitor;
 import org.hickorypier.daemon.time.SuspensionDetector;
 import org.hickorypier.daemon.time.TimerService;
 import org.hickorypier.platform.store.Append;
@@ -57,6 +58,7 @@
   private final StoreClient store;
   private final TimerService timers;
   private final SuspensionDetector suspensionDetector;
+  private final DelayMonitor delayMonitor;
   private final EventLog log;
   private final int epoch;
   private final Callbacks callbacks;
@@ -84,6 +86,7 @@
       StoreClient store,
       TimerService timers,
       SuspensionDetector suspensionDetector,
+      DelayMonitor delayMonitor,
       EventLog log,
       int epoch,
       long sequence,
@@ -91,6 +94,7 @@
     this.store = store;
     this.timers = timers;
     this.suspensionDetector = suspensionDetector;
+    this.delayMonitor = delayMonitor;
     this.log = log;
     this.epoch = epoch;
     this.sequence = sequence;
@@ -322,7 +326,10 @@
       long now = timers.nowMillis();
       timeout.recordTimeout(now - batch.lastSentAt, now - answeredAt);
     }
-    if (!early && !unavailable) {
+    // An answer that lies unread does not make the store unavailable.
+    boolean inconclusive =
+        error.error() == StoreError.UNKNOWN && delayMonitor.wasDelayedSince(batch.lastSentAt);
+    if (!early && !inconclusive && !unavailable) {
       unavailable = true;
       unavailableSince = timers.nowMillis();
       log.event(
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/LeaseRenewer.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/LeaseRenewer.java
@@ -237,6 +237,11 @@
     }
     long now = dependencies.timers().nowMillis();
     timeout.record(now - sentAt - wait);
+    if (dependencies.delayMonitor().wasDelayedSince(sentAt)) {
+      // The answer may lie unread, and the task of a worker that is well must not run again.
+      dependencies.timers().after(RETRY_DELAY, this::renew);
+      return;
+    }
     boolean alreadySilent = worker.silent();
     cell.renewalUnanswered(worker, now);
     dependencies.timers().after(alreadySilent ? RETRY_DELAY : FIRST_RETRY_DELAY, this::renew);
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
@@ -106,6 +106,7 @@
             dependencies.store(),
             dependencies.timers(),
             dependencies.suspensionDetector(),
+            dependencies.delayMonitor(),
             dependencies.log(),
             taken.epoch(),
             taken.sequence(),
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerDependencies.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerDependencies.java
@@ -4,6 +4,7 @@
 import org.hickorypier.core.cell.BurstDelay;
 import org.hickorypier.core.cell.CellTimings;
 import org.hickorypier.core.cell.EventLog;
+import org.hickorypier.daemon.time.DelayMonitor;
 import org.hickorypier.daemon.time.SuspensionDetector;
 import org.hickorypier.daemon.time.TimerService;
 import org.hickorypier.platform.execution.WorkerClient;
@@ -19,6 +20,7 @@
  * @param timers the monotonic clock and the timers of the control thread
  * @param wallClock the wall clock, in milliseconds
  * @param suspensionDetector detects suspensions of the process
+ * @param delayMonitor tells whether the control thread may have left an answer unread
  * @param log receives the events
  * @param timings the parameters of the cell
  * @param workerHeartbeatMillis the interval at which a worker writes its entry in the list of
@@ -32,6 +34,7 @@
     TimerService timers,
     LongSupplier wallClock,
     SuspensionDetector suspensionDetector,
+    DelayMonitor delayMonitor,
     EventLog log,
     CellTimings timings,
     long workerHeartbeatMillis,
--- a/daemon/src/test/java/org/hickorypier/daemon/node/ProcessorReporterTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/ProcessorReporterTest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import org.hickorypier.daemon.time.DelayMonitor;
 import org.hickorypier.daemon.time.ManualTimerService;
 import org.hickorypier.platform.http.TrafficCounter;
 import org.junit.jupiter.api.Test;
@@ -18,12 +19,12 @@
   private final TrafficCounter counter = new TrafficCounter();
   private final List<List<Object>> lines = new ArrayList<>();
   private long processorMillis;
-  private long delayMillis;
   private final ProcessorReporter reporter =
       new ProcessorReporter(
           counter,
           (part, event, fields) -> lines.add(List.of(fields)),
-          () -> timers.nowMillis() + delayMillis,
+          timers,
+          new DelayMonitor(timers),
           () -> processorMillis,
           PROCESSORS);
 
@@ -33,7 +34,7 @@
 
   @Test
   void machineWithTimeToSpareIsNotReported() {
-    reporter.start(timers);
+    reporter.start();
     processorMillis += AVAILABLE_MILLIS / 2;
     runForOnePeriod();
     assertThat(lines).isEmpty();
@@ -42,7 +43,7 @@
   /** Guards against an owner behind its processor whose log tells neither that nor the reason. */
   @Test
   void usedUpProcessorIsReportedWithWhatWasHandled() {
-    reporter.start(timers);
+    reporter.start();
     counter.record("hold", 300, 300);
     counter.record("hold", 300, 300);
     counter.record("log-append", 9_000, 40);
@@ -54,12 +55,12 @@
 
   @Test
   void lateControlThreadIsReportedOnce() {
-    reporter.start(timers);
+    reporter.start();
     timers.advance(Duration.ofMillis(200));
-    delayMillis = 700;
+    timers.delayNext(Duration.ofMillis(700));
     runForOnePeriod();
     assertThat(lines).hasSize(1);
-    assertThat(lines.get(0)).containsSequence("late_ms", 700L);
+    assertThat(lines.get(0)).containsSequence("late_ms", 650L);
     runForOnePeriod();
     assertThat(lines).hasSize(1);
   }
--- /dev/null
+++ b/daemon/src/test/java/org/hickorypier/daemon/owner/LeaseRenewerTest.java
@@ -0,0 +1,177 @@
+package org.hickorypier.daemon.owner;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vertx.core.Context;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetServer;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.hickorypier.core.cell.Cell;
+import org.hickorypier.core.cell.CellOutput;
+import org.hickorypier.core.cell.CellTimings;
+import org.hickorypier.core.cell.ContactWindow;
+import org.hickorypier.core.cell.EventLog;
+import org.hickorypier.core.cell.RosterEntry;
+import org.hickorypier.core.cell.Run;
+import org.hickorypier.core.cell.RunKey;
+import org.hickorypier.core.cell.StepRun;
+import org.hickorypier.core.cell.Submission;
+import org.hickorypier.core.cell.WorkerEntry;
+import org.hickorypier.core.cell.WorkerTimeout;
+import org.hickorypier.core.cell.WorkerView;
+import org.hickorypier.core.model.Resources;
+import org.hickorypier.daemon.time.DelayMonitor;
+import org.hickorypier.daemon.time.ManualTimerService;
+import org.hickorypier.daemon.time.SuspensionDetector;
+import org.hickorypier.platform.execution.WorkerClient;
+import org.hickorypier.platform.http.PooledHttpClient;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class LeaseRenewerTest {
+
+  private static final String LOOPBACK = "127.0.0.1";
+  private static final long TEST_TIMEOUT_SECONDS = 20;
+  private static final Duration RETRY_DELAY = Duration.ofMillis(250);
+
+  private final Vertx vertx = Vertx.vertx();
+  private final ManualTimerService timers = new ManualTimerService();
+  private final Promise<Integer> callsUntilSilent = Promise.promise();
+  private int calls;
+
+  @AfterEach
+  void close() {
+    vertx.close();
+  }
+
+  /** Sends nothing; only renewals reach the worker. */
+  private static final class NoOutput implements CellOutput {
+
+    @Override
+    public void start(Run run, long deadline, String ticket) {}
+
+    @Override
+    public void stop(WorkerView worker, RunKey run) {}
+
+    @Override
+    public boolean advise(StepRun step, List<WorkerView> workers) {
+      return false;
+    }
+
+    @Override
+    public void save(Submission submission) {}
+
+    @Override
+    public void saveEnded(String id, byte[] spec) {}
+
+    @Override
+    public void drop(String id) {}
+
+    @Override
+    public void afterSave(Runnable action) {}
+
+    @Override
+    public void saveRoster(List<RosterEntry> entries, Runnable written) {}
+  }
+
+  /** The events that the renewer reports have no effect here. */
+  private static final class NoEvents implements LeaseRenewer.Events {
+
+    @Override
+    public void workerAnswered() {}
+
+    @Override
+    public void fenced(String worker) {}
+
+    @Override
+    public void afterSave(Runnable action) {}
+  }
+
+  /**
+   * Renews the lease of a worker that closes each connection, and retries until the worker counts
+   * as silent.
+   *
+   * @param delayOfFirstCall how long the control thread is busy during the first call
+   * @return the number of calls until then
+   */
+  private int callsUntilWorkerIsSilent(Duration delayOfFirstCall) throws Exception {
+    Context control = vertx.getOrCreateContext();
+    NetServer worker =
+        vertx
+            .createNetServer()
+            .connectHandler(
+                socket -> {
+                  control.runOnContext(none -> calls++);
+                  socket.close();
+                })
+            .listen(0, LOOPBACK)
+            .toCompletionStage()
+            .toCompletableFuture()
+            .get(TEST_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    control.runOnContext(
+        none -> {
+          timers.advance(Duration.ofSeconds(1));
+          LeaseRenewer renewer = renewer(LOOPBACK + ":" + worker.actualPort());
+          renewer.renew();
+          timers.delayNext(delayOfFirstCall);
+          vertx.setPeriodic(5, id -> control.runOnContext(tick -> timers.advance(RETRY_DELAY)));
+        });
+    return callsUntilSilent
+        .future()
+        .toCompletionStage()
+        .toCompletableFuture()
+        .get(TEST_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+  }
+
+  private LeaseRenewer renewer(String address) {
+    EventLog log =
+        (part, event, fields) -> {
+          if (event.equals("worker-silent")) {
+            callsUntilSilent.tryComplete(calls);
+          }
+        };
+    CellTimings timings = CellTimings.of(10_000, 3_000, 60_000);
+    Cell cell = new Cell(timings, new NoOutput(), log, 1, timers.nowMillis());
+    WorkerEntry entry =
+        new WorkerEntry("w", "service", address, false, 0, Resources.NONE, List.of("k", "r"), 1);
+    cell.restoreRoster(
+        List.of(new RosterEntry(entry, RosterEntry.OPEN, RosterEntry.RENEWED, Optional.empty())));
+    OwnerDependencies dependencies =
+        new OwnerDependencies(
+            null,
+            new WorkerClient(new PooledHttpClient(vertx, 1)),
+            timers,
+            timers::nowMillis,
+            new SuspensionDetector(timers::nowMillis, timers::nowMillis),
+            new DelayMonitor(timers),
+            log,
+            timings,
+            1_500,
+            250_000,
+            0.12);
+    return new LeaseRenewer(
+        dependencies,
+        cell,
+        cell.workers().get(0),
+        1,
+        () -> true,
+        new WorkerTimeout(0),
+        new ContactWindow(dependencies.processors()),
+        new NoEvents());
+  }
+
+  @Test
+  void workerWithoutAnswerIsSilent() throws Exception {
+    assertThat(callsUntilWorkerIsSilent(Duration.ZERO)).isEqualTo(1);
+  }
+
+  /** Failure: tasks run twice since their worker's answers lie unread while the owner is busy. */
+  @Test
+  void missingAnswerWhileControlThreadIsDelayedSaysNothing() throws Exception {
+    assertThat(callsUntilWorkerIsSilent(Duration.ofMillis(700))).isGreaterThan(1);
+  }
+}
--- a/daemon/src/test/java/org/hickorypier/daemon/time/ManualTimerService.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/time/ManualTimerService.java
@@ -51,6 +51,11 @@
     nowMillis = targetMillis;
   }
 
+  /** Advances the clock without running any task, as while the thread is busy. */
+  public void delayNext(Duration by) {
+    nowMillis += by.toMillis();
+  }
+
   private TimerSubscription add(long delayMillis, long periodMillis, Runnable task) {
     Entry entry = new Entry();
     entry.dueMillis = nowMillis + delayMillis;
