--- a/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
@@ -228,7 +228,10 @@
         .listen(settings.peerPort(), settings.address())
         .onSuccess(
             listening -> {
-              ownership.start(gateway::checkOwnerAlive, gateway::silentMillis);
+              ownership.start(
+                  gateway::checkOwnerAlive,
+                  gateway::hasOwnerBeenProvenSince,
+                  gateway::silentMillis);
               handover.start();
             })
         .compose(listening -> frontStarted);
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerGateway.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerGateway.java
@@ -90,6 +90,9 @@
   /** When the owner last answered, or when the first request after an idle period was made. */
   private long repliedAt;
 
+  /** When the owner last accepted a submission or proved its ownership. */
+  private long provenAt = Long.MIN_VALUE;
+
   /**
    * Creates the gateway.
    *
@@ -221,6 +224,17 @@
     }
   }
 
+  /**
+   * Returns whether the linked owner has accepted a submission or proved its ownership since some
+   * time.
+   *
+   * @param time the time by the timers' clock, in milliseconds
+   * @return true if there is an owner that need not be replaced
+   */
+  public boolean hasOwnerBeenProvenSince(long time) {
+    return provenAt >= time;
+  }
+
   /** Returns for how long no request could be sent to an owner, in milliseconds. */
   private long unservedMillis() {
     return Math.max(ownerlessMillis(), denial.deniedMillis(timers.nowMillis()));
@@ -287,6 +301,7 @@
   private boolean evaluateProofReply(LinkReply reply) {
     if (reply instanceof LinkReply.Noted) {
       denials = 0;
+      provenAt = timers.nowMillis();
       return true;
     }
     denials++;
@@ -488,6 +503,9 @@
       scheduleResend(pending, RETRY_DELAY);
       return;
     }
+    if (reply instanceof LinkReply.Accepted) {
+      provenAt = repliedAt;
+    }
     boolean mayBeAccepted = reply instanceof LinkReply.Refused && pending.sendCount > 1;
     finish(pending, mayBeAccepted ? new LinkReply.NotOwner() : reply);
   }
@@ -511,6 +529,7 @@
     }
     repliedAt = timers.nowMillis();
     if (reply instanceof LinkReply.Noted) {
+      provenAt = repliedAt;
       denial.clear();
       sendAll();
     } else {
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Ownership.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Ownership.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
+import java.util.function.LongPredicate;
 import java.util.function.LongSupplier;
 import org.hickorypier.core.cell.CustomerLimits;
 import org.hickorypier.daemon.link.LinkReply;
@@ -99,6 +100,7 @@
   private final OrderRouter orderRouter;
   private final JournalFollower journalFollower;
   private OwnerCheck ownerCheck;
+  private LongPredicate ownerProvenSince = time -> false;
   private LongSupplier silentMillis = () -> 0;
   private Optional<Collection<CustomerLimits>> customers = Optional.empty();
   private Owner owner;
@@ -160,10 +162,13 @@
    * Joins the group and renews the membership until this instance leaves.
    *
    * @param check asks the present owner for a proof
+   * @param provenSince returns whether the present owner has shown its ownership since some time of
+   *     the timers' clock, in milliseconds
    * @param ownerSilentMillis returns for how long no owner has answered, in milliseconds
    */
-  public void start(OwnerCheck check, LongSupplier ownerSilentMillis) {
+  public void start(OwnerCheck check, LongPredicate provenSince, LongSupplier ownerSilentMillis) {
     ownerCheck = check;
+    ownerProvenSince = provenSince;
     silentMillis = ownerSilentMillis;
     dependencies
         .timers()
@@ -554,15 +559,18 @@
     generation = membership.generation();
     if (membership.partitions().contains(JournalKeys.PARTITION) && owner == null && !leaving) {
       int checkedEpoch = directory.owner().epoch();
+      long checkedAt = dependencies.timers().nowMillis();
       ownerCheck
           .hasProvenOwner()
           .onSuccess(
               alive -> {
                 // Another instance may have taken over while the lost owner was asked.
                 if (!alive && directory.owner().epoch() == checkedEpoch) {
+                  // The journal may take seconds to read, and an owner that was behind may
+                  // have caught up by then.
                   takeOver(
                       "the group named this instance, and no owner proves itself",
-                      () -> true,
+                      () -> !ownerProvenSince.test(checkedAt),
                       null);
                 }
               });
