Close a link on which no reply has arrived for seconds, whatever else it carries

Found on reading: where bytes are lost in one direction only, the owner's own requests would keep a link open on which no request reaches it. A request that times out closes the link too if no reply has come for 3 s. PendingRepliesTest.linkWithoutAnyReplyIsSilentAfterAWhile failed before.

--- a/daemon/src/main/java/org/hickorypier/daemon/link/Link.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/link/Link.java
@@ -15,8 +15,9 @@
  * A connection between two instances over which both sides may send requests.
  *
  * <p>Invariants: every request ends with a reply or with a {@link LinkException}; the connection is
- * closed when a request times out and nothing has arrived since it was sent, since a connection may
- * stay silent for good while new ones work. Confined to the control thread.
+ * closed when a request times out and nothing has arrived since it was sent, or no reply for
+ * seconds, since a connection may stay silent for good while new ones work. Confined to the control
+ * thread.
  */
 public final class Link {
 
--- a/daemon/src/main/java/org/hickorypier/daemon/link/PendingReplies.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/link/PendingReplies.java
@@ -11,20 +11,28 @@
 /**
  * The requests of one link that have no reply yet.
  *
- * <p>Invariants: every request ends with a reply or with a {@link LinkException}; the link counts
- * as silent only if nothing at all has arrived on it since a request was sent that has timed out.
- * Any frame shows that the connection works and that the other side runs, so a reply that is late
- * behind other work there costs one request and not the connection, with all that waits on it.
- * Confined to the control thread.
+ * <p>Invariants: every request ends with a reply or with a {@link LinkException}; when a request
+ * times out, the link counts as silent if nothing at all has arrived on it since the request was
+ * sent, or no reply for a longer time. Any frame shows that the other side runs, so a reply that is
+ * late behind other work there costs one request and not the connection, with all that waits on it;
+ * but only replies show that requests reach the other side. Confined to the control thread.
  */
 final class PendingReplies {
 
+  /** Exceeds the delays of an owner that has just taken over on a slow processor. */
+  static final long MAX_MILLIS_WITHOUT_REPLY = 3_000;
+
+  private static final long ALL_ANSWERED = Long.MAX_VALUE;
+
   private final TimerService timers;
   private final Runnable onSilent;
   private final Map<Long, Promise<LinkReply>> promises = new HashMap<>();
   private long lastRequestNumber;
   private long framesReceived;
 
+  /** When the first request was sent after the last reply. */
+  private long unansweredSince = ALL_ANSWERED;
+
   /**
    * Creates an empty table.
    *
@@ -47,6 +55,7 @@
   Registration register(long timeoutMillis) {
     long requestNumber = ++lastRequestNumber;
     long framesBefore = framesReceived;
+    unansweredSince = Math.min(unansweredSince, timers.nowMillis());
     Promise<LinkReply> promise = Promise.promise();
     promises.put(requestNumber, promise);
     var timer =
@@ -54,7 +63,7 @@
             Duration.ofMillis(timeoutMillis),
             () -> {
               boolean late = promise.tryFail(new LinkException("no reply before the timeout"));
-              if (late && framesReceived == framesBefore) {
+              if (late && (framesReceived == framesBefore || hasNoReplyForLong())) {
                 onSilent.run();
               }
             });
@@ -69,6 +78,11 @@
     return new Registration(requestNumber, reply);
   }
 
+  private boolean hasNoReplyForLong() {
+    return unansweredSince != ALL_ANSWERED
+        && timers.nowMillis() - unansweredSince >= MAX_MILLIS_WITHOUT_REPLY;
+  }
+
   /** Records that a frame has arrived on the link, a request or a reply. */
   void recordFrame() {
     framesReceived++;
@@ -81,6 +95,7 @@
 
   /** Ends a request with its reply; a reply to a request that has timed out is ignored. */
   void complete(long requestNumber, LinkReply reply) {
+    unansweredSince = ALL_ANSWERED;
     Promise<LinkReply> promise = promises.get(requestNumber);
     if (promise != null) {
       promise.tryComplete(reply);
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/OrderRouter.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/OrderRouter.java
@@ -34,8 +34,8 @@
   private static final int BURSTS_ON_THE_WAY = 2;
 
   /**
-   * The link is closed if a reply is later than this. A busy relay must not lose its link, on which
-   * its callers depend, because of a late order.
+   * The link may be closed if a reply is later than this. A busy relay must not lose its link, on
+   * which its callers depend, because of a late order.
    */
   private static final long LINK_TIMEOUT_MILLIS = 3_000;
 
--- a/daemon/src/test/java/org/hickorypier/daemon/link/PendingRepliesTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/link/PendingRepliesTest.java
@@ -35,6 +35,20 @@
     assertThat(silences).isZero();
   }
 
+  /** Failure: requests are lost on a link that goes on to bring requests of the other side. */
+  @Test
+  void linkWithoutAnyReplyIsSilentAfterAWhile() {
+    long sentMillis = 0;
+    while (sentMillis < PendingReplies.MAX_MILLIS_WITHOUT_REPLY) {
+      assertThat(silences).isZero();
+      pending.register(TIMEOUT_MILLIS);
+      pending.recordFrame();
+      timers.advance(TIMEOUT);
+      sentMillis += TIMEOUT_MILLIS;
+    }
+    assertThat(silences).isEqualTo(1);
+  }
+
   @Test
   void linkThatFallsSilentLaterIsFound() {
     pending.recordFrame();
