--- a/daemon/src/test/java/org/hickorypier/daemon/link/PendingRepliesTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/link/PendingRepliesTest.java
@@ -37,7 +37,7 @@
 
   /** Failure: requests are lost on a link that goes on to bring requests of the other side. */
   @Test
-  void linkWithoutAnyReplyIsSilentAfterAWhile() {
+  void linkWithoutReplyForSecondsIsSilent() {
     long sentMillis = 0;
     while (sentMillis < PendingReplies.MAX_MILLIS_WITHOUT_REPLY) {
       assertThat(silences).isZero();
