Start nothing in evacuated data centres

Cause: no line read the operator's requests to evacuate a data centre, and core did not know where a worker stands. Ruled out: marking such workers as draining, which takes them off the roster of the next owner.

Change: ConfigurationWatcher keeps the data centres of the records that exist and passes each read that reached the newest record, with the time at which it was sent, to the owner. Evacuations (core) excludes their workers from first and repeated orders, and lets nothing start once the last read is older than the time limit less the validity of an order; a new owner starts nothing before it has a read. Reservations on evacuated workers are released and the advisor is asked anew at once; cold workers are the last choice; explain and the log say what is left out. The model plays evacuations of three data centres beside losses of owners, store and orders.

--- a/core/src/main/java/org/hickorypier/core/cell/Cell.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Cell.java
@@ -299,6 +299,22 @@
     workers.handleListed(entries, now);
   }
 
+  /**
+   * Applies a read of the operator's evacuations.
+   *
+   * @param reading the data centres that are being evacuated
+   * @param now the time
+   */
+  public void evacuationsRead(EvacuationReading reading, long now) {
+    if (state.evacuations.update(reading, now)) {
+      for (WorkerView worker : state.workers.values()) {
+        worker.evacuated = state.evacuations.includes(worker.entry().dataCentre());
+      }
+      dispatcher.withdrawReservations(worker -> worker.evacuated);
+      state.dirty = true;
+    }
+  }
+
   /**
    * Records that workers have left the cell, so that none of their runs is active any more.
    *
@@ -444,7 +460,7 @@
       state.stepsMayBeReady = false;
       readySteps.addReadySteps(wallMillis);
     }
-    if (isListOutOfDate(now)) {
+    if (isListOutOfDate(now) || !state.evacuations.isUpToDate(now)) {
       return;
     }
     state.dirty = false;
--- a/core/src/main/java/org/hickorypier/core/cell/CellState.java
+++ b/core/src/main/java/org/hickorypier/core/cell/CellState.java
@@ -37,6 +37,7 @@
   final Reservations reservations = new Reservations();
   final UrgentReserve reserve = new UrgentReserve();
   final WorkerLosses workerLosses = new WorkerLosses();
+  final Evacuations evacuations;
   final Map<String, Submission> submissions = new HashMap<>();
 
   /** Ended submissions in their archived form, by id, until their retention time is over. */
@@ -64,6 +65,7 @@
     this.lastSubmissionNumber = epoch * MAX_SUBMISSIONS_PER_EPOCH;
     this.takenOverAt = now;
     this.listedAt = now;
+    this.evacuations = new Evacuations(timings.evacuationReadAgeMillis(), log);
   }
 
   void recordChange(Submission submission) {
--- a/core/src/main/java/org/hickorypier/core/cell/CellTimings.java
+++ b/core/src/main/java/org/hickorypier/core/cell/CellTimings.java
@@ -10,9 +10,18 @@
  *     milliseconds
  * @param gangMillis how long a started member of a gang waits for the others, in milliseconds
  * @param endStateRetentionMillis how long callers can query an end state, in milliseconds
+ * @param evacuationReadAgeMillis age of the last read of the operator's evacuations from which on
+ *     nothing starts, in milliseconds; {@link #UNLIMITED} if they are not under a time limit
  */
 public record CellTimings(
-    long leaseMillis, long ownershipProofMillis, long gangMillis, long endStateRetentionMillis) {
+    long leaseMillis,
+    long ownershipProofMillis,
+    long gangMillis,
+    long endStateRetentionMillis,
+    long evacuationReadAgeMillis) {
+
+  /** Marks a time without a limit. */
+  public static final long UNLIMITED = Long.MAX_VALUE;
 
   /**
    * Lowest rate of a worker's clock relative to the owner's: the platform documents a deviation of
@@ -35,6 +44,12 @@
    */
   private static final long OWNERSHIP_PROOF_MILLIS = 3_000;
 
+  /**
+   * Age that a read of the evacuations may always reach: a read that waits for changes takes 1 s,
+   * and its answer some 0.3 s from a slow store.
+   */
+  private static final long MIN_EVACUATION_READ_AGE_MILLIS = 1_500;
+
   /** Covers rounding and network delay when the end of a lease is calculated. */
   static final long LEASE_MARGIN_MILLIS = 300;
 
@@ -49,7 +64,30 @@
   public static CellTimings of(
       long longestLeaseMillis, long gangMillis, long endStateRetentionMillis) {
     long lease = Math.min(longestLeaseMillis, MAX_REQUESTED_LEASE_MILLIS);
-    return new CellTimings(lease, OWNERSHIP_PROOF_MILLIS, gangMillis, endStateRetentionMillis);
+    return new CellTimings(
+        lease, OWNERSHIP_PROOF_MILLIS, gangMillis, endStateRetentionMillis, UNLIMITED);
+  }
+
+  /**
+   * Returns the time limits of an installation whose evacuations are under a time limit.
+   *
+   * <p>An order may be carried out as long as it is valid, so a read must be younger than the time
+   * limit by the validity of an order.
+   *
+   * @param evacuationMillis the time within which a requested evacuation must be in force, in
+   *     milliseconds
+   * @return the time limits
+   */
+  public CellTimings withEvacuationMillis(long evacuationMillis) {
+    long orderMillis =
+        Math.round(RunController.START_ORDER_VALIDITY_MILLIS / SLOWEST_CLOCK_RATE)
+            + LEASE_MARGIN_MILLIS;
+    return new CellTimings(
+        leaseMillis,
+        ownershipProofMillis,
+        gangMillis,
+        endStateRetentionMillis,
+        Math.max(MIN_EVACUATION_READ_AGE_MILLIS, evacuationMillis - orderMillis));
   }
 
   /**
--- a/core/src/main/java/org/hickorypier/core/cell/Dispatcher.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Dispatcher.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.hickorypier.core.model.Resources;
 import org.hickorypier.core.submission.QueueTerms;
 
@@ -57,6 +58,7 @@
   void pass(long now) {
     for (WorkerView worker : cell.workers.values()) {
       worker.kindFactor = cell.speedEstimator.factor(worker.entry().kind());
+      worker.cold = worker.isCold(now);
     }
     trialWorkers.releaseUnneeded(now);
     long unresolvedUpTo = cell.lastUnresolvedNumber(now);
@@ -305,6 +307,17 @@
         step, new StepReservation(resources, now + 2 * call + ADVICE_RETRY_MILLIS));
   }
 
+  /** Releases the reservations on certain workers; the steps request other workers at once. */
+  void withdrawReservations(Predicate<WorkerView> unusable) {
+    for (StepRun step : cell.readySteps) {
+      if (step.reservation != null
+          && step.reservation.resources().keySet().stream().anyMatch(unusable)) {
+        cell.reservations.release(step);
+        step.advice.requestedAt = 0;
+      }
+    }
+  }
+
   void adviceAnswered(
       StepRun step,
       List<WorkerView> named,
--- a/core/src/main/java/org/hickorypier/core/cell/Explanation.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Explanation.java
@@ -92,6 +92,9 @@
     if (!cell.usage.allows(submission.spec().customer(), step.spec.taskResources(), 1)) {
       return "its customer's resource limit";
     }
+    if (!cell.evacuations.isUpToDate(now)) {
+      return "a read of the operator's evacuations";
+    }
     for (Task task : step.tasks) {
       CrashVerdict verdict = cell.crashVerdict(task.crashUnit(), now);
       if (task.isWaiting() && verdict != CrashVerdict.START) {
@@ -118,7 +121,8 @@
         + " workers, "
         + suitableSlots
         + " on suitable workers, advice requested "
-        + (step.advice != null && step.advice.requestedAt > 0);
+        + (step.advice != null && step.advice.requestedAt > 0)
+        + evacuatedWorkers(submission.spec().queue().service());
   }
 
   private static String waitReason(Task task, CrashVerdict verdict) {
@@ -130,4 +134,12 @@
         };
     return reason + ", task " + task.index + " lost runs " + task.crashUnit().crashes.summary();
   }
+
+  private String evacuatedWorkers(String service) {
+    long evacuated =
+        cell.workers.values().stream()
+            .filter(worker -> worker.evacuated && worker.entry().service().equals(service))
+            .count();
+    return evacuated == 0 ? "" : ", without " + evacuated + " workers in evacuated data centres";
+  }
 }
--- a/core/src/main/java/org/hickorypier/core/cell/Placer.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Placer.java
@@ -33,6 +33,9 @@
   /** Exceeds any difference in fit: a task far from its data takes at least twice as long. */
   private static final double AFFINITY_MISS_PENALTY = 10;
 
+  /** Exceeds any difference in fit and speed, so a cold worker is chosen if no other has room. */
+  private static final double COLD_PENALTY = 50;
+
   private Placer() {}
 
   /**
@@ -177,6 +180,9 @@
       if (retried && worker.failureStreak > 0) {
         score += AVOIDED_PENALTY;
       }
+      if (worker.cold) {
+        score += COLD_PENALTY;
+      }
       if (score < bestScore) {
         bestScore = score;
         best = worker;
--- a/core/src/main/java/org/hickorypier/core/cell/RunController.java
+++ b/core/src/main/java/org/hickorypier/core/cell/RunController.java
@@ -125,7 +125,9 @@
     if (run.stopping) {
       return;
     }
-    if (run.orderCopies < MAX_ORDER_COPIES && run.worker.acceptsResentOrders(now)) {
+    if (run.orderCopies < MAX_ORDER_COPIES
+        && run.worker.acceptsResentOrders(now)
+        && cell.evacuations.isUpToDate(now)) {
       sendStart(run, run.ticket, now);
     } else {
       abandon(run, now);
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerEntry.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerEntry.java
@@ -17,6 +17,8 @@
  * @param labels the worker's kind and its rack, in this order
  * @param bornMillis start of the worker's current incarnation, in milliseconds since 1970; 0 if
  *     unknown
+ * @param dataCentre the data centre that the worker stands in, or an empty string if unknown
+ * @param coldMillis how much longer the worker is slow after its start, in milliseconds
  */
 public record WorkerEntry(
     String id,
@@ -26,13 +28,39 @@
     long remainingMillis,
     Resources capacity,
     List<String> labels,
-    long bornMillis) {
+    long bornMillis,
+    String dataCentre,
+    long coldMillis) {
 
   /** Copies the list, so that the record is immutable. */
   public WorkerEntry {
     labels = List.copyOf(labels);
   }
 
+  /**
+   * Creates the entry of a warm worker whose data centre is unknown.
+   *
+   * @param id the worker's id
+   * @param service the service that the worker belongs to
+   * @param address host and port
+   * @param draining whether the worker takes no new tasks and will leave
+   * @param remainingMillis while the worker drains, the minimum time that is left, in milliseconds
+   * @param capacity the resources that the worker's tasks may use in total
+   * @param labels the worker's kind and its rack, in this order
+   * @param bornMillis start of the worker's current incarnation, in milliseconds since 1970
+   */
+  public WorkerEntry(
+      String id,
+      String service,
+      String address,
+      boolean draining,
+      long remainingMillis,
+      Resources capacity,
+      List<String> labels,
+      long bornMillis) {
+    this(id, service, address, draining, remainingMillis, capacity, labels, bornMillis, "", 0);
+  }
+
   /**
    * Returns the entry marked as draining or not.
    *
@@ -41,7 +69,16 @@
    */
   public WorkerEntry withDraining(boolean marked) {
     return new WorkerEntry(
-        id, service, address, marked, remainingMillis, capacity, labels, bornMillis);
+        id,
+        service,
+        address,
+        marked,
+        remainingMillis,
+        capacity,
+        labels,
+        bornMillis,
+        dataCentre,
+        coldMillis);
   }
 
   /**
@@ -53,7 +90,37 @@
    */
   public WorkerEntry ofIncarnation(long otherBornMillis, Resources otherCapacity) {
     return new WorkerEntry(
-        id, service, address, draining, remainingMillis, otherCapacity, labels, otherBornMillis);
+        id,
+        service,
+        address,
+        draining,
+        remainingMillis,
+        otherCapacity,
+        labels,
+        otherBornMillis,
+        dataCentre,
+        coldMillis);
+  }
+
+  /**
+   * Returns the entry of the same worker in a data centre.
+   *
+   * @param newDataCentre the data centre
+   * @param newColdMillis how much longer the worker is slow after its start, in milliseconds
+   * @return the entry
+   */
+  public WorkerEntry in(String newDataCentre, long newColdMillis) {
+    return new WorkerEntry(
+        id,
+        service,
+        address,
+        draining,
+        remainingMillis,
+        capacity,
+        labels,
+        bornMillis,
+        newDataCentre,
+        newColdMillis);
   }
 
   /**
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerRegistry.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerRegistry.java
@@ -96,7 +96,8 @@
       roster.markStale();
     }
     worker.departed = false;
-    worker.update(entry);
+    worker.update(entry, now);
+    worker.evacuated = cell.evacuations.includes(entry.dataCentre());
     crashTracker.handleListed(entry);
   }
 
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
@@ -132,6 +132,15 @@
    */
   boolean departed;
 
+  /** Whether the worker's data centre is being evacuated, so that the worker gets no orders. */
+  boolean evacuated;
+
+  /** End of the time in which the worker is slow after its start. */
+  private long coldUntil;
+
+  /** Whether the worker is slow after its start, as of the present scheduling pass. */
+  boolean cold;
+
   int failureStreak;
   long quarantinedUntil;
   long fullUntil;
@@ -239,9 +248,15 @@
     slowStreak = 0;
   }
 
-  void update(WorkerEntry newer) {
+  void update(WorkerEntry newer, long now) {
     this.entry = newer;
     this.listed = true;
+    this.coldUntil = now + newer.coldMillis();
+  }
+
+  /** Returns whether the worker is still slow after its start. */
+  boolean isCold(long now) {
+    return now < coldUntil;
   }
 
   /** Returns a lower bound of the worker's clock; -1 without a reading. */
@@ -379,7 +394,7 @@
    * for a while may have restarted, and the order's deadline does not apply to its new clock.
    */
   boolean acceptsResentOrders(long now) {
-    return !silent && renewable && now - lastAnswerAt <= MAX_RESEND_ANSWER_AGE_MILLIS;
+    return !silent && !evacuated && renewable && now - lastAnswerAt <= MAX_RESEND_ANSWER_AGE_MILLIS;
   }
 
   /** Returns whether the worker may get orders for any task. */
@@ -396,6 +411,7 @@
         && isOpen()
         && !silent
         && !entry.draining()
+        && !evacuated
         && now >= quarantinedUntil
         && now >= fullUntil
         && now >= slowBackoffUntil
--- a/core/src/main/java/org/hickorypier/core/verification/GuaranteeChecker.java
+++ b/core/src/main/java/org/hickorypier/core/verification/GuaranteeChecker.java
@@ -46,6 +46,7 @@
   private final Map<String, Long> usedOnWorker = new HashMap<>();
   private final Map<String, Resources> customerLimits = new HashMap<>();
   private final Map<String, CapacityHistory> workerCapacities = new HashMap<>();
+  private final EvacuationHistory evacuations = new EvacuationHistory();
   private final CrashBudget crashBudget = new CrashBudget();
   private final PersistentTaskMonitor persistentTasks = new PersistentTaskMonitor();
   private int startCount;
@@ -81,6 +82,34 @@
         .record(capacity, clock.getAsLong());
   }
 
+  /**
+   * Sets the data centre of a worker.
+   *
+   * @param worker the worker's id
+   * @param dataCentre its data centre
+   */
+  public synchronized void setDataCentre(String worker, String dataCentre) {
+    evacuations.setDataCentre(worker, dataCentre);
+  }
+
+  /**
+   * Records that the request to evacuate a data centre was stored.
+   *
+   * @param dataCentre the data centre
+   */
+  public synchronized void recordEvacuationRequest(String dataCentre) {
+    evacuations.recordRequest(dataCentre, clock.getAsLong());
+  }
+
+  /**
+   * Records that the request to evacuate a data centre was withdrawn.
+   *
+   * @param dataCentre the data centre
+   */
+  public synchronized void recordEvacuationWithdrawal(String dataCentre) {
+    evacuations.recordWithdrawal(dataCentre);
+  }
+
   /**
    * Declares that a task crashes the workers that start it.
    *
@@ -237,6 +266,9 @@
     checkOrder(spec, run);
     checkAttempts(spec, run);
     checkLimitAndCapacity(spec, run);
+    evacuations
+        .violatedBy(run.worker(), clock.getAsLong())
+        .ifPresent(name -> addViolation("start in the evacuated data centre " + name, run.key()));
     Long cancelled = cancelledAt.get(task.submission());
     if (cancelled != null && clock.getAsLong() > cancelled + CANCEL_GRACE_MILLIS) {
       addViolation("start after the cancellation", run.key());
--- a/core/src/test/java/org/hickorypier/core/cell/CellFixture.java
+++ b/core/src/test/java/org/hickorypier/core/cell/CellFixture.java
@@ -64,9 +64,17 @@
     this(epoch, FIRST_MILLIS);
   }
 
+  CellFixture(int epoch, CellTimings timings) {
+    this(epoch, FIRST_MILLIS, timings);
+  }
+
   private CellFixture(int epoch, long now) {
+    this(epoch, now, TIMINGS);
+  }
+
+  private CellFixture(int epoch, long now, CellTimings timings) {
     this.now = now;
-    cell = new Cell(TIMINGS, this, this::record, epoch, now);
+    cell = new Cell(timings, this, this::record, epoch, now);
     cell.configure(List.of());
   }
 
--- a/core/src/test/java/org/hickorypier/core/cell/model/CellModelTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/model/CellModelTest.java
@@ -48,6 +48,15 @@
     runScenarios(ScenarioKind.CRASHING_TASKS);
   }
 
+  /**
+   * Guards against starts in a data centre that is being evacuated, by an owner that cannot read
+   * the request, a successor that has not read it yet, or an order that is sent again.
+   */
+  @Test
+  void nothingStartsInEvacuatedDataCentres() {
+    runScenarios(ScenarioKind.EVACUATIONS);
+  }
+
   private static void runScenarios(ScenarioKind kind) {
     List<String> failures = new ArrayList<>();
     long runStarts = 0;
--- a/core/src/test/java/org/hickorypier/core/cell/model/ModelCluster.java
+++ b/core/src/test/java/org/hickorypier/core/cell/model/ModelCluster.java
@@ -51,6 +51,9 @@
   /** More than {@link #WORKERS}, since some drain while the others take over their tasks. */
   private static final int ROLLING_UPDATE_WORKERS = 6;
 
+  private static final int DATA_CENTRES = 3;
+  private static final int EVACUATIONS = 6;
+
   private static final int FAULTS = 7;
   private static final int MAX_ROLLING_UPDATE_FAULTS = 3;
 
@@ -92,6 +95,10 @@
   private final Map<ModelWorker, Long> unlistedFromMillis = new HashMap<>();
   private final Set<String> accepted = new HashSet<>();
   private final Set<String> cancelled = new HashSet<>();
+
+  /** The data centres that are being evacuated. */
+  final Set<String> evacuated = new HashSet<>();
+
   private ModelOwner owner;
   private boolean ownerLost;
 
@@ -131,6 +138,25 @@
     if (kind == ScenarioKind.ROLLING_UPDATE) {
       new ModelRollingUpdate(this).schedule();
       checkPeriodically();
+    } else if (kind == ScenarioKind.EVACUATIONS) {
+      for (int index = 0; index < EVACUATIONS; index++) {
+        time.schedule(time.randomBetween(500, FAULTS_END_MILLIS - 12_000), this::evacuate);
+      }
+    }
+  }
+
+  /** Evacuates a data centre for some time, unless that is under way. */
+  private void evacuate() {
+    String dataCentre = "data-centre-" + time.random.nextInt(DATA_CENTRES);
+    if (evacuated.add(dataCentre)) {
+      notes.add(time.nowMillis() + " planned evacuation of " + dataCentre);
+      promises.recordEvacuationRequest(dataCentre);
+      time.schedule(
+          time.randomBetween(300, 12_000),
+          () -> {
+            evacuated.remove(dataCentre);
+            promises.recordEvacuationWithdrawal(dataCentre);
+          });
     }
   }
 
@@ -138,7 +164,7 @@
     return switch (kind) {
       case UNIFORM_WORK, MIXED_PRIORITIES -> WORKERS;
       case ROLLING_UPDATE -> ROLLING_UPDATE_WORKERS;
-      case CRASHING_TASKS -> 2 * WORKERS;
+      case CRASHING_TASKS, EVACUATIONS -> 2 * WORKERS;
     };
   }
 
@@ -170,6 +196,8 @@
   ModelWorker addWorker() {
     ModelWorker worker = new ModelWorker(workersById.size(), time, promises, gangs);
     worker.crashDelay = this::crashDelayMillis;
+    worker.dataCentre = "data-centre-" + workersById.size() % DATA_CENTRES;
+    promises.setDataCentre(worker.id, worker.dataCentre);
     workersById.put(worker.id, worker);
     workers.add(worker);
     promises.setCapacity(worker.id, ModelWorker.CAPACITY);
@@ -198,7 +226,7 @@
   List<String> run() {
     time.runUntil(
         switch (kind) {
-          case UNIFORM_WORK, MIXED_PRIORITIES -> SCENARIO_END_MILLIS;
+          case UNIFORM_WORK, MIXED_PRIORITIES, EVACUATIONS -> SCENARIO_END_MILLIS;
           case ROLLING_UPDATE -> ROLLING_UPDATE_END_MILLIS;
           case CRASHING_TASKS -> CRASHING_TASKS_END_MILLIS;
         });
@@ -356,7 +384,7 @@
   /** Tells whether a submission consists of persistent tasks. */
   private boolean isPersistent(String id) {
     return switch (kind) {
-      case UNIFORM_WORK, MIXED_PRIORITIES -> false;
+      case UNIFORM_WORK, MIXED_PRIORITIES, EVACUATIONS -> false;
       case ROLLING_UPDATE -> PERSISTENT_ID_DIGITS.contains(lastDigit(id));
       case CRASHING_TASKS -> PERSISTENT_DIGITS_BESIDE_CRASHES.contains(lastDigit(id));
     };
--- a/core/src/test/java/org/hickorypier/core/cell/model/ModelOwner.java
+++ b/core/src/test/java/org/hickorypier/core/cell/model/ModelOwner.java
@@ -10,6 +10,7 @@
 import org.hickorypier.core.cell.Cell;
 import org.hickorypier.core.cell.CellOutput;
 import org.hickorypier.core.cell.CellTimings;
+import org.hickorypier.core.cell.EvacuationReading;
 import org.hickorypier.core.cell.RenewalReport;
 import org.hickorypier.core.cell.RosterEntry;
 import org.hickorypier.core.cell.Run;
@@ -29,7 +30,11 @@
 final class ModelOwner implements CellOutput {
 
   private static final CellTimings TERMS =
-      CellTimings.of(ModelWorker.MAX_LEASE_MILLIS, 3_000, 600_000);
+      CellTimings.of(ModelWorker.MAX_LEASE_MILLIS, 3_000, 600_000).withEvacuationMillis(5_000);
+
+  /** Longest wait of a read of the evacuations. */
+  private static final int MAX_EVACUATION_READ_MILLIS = 1_000;
+
   private static final long ORDER_TIMEOUT_MILLIS = 400;
 
   final int epoch;
@@ -78,6 +83,21 @@
     cell.restoreRoster(cluster.journal.roster);
     runControlLoop();
     pollWorkerList();
+    readEvacuations();
+  }
+
+  private void readEvacuations() {
+    if (ended) {
+      return;
+    }
+    long readAt = time.nowMillis();
+    if (!storeUnreachable && !cluster.faults.storeDown) {
+      EvacuationReading reading = new EvacuationReading(cluster.evacuated, readAt);
+      time.schedule(
+          2 * cluster.faults.storeDelayMillis + 2,
+          () -> cell.evacuationsRead(reading, time.nowMillis()));
+    }
+    time.schedule(time.randomBetween(100, MAX_EVACUATION_READ_MILLIS), this::readEvacuations);
   }
 
   private boolean mayIssueOrders() {
--- a/core/src/test/java/org/hickorypier/core/cell/model/ModelWorker.java
+++ b/core/src/test/java/org/hickorypier/core/cell/model/ModelWorker.java
@@ -49,6 +49,8 @@
 
   Resources capacity = CAPACITY;
 
+  String dataCentre = "";
+
   /** Whether a task crashed the worker; its process ends and resets its connections. */
   boolean crashedUnderTask;
 
@@ -77,7 +79,8 @@
   WorkerEntry entry() {
     long remaining = draining ? Math.max(0, drainEndMillis - time.nowMillis()) : 0;
     return new WorkerEntry(
-        id, "service", address, draining, remaining, capacity, List.of("a", "r1"), incarnation);
+            id, "service", address, draining, remaining, capacity, List.of("a", "r1"), incarnation)
+        .in(dataCentre, 0);
   }
 
   private long localClockMillis() {
--- a/core/src/test/java/org/hickorypier/core/cell/model/ScenarioKind.java
+++ b/core/src/test/java/org/hickorypier/core/cell/model/ScenarioKind.java
@@ -13,5 +13,8 @@
   ROLLING_UPDATE,
 
   /** Tasks that crash the workers that start them, beside others, and capacities that change. */
-  CRASHING_TASKS
+  CRASHING_TASKS,
+
+  /** Data centres that are evacuated and taken back, several at once among them. */
+  EVACUATIONS
 }
--- a/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import org.hickorypier.core.cell.EvacuationReading;
 import org.hickorypier.core.cell.EventLog;
 import org.hickorypier.core.cell.InFlightWindow;
 import org.hickorypier.core.cluster.ClusterConfiguration;
@@ -169,7 +170,7 @@
             suspensionDetector,
             log,
             settings.revokeMillis(),
-            this::applyConfiguration);
+            new OperatorRequests());
     handover = new Handover(ownership, speedMonitor, timers, log);
     gateway =
         new OwnerGateway(
@@ -270,8 +271,18 @@
         && ownerlessMillis < MAX_OWNERLESS_MILLIS;
   }
 
-  private void applyConfiguration(ClusterConfiguration newConfiguration) {
-    ownership.configure(newConfiguration.customers());
+  /** Applies what the operator has written to the store. */
+  private final class OperatorRequests implements ConfigurationWatcher.Listener {
+
+    @Override
+    public void configurationChanged(ClusterConfiguration newConfiguration) {
+      ownership.configure(newConfiguration.customers());
+    }
+
+    @Override
+    public void evacuationsRead(EvacuationReading reading) {
+      ownership.evacuationsRead(reading);
+    }
   }
 
   private void handleOwnerChange(OwnerRecord owner) {
--- a/daemon/src/main/java/org/hickorypier/daemon/node/NodeSettings.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/NodeSettings.java
@@ -70,6 +70,11 @@
    */
   private static final long MIN_REVOKE_MILLIS = 500;
 
+  private static final String EVACUATION_MILLIS = "evacuationMillis";
+
+  /** The time of a read of the evacuations and of a start order on its way. */
+  private static final long MIN_EVACUATION_MILLIS = 500;
+
   private static final long MILLIS_PER_SECOND = 1_000;
 
   /**
@@ -105,8 +110,6 @@
         reader.number("processorShare", MIN_PROCESSOR_SHARE)
             * reader.number("processorSpeed", MIN_PROCESSOR_SHARE);
     double linkMegabits = reader.number("linkMegabits", MIN_LINK_MEGABITS);
-    long stateRetentionMillis =
-        Math.round(reader.number("stateKeptSeconds", 1) * MILLIS_PER_SECOND);
     return new NodeSettings(
         reader.text("name"),
         reader.text("address"),
@@ -119,10 +122,7 @@
         reader.service("ready"),
         reader.service("store"),
         json.getString("advisor", "").isEmpty() ? null : reader.service("advisor"),
-        CellTimings.of(
-            (long) reader.number("longestLeaseMillis", 1),
-            (long) reader.number("gangMillis", 1),
-            stateRetentionMillis),
+        reader.cellTimings(),
         Strength.of(processors, linkMegabits),
         (long) reader.number("revokeMillis", MIN_REVOKE_MILLIS),
         groupLifetimeMillis,
@@ -143,6 +143,17 @@
           name + " is " + json.getValue(name) + "; expected a non-empty string", null);
     }
 
+    CellTimings cellTimings() throws SettingsFileException {
+      CellTimings timings =
+          CellTimings.of(
+              (long) number("longestLeaseMillis", 1),
+              (long) number("gangMillis", 1),
+              Math.round(number("stateKeptSeconds", 1) * MILLIS_PER_SECOND));
+      return json.containsKey(EVACUATION_MILLIS)
+          ? timings.withEvacuationMillis((long) number(EVACUATION_MILLIS, MIN_EVACUATION_MILLIS))
+          : timings;
+    }
+
     double number(String name, double minimum) throws SettingsFileException {
       if (json.getValue(name) instanceof Number number && number.doubleValue() >= minimum) {
         return number.doubleValue();
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/ConfigurationWatcher.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/ConfigurationWatcher.java
@@ -1,22 +1,27 @@
 package org.hickorypier.daemon.owner;
 
 import java.time.Duration;
-import java.util.function.Consumer;
+import java.util.Set;
+import java.util.TreeSet;
+import org.hickorypier.core.cell.EvacuationReading;
 import org.hickorypier.core.cell.EventLog;
 import org.hickorypier.core.cluster.ClusterConfiguration;
 import org.hickorypier.daemon.time.SuspensionDetector;
 import org.hickorypier.daemon.time.TimerService;
 import org.hickorypier.platform.configuration.ConfigurationDecoder;
+import org.hickorypier.platform.configuration.EvacuationKeys;
 import org.hickorypier.platform.store.KeyedRecord;
 import org.hickorypier.platform.store.StoreClient;
 import org.hickorypier.wire.UndecodableException;
 
 /**
- * Watches the operator's configuration in the store, and tracks the age of the proof that the known
- * version is the newest.
+ * Watches the operator's configuration and evacuations in the store, and tracks the age of the
+ * proof that the known version is the newest.
  *
- * <p>Invariant: versions only increase. {@link #current} and {@link #isProven} are thread-safe;
- * everything else is confined to the control thread.
+ * <p>Invariants: versions only increase; a data centre is evacuated exactly as long as its record
+ * exists, so an evacuation whose record is missing in a snapshot has been withdrawn. {@link
+ * #current} and {@link #isProven} are thread-safe; everything else is confined to the control
+ * thread.
  */
 public final class ConfigurationWatcher implements ConfigurationSource {
 
@@ -47,12 +52,31 @@
   private final TimerService timers;
   private final SuspensionDetector suspensionDetector;
   private final EventLog log;
-  private final Consumer<ClusterConfiguration> listener;
+  private final Listener listener;
   private volatile ClusterConfiguration current;
+  private final Set<String> evacuated = new TreeSet<>();
   private final long maxProofAgeMillis;
   private volatile long provenAt = Long.MIN_VALUE / 2;
   private boolean storeLost;
 
+  /** Receives what was read, on the control thread. */
+  public interface Listener {
+
+    /**
+     * Handles a new version of the configuration.
+     *
+     * @param configuration the configuration
+     */
+    void configurationChanged(ClusterConfiguration configuration);
+
+    /**
+     * Handles a read that reached the newest record.
+     *
+     * @param reading the evacuations
+     */
+    void evacuationsRead(EvacuationReading reading);
+  }
+
   /**
    * Creates the watcher.
    *
@@ -61,7 +85,7 @@
    * @param suspensionDetector detects suspensions of the process
    * @param log receives the events
    * @param revokeMillis the time within which a withdrawn key must stop working, in milliseconds
-   * @param listener receives each new version, on the control thread
+   * @param listener receives what was read
    */
   public ConfigurationWatcher(
       StoreClient store,
@@ -69,7 +93,7 @@
       SuspensionDetector suspensionDetector,
       EventLog log,
       long revokeMillis,
-      Consumer<ClusterConfiguration> listener) {
+      Listener listener) {
     this.reader = new TopicReader(store, StoreClient.OPERATOR_TOPIC);
     this.timers = timers;
     this.suspensionDetector = suspensionDetector;
@@ -115,17 +139,51 @@
   }
 
   private void handleChanges(TopicReader.Changes changes, long sentAt) {
+    Set<String> before = Set.copyOf(evacuated);
+    if (changes.isSnapshot()) {
+      evacuated.clear();
+    }
     for (KeyedRecord record : changes.records()) {
       if (record.key().equals(StoreClient.CONFIGURATION_KEY)) {
         applyConfiguration(record.value());
+      } else {
+        EvacuationKeys.dataCentre(record.key())
+            .ifPresent(name -> applyEvacuation(name, record.value() != null));
       }
     }
+    logEvacuations("evacuation-requested", evacuated, before);
+    logEvacuations("evacuation-withdrawn", before, evacuated);
     if (changes.caughtUp()) {
       recordProof(sentAt);
+      listener.evacuationsRead(new EvacuationReading(evacuated, sentAt));
     }
     start();
   }
 
+  private void applyEvacuation(String dataCentre, boolean requested) {
+    if (requested) {
+      evacuated.add(dataCentre);
+    } else {
+      evacuated.remove(dataCentre);
+    }
+  }
+
+  private void logEvacuations(String event, Set<String> included, Set<String> excluded) {
+    for (String dataCentre : included) {
+      if (!excluded.contains(dataCentre)) {
+        log.event(
+            PART,
+            event,
+            "data_centre",
+            dataCentre,
+            "offset",
+            reader.position(),
+            "previous_read_ms_ago",
+            current == null ? -1 : timers.nowMillis() - provenAt);
+      }
+    }
+  }
+
   private void recordProof(long sentAt) {
     provenAt = sentAt;
     if (storeLost) {
@@ -151,7 +209,7 @@
             "customers",
             newer.customers().size());
         current = newer;
-        listener.accept(newer);
+        listener.configurationChanged(newer);
       }
     } catch (UndecodableException error) {
       log.event(PART, "unreadable-configuration", "error", error.getMessage());
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
@@ -12,8 +12,10 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.hickorypier.core.cell.Cell;
+import org.hickorypier.core.cell.CellTimings;
 import org.hickorypier.core.cell.ContactWindow;
 import org.hickorypier.core.cell.CustomerLimits;
+import org.hickorypier.core.cell.EvacuationReading;
 import org.hickorypier.core.cell.RetryAfter;
 import org.hickorypier.core.cell.RosterEntry;
 import org.hickorypier.core.cell.Submission;
@@ -78,6 +80,7 @@
   private boolean passScheduled;
   private boolean ended;
   private long startsSuspendedUntil;
+  private long evacuationsReadAt;
 
   Owner(
       OwnerDependencies dependencies,
@@ -85,6 +88,7 @@
       AdviceCallBalancer adviceCallBalancer,
       OrderRouter orderRouter,
       Optional<Collection<CustomerLimits>> customers,
+      EvacuationReading evacuations,
       Consumer<String> onLost) {
     this.dependencies = dependencies;
     this.epoch = taken.epoch();
@@ -114,6 +118,7 @@
     this.workerListReader = new WorkerListReader(dependencies, this::workersListed);
     orders.connect(cell, journal);
     customers.ifPresent(cell::configure);
+    evacuationsRead(evacuations);
     JournalContents predecessorState = new JournalContents(taken.values(), dependencies.log());
     this.predecessorEpoch = predecessorState.owner().epoch();
     long wallMillis = dependencies.wallClock().getAsLong();
@@ -144,6 +149,19 @@
     requestPass();
   }
 
+  /** Applies a read of the operator's evacuations. */
+  void evacuationsRead(EvacuationReading reading) {
+    evacuationsReadAt = reading.readAt();
+    cell.evacuationsRead(reading, now());
+    requestPass();
+  }
+
+  /** Returns whether no suspension hides the true age of the last read of the evacuations. */
+  private boolean isEvacuationReadAgeKnown() {
+    return dependencies.timings().evacuationReadAgeMillis() == CellTimings.UNLIMITED
+        || dependencies.suspensionDetector().isUninterruptedSince(evacuationsReadAt);
+  }
+
   /** Returns whether it is proven that no successor took over more than the given time ago. */
   boolean isProven(long withinMillis) {
     return !ended && journal.isProven(withinMillis);
@@ -395,7 +413,7 @@
    */
   private void pass() {
     passScheduled = false;
-    if (now() >= startsSuspendedUntil && maySendOrders()) {
+    if (now() >= startsSuspendedUntil && maySendOrders() && isEvacuationReadAgeKnown()) {
       cell.pass(now(), dependencies.wallClock().getAsLong());
     }
   }
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Ownership.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Ownership.java
@@ -13,6 +13,7 @@
 import java.util.function.LongPredicate;
 import java.util.function.LongSupplier;
 import org.hickorypier.core.cell.CustomerLimits;
+import org.hickorypier.core.cell.EvacuationReading;
 import org.hickorypier.daemon.link.LinkReply;
 import org.hickorypier.daemon.link.LinkRequest;
 import org.hickorypier.platform.store.Append;
@@ -103,6 +104,7 @@
   private LongPredicate ownerProvenSince = time -> false;
   private LongSupplier silentMillis = () -> 0;
   private Optional<Collection<CustomerLimits>> customers = Optional.empty();
+  private EvacuationReading evacuations = EvacuationReading.NONE;
   private Owner owner;
 
   /**
@@ -226,6 +228,18 @@
     }
   }
 
+  /**
+   * Applies a read of the operator's evacuations, now and to any later ownership.
+   *
+   * @param reading the evacuations
+   */
+  public void evacuationsRead(EvacuationReading reading) {
+    evacuations = reading;
+    if (owner != null) {
+      owner.evacuationsRead(reading);
+    }
+  }
+
   /**
    * Sets the action that runs whenever this instance ceases to be the owner.
    *
@@ -447,6 +461,7 @@
                       adviceCallBalancer,
                       orderRouter,
                       customers,
+                      evacuations,
                       this::endOwnership);
               journalFollower.stop();
               announceOwner(self.toOwnerRecord(taken.epoch()));
--- a/daemon/src/test/java/org/hickorypier/daemon/node/SmallCluster.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/SmallCluster.java
@@ -68,7 +68,7 @@
 
   final Vertx vertx = Vertx.vertx();
   final InMemoryStore store = new InMemoryStore(4, SmallCluster::nowMillis);
-  private final StandInOperator operator =
+  final StandInOperator operator =
       new StandInOperator(
           store, HOST, PREFIX, new QueueTerms("q", "service", 0, 3, 2, 1_000, Optional.empty()));
   final StoreServer storeServer = new StoreServer(vertx, store);
@@ -120,7 +120,15 @@
   }
 
   private JsonObject workerEntry(int worker) {
-    return workers.get(worker).entry("service", "" + address(workerListeners.get(worker)));
+    return workers
+        .get(worker)
+        .entry("service", "" + address(workerListeners.get(worker)))
+        .put("Zone", dataCentre(worker));
+  }
+
+  /** Returns the data centre of a worker; each worker stands in one of its own. */
+  static String dataCentre(int worker) {
+    return "data-centre-" + worker;
   }
 
   private void putWorkerEntry(int worker, JsonObject entry) {
@@ -183,7 +191,7 @@
         new ServiceAddress(host, LoopbackPort.free()),
         storeAddress,
         null,
-        CellTimings.of(10_000, 3_000, 60_000),
+        CellTimings.of(10_000, 3_000, 60_000).withEvacuationMillis(5_000),
         strength,
         5_000,
         1_000,
--- a/standins/src/main/java/org/hickorypier/standins/operator/StandInOperator.java
+++ b/standins/src/main/java/org/hickorypier/standins/operator/StandInOperator.java
@@ -17,6 +17,7 @@
 
   private static final String TOPIC = "keyed.op";
   private static final String KEY = "config";
+  private static final String EVACUATION_KEY_PREFIX = "evacuate/";
 
   /** The operator's versions rise in uneven steps. */
   private static final int VERSION_STEP = 3;
@@ -59,6 +60,24 @@
     store.put(TOPIC, KEY, configuration.toBuffer().getBytes());
   }
 
+  /**
+   * Requests that a data centre is evacuated.
+   *
+   * @param dataCentre the data centre
+   */
+  public void evacuate(String dataCentre) {
+    store.put(TOPIC, EVACUATION_KEY_PREFIX + dataCentre, new JsonObject().toBuffer().getBytes());
+  }
+
+  /**
+   * Withdraws the request to evacuate a data centre.
+   *
+   * @param dataCentre the data centre
+   */
+  public void withdrawEvacuation(String dataCentre) {
+    store.put(TOPIC, EVACUATION_KEY_PREFIX + dataCentre, null);
+  }
+
   private JsonObject route() {
     return new JsonObject()
         .put("Name", queue.name())
