Check keys by the owner's configuration where the store does not answer

Cause: an instance that the store turns away has no proof of the configuration after 4 s and refuses every caller on its open connections, with a Retry-After of 1 s at least; a check whose objective is 0.3 to 1.4 s is then late or lost. Ruled out: failed attempts.

Change: an instance without a read for 1.8 s asks the owner over its link for the newest configuration; the answer carries the age of the owner's own read, and the record if the version differs. The proof counts from the moment the question was sent, less that age, so a withdrawn key lives no longer than before. Such an instance still reports that it is not ready, since the balancer knows better ones. Links of earlier versions are not asked.

NodeTest.instanceWithoutStoreChecksKeysByTheOwnersConfiguration fails without the change (503 for good).

--- a/daemon/src/main/java/org/hickorypier/daemon/link/LinkCodec.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/link/LinkCodec.java
@@ -25,6 +25,7 @@
   /** The lowest type code of a reply; all requests have lower type codes. */
   private static final int ACCEPTED = 11;
 
+  private static final int PROVE_CONFIGURATION = -3;
   private static final int STAND_BY = -2;
   private static final int START_RUN = -1;
   private static final int FORMER_OWNER = 0;
@@ -48,6 +49,7 @@
   private static final int NOTED = 19;
   private static final int LINES = 20;
   private static final int STARTED = 21;
+  private static final int CONFIGURATION = 22;
 
   private LinkCodec() {}
 
@@ -96,6 +98,8 @@
     } else if (request instanceof LinkRequest.StartRun start) {
       packer.packInt(START_RUN);
       packOrder(packer, start);
+    } else if (request instanceof LinkRequest.ProveConfiguration proof) {
+      packer.packInt(PROVE_CONFIGURATION).packLong(proof.version());
     } else if (request instanceof LinkRequest.StandBy) {
       packer.packInt(STAND_BY);
     } else if (request instanceof LinkRequest.ProveOwnership) {
@@ -129,6 +133,9 @@
       packStrings(packer, lines.lines());
     } else if (reply instanceof LinkReply.Started started) {
       packer.packInt(STARTED).packInt(started.outcome().ordinal());
+    } else if (reply instanceof LinkReply.Configuration configuration) {
+      packer.packInt(CONFIGURATION).packLong(configuration.ageMillis());
+      packer.packString(configuration.record());
     } else if (reply instanceof LinkReply.NotOwner) {
       packer.packInt(NOT_OWNER);
     } else if (reply instanceof LinkReply.Failed) {
@@ -256,6 +263,8 @@
             unpacker.unpackInt(),
             unpacker.hasNext() ? unpacker.unpackLong() : 0,
             unpacker.hasNext() ? unpacker.unpackInt() : 0);
+      case PROVE_CONFIGURATION:
+        return new LinkRequest.ProveConfiguration(unpacker.unpackLong());
       case STAND_BY:
         return new LinkRequest.StandBy();
       case START_RUN:
@@ -294,6 +303,8 @@
         return new LinkReply.Lines(unpackStrings(unpacker));
       case STARTED:
         return new LinkReply.Started(StartOutcome.values()[unpacker.unpackInt()]);
+      case CONFIGURATION:
+        return new LinkReply.Configuration(unpacker.unpackLong(), unpacker.unpackString());
       case NOT_OWNER:
         return new LinkReply.NotOwner();
       case FAILED:
--- a/daemon/src/main/java/org/hickorypier/daemon/link/LinkReply.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/link/LinkReply.java
@@ -70,6 +70,15 @@
    */
   record Started(StartOutcome outcome) implements LinkReply {}
 
+  /**
+   * The newest configuration in the store, as the receiver of the request has read it.
+   *
+   * @param ageMillis how long ago that read was sent, in milliseconds
+   * @param record the record in the store if its version is not the one asked about, otherwise
+   *     empty
+   */
+  record Configuration(long ageMillis, String record) implements LinkReply {}
+
   /** The instance is not, or no longer, the owner; the request may be sent to the next owner. */
   record NotOwner() implements LinkReply {}
 
--- a/daemon/src/main/java/org/hickorypier/daemon/link/LinkRequest.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/link/LinkRequest.java
@@ -9,11 +9,14 @@
 public sealed interface LinkRequest {
 
   /** The present version of the protocol. */
-  int VERSION = 1;
+  int VERSION = 2;
 
   /** The first version whose instances take {@link StartRun} and {@link StandBy} requests. */
   int FIRST_VERSION_WITH_RELAYS = 1;
 
+  /** The first version whose instances take {@link ProveConfiguration} requests. */
+  int FIRST_VERSION_WITH_CONFIGURATION_PROOFS = 2;
+
   /**
    * Accepts a submission.
    *
@@ -105,6 +108,14 @@
    */
   record StartRun(StartOrder order, boolean textIncluded) implements LinkRequest {}
 
+  /**
+   * Asks for the newest configuration that the receiver has read from the store, since the store
+   * does not answer the sender.
+   *
+   * @param version the version that the sender knows, or 0
+   */
+  record ProveConfiguration(long version) implements LinkRequest {}
+
   /** Asks the receiver to follow the journal for some seconds, so that it can take over at once. */
   record StandBy() implements LinkRequest {}
 
--- a/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
@@ -204,6 +204,7 @@
             traffic, log, timers, delayMonitor, Node::processorMillis, settings.processors())
         .start();
     configurationWatcher.start();
+    configurationWatcher.askWhileStoreUnavailable(gateway::askForConfiguration);
     directory.start();
     gateway.start();
     // A caller whose connection is refused uses up one of its few attempts, so the front starts
@@ -303,7 +304,7 @@
         if (peer.supportsRelays()) {
           relayRegistration.register();
         }
-        return Future.succeededFuture(new LinkReply.Noted());
+        return Future.succeededFuture(new LinkReply.Number(LinkRequest.VERSION));
       }
       if (request instanceof LinkRequest.Submit submit && ownership.isOwner()) {
         relayRegistration.recordText(submit.spec().id());
@@ -326,6 +327,9 @@
               ? new LinkReply.Failed()
               : new LinkReply.Number(speedMonitor.measureMicros()));
     }
+    if (request instanceof LinkRequest.ProveConfiguration proof) {
+      return Future.succeededFuture(configurationWatcher.proveConfiguration(proof.version()));
+    }
     if (request instanceof LinkRequest.StandBy) {
       ownership.standBy();
       return Future.succeededFuture(new LinkReply.Noted());
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/ConfigurationWatcher.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/ConfigurationWatcher.java
@@ -1,11 +1,16 @@
 package org.hickorypier.daemon.owner;
 
+import io.vertx.core.Future;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Function;
 import org.hickorypier.core.cell.EvacuationReading;
 import org.hickorypier.core.cell.EventLog;
 import org.hickorypier.core.cluster.ClusterConfiguration;
+import org.hickorypier.daemon.link.LinkReply;
+import org.hickorypier.daemon.link.LinkRequest;
 import org.hickorypier.daemon.time.SuspensionDetector;
 import org.hickorypier.daemon.time.TimerService;
 import org.hickorypier.platform.configuration.ConfigurationDecoder;
@@ -45,19 +50,37 @@
    */
   private static final long MAX_FRESH_PROOF_AGE_MILLIS = 2_500;
 
+  /**
+   * Age of the last read from which on the owner is asked for its own. A read takes 1 s while
+   * nothing changes, so a single lost answer does not make it this old.
+   */
+  private static final long ASK_OWNER_AFTER_MILLIS = 1_800;
+
+  private static final Duration ASK_OWNER_PERIOD = Duration.ofMillis(400);
+
   /** After this time without a proof the store counts as lost, which is logged once. */
   private static final long STORE_LOST_AFTER_MILLIS = 2_500;
 
+  private static final long NEVER = Long.MIN_VALUE / 2;
+
   private final TopicReader reader;
   private final TimerService timers;
   private final SuspensionDetector suspensionDetector;
   private final EventLog log;
   private final Listener listener;
   private volatile ClusterConfiguration current;
+  private byte[] currentRecord = {};
   private final Set<String> evacuated = new TreeSet<>();
   private final long maxProofAgeMillis;
-  private volatile long provenAt = Long.MIN_VALUE / 2;
+
+  /** When the last read of the store was sent that reached the newest record. */
+  private volatile long readAt = NEVER;
+
+  /** When the last read of the store was sent of which the owner has told this instance. */
+  private volatile long ownerReadAt = NEVER;
+
   private boolean storeLost;
+  private boolean askingOwner;
 
   /** Receives what was read, on the control thread. */
   public interface Listener {
@@ -120,7 +143,7 @@
 
   @Override
   public boolean isProven() {
-    return isProvenWithin(maxProofAgeMillis);
+    return isRecent(readAt, maxProofAgeMillis) || isRecent(ownerReadAt, maxProofAgeMillis);
   }
 
   /**
@@ -129,13 +152,70 @@
    * @return false if the store seems to be unavailable, to this instance or to all
    */
   public boolean isFresh() {
-    return isProvenWithin(Math.min(MAX_FRESH_PROOF_AGE_MILLIS, maxProofAgeMillis));
+    return isRecent(readAt, Math.min(MAX_FRESH_PROOF_AGE_MILLIS, maxProofAgeMillis));
+  }
+
+  private boolean isRecent(long time, long millis) {
+    return suspensionDetector.isUninterruptedSince(time) && timers.nowMillis() - time <= millis;
   }
 
-  private boolean isProvenWithin(long millis) {
-    long proofAt = provenAt;
-    return suspensionDetector.isUninterruptedSince(proofAt)
-        && timers.nowMillis() - proofAt <= millis;
+  /**
+   * Answers an instance that the store does not answer.
+   *
+   * @param version the version that the instance knows, or 0
+   * @return the newest configuration that this instance has read from the store, or {@link
+   *     LinkReply.Failed} if it has no recent proof of its own
+   */
+  public LinkReply proveConfiguration(long version) {
+    if (current == null || !isFresh()) {
+      return new LinkReply.Failed();
+    }
+    String record =
+        version == current.version() ? "" : new String(currentRecord, StandardCharsets.UTF_8);
+    return new LinkReply.Configuration(timers.nowMillis() - readAt, record);
+  }
+
+  /**
+   * Asks the owner for its proof whenever this instance has read nothing from the store for a
+   * while. The store may turn away this machine alone, and callers on open connections would be
+   * refused although their keys can be checked.
+   *
+   * @param owner sends a request to the owner
+   */
+  public void askWhileStoreUnavailable(Function<LinkRequest, Future<LinkReply>> owner) {
+    timers.every(
+        ASK_OWNER_PERIOD,
+        () -> {
+          if (!askingOwner && current != null && !isRecent(readAt, ASK_OWNER_AFTER_MILLIS)) {
+            askingOwner = true;
+            ask(owner);
+          }
+        });
+  }
+
+  private void ask(Function<LinkRequest, Future<LinkReply>> owner) {
+    long sentAt = timers.nowMillis();
+    owner
+        .apply(new LinkRequest.ProveConfiguration(current.version()))
+        .onComplete(
+            reply -> {
+              askingOwner = false;
+              if (reply instanceof LinkReply.Configuration configuration) {
+                applyProof(configuration, sentAt);
+              }
+            },
+            error -> askingOwner = false);
+  }
+
+  private void applyProof(LinkReply.Configuration proof, long sentAt) {
+    long version =
+        proof.record().isEmpty()
+            ? current.version()
+            : applyConfiguration(proof.record().getBytes(StandardCharsets.UTF_8));
+    // A record that cannot be read, or an older one, proves nothing about the present version.
+    if (version == current.version()) {
+      ownerReadAt = Math.max(ownerReadAt, sentAt - proof.ageMillis());
+    }
   }
 
   private void handleChanges(TopicReader.Changes changes, long sentAt) {
@@ -179,22 +259,23 @@
             "offset",
             reader.position(),
             "previous_read_ms_ago",
-            current == null ? -1 : timers.nowMillis() - provenAt);
+            current == null ? -1 : timers.nowMillis() - readAt);
       }
     }
   }
 
   private void recordProof(long sentAt) {
-    provenAt = sentAt;
+    readAt = sentAt;
     if (storeLost) {
       storeLost = false;
       log.event(PART, "store-regained", "version", current == null ? 0 : current.version());
     }
   }
 
-  private void applyConfiguration(byte[] value) {
+  /** Applies a record if it is newer, and returns its version; 0 if it cannot be read. */
+  private long applyConfiguration(byte[] value) {
     if (value == null) {
-      return;
+      return 0;
     }
     try {
       ClusterConfiguration newer = ConfigurationDecoder.decode(value);
@@ -209,15 +290,18 @@
             "customers",
             newer.customers().size());
         current = newer;
+        currentRecord = value;
         listener.configurationChanged(newer);
       }
+      return newer.version();
     } catch (UndecodableException error) {
       log.event(PART, "unreadable-configuration", "error", error.getMessage());
+      return 0;
     }
   }
 
   private void handleReadFailure(Throwable error) {
-    if (!storeLost && timers.nowMillis() - provenAt > STORE_LOST_AFTER_MILLIS) {
+    if (!storeLost && timers.nowMillis() - readAt > STORE_LOST_AFTER_MILLIS) {
       storeLost = true;
       log.event(PART, "store-lost", "error", error.getMessage());
     }
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerGateway.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerGateway.java
@@ -77,6 +77,10 @@
   private final Set<PendingRequest> pendingRequests = new LinkedHashSet<>();
   private Link link;
   private OwnerRecord linkedTo = OwnerRecord.NONE;
+
+  /** The version of the protocol that the linked instance has named; 0 if it has not. */
+  private int linkedVersion;
+
   private boolean connecting;
   private int consecutiveRefusals;
   private int denials;
@@ -362,9 +366,12 @@
               opened.onClose(() -> handleLinkClosed(opened));
               long age = timers.nowMillis() - startedAt;
               long firstReplyTimeoutMillis = firstReplyTimeoutMillis();
-              opened.sendRequest(
-                  new LinkRequest.Introduce(self.strength().score(), age, LinkRequest.VERSION),
-                  firstReplyTimeoutMillis);
+              linkedVersion = 0;
+              opened
+                  .sendRequest(
+                      new LinkRequest.Introduce(self.strength().score(), age, LinkRequest.VERSION),
+                      firstReplyTimeoutMillis)
+                  .onSuccess(reply -> recordVersion(opened, reply));
               ownership.notifySuccessor(
                   target.epoch(), request -> opened.sendRequest(request, firstReplyTimeoutMillis));
               denial.clear();
@@ -399,6 +406,25 @@
     return PROOF_REPLY_TIMEOUT_MILLIS + OwnerFailureDetector.newOwnerGraceMillis(burstDelayMillis);
   }
 
+  private void recordVersion(Link introduced, LinkReply reply) {
+    if (introduced == link && reply instanceof LinkReply.Number version) {
+      linkedVersion = version.number();
+    }
+  }
+
+  /**
+   * Asks the linked owner for the newest configuration.
+   *
+   * @param request the request
+   * @return the reply; fails if there is none in time, or if no owner is linked that takes such
+   *     requests
+   */
+  public Future<LinkReply> askForConfiguration(LinkRequest request) {
+    return link == null || linkedVersion < LinkRequest.FIRST_VERSION_WITH_CONFIGURATION_PROOFS
+        ? Future.failedFuture("no owner is linked that takes such requests")
+        : link.sendRequest(request, PROOF_REPLY_TIMEOUT_MILLIS + burstDelayMillis);
+  }
+
   private Future<LinkReply> answerOwner(LinkRequest request, long linkOpenedAt) {
     return request instanceof LinkRequest.StartRun start
         ? orderRelay.start(start, linkOpenedAt)
--- a/daemon/src/test/java/org/hickorypier/daemon/link/LinkCodecTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/link/LinkCodecTest.java
@@ -65,6 +65,7 @@
         new LinkRequest.Advise("id.0.0", List.of("w1", "w2"), 900),
         new LinkRequest.Explain("id"),
         new LinkRequest.Introduce(1_500, 62_000, 1),
+        new LinkRequest.ProveConfiguration(4_711),
         new LinkRequest.StandBy(),
         new LinkRequest.StartRun(ORDER, true),
         new LinkRequest.StartRun(ORDER.withText(""), false),
@@ -83,6 +84,8 @@
         new LinkReply.Number(12),
         new LinkReply.Tickets(Map.of("w1", "ticket"), 2_500),
         new LinkReply.Lines(List.of("one", "two")),
+        new LinkReply.Configuration(840, ""),
+        new LinkReply.Configuration(0, "{}"),
         new LinkReply.NotOwner(),
         new LinkReply.Failed(),
         new LinkReply.Noted());
--- a/daemon/src/test/java/org/hickorypier/daemon/node/NodeTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/NodeTest.java
@@ -11,6 +11,7 @@
 import org.hickorypier.daemon.owner.Strength;
 import org.hickorypier.standins.fault.Fault;
 import org.hickorypier.standins.fault.FaultPlan;
+import org.hickorypier.standins.http.StoreServer;
 import org.junit.jupiter.api.Test;
 
 /** Tests instances end to end over the stand-ins: callers, instances, store and workers. */
@@ -210,6 +211,26 @@
     }
   }
 
+  /**
+   * Guards against callers that are refused by an instance that the store turns away, although the
+   * owner could tell it which keys are valid, and against withdrawn keys that stay valid there.
+   */
+  @Test
+  void instanceWithoutStoreChecksKeysByTheOwnersConfiguration() throws Exception {
+    try (SmallCluster cluster = new SmallCluster(1, 20)) {
+      final SmallCluster.Instance owner = cluster.start();
+      StoreServer otherServer = cluster.useOtherStoreServer();
+      SmallCluster.Instance other = cluster.startWithoutOwner(Strength.UNKNOWN);
+      cluster.waitUntil(() -> cluster.submit(other, ID_FORMAT.formatted(1), 1).status() == 200);
+      otherServer.gate().plan(FaultPlan.always("", Fault.UNAVAILABLE));
+      cluster.configure("another-key");
+      cluster.waitUntil(() -> cluster.submit(other, ID_FORMAT.formatted(2), 1).status() == 401);
+      cluster.configure(SmallCluster.KEY);
+      cluster.waitUntil(() -> cluster.submit(other, ID_FORMAT.formatted(3), 1).status() == 200);
+      cluster.waitUntil(() -> cluster.state(owner, ID_FORMAT.formatted(3)).equals("completed"));
+    }
+  }
+
   /**
    * The store discards the history of the operator's and the workers' records while the instances
    * read it. The instances restart from the newest record of each key and continue to serve.
--- a/daemon/src/test/java/org/hickorypier/daemon/node/SmallCluster.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/SmallCluster.java
@@ -78,7 +78,7 @@
   final List<Instance> instances = new ArrayList<>();
   final List<String> events = java.util.Collections.synchronizedList(new ArrayList<>());
   private final PooledHttpClient httpCalls = new PooledHttpClient(vertx, 20);
-  private final ServiceAddress storeAddress;
+  private ServiceAddress storeAddress;
   EventLog log = (part, event, fields) -> {};
   Runnable onClose = () -> {};
 
@@ -119,6 +119,15 @@
     configure(KEY);
   }
 
+  /**
+   * Lets instances created from now on reach the store through another server, which it returns.
+   */
+  StoreServer useOtherStoreServer() throws Exception {
+    StoreServer other = new StoreServer(vertx, store);
+    storeAddress = address(await(other.listen(0)));
+    return other;
+  }
+
   private JsonObject workerEntry(int worker) {
     return workers
         .get(worker)
