Listen on the callers' address while the process starts

Change: NodeMain opens the listening socket as soon as it has the settings, and a transport passes it on to the first server of the process, the front server; connections wait in its backlog. Instances listen for each other after that. A request that arrives before the first configuration waits for it, for a second at most, instead of being refused.

EarlyListenerTest.requestSentBeforeTheServerStartsIsAnswered needs the change.

Also: the owner's answer about its configuration may take 3 s before its link counts as silent, so that a busy owner keeps its links.

--- a/daemon/src/main/java/org/hickorypier/daemon/front/FrontServer.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/front/FrontServer.java
@@ -45,7 +45,7 @@
   private static final Duration FINAL_REPLY_TIMEOUT = Duration.ofMillis(150);
 
   /** Sized for many callers that connect at once after an outage. */
-  private static final int ACCEPT_BACKLOG = 1_024;
+  static final int ACCEPT_BACKLOG = 1_024;
 
   private static final int OK = 200;
   private static final int REQUEST_TIMEOUT = 408;
@@ -87,7 +87,8 @@
     this.ready = ready;
     this.connections = new CallerConnectionRegistry(timers);
     this.handler =
-        new RequestHandler(traffic, control, configuration, owner, wallMillis, log, this::answer);
+        new RequestHandler(
+            traffic, control, timers, configuration, owner, wallMillis, log, this::answer);
   }
 
   /**
--- a/daemon/src/main/java/org/hickorypier/daemon/front/RequestHandler.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/front/RequestHandler.java
@@ -5,6 +5,7 @@
 import io.vertx.core.Promise;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServerRequest;
+import java.time.Duration;
 import java.util.function.LongSupplier;
 import java.util.regex.Pattern;
 import org.hickorypier.core.cell.EventLog;
@@ -12,6 +13,7 @@
 import org.hickorypier.daemon.link.LinkReply;
 import org.hickorypier.daemon.link.LinkRequest;
 import org.hickorypier.daemon.owner.ConfigurationSource;
+import org.hickorypier.daemon.time.TimerService;
 import org.hickorypier.platform.intake.CallerProtocol;
 import org.hickorypier.platform.intake.SubmissionDecoder;
 import org.hickorypier.wire.UndecodableException;
@@ -35,8 +37,14 @@
   static final int OUTCOME_UNKNOWN = 504;
   private static final long MILLIS_PER_SECOND = 1_000;
 
+  /** A process that has just started reads the configuration within this time. */
+  private static final long MAX_CONFIGURATION_WAIT_MILLIS = 1_000;
+
+  private static final long CONFIGURATION_CHECK_MILLIS = 20;
+
   private final Context traffic;
   private final Context control;
+  private final TimerService timers;
   private final ConfigurationSource configuration;
   private final OwnerClient owner;
   private final LongSupplier wallMillis;
@@ -60,6 +68,7 @@
   RequestHandler(
       Context traffic,
       Context control,
+      TimerService timers,
       ConfigurationSource configuration,
       OwnerClient owner,
       LongSupplier wallMillis,
@@ -67,6 +76,7 @@
       AnswerWriter answerWriter) {
     this.traffic = traffic;
     this.control = control;
+    this.timers = timers;
     this.configuration = configuration;
     this.owner = owner;
     this.wallMillis = wallMillis;
@@ -80,6 +90,25 @@
    * @param waitMillis how long the caller waits, in milliseconds
    */
   void handle(Exchange exchange, long waitMillis) {
+    handle(exchange, waitMillis, Math.min(MAX_CONFIGURATION_WAIT_MILLIS, waitMillis / 2));
+  }
+
+  /**
+   * Handles a request, after a wait if this instance has just started and has no configuration yet.
+   *
+   * @param configurationWaitMillis how long the request may still wait for one, in milliseconds
+   */
+  private void handle(Exchange exchange, long waitMillis, long configurationWaitMillis) {
+    if (configuration.current() == null && configurationWaitMillis > 0) {
+      timers.after(
+          Duration.ofMillis(CONFIGURATION_CHECK_MILLIS),
+          () ->
+              handle(
+                  exchange,
+                  waitMillis - CONFIGURATION_CHECK_MILLIS,
+                  configurationWaitMillis - CONFIGURATION_CHECK_MILLIS));
+      return;
+    }
     HttpServerRequest request = exchange.request();
     AccessDecision decision = decideAccess(request);
     if (!decision.isAllowed()) {
--- a/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
@@ -210,6 +210,10 @@
     // A caller whose connection is refused uses up one of its few attempts, so the front starts
     // first.
     Future<?> frontStarted = startTraffic(context);
+    return frontStarted.compose(listening -> listenForPeers());
+  }
+
+  private Future<?> listenForPeers() {
     return vertx
         .createNetServer()
         .connectHandler(
@@ -235,8 +239,7 @@
                   gateway::hasOwnerBeenProvenSince,
                   gateway::silentMillis);
               handover.start();
-            })
-        .compose(listening -> frontStarted);
+            });
   }
 
   private static long processorMillis() {
--- a/daemon/src/main/java/org/hickorypier/daemon/node/NodeMain.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/NodeMain.java
@@ -7,6 +7,8 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
+import io.vertx.core.transport.Transport;
+import java.io.IOException;
 import java.nio.file.Path;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
@@ -15,6 +17,8 @@
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import org.hickorypier.core.cell.EventLog;
+import org.hickorypier.daemon.front.EarlyListener;
 import org.hickorypier.daemon.report.JsonLineLog;
 import org.hickorypier.daemon.report.LibraryLogHandler;
 import org.hickorypier.daemon.report.MeteredEventLog;
@@ -111,7 +115,7 @@
     LibraryLogHandler.install(log);
     Thread.setDefaultUncaughtExceptionHandler(
         (thread, error) -> log.event(PART, "fault", "thread", thread.getName(), "error", error));
-    Vertx vertx = vertx();
+    Vertx vertx = vertx(listenEarly(settings, log));
     vertx.exceptionHandler(error -> log.event(PART, "fault", "error", describe(error)));
     Node node = new Node(settings, log, wallClock);
     log.event(PART, "starting", "front", settings.front(), "store", settings.store());
@@ -169,8 +173,18 @@
                 .get());
   }
 
-  private static Vertx vertx() {
-    return Vertx.vertx(
+  private static Transport listenEarly(NodeSettings settings, EventLog log) {
+    try {
+      return EarlyListener.open(settings.front()).transport();
+    } catch (IOException error) {
+      // The front server fails with the same error, or has better luck a moment later.
+      log.event(PART, "no-early-listener", "error", error.getMessage());
+      return Transport.NIO;
+    }
+  }
+
+  private static Vertx vertx(Transport transport) {
+    VertxOptions options =
         new VertxOptions()
             .setEventLoopPoolSize(2)
             .setWorkerPoolSize(1)
@@ -179,7 +193,8 @@
             .setFileSystemOptions(
                 new FileSystemOptions()
                     .setFileCachingEnabled(false)
-                    .setClassPathResolvingEnabled(false)));
+                    .setClassPathResolvingEnabled(false));
+    return Vertx.builder().with(options).withTransport(transport).build();
   }
 
   private static String describe(Throwable error) {
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerGateway.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerGateway.java
@@ -50,6 +50,12 @@
   /** An owner on a slow machine answers within this time. */
   private static final long PROOF_REPLY_TIMEOUT_MILLIS = 500;
 
+  /**
+   * The link may be closed if a reply is later than this. A busy owner must not lose a link, on
+   * which callers depend, because of a late proof.
+   */
+  private static final long CONFIGURATION_REPLY_TIMEOUT_MILLIS = 3_000;
+
   /** Two consecutive refused connections mean that the owner's process is gone, not just busy. */
   private static final int REFUSALS_BEFORE_TAKEOVER = 2;
 
@@ -422,7 +428,7 @@
   public Future<LinkReply> askForConfiguration(LinkRequest request) {
     return link == null || linkedVersion < LinkRequest.FIRST_VERSION_WITH_CONFIGURATION_PROOFS
         ? Future.failedFuture("no owner is linked that takes such requests")
-        : link.sendRequest(request, PROOF_REPLY_TIMEOUT_MILLIS + burstDelayMillis);
+        : link.sendRequest(request, CONFIGURATION_REPLY_TIMEOUT_MILLIS + burstDelayMillis);
   }
 
   private Future<LinkReply> answerOwner(LinkRequest request, long linkOpenedAt) {
