Tell instances without the store of the next owner

Cause: an instance learns of the owner from the store. When the store turns a third of the instances away and the owner is one of them, it hands the cell over within 0.3 s, but the others of that third search for an owner until the store is back: "no owner can be reached", and no proof of the configuration either.

Change: the successor tells the former owner over the link that it still has, and the former owner tells all instances that are linked to it. Only instances that have named this version of the protocol are told. An owner that is lost without a handover leaves instances without the store to themselves as before.

NodeTest.instanceWithoutStoreFollowsTheCellToTheNextOwner does not end without the change.

--- a/daemon/src/main/java/org/hickorypier/daemon/link/LinkCodec.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/link/LinkCodec.java
@@ -25,6 +25,7 @@
   /** The lowest type code of a reply; all requests have lower type codes. */
   private static final int ACCEPTED = 11;
 
+  private static final int FOLLOW_OWNER = -4;
   private static final int PROVE_CONFIGURATION = -3;
   private static final int STAND_BY = -2;
   private static final int START_RUN = -1;
@@ -100,6 +101,9 @@
       packOrder(packer, start);
     } else if (request instanceof LinkRequest.ProveConfiguration proof) {
       packer.packInt(PROVE_CONFIGURATION).packLong(proof.version());
+    } else if (request instanceof LinkRequest.FollowOwner owner) {
+      packer.packInt(FOLLOW_OWNER).packInt(owner.epoch());
+      packer.packString(owner.address()).packInt(owner.strength());
     } else if (request instanceof LinkRequest.StandBy) {
       packer.packInt(STAND_BY);
     } else if (request instanceof LinkRequest.ProveOwnership) {
@@ -265,6 +269,9 @@
             unpacker.hasNext() ? unpacker.unpackInt() : 0);
       case PROVE_CONFIGURATION:
         return new LinkRequest.ProveConfiguration(unpacker.unpackLong());
+      case FOLLOW_OWNER:
+        return new LinkRequest.FollowOwner(
+            unpacker.unpackInt(), unpacker.unpackString(), unpacker.unpackInt());
       case STAND_BY:
         return new LinkRequest.StandBy();
       case START_RUN:
--- a/daemon/src/main/java/org/hickorypier/daemon/link/LinkRequest.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/link/LinkRequest.java
@@ -14,8 +14,8 @@
   /** The first version whose instances take {@link StartRun} and {@link StandBy} requests. */
   int FIRST_VERSION_WITH_RELAYS = 1;
 
-  /** The first version whose instances take {@link ProveConfiguration} requests. */
-  int FIRST_VERSION_WITH_CONFIGURATION_PROOFS = 2;
+  /** The first version whose instances take {@link ProveConfiguration} and {@link FollowOwner}. */
+  int FIRST_VERSION_WITHOUT_STORE = 2;
 
   /**
    * Accepts a submission.
@@ -116,6 +116,15 @@
    */
   record ProveConfiguration(long version) implements LinkRequest {}
 
+  /**
+   * Tells the receiver of the owner, of which it cannot read while the store does not answer it.
+   *
+   * @param epoch the owner's epoch
+   * @param address the address at which other instances reach the owner
+   * @param strength the score of the owner's machine, in thousandths of a core
+   */
+  record FollowOwner(int epoch, String address, int strength) implements LinkRequest {}
+
   /** Asks the receiver to follow the journal for some seconds, so that it can take over at once. */
   record StandBy() implements LinkRequest {}
 
--- a/daemon/src/main/java/org/hickorypier/daemon/node/Handover.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Handover.java
@@ -14,6 +14,7 @@
 import org.hickorypier.daemon.link.Link;
 import org.hickorypier.daemon.link.LinkReply;
 import org.hickorypier.daemon.link.LinkRequest;
+import org.hickorypier.daemon.owner.OwnerRecord;
 import org.hickorypier.daemon.owner.Ownership;
 import org.hickorypier.daemon.owner.ProcessorSpeedMonitor;
 import org.hickorypier.daemon.time.TimerService;
@@ -133,6 +134,18 @@
     }
   }
 
+  /**
+   * Tells the instances that are linked to this one, the former owner, of a newer owner. The store
+   * may not answer some of them, and they would search for an owner until it does.
+   */
+  void announceOwner(OwnerRecord owner) {
+    for (Peer peer : peers) {
+      if (peer.takesOwner()) {
+        peer.link().sendRequest(owner.toMessage(), STANDBY_REPLY_TIMEOUT_MILLIS);
+      }
+    }
+  }
+
   /** Adds an instance that has opened a link to this one. */
   Peer addPeer(Link link, String address) {
     Peer peer = new Peer(link, address);
--- a/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
@@ -90,6 +90,7 @@
   private final ProcessorSpeedMonitor speedMonitor;
   private final TrafficCounter traffic = new TrafficCounter();
   private ConfigurationWatcher configurationWatcher;
+  private OwnerDirectory directory;
   private Ownership ownership;
   private OwnerGateway gateway;
   private volatile FrontServer frontServer;
@@ -153,7 +154,7 @@
             settings.linkMegabits() * BYTES_PER_MEGABIT,
             settings.processors());
     String peerAddress = "" + settings.advertisedPeer();
-    OwnerDirectory directory = new OwnerDirectory(store, timers, log, this::handleOwnerChange);
+    directory = new OwnerDirectory(store, timers, log, this::handleOwnerChange);
     Candidate self = new Candidate(peerAddress, settings.strength());
     ownership =
         new Ownership(
@@ -291,6 +292,7 @@
 
   private void handleOwnerChange(OwnerRecord owner) {
     ownership.observeOwner(owner);
+    handover.announceOwner(owner);
     gateway.ownerChanged();
   }
 
@@ -333,6 +335,10 @@
     if (request instanceof LinkRequest.ProveConfiguration proof) {
       return Future.succeededFuture(configurationWatcher.proveConfiguration(proof.version()));
     }
+    if (request instanceof LinkRequest.FollowOwner owner) {
+      directory.learn(OwnerRecord.of(owner));
+      return Future.succeededFuture(new LinkReply.Noted());
+    }
     if (request instanceof LinkRequest.StandBy) {
       ownership.standBy();
       return Future.succeededFuture(new LinkReply.Noted());
--- a/daemon/src/main/java/org/hickorypier/daemon/node/Peer.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Peer.java
@@ -40,6 +40,11 @@
     return version >= LinkRequest.FIRST_VERSION_WITH_RELAYS;
   }
 
+  /** Returns whether this instance can be told of the owner. */
+  boolean takesOwner() {
+    return version >= LinkRequest.FIRST_VERSION_WITHOUT_STORE;
+  }
+
   Successor asSuccessor() {
     return new Successor(this, strength, startedAtMillis, workMicros);
   }
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerGateway.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerGateway.java
@@ -54,7 +54,7 @@
    * The link may be closed if a reply is later than this. A busy owner must not lose a link, on
    * which callers depend, because of a late proof.
    */
-  private static final long CONFIGURATION_REPLY_TIMEOUT_MILLIS = 3_000;
+  private static final long STORELESS_REPLY_TIMEOUT_MILLIS = 3_000;
 
   /** Two consecutive refused connections mean that the owner's process is gone, not just busy. */
   private static final int REFUSALS_BEFORE_TAKEOVER = 2;
@@ -260,6 +260,7 @@
     denials = 0;
     denial.clear();
     if (owner.address().equals(self.address())) {
+      announceToFormerOwner(owner);
       closeLink();
       if (!ownership.isOwner()) {
         // This process was the owner before its restart, and no instance has taken over since.
@@ -272,6 +273,17 @@
     }
   }
 
+  /** Tells the former owner, to which this instance is still linked, that this one is the owner. */
+  private void announceToFormerOwner(OwnerRecord owner) {
+    if (ownership.isOwner() && link != null && isStorelessVersion()) {
+      link.sendRequest(owner.toMessage(), STORELESS_REPLY_TIMEOUT_MILLIS);
+    }
+  }
+
+  private boolean isStorelessVersion() {
+    return linkedVersion >= LinkRequest.FIRST_VERSION_WITHOUT_STORE;
+  }
+
   /**
    * Asks the present owner to prove its ownership.
    *
@@ -426,9 +438,9 @@
    *     requests
    */
   public Future<LinkReply> askForConfiguration(LinkRequest request) {
-    return link == null || linkedVersion < LinkRequest.FIRST_VERSION_WITH_CONFIGURATION_PROOFS
+    return link == null || !isStorelessVersion()
         ? Future.failedFuture("no owner is linked that takes such requests")
-        : link.sendRequest(request, CONFIGURATION_REPLY_TIMEOUT_MILLIS + burstDelayMillis);
+        : link.sendRequest(request, STORELESS_REPLY_TIMEOUT_MILLIS + burstDelayMillis);
   }
 
   private Future<LinkReply> answerOwner(LinkRequest request, long linkOpenedAt) {
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerRecord.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerRecord.java
@@ -1,6 +1,7 @@
 package org.hickorypier.daemon.owner;
 
 import java.nio.charset.StandardCharsets;
+import org.hickorypier.daemon.link.LinkRequest;
 import org.hickorypier.wire.UndecodableException;
 
 /**
@@ -17,6 +18,25 @@
   /** The record while the cell has had no owner yet. */
   public static final OwnerRecord NONE = new OwnerRecord(0, "", Strength.UNKNOWN);
 
+  /**
+   * Returns the message that tells other instances of this owner.
+   *
+   * @return the message
+   */
+  public LinkRequest.FollowOwner toMessage() {
+    return new LinkRequest.FollowOwner(epoch, address, strength.score());
+  }
+
+  /**
+   * Returns the owner that a message tells of.
+   *
+   * @param message the message
+   * @return the owner
+   */
+  public static OwnerRecord of(LinkRequest.FollowOwner message) {
+    return new OwnerRecord(message.epoch(), message.address(), new Strength(message.strength()));
+  }
+
   byte[] encode() {
     return (epoch + " " + address + " " + strength.score()).getBytes(StandardCharsets.UTF_8);
   }
--- a/daemon/src/test/java/org/hickorypier/daemon/link/LinkCodecTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/link/LinkCodecTest.java
@@ -66,6 +66,7 @@
         new LinkRequest.Explain("id"),
         new LinkRequest.Introduce(1_500, 62_000, 1),
         new LinkRequest.ProveConfiguration(4_711),
+        new LinkRequest.FollowOwner(5, "10.0.0.1:7420", 1_500),
         new LinkRequest.StandBy(),
         new LinkRequest.StartRun(ORDER, true),
         new LinkRequest.StartRun(ORDER.withText(""), false),
--- a/daemon/src/test/java/org/hickorypier/daemon/node/NodeTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/NodeTest.java
@@ -231,6 +231,27 @@
     }
   }
 
+  /**
+   * Guards against callers that are refused because an instance that the store turns away, like the
+   * owner, does not learn who took the cell over.
+   */
+  @Test
+  void instanceWithoutStoreFollowsTheCellToTheNextOwner() throws Exception {
+    try (SmallCluster cluster = new SmallCluster(1, 20)) {
+      StoreServer otherServer = cluster.useOtherStoreServer();
+      final SmallCluster.Instance owner = cluster.start();
+      SmallCluster.Instance other = cluster.start();
+      cluster.useFirstStoreServer();
+      SmallCluster.Instance successor = cluster.start();
+      assertThat(cluster.submit(other, ID_FORMAT.formatted(1), 1).status()).isEqualTo(200);
+      otherServer.gate().plan(FaultPlan.always("", Fault.UNAVAILABLE));
+      cluster.waitUntil(() -> cluster.hasLogged(successor, "owner-gained"));
+      cluster.waitUntil(() -> cluster.submit(other, ID_FORMAT.formatted(2), 1).status() == 200);
+      cluster.waitUntil(() -> cluster.submit(owner, ID_FORMAT.formatted(3), 1).status() == 200);
+      cluster.waitUntil(() -> cluster.state(other, ID_FORMAT.formatted(3)).equals("completed"));
+    }
+  }
+
   /**
    * The store discards the history of the operator's and the workers' records while the instances
    * read it. The instances restart from the newest record of each key and continue to serve.
--- a/daemon/src/test/java/org/hickorypier/daemon/node/SmallCluster.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/SmallCluster.java
@@ -78,6 +78,7 @@
   final List<Instance> instances = new ArrayList<>();
   final List<String> events = java.util.Collections.synchronizedList(new ArrayList<>());
   private final PooledHttpClient httpCalls = new PooledHttpClient(vertx, 20);
+  private final ServiceAddress firstStoreAddress;
   private ServiceAddress storeAddress;
   EventLog log = (part, event, fields) -> {};
   Runnable onClose = () -> {};
@@ -98,7 +99,8 @@
   record Instance(NodeSettings settings, Node node, String deployment) {}
 
   SmallCluster(int workerCount, long workMillis) throws Exception {
-    storeAddress = address(await(storeServer.listen(0)));
+    firstStoreAddress = address(await(storeServer.listen(0)));
+    storeAddress = firstStoreAddress;
     for (int index = 0; index < workerCount; index++) {
       long started = nowMillis();
       InMemoryExecutor worker =
@@ -128,6 +130,11 @@
     return other;
   }
 
+  /** Lets instances created from now on reach the store through the first server again. */
+  void useFirstStoreServer() {
+    storeAddress = firstStoreAddress;
+  }
+
   private JsonObject workerEntry(int worker) {
     return workers
         .get(worker)
