--- a/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
@@ -249,9 +249,11 @@
   }
 
   void update(WorkerEntry newer, long now) {
-    this.entry = newer;
-    this.listed = true;
-    this.coldUntil = now + newer.coldMillis();
+    if (newer != entry || !listed) {
+      coldUntil = now + newer.coldMillis();
+    }
+    entry = newer;
+    listed = true;
   }
 
   /** Returns whether the worker is still slow after its start. */
--- a/core/src/test/java/org/hickorypier/core/cell/EvacuationsTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/EvacuationsTest.java
@@ -170,6 +170,18 @@
     assertThat(startedOn().stream().filter("south-2"::equals)).hasSize(2);
   }
 
+  /** Guards against a worker that stays cold as long as its last entry is listed. */
+  @Test
+  void coldTimeEndsAlthoughTheEntryIsListedAgain() {
+    WorkerView worker = addWorker("south-2", "south", 300);
+    fixture.advance(200);
+    fixture.pass();
+    assertThat(worker.isCold(fixture.now)).isTrue();
+    fixture.advance(200);
+    fixture.pass();
+    assertThat(worker.isCold(fixture.now)).isFalse();
+  }
+
   @Test
   void waitReasonNamesEvacuatedWorkers() {
     read("north", "south");
--- a/daemon/src/test/java/org/hickorypier/daemon/node/NodeSettingsTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/NodeSettingsTest.java
@@ -4,6 +4,7 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import io.vertx.core.json.JsonObject;
+import org.hickorypier.core.cell.CellTimings;
 import org.hickorypier.daemon.owner.Strength;
 import org.junit.jupiter.api.Test;
 
@@ -41,6 +42,18 @@
     assertThat(settings.strength()).isEqualTo(Strength.of(0.36, 7));
   }
 
+  @Test
+  void evacuationsAreUnderTimeLimitIfOneIsSet() throws SettingsFileException {
+    assertThat(NodeSettings.decode(validSettings()).cellTimings().evacuationReadAgeMillis())
+        .isEqualTo(CellTimings.UNLIMITED);
+    CellTimings limited =
+        NodeSettings.decode(validSettings().put("evacuationMillis", 5_000)).cellTimings();
+    // The limit less the validity of an order on the slowest clock.
+    assertThat(limited.evacuationReadAgeMillis()).isEqualTo(2_659);
+    assertThatThrownBy(() -> NodeSettings.decode(validSettings().put("evacuationMillis", 0)))
+        .hasMessageContaining("evacuationMillis is 0; expected a number of at least 500");
+  }
+
   @Test
   void invalidValueIsReportedWithAllowedRange() {
     assertThatThrownBy(() -> NodeSettings.decode(validSettings().put("front", "10.1.0.17:99999")))
