NodeTest: the instance without the store reads nothing more before the cell changes hands

Each of the two instances is now behind a server of its own, and the owner loses the store once the other one has found it lost.

--- a/daemon/src/test/java/org/hickorypier/daemon/node/NodeTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/NodeTest.java
@@ -238,13 +238,16 @@
   @Test
   void instanceWithoutStoreFollowsTheCellToTheNextOwner() throws Exception {
     try (SmallCluster cluster = new SmallCluster(1, 20)) {
-      StoreServer otherServer = cluster.useOtherStoreServer();
+      StoreServer serverOfOwner = cluster.useOtherStoreServer();
       final SmallCluster.Instance owner = cluster.start();
+      StoreServer serverOfOther = cluster.useOtherStoreServer();
       SmallCluster.Instance other = cluster.start();
       cluster.useFirstStoreServer();
       SmallCluster.Instance successor = cluster.start();
       assertThat(cluster.submit(other, ID_FORMAT.formatted(1), 1).status()).isEqualTo(200);
-      otherServer.gate().plan(FaultPlan.always("", Fault.UNAVAILABLE));
+      serverOfOther.gate().plan(FaultPlan.always("", Fault.UNAVAILABLE));
+      cluster.waitUntil(() -> cluster.hasLogged(other, "store-lost"));
+      serverOfOwner.gate().plan(FaultPlan.always("", Fault.UNAVAILABLE));
       cluster.waitUntil(() -> cluster.hasLogged(successor, "owner-gained"));
       cluster.waitUntil(() -> cluster.submit(other, ID_FORMAT.formatted(2), 1).status() == 200);
       cluster.waitUntil(() -> cluster.submit(owner, ID_FORMAT.formatted(3), 1).status() == 200);
