Hand the cell to an instance that the store answers

Cause: when the store does not answer the owner, it measures the speed of the linked instances and asks them to take over one after the other, the strongest first, without knowing which of them the store answers.

Change: an instance answers the measurement only after the store has answered a read, or with a failure after 150 ms, so it is asked last. A store that is slow for all leaves the order as it was.

NodeTest.cellIsHandedToAnInstanceThatTheStoreAnswers fails without the change (the strongest is asked first).

--- a/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
@@ -327,10 +327,9 @@
           ownership.isProvenOwner() ? new LinkReply.Noted() : new LinkReply.NotOwner());
     }
     if (request instanceof LinkRequest.MeasurePace) {
-      return Future.succeededFuture(
-          shutdownRequested
-              ? new LinkReply.Failed()
-              : new LinkReply.Number(speedMonitor.measureMicros()));
+      return shutdownRequested
+          ? Future.succeededFuture(new LinkReply.Failed())
+          : configurationWatcher.checkStore().map(this::measureSpeed);
     }
     if (request instanceof LinkRequest.ProveConfiguration proof) {
       return Future.succeededFuture(configurationWatcher.proveConfiguration(proof.version()));
@@ -351,6 +350,13 @@
     return ownership.answer(request);
   }
 
+  /** An instance that the store does not answer cannot take the cell over, however fast it is. */
+  private LinkReply measureSpeed(boolean storeAnswers) {
+    return storeAnswers
+        ? new LinkReply.Number(speedMonitor.measureMicros())
+        : new LinkReply.Failed();
+  }
+
   private Future<LinkReply> advise(LinkRequest.Advise request) {
     if (advisorClient == null) {
       return Future.succeededFuture(new LinkReply.Failed());
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/ConfigurationWatcher.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/ConfigurationWatcher.java
@@ -1,6 +1,7 @@
 package org.hickorypier.daemon.owner;
 
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Set;
@@ -17,6 +18,8 @@
 import org.hickorypier.platform.configuration.EvacuationKeys;
 import org.hickorypier.platform.store.KeyedRecord;
 import org.hickorypier.platform.store.StoreClient;
+import org.hickorypier.platform.store.StoreError;
+import org.hickorypier.platform.store.StoreException;
 import org.hickorypier.wire.UndecodableException;
 
 /**
@@ -58,11 +61,15 @@
 
   private static final Duration ASK_OWNER_PERIOD = Duration.ofMillis(400);
 
+  /** A store that is well answers within some 10 ms, and one that is slow within some 250 ms. */
+  private static final Duration STORE_CHECK_TIMEOUT = Duration.ofMillis(150);
+
   /** After this time without a proof the store counts as lost, which is logged once. */
   private static final long STORE_LOST_AFTER_MILLIS = 2_500;
 
   private static final long NEVER = Long.MIN_VALUE / 2;
 
+  private final StoreClient store;
   private final TopicReader reader;
   private final TimerService timers;
   private final SuspensionDetector suspensionDetector;
@@ -117,6 +124,7 @@
       EventLog log,
       long revokeMillis,
       Listener listener) {
+    this.store = store;
     this.reader = new TopicReader(store, StoreClient.OPERATOR_TOPIC);
     this.timers = timers;
     this.suspensionDetector = suspensionDetector;
@@ -159,6 +167,28 @@
     return suspensionDetector.isUninterruptedSince(time) && timers.nowMillis() - time <= millis;
   }
 
+  /**
+   * Asks the store for something that it answers at once.
+   *
+   * @return whether it has answered within a short time; never fails
+   */
+  public Future<Boolean> checkStore() {
+    if (current == null) {
+      return Future.succeededFuture(false);
+    }
+    Promise<Boolean> checked = Promise.promise();
+    timers.after(STORE_CHECK_TIMEOUT, () -> checked.tryComplete(false));
+    store
+        .read(StoreClient.OPERATOR_TOPIC, TopicReader.PARTITION, reader.position(), 0)
+        .onComplete(
+            page -> checked.tryComplete(true),
+            error ->
+                checked.tryComplete(
+                    error instanceof StoreException refusal
+                        && refusal.error() == StoreError.EXPIRED));
+    return checked.future();
+  }
+
   /**
    * Answers an instance that the store does not answer.
    *
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/TopicReader.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/TopicReader.java
@@ -19,7 +19,7 @@
  */
 final class TopicReader {
 
-  private static final int PARTITION = 0;
+  static final int PARTITION = 0;
   private static final long NO_POSITION = -1;
 
   private final StoreClient store;
--- a/daemon/src/test/java/org/hickorypier/daemon/node/NodeTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/NodeTest.java
@@ -238,12 +238,12 @@
   @Test
   void instanceWithoutStoreFollowsTheCellToTheNextOwner() throws Exception {
     try (SmallCluster cluster = new SmallCluster(1, 20)) {
-      StoreServer serverOfOwner = cluster.useOtherStoreServer();
+      final StoreServer serverOfOwner = cluster.useOtherStoreServer();
       final SmallCluster.Instance owner = cluster.start();
       StoreServer serverOfOther = cluster.useOtherStoreServer();
       SmallCluster.Instance other = cluster.start();
       cluster.useFirstStoreServer();
-      SmallCluster.Instance successor = cluster.start();
+      final SmallCluster.Instance successor = cluster.start();
       assertThat(cluster.submit(other, ID_FORMAT.formatted(1), 1).status()).isEqualTo(200);
       serverOfOther.gate().plan(FaultPlan.always("", Fault.UNAVAILABLE));
       cluster.waitUntil(() -> cluster.hasLogged(other, "store-lost"));
@@ -255,6 +255,25 @@
     }
   }
 
+  /**
+   * Guards against an owner without the store that first asks another instance without the store to
+   * take the cell over, and waits for its answer in vain.
+   */
+  @Test
+  void cellIsHandedToAnInstanceThatTheStoreAnswers() throws Exception {
+    try (SmallCluster cluster = new SmallCluster(1, 20)) {
+      StoreServer faultyServer = cluster.useOtherStoreServer();
+      final SmallCluster.Instance owner = cluster.start();
+      final SmallCluster.Instance strongest = cluster.start(Strength.of(1.5, 140));
+      cluster.useFirstStoreServer();
+      final SmallCluster.Instance successor = cluster.start(Strength.of(1.4, 140));
+      cluster.waitUntil(() -> cluster.submit(owner, ID_FORMAT.formatted(1), 1).status() == 200);
+      faultyServer.gate().plan(FaultPlan.always("", Fault.SILENT_BEFORE_EFFECT));
+      cluster.waitUntil(() -> cluster.hasLogged(successor, "owner-gained"));
+      assertThat(cluster.hasLogged(strongest, "the owner asked for it")).isFalse();
+    }
+  }
+
   /**
    * The store discards the history of the operator's and the workers' records while the instances
    * read it. The instances restart from the newest record of each key and continue to serve.
