Shorten start orders where evacuations are under a short time limit

Cause: the setting took time limits that could not be kept: a read of the evacuations may be 1.5 s old and an order was valid for 2 s on a clock that may be slow, so a limit below 3.9 s could be exceeded by an order on its way.

Change: a limit below 3.9 s shortens the validity of the orders, down to 1 s.

--- a/core/src/main/java/org/hickorypier/core/cell/CellTimings.java
+++ b/core/src/main/java/org/hickorypier/core/cell/CellTimings.java
@@ -12,13 +12,15 @@
  * @param endStateRetentionMillis how long callers can query an end state, in milliseconds
  * @param evacuationReadAgeMillis age of the last read of the operator's evacuations from which on
  *     nothing starts, in milliseconds; {@link #UNLIMITED} if they are not under a time limit
+ * @param startOrderMillis validity of a start order on the worker's clock, in milliseconds
  */
 public record CellTimings(
     long leaseMillis,
     long ownershipProofMillis,
     long gangMillis,
     long endStateRetentionMillis,
-    long evacuationReadAgeMillis) {
+    long evacuationReadAgeMillis,
+    long startOrderMillis) {
 
   /** Marks a time without a limit. */
   public static final long UNLIMITED = Long.MAX_VALUE;
@@ -44,6 +46,15 @@
    */
   private static final long OWNERSHIP_PROOF_MILLIS = 3_000;
 
+  /**
+   * A start order whose answer is lost may be carried out up to 12 s later. The worker refuses one
+   * that is no longer valid, and a task whose run is unaccounted for is free again by then.
+   */
+  private static final long MAX_START_ORDER_MILLIS = 2_000;
+
+  /** A worker that is well has answered an order, and one repetition of it, within this time. */
+  private static final long MIN_START_ORDER_MILLIS = 1_000;
+
   /**
    * Age that a read of the evacuations may always reach: a read that waits for changes takes 1 s,
    * and its answer some 0.3 s from a slow store.
@@ -65,29 +76,38 @@
       long longestLeaseMillis, long gangMillis, long endStateRetentionMillis) {
     long lease = Math.min(longestLeaseMillis, MAX_REQUESTED_LEASE_MILLIS);
     return new CellTimings(
-        lease, OWNERSHIP_PROOF_MILLIS, gangMillis, endStateRetentionMillis, UNLIMITED);
+        lease,
+        OWNERSHIP_PROOF_MILLIS,
+        gangMillis,
+        endStateRetentionMillis,
+        UNLIMITED,
+        MAX_START_ORDER_MILLIS);
   }
 
   /**
    * Returns the time limits of an installation whose evacuations are under a time limit.
    *
-   * <p>An order may be carried out as long as it is valid, so a read must be younger than the time
-   * limit by the validity of an order.
+   * <p>An order may be carried out as long as it is valid, so the age of a read and the validity of
+   * an order together stay below the limit. A short limit shortens the orders, down to the time in
+   * which a worker answers.
    *
    * @param evacuationMillis the time within which a requested evacuation must be in force, in
    *     milliseconds
    * @return the time limits
    */
   public CellTimings withEvacuationMillis(long evacuationMillis) {
+    long orderAndMargin = evacuationMillis - MIN_EVACUATION_READ_AGE_MILLIS;
+    long validMillis = Math.round((orderAndMargin - LEASE_MARGIN_MILLIS) * SLOWEST_CLOCK_RATE);
     long orderMillis =
-        Math.round(RunController.START_ORDER_VALIDITY_MILLIS / SLOWEST_CLOCK_RATE)
-            + LEASE_MARGIN_MILLIS;
+        Math.max(MIN_START_ORDER_MILLIS, Math.min(MAX_START_ORDER_MILLIS, validMillis));
+    long longestOrderMillis = Math.round(orderMillis / SLOWEST_CLOCK_RATE) + LEASE_MARGIN_MILLIS;
     return new CellTimings(
         leaseMillis,
         ownershipProofMillis,
         gangMillis,
         endStateRetentionMillis,
-        Math.max(MIN_EVACUATION_READ_AGE_MILLIS, evacuationMillis - orderMillis));
+        Math.max(MIN_EVACUATION_READ_AGE_MILLIS, evacuationMillis - longestOrderMillis),
+        orderMillis);
   }
 
   /**
--- a/core/src/main/java/org/hickorypier/core/cell/RunController.java
+++ b/core/src/main/java/org/hickorypier/core/cell/RunController.java
@@ -12,13 +12,6 @@
  */
 final class RunController {
 
-  /**
-   * Validity of a start order on the worker's clock, in milliseconds. A start order whose answer is
-   * lost may be carried out up to 12 s later. With this deadline the worker refuses a late one, and
-   * a task whose run is unaccounted for is free again after 2 s.
-   */
-  static final long START_ORDER_VALIDITY_MILLIS = 2_000;
-
   /**
    * Number of copies of a start order that are sent before the run is abandoned. An order without
    * an answer is resent at once, since it is idempotent.
@@ -75,7 +68,7 @@
     run.orderCopies++;
     run.lastOrderAt = now;
     run.ticket = ticket;
-    run.orderDeadline = run.worker.clockAt(now) + START_ORDER_VALIDITY_MILLIS;
+    run.orderDeadline = run.worker.clockAt(now) + cell.timings.startOrderMillis();
     run.worker.highestDeadline = Math.max(run.worker.highestDeadline, run.orderDeadline);
     cell.output.start(run, run.orderDeadline, ticket);
   }
--- a/daemon/src/main/java/org/hickorypier/daemon/node/NodeSettings.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/NodeSettings.java
@@ -72,7 +72,6 @@
 
   private static final String EVACUATION_MILLIS = "evacuationMillis";
 
-  /** The time of a read of the evacuations and of a start order on its way. */
   private static final long MIN_EVACUATION_MILLIS = 500;
 
   private static final long MILLIS_PER_SECOND = 1_000;
--- a/daemon/src/test/java/org/hickorypier/daemon/node/NodeSettingsTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/NodeSettingsTest.java
@@ -50,6 +50,7 @@
         NodeSettings.decode(validSettings().put("evacuationMillis", 5_000)).cellTimings();
     // The limit less the validity of an order on the slowest clock.
     assertThat(limited.evacuationReadAgeMillis()).isEqualTo(2_659);
+    assertThat(limited.startOrderMillis()).isEqualTo(2_000);
     assertThatThrownBy(() -> NodeSettings.decode(validSettings().put("evacuationMillis", 0)))
         .hasMessageContaining("evacuationMillis is 0; expected a number of at least 500");
   }
