Names for what instances tell one another of the store

Cause: read as a newcomer, FIRST_VERSION_WITHOUT_STORE and isStorelessVersion say the contrary of what they mean, and takesOwner says nothing. Change: FIRST_VERSION_WITH_RELAYED_READS, takesRelayedReads, RELAYED_READ_TIMEOUT_MILLIS; two doc comments. Names and comments only, shown by the build and the linter.

--- a/daemon/src/main/java/org/hickorypier/daemon/link/LinkRequest.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/link/LinkRequest.java
@@ -14,8 +14,11 @@
   /** The first version whose instances take {@link StartRun} and {@link StandBy} requests. */
   int FIRST_VERSION_WITH_RELAYS = 1;
 
-  /** The first version whose instances take {@link ProveConfiguration} and {@link FollowOwner}. */
-  int FIRST_VERSION_WITHOUT_STORE = 2;
+  /**
+   * The first version whose instances tell others what they have read from the store: {@link
+   * ProveConfiguration} and {@link FollowOwner}.
+   */
+  int FIRST_VERSION_WITH_RELAYED_READS = 2;
 
   /**
    * Accepts a submission.
--- a/daemon/src/main/java/org/hickorypier/daemon/node/Handover.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Handover.java
@@ -140,7 +140,7 @@
    */
   void announceOwner(OwnerRecord owner) {
     for (Peer peer : peers) {
-      if (peer.takesOwner()) {
+      if (peer.takesRelayedReads()) {
         peer.link().sendRequest(owner.toMessage(), STANDBY_REPLY_TIMEOUT_MILLIS);
       }
     }
--- a/daemon/src/main/java/org/hickorypier/daemon/node/Peer.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Peer.java
@@ -40,9 +40,9 @@
     return version >= LinkRequest.FIRST_VERSION_WITH_RELAYS;
   }
 
-  /** Returns whether this instance can be told of the owner. */
-  boolean takesOwner() {
-    return version >= LinkRequest.FIRST_VERSION_WITHOUT_STORE;
+  /** Returns whether this instance can be told what others have read from the store. */
+  boolean takesRelayedReads() {
+    return version >= LinkRequest.FIRST_VERSION_WITH_RELAYED_READS;
   }
 
   Successor asSuccessor() {
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerGateway.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerGateway.java
@@ -54,7 +54,7 @@
    * The link may be closed if a reply is later than this. A busy owner must not lose a link, on
    * which callers depend, because of a late proof.
    */
-  private static final long STORELESS_REPLY_TIMEOUT_MILLIS = 3_000;
+  private static final long RELAYED_READ_TIMEOUT_MILLIS = 3_000;
 
   /** Two consecutive refused connections mean that the owner's process is gone, not just busy. */
   private static final int REFUSALS_BEFORE_TAKEOVER = 2;
@@ -275,13 +275,13 @@
 
   /** Tells the former owner, to which this instance is still linked, that this one is the owner. */
   private void announceToFormerOwner(OwnerRecord owner) {
-    if (ownership.isOwner() && link != null && isStorelessVersion()) {
-      link.sendRequest(owner.toMessage(), STORELESS_REPLY_TIMEOUT_MILLIS);
+    if (ownership.isOwner() && link != null && takesRelayedReads()) {
+      link.sendRequest(owner.toMessage(), RELAYED_READ_TIMEOUT_MILLIS);
     }
   }
 
-  private boolean isStorelessVersion() {
-    return linkedVersion >= LinkRequest.FIRST_VERSION_WITHOUT_STORE;
+  private boolean takesRelayedReads() {
+    return linkedVersion >= LinkRequest.FIRST_VERSION_WITH_RELAYED_READS;
   }
 
   /**
@@ -438,9 +438,9 @@
    *     requests
    */
   public Future<LinkReply> askForConfiguration(LinkRequest request) {
-    return link == null || !isStorelessVersion()
+    return link == null || !takesRelayedReads()
         ? Future.failedFuture("no owner is linked that takes such requests")
-        : link.sendRequest(request, STORELESS_REPLY_TIMEOUT_MILLIS + burstDelayMillis);
+        : link.sendRequest(request, RELAYED_READ_TIMEOUT_MILLIS + burstDelayMillis);
   }
 
   private Future<LinkReply> answerOwner(LinkRequest request, long linkOpenedAt) {
