--- a/core/src/main/java/org/hickorypier/core/cell/CellTimings.java
+++ b/core/src/main/java/org/hickorypier/core/cell/CellTimings.java
@@ -13,6 +13,7 @@
  * @param evacuationReadAgeMillis age of the last read of the operator's evacuations from which on
  *     nothing starts, in milliseconds; {@link #UNLIMITED} if they are not under a time limit
  * @param startOrderMillis validity of a start order on the worker's clock, in milliseconds
+ * @param decisions the optional decisions of the owner
  */
 public record CellTimings(
     long leaseMillis,
@@ -20,7 +21,8 @@
     long gangMillis,
     long endStateRetentionMillis,
     long evacuationReadAgeMillis,
-    long startOrderMillis) {
+    long startOrderMillis,
+    DecisionSettings decisions) {
 
   /** Marks a time without a limit. */
   public static final long UNLIMITED = Long.MAX_VALUE;
@@ -81,7 +83,8 @@
         gangMillis,
         endStateRetentionMillis,
         UNLIMITED,
-        MAX_START_ORDER_MILLIS);
+        MAX_START_ORDER_MILLIS,
+        DecisionSettings.DEFAULT);
   }
 
   /**
@@ -107,7 +110,25 @@
         gangMillis,
         endStateRetentionMillis,
         Math.max(MIN_EVACUATION_READ_AGE_MILLIS, evacuationMillis - longestOrderMillis),
-        orderMillis);
+        orderMillis,
+        decisions);
+  }
+
+  /**
+   * Returns the same time limits with other optional decisions.
+   *
+   * @param other the decisions
+   * @return the time limits
+   */
+  public CellTimings withDecisions(DecisionSettings other) {
+    return new CellTimings(
+        leaseMillis,
+        ownershipProofMillis,
+        gangMillis,
+        endStateRetentionMillis,
+        evacuationReadAgeMillis,
+        startOrderMillis,
+        other);
   }
 
   /**
--- a/daemon/src/main/java/org/hickorypier/daemon/node/NodeSettings.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/NodeSettings.java
@@ -5,7 +5,10 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Optional;
 import org.hickorypier.core.cell.CellTimings;
+import org.hickorypier.core.cell.DecisionSettings;
+import org.hickorypier.core.cell.InterruptionCost;
 import org.hickorypier.daemon.owner.Strength;
 import org.hickorypier.platform.http.ServiceAddress;
 
@@ -148,9 +151,44 @@
               (long) number("longestLeaseMillis", 1),
               (long) number("gangMillis", 1),
               Math.round(number("stateKeptSeconds", 1) * MILLIS_PER_SECOND));
+      CellTimings withDecisions = timings.withDecisions(decisions());
       return json.containsKey(EVACUATION_MILLIS)
-          ? timings.withEvacuationMillis((long) number(EVACUATION_MILLIS, MIN_EVACUATION_MILLIS))
-          : timings;
+          ? withDecisions.withEvacuationMillis(
+              (long) number(EVACUATION_MILLIS, MIN_EVACUATION_MILLIS))
+          : withDecisions;
+    }
+
+    DecisionSettings decisions() throws SettingsFileException {
+      return new DecisionSettings(
+          flag("preemption"),
+          flag("admission"),
+          flag("fairShares"),
+          flag("workerSpeeds"),
+          flag("copies"),
+          interruptionCost());
+    }
+
+    /** Reads the cost of an interruption, which is known only if all of its parts are given. */
+    private Optional<InterruptionCost> interruptionCost() throws SettingsFileException {
+      if (!json.containsKey("stopMillis")
+          || !json.containsKey("restoreMillis")
+          || !json.containsKey("saveSeconds")) {
+        return Optional.empty();
+      }
+      return Optional.of(
+          new InterruptionCost(
+              (long) number("stopMillis", 0),
+              (long) number("restoreMillis", 0),
+              Math.round(number("saveSeconds", 0) * MILLIS_PER_SECOND)));
+    }
+
+    /** Reads a switch, which is on unless it is given as false. */
+    private boolean flag(String name) throws SettingsFileException {
+      Object value = json.getValue(name, true);
+      if (value instanceof Boolean flag) {
+        return flag;
+      }
+      throw new SettingsFileException(name + " is " + value + "; expected true or false", null);
     }
 
     double number(String name, double minimum) throws SettingsFileException {
--- a/daemon/src/test/java/org/hickorypier/daemon/node/NodeSettingsTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/NodeSettingsTest.java
@@ -5,6 +5,8 @@
 
 import io.vertx.core.json.JsonObject;
 import org.hickorypier.core.cell.CellTimings;
+import org.hickorypier.core.cell.DecisionSettings;
+import org.hickorypier.core.cell.InterruptionCost;
 import org.hickorypier.daemon.owner.Strength;
 import org.junit.jupiter.api.Test;
 
@@ -55,6 +57,30 @@
         .hasMessageContaining("evacuationMillis is 0; expected a number of at least 500");
   }
 
+  @Test
+  void interruptionCostIsKnownOnlyIfAllOfItsPartsAreSet() throws SettingsFileException {
+    JsonObject json = validSettings().put("stopMillis", 200).put("restoreMillis", 250);
+    assertThat(NodeSettings.decode(json).cellTimings().decisions().interruption()).isEmpty();
+    json.put("saveSeconds", 0.5);
+    assertThat(NodeSettings.decode(json).cellTimings().decisions().interruption())
+        .contains(new InterruptionCost(200, 250, 500));
+    assertThatThrownBy(() -> NodeSettings.decode(json.put("saveSeconds", -1)))
+        .hasMessageContaining("saveSeconds is -1; expected a number of at least 0");
+  }
+
+  @Test
+  void decisionsAreUsedUnlessSwitchedOff() throws SettingsFileException {
+    assertThat(NodeSettings.decode(validSettings()).cellTimings().decisions())
+        .isEqualTo(DecisionSettings.DEFAULT);
+    CellTimings timings =
+        NodeSettings.decode(validSettings().put("admission", false).put("evacuationMillis", 5_000))
+            .cellTimings();
+    assertThat(timings.decisions().admission()).isFalse();
+    assertThat(timings.decisions().preemption()).isTrue();
+    assertThatThrownBy(() -> NodeSettings.decode(validSettings().put("copies", "no")))
+        .hasMessageContaining("copies is no; expected true or false");
+  }
+
   @Test
   void invalidValueIsReportedWithAllowedRange() {
     assertThatThrownBy(() -> NodeSettings.decode(validSettings().put("front", "10.1.0.17:99999")))
