--- a/daemon/src/main/java/org/hickorypier/daemon/owner/ConfigurationWatcher.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/ConfigurationWatcher.java
@@ -137,7 +137,8 @@
   public void start() {
     long sentAt = timers.nowMillis();
     // After a suspension or a lost answer a proof is needed immediately, so the read does not
-    // wait. Before the first configuration there is nothing to prove, and a waiting read is answered
+    // wait. Before the first configuration there is nothing to prove, and a waiting read is
+    // answered
     // as soon as it is written.
     long waitMillis = isFresh() ? READ_WAIT_MILLIS : 0;
     reader
