--- a/core/src/main/java/org/hickorypier/core/cell/Cell.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Cell.java
@@ -490,6 +490,7 @@
     workers.tick(now);
     crashTracker.tick(now);
     state.reserve.sample();
+    state.shares.sample(now);
     runs.resendStops(now);
     runs.stopUnconfirmedGangs(now);
     archive.tick(wallMillis);
--- a/core/src/main/java/org/hickorypier/core/cell/CellState.java
+++ b/core/src/main/java/org/hickorypier/core/cell/CellState.java
@@ -36,6 +36,7 @@
   final SuitabilityEstimator suitabilityEstimator = new SuitabilityEstimator();
   final Reservations reservations = new Reservations();
   final UrgentReserve reserve = new UrgentReserve();
+  final ShareSampler shares = new ShareSampler(this);
   final WorkerLosses workerLosses = new WorkerLosses();
   final Evacuations evacuations;
   final Map<String, Submission> submissions = new HashMap<>();
--- a/core/src/main/java/org/hickorypier/core/cell/CustomerUsage.java
+++ b/core/src/main/java/org/hickorypier/core/cell/CustomerUsage.java
@@ -1,5 +1,6 @@
 package org.hickorypier.core.cell;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 import org.hickorypier.core.model.Resources;
@@ -46,6 +47,17 @@
     sums[2] += (long) sign * size.accelerators();
   }
 
+  /** Returns all configured customers. */
+  Collection<CustomerLimits> customers() {
+    return limits.values();
+  }
+
+  /** Returns what the runs of a customer use, with those that are being stopped. */
+  Resources usedBy(String customer) {
+    long[] sums = used.get(customer);
+    return sums == null ? Resources.NONE : new Resources(sums[0], sums[1], (int) sums[2]);
+  }
+
   boolean isConfigured() {
     return configured;
   }
--- a/core/src/main/java/org/hickorypier/core/cell/Explanation.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Explanation.java
@@ -92,6 +92,9 @@
     if (!cell.usage.allows(submission.spec().customer(), step.spec.taskResources(), 1)) {
       return "its customer's resource limit";
     }
+    if (cell.shares.isHeldBack(step, now)) {
+      return "customers below their share, which wait too";
+    }
     if (!cell.evacuations.isUpToDate(now)) {
       return "a read of the operator's evacuations";
     }
