--- /dev/null
+++ b/core/src/main/java/org/hickorypier/core/estimation/package-info.java
@@ -0,0 +1,2 @@
+/** Estimates of the speed of workers and of the run time of tasks, learned from completed runs. */
+package org.hickorypier.core.estimation;
