Place and move tasks by the speeds of single workers

Change: urgent and tight steps take the fastest workers, work with time to spare the slowest on which it is in time, and gangs workers of like speed. Figures are rounded to a quarter for placing, so that fit decides among like workers. StragglerDetector compares a run with the speed of its worker, takes slow runs for long tasks unless the worker shows signs of a disturbance, and counts the stop and the restore. The objective is that of the chain's expected run times. `workerSpeeds` switches to the figures by kind.

--- a/core/src/main/java/org/hickorypier/core/cell/Cell.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Cell.java
@@ -5,6 +5,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.hickorypier.core.estimation.RunTimeEstimator;
+import org.hickorypier.core.estimation.WorkerSpeed;
 import org.hickorypier.core.submission.SubmissionProgress;
 import org.hickorypier.core.submission.SubmissionSpec;
 import org.hickorypier.core.submission.SubmissionState;
@@ -44,6 +46,7 @@
   private final CrashTracker crashTracker;
   private final UpcomingSteps upcomingSteps;
   private final LongWaitLogger longWaitLogger;
+  private final SpeedRecordWriter speedRecordWriter;
   private boolean rosterRestored;
   private boolean listOutOfDate;
   private final Map<String, ShareTokenBucket> shareBuckets = new HashMap<>();
@@ -76,6 +79,7 @@
     this.upcomingSteps = new UpcomingSteps(state);
     this.dispatcher = new Dispatcher(state, runs, upcomingSteps, crashTracker);
     this.longWaitLogger = new LongWaitLogger(state);
+    this.speedRecordWriter = new SpeedRecordWriter(state);
   }
 
   /**
@@ -268,6 +272,16 @@
     workers.restoreRoster(entries);
   }
 
+  /**
+   * Restores the speeds of the workers from an earlier owner.
+   *
+   * @param speeds the speeds
+   */
+  public void restoreSpeeds(Collection<WorkerSpeed> speeds) {
+    state.speedEstimator.restore(speeds);
+    state.log.event(PART, "speeds-restored", "workers", speeds.size());
+  }
+
   /**
    * Returns what may still run on the workers, for an owner that no longer orders starts or renews
    * leases.
@@ -467,6 +481,11 @@
     dispatcher.pass(now);
   }
 
+  /** Returns what is known of the run times of tasks, for tests. */
+  RunTimeEstimator runTimes() {
+    return state.durationEstimator;
+  }
+
   private boolean isListOutOfDate(long now) {
     boolean outOfDate = now - state.listedAt > MAX_LIST_AGE_MILLIS;
     if (outOfDate != listOutOfDate) {
@@ -496,6 +515,7 @@
     state.stepsMayBeReady |= readySteps.hasScheduledSubmissions();
     upcomingSteps.addUpcomingSteps(now);
     longWaitLogger.logLongWaits(now);
+    speedRecordWriter.tick(now);
     state.dirty |= !state.readySteps.isEmpty() || !upcomingSteps.upcoming().isEmpty();
   }
 }
--- a/core/src/main/java/org/hickorypier/core/cell/CellOutput.java
+++ b/core/src/main/java/org/hickorypier/core/cell/CellOutput.java
@@ -60,6 +60,13 @@
    */
   void afterSave(Runnable action);
 
+  /**
+   * Stores the speeds of the workers for a successor; without them it learns the speeds anew.
+   *
+   * @param record the encoded speeds
+   */
+  default void saveSpeeds(byte[] record) {}
+
   /**
    * Writes the workers that may hold runs; called before the first start on a new worker.
    *
--- a/core/src/main/java/org/hickorypier/core/cell/CellState.java
+++ b/core/src/main/java/org/hickorypier/core/cell/CellState.java
@@ -9,6 +9,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.hickorypier.core.estimation.RunTimeEstimator;
+import org.hickorypier.core.estimation.WorkerSpeedEstimator;
 import org.hickorypier.core.model.Resources;
 import org.hickorypier.core.submission.QueueTerms;
 import org.hickorypier.core.submission.StepSpec;
@@ -31,8 +33,8 @@
   private long lastSubmissionNumber;
   final long takenOverAt;
   final CustomerUsage usage = new CustomerUsage();
-  final RunDurationEstimator durationEstimator = new RunDurationEstimator();
-  final WorkerKindSpeedEstimator speedEstimator = new WorkerKindSpeedEstimator();
+  final RunTimeEstimator durationEstimator = new RunTimeEstimator();
+  final WorkerSpeedEstimator speedEstimator;
   final SuitabilityEstimator suitabilityEstimator = new SuitabilityEstimator();
   final Reservations reservations = new Reservations();
   final UrgentReserve reserve = new UrgentReserve();
@@ -59,6 +61,7 @@
 
   CellState(CellTimings timings, CellOutput output, EventLog log, int epoch, long now) {
     this.timings = timings;
+    this.speedEstimator = new WorkerSpeedEstimator(timings.decisions().workerSpeeds());
     this.output = output;
     this.log = log;
     this.epoch = epoch;
--- a/core/src/main/java/org/hickorypier/core/cell/Dispatcher.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Dispatcher.java
@@ -56,8 +56,9 @@
   }
 
   void pass(long now) {
+    cell.speedEstimator.refresh(now);
     for (WorkerView worker : cell.workers.values()) {
-      worker.kindFactor = cell.speedEstimator.factor(worker.entry().kind());
+      worker.rate(cell.speedEstimator, now);
       worker.cold = worker.isCold(now);
     }
     trialWorkers.releaseUnneeded(now);
@@ -115,6 +116,7 @@
    */
   private void placeStep(StepRun step, List<WorkerView> workers, long now) {
     step.urgent = cell.isUrgent(step);
+    SpeedPreference.update(cell, step, now);
     final StepReservation reservation = step.reservation;
     cell.reservations.release(step);
     List<Task> besideOthers = new ArrayList<>();
@@ -246,8 +248,8 @@
   }
 
   /**
-   * Returns the workers that the advisor has not rated yet, fastest or slowest kind first as the
-   * step prefers; none if they and the suitable workers have too little room for the step.
+   * Returns the workers that the advisor has not rated yet, fastest or slowest first as the step
+   * prefers; none if they and the suitable workers have too little room for the step.
    */
   private List<WorkerView> unratedWorkersWithRoom(
       StepRun step, int wanted, List<WorkerView> workers) {
--- a/core/src/main/java/org/hickorypier/core/cell/Explanation.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Explanation.java
@@ -56,6 +56,7 @@
       if (run != null) {
         line.append("; ").append(task.index).append(" run ").append(run.key.number());
         line.append(" on ").append(run.worker.id());
+        line.append(" of speed ").append(run.worker.placingFactor);
         line.append(run.isConfirmed() ? " confirmed" : " ordered");
         line.append(run.stopping ? " stopping" : "").append(" for ").append(now - run.orderedAt);
         line.append(" ms, ").append(run.percent).append('%');
@@ -63,6 +64,7 @@
     }
     if (!step.isDone() && step.hasWaitingTasks()) {
       line.append("; waits for ").append(waitReason(step));
+      line.append("; in time on workers up to speed ").append(step.allowedFactor);
     }
     return line.toString();
   }
--- a/core/src/main/java/org/hickorypier/core/cell/Placer.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Placer.java
@@ -2,11 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Predicate;
+import org.hickorypier.core.estimation.WorkerSpeedEstimator;
 import org.hickorypier.core.model.Resources;
 import org.hickorypier.core.submission.StepSpec;
 
@@ -24,17 +24,42 @@
    */
   private static final double RACK_WAIT_FRACTION = 0.5;
 
-  /** Exceeds any difference in fit, so a worker that failed the task is the last choice. */
-  private static final double AVOIDED_PENALTY = 100;
+  /**
+   * Step of the factors by which workers are placed. Estimates are accurate to about a tenth, and a
+   * finer step would let their errors decide instead of the fit.
+   */
+  static final double FACTOR_GRID = 0.25;
+
+  /** Exceeds all other differences, so a worker that failed the task is the last choice. */
+  private static final double AVOIDED_PENALTY = 400;
 
   /** A speed difference of one tenth weighs as much as the whole range of the fit, 0 to 2. */
   private static final double SPEED_WEIGHT = 20;
 
+  /**
+   * Allowed factor below which a step takes the fastest workers. With less than half of its run
+   * time to spare, a task that is uneven by 0.3 would be late on a slower one.
+   */
+  private static final double LITTLE_SLACK_FACTOR = 1.5;
+
+  /**
+   * Allowed factor below which a gang takes the fastest workers. A gang is late if any of its
+   * members is, and its members take the room of the longest of them.
+   */
+  private static final double LITTLE_GANG_SLACK_FACTOR = 2.5;
+
+  /** Largest ratio of the factors of two workers that count as alike for a gang. */
+  private static final double ALIKE_RATIO = 1.5;
+
+  /** Number of steps of the factors' range; see {@link WorkerSpeedEstimator#MAX_FACTOR}. */
+  private static final int FACTOR_CLASSES =
+      (int) Math.rint(WorkerSpeedEstimator.MAX_FACTOR / FACTOR_GRID);
+
   /** Exceeds any difference in fit: a task far from its data takes at least twice as long. */
   private static final double AFFINITY_MISS_PENALTY = 10;
 
   /** Exceeds any difference in fit and speed, so a cold worker is chosen if no other has room. */
-  private static final double COLD_PENALTY = 50;
+  private static final double COLD_PENALTY = 180;
 
   private Placer() {}
 
@@ -114,11 +139,18 @@
     for (WorkerView worker : candidates) {
       racks.computeIfAbsent(worker.entry().rack(), rack -> new ArrayList<>()).add(worker);
     }
+    Map<Task, WorkerView> best = Map.of();
     for (List<WorkerView> rack : racks.values()) {
       Map<Task, WorkerView> chosen = assignTasks(step, tasks, rack);
-      if (!chosen.isEmpty()) {
-        return chosen;
+      if (!chosen.isEmpty() && (best.isEmpty() || slowest(chosen) < slowest(best))) {
+        best = chosen;
       }
+      if (!best.isEmpty() && !(step.placedBySpeed && prefersFast(step))) {
+        break;
+      }
+    }
+    if (!best.isEmpty()) {
+      return best;
     }
     long waited = now - step.submission.acceptedAt;
     if (waited < RACK_WAIT_FRACTION * step.spec.estimateMillis()) {
@@ -127,27 +159,41 @@
     return assignTasks(step, tasks, candidates);
   }
 
+  private static double slowest(Map<Task, WorkerView> chosen) {
+    double slowest = 0;
+    for (WorkerView worker : chosen.values()) {
+      slowest = Math.max(slowest, worker.placingFactor);
+    }
+    return slowest;
+  }
+
   private static Map<Task, WorkerView> assignTasks(
       StepRun step, List<Task> tasks, List<WorkerView> candidates) {
-    Map<WorkerView, Integer> slots = new HashMap<>();
+    int count = candidates.size();
+    int[] slots = new int[count];
     int total = 0;
-    for (WorkerView worker : candidates) {
-      int free = freeSlots(step, worker);
-      if (free > 0) {
-        slots.put(worker, free);
-        total += free;
-      }
+    for (int index = 0; index < count; index++) {
+      slots[index] = freeSlots(step, candidates.get(index));
+      total = (int) Math.min(Integer.MAX_VALUE, (long) total + slots[index]);
     }
     if (total == 0 || step.isGang() && total < tasks.size()) {
       return Map.of();
     }
-    Map<WorkerView, Integer> assignedTasks = new HashMap<>();
+    double[] preferences = new double[count];
+    if (step.isGang() && step.placedBySpeed) {
+      keepWorkersOfLikeSpeed(step, tasks.size(), candidates, slots);
+    } else {
+      for (int index = 0; index < count; index++) {
+        preferences[index] = speedPenalty(step, candidates.get(index));
+      }
+    }
+    int[] assigned = new int[count];
     Map<Task, WorkerView> chosen = new LinkedHashMap<>();
     for (Task task : tasks) {
-      WorkerView best = bestWorker(step, task, candidates, slots, assignedTasks, chosen);
-      if (best != null) {
-        chosen.put(task, best);
-        assignedTasks.merge(best, 1, Integer::sum);
+      int best = bestWorker(step, task, candidates, slots, assigned, preferences, chosen);
+      if (best >= 0) {
+        chosen.put(task, candidates.get(best));
+        assigned[best]++;
       } else if (step.isGang()) {
         return Map.of();
       }
@@ -155,23 +201,88 @@
     return chosen;
   }
 
-  private static WorkerView bestWorker(
+  /**
+   * Keeps the slots of the workers that a gang may use, which is as slow as its slowest member. A
+   * gang with time to spare uses the slowest workers alike that are in time, and another the
+   * fastest ones; in the latter case all workers up to the speed of the slowest that it needs serve
+   * equally well.
+   */
+  private static void keepWorkersOfLikeSpeed(
+      StepRun step, int wanted, List<WorkerView> candidates, int[] slots) {
+    Task record = step.tasks[0];
+    boolean retried = !record.failedRunNumbers.isEmpty();
+    int[] slotsByClass = new int[2 * FACTOR_CLASSES + 1];
+    for (int index = 0; index < slots.length; index++) {
+      int factorClass = factorClass(candidates.get(index), record, retried);
+      slotsByClass[factorClass] += Math.min(wanted, slots[index]);
+    }
+    int slowest = prefersFast(step) ? -1 : slowestClassAlike(step, wanted, slotsByClass);
+    int fastest = slowest < 0 ? 0 : fastestClassAlike(slowest);
+    if (slowest < 0) {
+      int room = slotsByClass[0];
+      slowest = 0;
+      while (room < wanted && slowest < 2 * FACTOR_CLASSES) {
+        slowest++;
+        room += slotsByClass[slowest];
+      }
+    }
+    for (int index = 0; index < slots.length; index++) {
+      int factorClass = factorClass(candidates.get(index), record, retried);
+      if (factorClass < fastest || factorClass > slowest) {
+        slots[index] = 0;
+      }
+    }
+  }
+
+  /** Returns the class of a worker for a gang; those that are to be avoided come last. */
+  private static int factorClass(WorkerView worker, Task record, boolean retried) {
+    boolean lastChoice =
+        worker.cold || worker == record.avoidedWorker || retried && worker.failureStreak > 0;
+    int factorClass = (int) Math.rint(worker.placingFactor / FACTOR_GRID);
+    return Math.min(FACTOR_CLASSES, factorClass) + (lastChoice ? FACTOR_CLASSES : 0);
+  }
+
+  /**
+   * Returns the class of the slowest workers in time that, with those alike, have room for a gang;
+   * -1 if there are none.
+   */
+  private static int slowestClassAlike(StepRun step, int wanted, int[] slotsByClass) {
+    int top = (int) Math.min(FACTOR_CLASSES, step.allowedFactor / FACTOR_GRID);
+    for (int slowest = top; slowest >= 1; slowest--) {
+      int room = 0;
+      for (int each = fastestClassAlike(slowest); each <= slowest; each++) {
+        room += slotsByClass[each];
+      }
+      if (room >= wanted && slotsByClass[slowest] > 0) {
+        return slowest;
+      }
+    }
+    return -1;
+  }
+
+  private static int fastestClassAlike(int slowest) {
+    return (int) Math.ceil(slowest / ALIKE_RATIO);
+  }
+
+  private static int bestWorker(
       StepRun step,
       Task task,
       List<WorkerView> candidates,
-      Map<WorkerView, Integer> slots,
-      Map<WorkerView, Integer> assignedTasks,
+      int[] slots,
+      int[] assigned,
+      double[] preferences,
       Map<Task, WorkerView> chosen) {
-    WorkerView best = null;
+    int best = -1;
     double bestScore = Double.MAX_VALUE;
-    boolean retried = !step.failureRecord(task).failedRunNumbers.isEmpty();
-    for (WorkerView worker : candidates) {
-      int assigned = assignedTasks.getOrDefault(worker, 0);
-      if (slots.getOrDefault(worker, 0) <= assigned) {
+    Task record = step.failureRecord(task);
+    boolean retried = !record.failedRunNumbers.isEmpty();
+    for (int index = 0; index < slots.length; index++) {
+      if (slots[index] <= assigned[index]) {
         continue;
       }
-      double score = fitScore(step.spec, worker, assigned) + speedPenalty(step, worker);
-      if (worker == step.failureRecord(task).avoidedWorker || worker == task.avoidedWorker) {
+      WorkerView worker = candidates.get(index);
+      double score = fitScore(step.spec, worker, assigned[index]) + preferences[index];
+      if (worker == record.avoidedWorker || worker == task.avoidedWorker) {
         score += AVOIDED_PENALTY;
       }
       if (task.crashUnit().crashes != null && joinsSharedLoss(task, worker, chosen)) {
@@ -185,7 +296,7 @@
       }
       if (score < bestScore) {
         bestScore = score;
-        best = worker;
+        best = index;
       }
     }
     return best;
@@ -213,14 +324,21 @@
   }
 
   /**
-   * Returns a penalty by the speed of a worker: urgent work prefers fast workers, and other work
-   * leaves them free.
+   * Returns a penalty by the speed of a worker: urgent work and work with little time to spare
+   * prefer fast workers. Other work leaves them free as long as it is in time on slower ones.
    *
-   * <p>A third of the workers may take a third longer than the others. A check that may take 1.5
-   * times its longest chain of work would lose most of that margin on a slow kind of worker.
+   * <p>A third of the workers may take 2.4 times as long as the others. A check that may take 1.5
+   * times its longest chain of work would be late on one of these.
    */
   static double speedPenalty(StepRun step, WorkerView worker) {
-    return (step.urgent ? 1 : -1) * SPEED_WEIGHT * worker.kindFactor;
+    double factor = worker.placingFactor;
+    boolean fast = prefersFast(step) || factor > step.allowedFactor;
+    return (fast ? 1 : -1) * SPEED_WEIGHT * factor;
+  }
+
+  private static boolean prefersFast(StepRun step) {
+    return step.urgent
+        || step.allowedFactor < (step.isGang() ? LITTLE_GANG_SLACK_FACTOR : LITTLE_SLACK_FACTOR);
   }
 
   private static double fitScore(StepSpec spec, WorkerView worker, int assigned) {
--- a/core/src/main/java/org/hickorypier/core/cell/Run.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Run.java
@@ -40,6 +40,9 @@
   /** Whether the run starts by restoring a checkpoint. */
   boolean resumed;
 
+  /** Whether the run was found to be long by itself, not because of its worker. */
+  boolean longByItself;
+
   /** Pace of the run; null until its worker has reported progress. */
   RunPace pace;
 
--- a/core/src/main/java/org/hickorypier/core/cell/RunController.java
+++ b/core/src/main/java/org/hickorypier/core/cell/RunController.java
@@ -60,7 +60,9 @@
         "ticket",
         ticket != null,
         "left_milli_cores",
-        worker.freeProcessors());
+        worker.freeProcessors(),
+        "speed",
+        worker.placingFactor);
     sendStart(run, ticket, now);
   }
 
--- a/core/src/main/java/org/hickorypier/core/cell/RunEndHandler.java
+++ b/core/src/main/java/org/hickorypier/core/cell/RunEndHandler.java
@@ -1,5 +1,6 @@
 package org.hickorypier.core.cell;
 
+import org.hickorypier.core.estimation.StepSamples;
 import org.hickorypier.core.submission.StepFlags;
 import org.hickorypier.core.submission.SubmissionState;
 
@@ -75,13 +76,8 @@
     worker.failureStreak = 0;
     Submission submission = task.step.submission;
     if (run != null && run.isConfirmed() && run.orderCopies > 0) {
-      long tookMillis = now - run.confirmedAt;
-      cell.durationEstimator.recordRun(submission.spec().queue().name(), tookMillis);
-      task.step.longestRunMillis = Math.max(task.step.longestRunMillis, tookMillis);
+      recordRunTime(worker, run, now);
       worker.slowStreak = 0;
-      if (isComparable(run)) {
-        cell.speedEstimator.recordRun(worker.entry().kind(), task.step, tookMillis);
-      }
     }
     // A persistent task is never done: it starts again however it ends.
     if (submission.isLive() && !task.step.spec.flags().persistent()) {
@@ -89,13 +85,50 @@
     }
   }
 
+  private void recordRunTime(WorkerView worker, Run run, long now) {
+    StepRun step = run.task.step;
+    long tookMillis = Math.max(1, now - run.confirmedAt);
+    double factor = step.isGang() ? slowestFactor(step) : worker.speedFactor();
+    step.longestRunMillis = Math.max(step.longestRunMillis, Math.round(tookMillis / factor));
+    // A resumed run did only a part of its task, and the end of one member ends the whole gang.
+    if (!run.resumed && !(step.isGang() && run.task.done)) {
+      cell.durationEstimator.recordRun(
+          step.submission.spec().queue().name(), step.spec.estimateMillis(), tookMillis, factor);
+    }
+    if (isComparable(worker, run)) {
+      if (step.speedSamples == null) {
+        step.speedSamples = new StepSamples();
+      }
+      cell.speedEstimator.recordRun(worker.rating, step.speedSamples, tookMillis, now);
+    }
+  }
+
+  /** Returns the factor of the slowest worker of a gang, which determines its run time. */
+  private static double slowestFactor(StepRun gang) {
+    double slowest = 0;
+    for (Task member : gang.tasks) {
+      if (member.currentRun != null) {
+        slowest = Math.max(slowest, member.currentRun.worker.speedFactor());
+      }
+    }
+    return slowest == 0 ? 1 : slowest;
+  }
+
   /**
    * Returns whether the run time says something about the worker's speed. The run times of gangs,
-   * gap-filling tasks, persistent tasks and resumed runs depend on other things.
+   * gap-filling tasks, persistent tasks and resumed runs depend on other things, and those on a
+   * worker that has just started or was found slow for a moment say nothing about its nature.
    */
-  private static boolean isComparable(Run run) {
+  private static boolean isComparable(WorkerView worker, Run run) {
     StepFlags flags = run.task.step.spec.flags();
-    return !flags.gang() && !flags.opportunistic() && !flags.persistent() && !run.resumed;
+    return worker.rating != null
+        && !flags.gang()
+        && !flags.opportunistic()
+        && !flags.persistent()
+        && !run.resumed
+        && run.workerBornMillis == worker.bornMillis
+        && !worker.isCold(run.confirmedAt)
+        && run.confirmedAt >= worker.slowBackoffUntil;
   }
 
   private void completeTask(Task task, long now) {
--- a/core/src/main/java/org/hickorypier/core/cell/RunPace.java
+++ b/core/src/main/java/org/hickorypier/core/cell/RunPace.java
@@ -21,9 +21,11 @@
 
   private boolean restoring;
   private Sample first;
+  private Sample start;
   private Sample oldest;
   private Sample middle;
   private Sample newest;
+  private Sample lastGain;
 
   /** Progress of the run at a time of its worker's clock. */
   private record Sample(long clockMillis, int percent) {}
@@ -59,6 +61,10 @@
       oldest = middle;
       middle = sample;
     }
+    start = start == null ? oldest : start;
+    if (lastGain == null || sample.percent > lastGain.percent) {
+      lastGain = sample;
+    }
     newest = sample;
   }
 
@@ -86,6 +92,35 @@
     return elapsedMillis * (WHOLE_PERCENT - newest.percent) / gained;
   }
 
+  /**
+   * Returns whether the run progressed faster before than it does now. A task that is long by
+   * itself progresses slowly from its start.
+   *
+   * @param factor the minimum ratio of the earlier pace to the present one
+   * @param windowMillis the minimum time of the earlier pace, in milliseconds
+   * @return false if the earlier pace is not known
+   */
+  boolean hasSlowedDown(double factor, long windowMillis) {
+    long earlierMillis = oldest.clockMillis - start.clockMillis;
+    if (earlierMillis < windowMillis) {
+      return false;
+    }
+    // Progress is reported in whole percents, so both differences may be off by one.
+    double earlierPace = (oldest.percent - start.percent - 1) / (double) earlierMillis;
+    double presentPace =
+        (newest.percent - oldest.percent + 1) / (double) (newest.clockMillis - oldest.clockMillis);
+    return earlierPace > factor * presentPace;
+  }
+
+  /**
+   * Returns for how long the run has made no progress.
+   *
+   * @return the time in milliseconds
+   */
+  long stalledMillis() {
+    return newest.clockMillis - lastGain.clockMillis;
+  }
+
   /**
    * Returns the fraction of the run that is still to be done.
    *
--- a/core/src/main/java/org/hickorypier/core/cell/StepRun.java
+++ b/core/src/main/java/org/hickorypier/core/cell/StepRun.java
@@ -1,5 +1,6 @@
 package org.hickorypier.core.cell;
 
+import org.hickorypier.core.estimation.StepSamples;
 import org.hickorypier.core.submission.StepSpec;
 
 /** One occurrence of a step with its tasks. Confined to the control thread. */
@@ -17,17 +18,20 @@
 
   int doneCount;
 
-  /** Longest duration of a run that completed its task, in milliseconds. */
+  /** Longest duration of a run that completed its task, at the usual worker speed. */
   long longestRunMillis;
 
   /** True for the most urgent work of its service, which has the least time to spare. */
   boolean urgent;
 
-  /** Number of runs that are compared with each other. */
-  int comparedRuns;
+  /** Relative run time of the slowest worker on which the step still ends in time. */
+  double allowedFactor = Double.POSITIVE_INFINITY;
 
-  /** Total duration of the compared runs at the usual worker speed, in milliseconds. */
-  double comparedMillis;
+  /** Whether the step is placed by the speeds of single workers, not only of their kinds. */
+  boolean placedBySpeed;
+
+  /** Run times that show the speeds of workers; null before the first of them. */
+  StepSamples speedSamples;
 
   /** Resources that are reserved while an advice request is pending, or null. */
   StepReservation reservation;
--- a/core/src/main/java/org/hickorypier/core/cell/StragglerDetector.java
+++ b/core/src/main/java/org/hickorypier/core/cell/StragglerDetector.java
@@ -23,17 +23,43 @@
   private static final long MIN_WINDOW_MILLIS = 200;
 
   /**
-   * Minimum ratio of the remaining time of a run to the time of a new run on another worker for the
-   * task to be moved. Healthy workers differ by a third, the tasks of a step by a sixth and
-   * estimates by a fifth, which is a factor of 1.8 together.
+   * Minimum ratio of the remaining time of a run to its expected time on its worker, and to the
+   * time of a new run on another worker, for the task to be moved. The tasks of a step differ by
+   * 0.3 and estimates by a fifth, which with the error of the speeds is a factor of 1.8 together.
    */
   private static final double MIN_SLOWDOWN_FACTOR = 2;
 
   /**
    * Approximate time of a move: a stop, the report of it, a ticket and the order of the next run.
+   * It is used unless the settings say that a stop and a restore take longer.
    */
   private static final long MOVE_MILLIS = 300;
 
+  /**
+   * Margin for the error of a worker's speed, in standard errors. A worker without samples may be
+   * slow by nature, which is no reason to move all of its first tasks.
+   */
+  private static final double SPEED_MARGIN_ERRORS = 1.5;
+
+  /**
+   * Number of slow runs on a worker, with none of the usual pace, from which on they show that the
+   * worker is disturbed. As long tasks run longer, they are a sixth of the tasks that run at a
+   * time.
+   */
+  private static final int MIN_SLOW_RUNS = 3;
+
+  /**
+   * Length of the longest tasks, as a multiple of the expected run time. A run that gains not one
+   * percent in the time that such a task takes for it has stalled.
+   */
+  private static final double LONGEST_TASK_RATIO = 20;
+
+  /** Share of a queue's runs from which on its tasks count as known to be that long. */
+  private static final double MIN_LONG_TASK_SHARE = 0.004;
+
+  /** Part of the length that a run seems to have from which on other tasks count as that long. */
+  private static final double LONG_TASK_RATIO_SHARE = 0.5;
+
   /** Maximum number of moves of a task. A task that was moved so often is slow by itself. */
   private static final int MAX_MOVES = 2;
 
@@ -79,7 +105,7 @@
    */
   void moveStragglers(WorkerView worker, long now) {
     for (Run run : CellState.copy(worker.runs.values())) {
-      if (isWatched(run) && isStraggling(run) && mayMove(run, now)) {
+      if (isWatched(run) && isStraggling(run, now) && mayMove(run, now)) {
         move(run, now);
       }
     }
@@ -100,39 +126,119 @@
         && !run.task.step.spec.flags().opportunistic();
   }
 
+  /** Returns the expected run time of a task at the usual worker speed. */
   private long expectedMillis(Run run) {
     StepRun step = run.task.step;
-    String queue = step.submission.spec().queue().name();
+    String queue = queueName(run);
     return Math.max(
         step.longestRunMillis,
         cell.durationEstimator.expectedMillis(queue, step.spec.estimateMillis()));
   }
 
+  private static String queueName(Run run) {
+    return run.task.step.submission.spec().queue().name();
+  }
+
   private long windowMillis(Run run) {
     return Math.max(MIN_WINDOW_MILLIS, Math.round(WINDOW_FRACTION * expectedMillis(run)));
   }
 
   /**
-   * Compares the remaining time of a run with the time of a new run on another worker. Before any
-   * run of the queue has ended, the only reference is the callers' estimates, which are off by up
-   * to 90%.
+   * Returns whether the pace of a run can be judged. Before any run of the queue has ended, the
+   * only reference is the callers' estimates, which are off by up to 90%.
+   */
+  private boolean isPaceKnown(Run run) {
+    return run.pace != null
+        && cell.durationEstimator.isKnown(queueName(run))
+        && run.pace.isKnown(windowMillis(run));
+  }
+
+  /** Returns whether a run is much slower than its task is expected to be on its worker. */
+  private boolean isSlow(Run run) {
+    double slowest = Math.exp(SPEED_MARGIN_ERRORS * run.worker.speedUncertainty());
+    double expectedMillis = expectedMillis(run) * run.worker.speedFactor() * slowest;
+    return run.pace.remainingMillis()
+        > MIN_SLOWDOWN_FACTOR * run.pace.remainingFraction() * expectedMillis;
+  }
+
+  private boolean isStraggling(Run run, long now) {
+    return isPaceKnown(run) && isSlow(run) && isWorkerDisturbed(run, now);
+  }
+
+  /**
+   * Returns whether a slow run is the fault of its worker, not of a long task. It is if the run has
+   * stopped making progress, was faster before, or if the other runs there are slow as well.
+   * Without any of these signs, the run is taken for a long task if another run there has the usual
+   * pace, if it was slow on another worker before, or if the queue is known to have such tasks.
    */
-  private boolean isStraggling(Run run) {
-    String queue = run.task.step.submission.spec().queue().name();
-    if (run.pace == null
-        || !cell.durationEstimator.isKnown(queue)
-        || !run.pace.isKnown(windowMillis(run))) {
+  private boolean isWorkerDisturbed(Run run, long now) {
+    if (now < run.worker.slowBackoffUntil
+        || isStalled(run)
+        || run.pace.hasSlowedDown(MIN_SLOWDOWN_FACTOR, windowMillis(run))) {
+      return true;
+    }
+    int slow = 0;
+    int usual = 0;
+    for (Run other : run.worker.runs.values()) {
+      if (isWatched(other) && isPaceKnown(other)) {
+        slow += isSlow(other) ? 1 : 0;
+        usual += isSlow(other) ? 0 : 1;
+      }
+    }
+    if (slow >= MIN_SLOW_RUNS && usual == 0) {
+      return true;
+    }
+    double ratio = lengthRatio(run);
+    if (usual > 0 || run.task.migrations > 0) {
+      recordLongTask(run, ratio);
       return false;
     }
-    double remainingShare =
-        run.task.step.spec.flags().checkpoints() ? run.pace.remainingFraction() : 1;
-    double elsewhereMillis = remainingShare * expectedMillis(run) + MOVE_MILLIS;
+    return cell.durationEstimator.shareFrom(queueName(run), LONG_TASK_RATIO_SHARE * ratio)
+        < MIN_LONG_TASK_SHARE;
+  }
+
+  private boolean isStalled(Run run) {
+    double onePercentMillis = expectedMillis(run) * run.worker.speedFactor() / 100;
+    return run.pace.stalledMillis()
+        > Math.max(windowMillis(run), LONGEST_TASK_RATIO * onePercentMillis);
+  }
+
+  /** Returns how long the task takes at its present pace, as a multiple of the expected time. */
+  private double lengthRatio(Run run) {
+    double taskMillis = run.pace.remainingMillis() / Math.max(0.01, run.pace.remainingFraction());
+    return taskMillis / (expectedMillis(run) * run.worker.speedFactor());
+  }
+
+  /** Counts a long task before it ends, which takes several times as long as for others. */
+  private void recordLongTask(Run run, double ratio) {
+    if (!run.longByItself) {
+      run.longByItself = true;
+      cell.durationEstimator.recordLongTask(queueName(run), ratio);
+    }
+  }
+
+  /** Returns whether a run ends much later than a new run on a worker of some speed would. */
+  private boolean endsLaterThanOn(Run run, double factor) {
+    boolean checkpoints = run.task.step.spec.flags().checkpoints();
+    double remainingShare = checkpoints ? run.pace.remainingFraction() : 1;
+    double elsewhereMillis =
+        remainingShare * expectedMillis(run) * factor + moveMillis(checkpoints);
     return run.pace.remainingMillis() > MIN_SLOWDOWN_FACTOR * elsewhereMillis;
   }
 
+  private long moveMillis(boolean restores) {
+    return cell.timings
+        .decisions()
+        .interruption()
+        .map(cost -> cost.stopMillis() + (restores ? cost.restoreMillis() : 0))
+        .map(millis -> Math.max(MOVE_MILLIS, millis))
+        .orElse(MOVE_MILLIS);
+  }
+
   /**
-   * Returns whether the task may be moved. A task that is not urgent stays on its worker unless
-   * another worker has room for it: running slowly is better than not running.
+   * Returns whether the task may be moved, since it would end sooner on another worker. A task that
+   * is not urgent stays on its worker unless another worker has room for it: running slowly is
+   * better than not running. An urgent one finds room soon, on a worker of the usual speed.
    */
   private boolean mayMove(Run run, long now) {
     if (run.task.migrations >= MAX_MOVES) {
@@ -142,7 +248,7 @@
     String service = step.submission.spec().queue().service();
     Collection<WorkerView> candidates = cell.acceptingWorkers(service, now);
     if (cell.isUrgent(step)) {
-      return !candidates.isEmpty();
+      return !candidates.isEmpty() && endsLaterThanOn(run, 1);
     }
     return candidates.stream()
         .anyMatch(
@@ -150,7 +256,8 @@
                 worker != run.worker
                     && Placer.matches(step.spec, worker)
                     && (step.advice == null || step.advice.isSuitable(worker))
-                    && Placer.freeSlots(step, worker) > 0);
+                    && Placer.freeSlots(step, worker) > 0
+                    && endsLaterThanOn(run, worker.speedFactor()));
   }
 
   private void move(Run run, long now) {
@@ -166,7 +273,9 @@
         "left_ms",
         run.pace.remainingMillis(),
         "expected_ms",
-        expectedMillis(run));
+        expectedMillis(run),
+        "speed",
+        run.worker.speedFactor());
     backOff(run.worker, now);
     runs.stop(run, now);
   }
--- a/core/src/main/java/org/hickorypier/core/cell/Submission.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Submission.java
@@ -5,7 +5,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.hickorypier.core.estimation.RunTimeEstimator;
 import org.hickorypier.core.submission.CrashRecord;
+import org.hickorypier.core.submission.StepSpec;
 import org.hickorypier.core.submission.SubmissionProgress;
 import org.hickorypier.core.submission.SubmissionSpec;
 import org.hickorypier.core.submission.SubmissionState;
@@ -118,9 +120,34 @@
   }
 
   /** Returns the time within which it meets its objective, in milliseconds. */
-  long objectiveMillis(RunDurationEstimator durationEstimator) {
-    long chain = durationEstimator.expectedMillis(spec.queue().name(), spec.criticalPathMillis());
-    return Math.round(spec.queue().stretch() * chain) + spec.queue().objectiveMillis();
+  long objectiveMillis(RunTimeEstimator durationEstimator) {
+    long longest = 0;
+    for (StepRun step : occurrences[0]) {
+      if (step.spec.dependsOn().isEmpty()) {
+        longest = Math.max(longest, pathMillisFrom(step, durationEstimator));
+      }
+    }
+    return Math.round(spec.queue().stretch() * longest) + spec.queue().objectiveMillis();
+  }
+
+  /**
+   * Returns the expected duration of the longest chain that begins with a step, in milliseconds.
+   */
+  long pathMillisFrom(StepRun step, RunTimeEstimator durationEstimator) {
+    String queue = spec.queue().name();
+    List<StepSpec> steps = spec.steps();
+    long[] ends = new long[steps.size()];
+    long longest = 0;
+    for (int index = step.index; index < ends.length; index++) {
+      long begin = index == step.index ? 0 : -1;
+      for (int earlier : steps.get(index).dependsOn()) {
+        begin = Math.max(begin, earlier < step.index ? -1 : ends[earlier]);
+      }
+      long estimate = steps.get(index).estimateMillis();
+      ends[index] = begin < 0 ? -1 : begin + durationEstimator.expectedMillis(queue, estimate);
+      longest = Math.max(longest, ends[index]);
+    }
+    return longest;
   }
 
   int firstRunNumber() {
--- a/core/src/main/java/org/hickorypier/core/cell/UpcomingSteps.java
+++ b/core/src/main/java/org/hickorypier/core/cell/UpcomingSteps.java
@@ -114,19 +114,28 @@
 
   private boolean isNearlyDone(StepRun step, long now) {
     String queue = step.submission.spec().queue().name();
-    long usualMillis = cell.durationEstimator.expectedMillis(queue, step.spec.estimateMillis());
+    long estimateMillis = step.spec.estimateMillis();
     for (Task task : step.tasks) {
-      if (!task.done && !endsBy(now + LOOKAHEAD_MILLIS, task.currentRun, usualMillis)) {
+      if (!task.done && !endsSoon(task.currentRun, queue, estimateMillis, now)) {
         return false;
       }
     }
     return true;
   }
 
-  private static boolean endsBy(long time, Run run, long usualMillis) {
-    return run != null
-        && run.isConfirmed()
-        && !run.stopping
-        && run.confirmedAt + usualMillis <= time;
+  private boolean endsSoon(Run run, String queue, long estimateMillis, long now) {
+    if (run == null || !run.isConfirmed() || run.stopping) {
+      return false;
+    }
+    // The progress of a resumed run is not in proportion to the time of this run. Either sign of
+    // an early end suffices, since advice that comes too late delays the step.
+    return remainingMillis(run, queue, estimateMillis, -1, now) <= LOOKAHEAD_MILLIS
+        || !run.resumed
+            && remainingMillis(run, queue, estimateMillis, run.percent, now) <= LOOKAHEAD_MILLIS;
+  }
+
+  private long remainingMillis(Run run, String queue, long estimateMillis, int percent, long now) {
+    return cell.durationEstimator.remainingMillis(
+        queue, estimateMillis, run.worker.speedFactor(), now - run.confirmedAt, percent);
   }
 }
--- a/core/src/main/java/org/hickorypier/core/cell/UrgencyOrder.java
+++ b/core/src/main/java/org/hickorypier/core/cell/UrgencyOrder.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
+import org.hickorypier.core.estimation.RunTimeEstimator;
 import org.hickorypier.core.submission.QueueTerms;
 
 /**
@@ -21,7 +22,7 @@
   private UrgencyOrder() {}
 
   static List<StepRun> sorted(
-      Collection<StepRun> open, RunDurationEstimator durationEstimator, long now) {
+      Collection<StepRun> open, RunTimeEstimator durationEstimator, long now) {
     List<Ranked> ranked = new ArrayList<>(open.size());
     for (StepRun step : open) {
       ranked.add(rank(step, durationEstimator, now));
@@ -38,7 +39,7 @@
     return sorted;
   }
 
-  private static Ranked rank(StepRun step, RunDurationEstimator durationEstimator, long now) {
+  private static Ranked rank(StepRun step, RunTimeEstimator durationEstimator, long now) {
     Submission submission = step.submission;
     QueueTerms queue = submission.spec().queue();
     long objective = submission.objectiveMillis(durationEstimator);
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
@@ -4,6 +4,8 @@
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
+import org.hickorypier.core.estimation.WorkerRating;
+import org.hickorypier.core.estimation.WorkerSpeedEstimator;
 import org.hickorypier.core.model.Resources;
 
 /**
@@ -145,8 +147,14 @@
   long quarantinedUntil;
   long fullUntil;
 
-  /** Relative run time of tasks on the worker's kind; see {@link WorkerKindSpeedEstimator}. */
-  double kindFactor = 1;
+  /** Speed of the worker; null before the first scheduling pass that includes it. */
+  WorkerRating rating;
+
+  /**
+   * Relative run time of tasks on the worker as of the present scheduling pass; 1 is the mean.
+   * Figures of single workers are rounded, so that workers that hardly differ are chosen by fit.
+   */
+  double placingFactor = 1;
 
   /** End of the time in which the worker gets no orders since it was found slow. */
   long slowBackoffUntil;
@@ -256,6 +264,25 @@
     listed = true;
   }
 
+  /** Takes over the present estimate of the worker's speed. */
+  void rate(WorkerSpeedEstimator estimator, long now) {
+    rating = estimator.rating(entry.id(), entry.service(), entry.kind(), bornMillis, now);
+    placingFactor =
+        estimator.isByWorker()
+            ? Placer.FACTOR_GRID * Math.rint(rating.factor() / Placer.FACTOR_GRID)
+            : rating.factor();
+  }
+
+  /** Returns the relative run time of tasks on the worker. */
+  double speedFactor() {
+    return rating == null ? 1 : rating.factor();
+  }
+
+  /** Returns the standard error of the logarithm of the speed factor. */
+  double speedUncertainty() {
+    return rating == null ? 0 : rating.uncertainty();
+  }
+
   /** Returns whether the worker is still slow after its start. */
   boolean isCold(long now) {
     return now < coldUntil;
--- a/core/src/test/java/org/hickorypier/core/cell/CellFixture.java
+++ b/core/src/test/java/org/hickorypier/core/cell/CellFixture.java
@@ -52,6 +52,9 @@
   /** The events that were logged. */
   final List<String> events = new ArrayList<>();
 
+  /** The records of worker speeds that were handed to the store. */
+  final List<byte[]> savedSpeeds = new ArrayList<>();
+
   boolean advisorAvailable = true;
 
   /** Whether the owner reads the worker list before each pass. */
@@ -311,6 +314,11 @@
     }
   }
 
+  @Override
+  public void saveSpeeds(byte[] record) {
+    savedSpeeds.add(record);
+  }
+
   @Override
   public void saveRoster(List<RosterEntry> written, Runnable action) {
     unwrittenRoster = written;
--- a/core/src/test/java/org/hickorypier/core/cell/StragglerDetectorTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/StragglerDetectorTest.java
@@ -6,6 +6,8 @@
 import static org.hickorypier.core.cell.CellFixture.spec;
 
 import java.util.List;
+import java.util.Optional;
+import org.hickorypier.core.estimation.RunTimeEstimator;
 import org.hickorypier.core.model.Resources;
 import org.hickorypier.core.submission.StepFlags;
 import org.hickorypier.core.submission.StepSpec;
@@ -16,7 +18,7 @@
 
   private static final long WORK_MILLIS = 800;
 
-  private final CellFixture fixture = new CellFixture(1);
+  private CellFixture fixture = new CellFixture(1);
 
   private static StepSpec step(StepFlags flags) {
     Resources whole = new Resources(CAPACITY.milliProcessors(), 1_000, 0);
@@ -103,6 +105,50 @@
     assertThat(fixture.stops).isEmpty();
   }
 
+  /**
+   * Guards against moves of tasks that are long by themselves: three in a hundred take seven times
+   * the usual time, and would start anew for nothing.
+   */
+  @Test
+  void taskIsNotMovedIfQueueHasTasksAsLong() {
+    start(StepFlags.NONE);
+    completeLongTask();
+    reportProgress(1.0 / 6, 900);
+    assertThat(fixture.stops).isEmpty();
+  }
+
+  /** A long task was fast at no time; one that was fast before is on a disturbed worker. */
+  @Test
+  void taskThatBecomesSlowIsMovedEvenIfQueueHasLongTasks() {
+    start(StepFlags.NONE);
+    completeLongTask();
+    final Run run = fixture.starts.get(0).run();
+    for (int percent : new int[] {13, 25, 38, 39, 40, 41, 42, 43, 44, 45, 46}) {
+      fixture.advance(95);
+      fixture.reportProgress(run.worker(), new RunningTask(run.key(), "", percent));
+    }
+    assertThat(fixture.stops).containsExactly(run.key());
+  }
+
+  /** Guards against moves that cost more than they save, where a stop and a restore are slow. */
+  @Test
+  void taskIsNotMovedIfStopAndRestoreTakeLonger() {
+    InterruptionCost cost = new InterruptionCost(1_000, 1_500, 2_000);
+    DecisionSettings decisions =
+        new DecisionSettings(true, true, true, true, true, Optional.of(cost));
+    fixture = new CellFixture(1, CellFixture.TIMINGS.withDecisions(decisions));
+    start(new StepFlags(false, false, true, false, false, false));
+    reportProgress(1.0 / 6, 900);
+    assertThat(fixture.stops).isEmpty();
+  }
+
+  /** Tells the cell of a task of the queue that takes six times as long as the others. */
+  private void completeLongTask() {
+    Submission known = fixture.cell.find("s");
+    RunTimeEstimator runTimes = fixture.cell.runTimes();
+    runTimes.recordRun(known.spec().queue().name(), WORK_MILLIS, 6 * WORK_MILLIS, 1);
+  }
+
   @Test
   void runsOfHealthyWorkersAreNotMoved() {
     start(StepFlags.NONE);
--- a/core/src/test/java/org/hickorypier/core/cell/UrgencyOrderTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/UrgencyOrderTest.java
@@ -6,6 +6,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.hickorypier.core.estimation.RunTimeEstimator;
 import org.hickorypier.core.submission.QueueTerms;
 import org.junit.jupiter.api.Test;
 
@@ -32,13 +33,13 @@
     QueueTerms queue = new QueueTerms("checks", "service", 0, 1, 1.5, 250, Optional.empty());
     Submission check = new Submission(spec("check", queue, step(1, 1_000, 70, false)), 1, 0, 1);
     StepRun batch = waitingStep("batch", 2, 0, false);
-    RunDurationEstimator durationEstimator = new RunDurationEstimator();
+    RunTimeEstimator durationEstimator = new RunTimeEstimator();
     long now = 1_100;
     assertThat(
             UrgencyOrder.sorted(List.of(batch, check.occurrences[0][0]), durationEstimator, now)
                 .get(0))
         .isSameAs(batch);
-    durationEstimator.recordRun("checks", 640);
+    durationEstimator.recordRun("checks", 70, 640, 1);
     assertThat(
             UrgencyOrder.sorted(List.of(batch, check.occurrences[0][0]), durationEstimator, now)
                 .get(0))
@@ -54,12 +55,12 @@
     StepRun lost = service.occurrences[0][0];
     lost.tasks[0].waitingSince = now - 100;
     StepRun late = waitingStep("late", 1, now - 2_000, false);
-    assertThat(UrgencyOrder.sorted(List.of(late, lost), new RunDurationEstimator(), now))
+    assertThat(UrgencyOrder.sorted(List.of(late, lost), new RunTimeEstimator(), now))
         .containsExactly(lost, late);
     // A new owner does not know when the run was lost.
     lost.tasks[0].waitingSince = 0;
     StepRun inTime = waitingStep("in time", 1, now - 100, false);
-    assertThat(UrgencyOrder.sorted(List.of(inTime, lost), new RunDurationEstimator(), now))
+    assertThat(UrgencyOrder.sorted(List.of(inTime, lost), new RunTimeEstimator(), now))
         .containsExactly(lost, inTime);
   }
 
@@ -74,7 +75,7 @@
 
     assertThat(
             UrgencyOrder.sorted(
-                List.of(useless, late, excess, usual, urgent), new RunDurationEstimator(), now))
+                List.of(useless, late, excess, usual, urgent), new RunTimeEstimator(), now))
         .containsExactly(urgent, late, usual, excess, useless);
   }
 }
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/JournalContents.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/JournalContents.java
@@ -7,6 +7,8 @@
 import org.hickorypier.core.cell.EventLog;
 import org.hickorypier.core.cell.RosterCodec;
 import org.hickorypier.core.cell.RosterEntry;
+import org.hickorypier.core.estimation.WorkerSpeed;
+import org.hickorypier.core.estimation.WorkerSpeedCodec;
 import org.hickorypier.core.submission.SubmissionCodec;
 import org.hickorypier.core.submission.SubmissionProgress;
 import org.hickorypier.core.submission.SubmissionState;
@@ -49,6 +51,18 @@
     }
   }
 
+  /** Returns the speeds of the workers; empty if they are missing or cannot be decoded. */
+  List<WorkerSpeed> speeds() {
+    byte[] value = values.get(JournalKeys.SPEEDS);
+    try {
+      return value == null ? List.of() : WorkerSpeedCodec.decode(value);
+    } catch (UndecodableException error) {
+      log.event(
+          "journal", "unreadable-record", "key", JournalKeys.SPEEDS, "error", error.getMessage());
+      return List.of();
+    }
+  }
+
   /**
    * Restores the submissions in a cell. A submission that cannot be decoded is logged and left out.
    *
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/JournalKeys.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/JournalKeys.java
@@ -22,6 +22,9 @@
 
   static final String ROSTER = "roster";
 
+  /** The speeds of the workers, which a successor may do without and older versions ignore. */
+  static final String SPEEDS = "speeds";
+
   /** Written as a proof of ownership while there is nothing else to write. */
   static final String PROOF = "proof";
 
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/OrderSender.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/OrderSender.java
@@ -249,6 +249,11 @@
     journal.afterSave(action);
   }
 
+  @Override
+  public void saveSpeeds(byte[] record) {
+    journal.put(JournalKeys.SPEEDS, record);
+  }
+
   @Override
   public void saveRoster(List<RosterEntry> entries, Runnable written) {
     journal.put(JournalKeys.ROSTER, RosterCodec.encode(entries));
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
@@ -124,6 +124,7 @@
     long wallMillis = dependencies.wallClock().getAsLong();
     int restored = predecessorState.restore(cell, now, wallMillis);
     cell.restoreRoster(predecessorState.roster());
+    cell.restoreSpeeds(predecessorState.speeds());
     dependencies
         .log()
         .event(
