--- a/core/src/main/java/org/hickorypier/core/cell/Dispatcher.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Dispatcher.java
@@ -64,7 +64,7 @@
       worker.cold = worker.isCold(now);
     }
     trialWorkers.releaseUnneeded(now);
-    long unresolvedUpTo = cell.lastUnresolvedNumber(now);
+    final long unresolvedUpTo = cell.lastUnresolvedNumber(now);
     cell.usage.setUnresolvedCapacity(cell.unresolvedCapacity(now));
     Map<String, List<WorkerView>> workersByService = new HashMap<>();
     List<StepRun> sorted = UrgencyOrder.sorted(cell.readySteps, cell.durationEstimator, now);
@@ -162,9 +162,7 @@
       if (reservation != null && now < reservation.until()) {
         cell.reservations.reserve(step, reservation);
       }
-    } else if (now >= step.advice.nextRequestAt
-        && step.isGang()
-        && (!step.advice.hasSuitableWorkers() || preemptions.isTight(step, now))) {
+    } else if (now >= step.advice.nextRequestAt && mayRateForStops(step, now)) {
       requestRating(step, step.waitingCount(), workers, now);
     }
   }
@@ -199,7 +197,11 @@
         preemptions
             .plan(step, workers.stream().filter(advice::isSuitable).toList(), unreserved, now)
             .orElse(null);
-    return plan != null && advisePlanned(step, plan.resources(), now);
+    if (plan == null) {
+      step.planFailedAt = now;
+      return false;
+    }
+    return advisePlanned(step, plan.resources(), now);
   }
 
   private boolean advisePlanned(StepRun step, Map<WorkerView, Resources> planned, long now) {
@@ -221,7 +223,6 @@
   private boolean continuePreemption(StepRun step, List<WorkerView> workers, long now) {
     final StepPreemption preemption = step.preemption;
     step.preemption = null;
-    StepAdvice advice = step.advice;
     List<Task> waiting = List.of(step.tasks).stream().filter(Task::isWaiting).toList();
     if (now > preemption.until() || step.isGang() && !step.allTasksWaiting()) {
       return false;
@@ -238,6 +239,7 @@
       keep(step, preemption);
       return true;
     }
+    StepAdvice advice = step.advice;
     if (room.values().stream()
         .allMatch(worker -> advice == null || advice.validTicket(worker, now) != null)) {
       startTasks(step, room, now);
@@ -390,15 +392,21 @@
       StepRun step, int wanted, List<WorkerView> workers, long now) {
     List<WorkerView> unrated =
         unratedWorkers(step, wanted, workers, worker -> Placer.freeSlots(step, worker));
-    if (unrated.isEmpty()
-        && preemptions.mayPreempt(step)
-        && (step.isGang() || preemptions.isTight(step, now))) {
+    if (unrated.isEmpty() && preemptions.mayPreempt(step) && mayRateForStops(step, now)) {
       return unratedWorkers(
           step, wanted, workers, worker -> preemptions.slotsAfterStops(step, worker, now));
     }
     return unrated;
   }
 
+  /**
+   * Tells whether a step may ask about workers that have room only after stops: a gang once, so
+   * that it can plan, and any step for which the workers known to be suitable do not suffice.
+   */
+  private static boolean mayRateForStops(StepRun step, long now) {
+    return step.planFailedAt == now || step.isGang() && !step.advice.hasSuitableWorkers();
+  }
+
   /** Returns unrated workers, fastest or slowest kind first as the step prefers. */
   private List<WorkerView> unratedWorkers(
       StepRun step, int wanted, List<WorkerView> workers, ToIntFunction<WorkerView> room) {
--- a/core/src/main/java/org/hickorypier/core/cell/StepRun.java
+++ b/core/src/main/java/org/hickorypier/core/cell/StepRun.java
@@ -38,6 +38,9 @@
   /** Earliest time of the next plan to make room for the step. */
   long nextPreemptionAt;
 
+  /** When the workers known to be suitable did not suffice for a plan; 0 if that never was so. */
+  long planFailedAt;
+
   StepRun(Submission submission, int occurrence, int index, StepSpec spec, int firstTaskOffset) {
     this.submission = submission;
     this.occurrence = occurrence;
