--- a/core/src/main/java/org/hickorypier/core/cell/CellState.java
+++ b/core/src/main/java/org/hickorypier/core/cell/CellState.java
@@ -37,6 +37,7 @@
   final WorkerSpeedEstimator speedEstimator;
   final SuitabilityEstimator suitabilityEstimator = new SuitabilityEstimator();
   final Reservations reservations = new Reservations();
+  final LimitHeadroom headroom = new LimitHeadroom(this);
   final UrgentReserve reserve = new UrgentReserve();
   final ShareSampler shares = new ShareSampler(this);
   final WorkerLosses workerLosses = new WorkerLosses();
--- a/core/src/main/java/org/hickorypier/core/cell/StepRun.java
+++ b/core/src/main/java/org/hickorypier/core/cell/StepRun.java
@@ -33,9 +33,18 @@
   /** Run times that show the speeds of workers; null before the first of them. */
   StepSamples speedSamples;
 
-  /** Resources that are reserved while an advice request is pending, or null. */
+  /** Resources that are reserved while an advice request or stops are pending, or null. */
   StepReservation reservation;
 
+  /** Stops that make room for the step, or null. */
+  StepPreemption preemption;
+
+  /** Earliest time of the next plan to make room for the step. */
+  long nextPreemptionAt;
+
+  /** When the workers known to be suitable did not suffice for a plan; 0 if that never was so. */
+  long planFailedAt;
+
   StepRun(Submission submission, int occurrence, int index, StepSpec spec, int firstTaskOffset) {
     this.submission = submission;
     this.occurrence = occurrence;
