Refuse submissions that cannot be done while they are of use

Cause: nothing was refused under overload, so accepted work of one class turned late and useless while it waited.

--- /dev/null
+++ b/core/src/main/java/org/hickorypier/core/admission/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * Decides which submissions are refused because they cannot be done while they are of use, and in
+ * which order refused callers return. It uses no sockets and no clocks: callers pass the times.
+ */
+package org.hickorypier.core.admission;
--- a/core/src/main/java/org/hickorypier/core/cell/Cell.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Cell.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.hickorypier.core.admission.AdmissionDecision;
 import org.hickorypier.core.submission.SubmissionProgress;
 import org.hickorypier.core.submission.SubmissionSpec;
 import org.hickorypier.core.submission.SubmissionState;
@@ -22,6 +23,10 @@
 
   private static final String PART = "cell";
 
+  /** The decision on known submissions, and on all while nothing is refused. */
+  private static final AdmissionDecision UNDECIDED =
+      new AdmissionDecision(true, "", 0, AdmissionDecision.UNKNOWN, AdmissionDecision.UNKNOWN);
+
   /**
    * Exceeds the number of runs of one task that an owner orders: a run takes seconds, an epoch some
    * minutes.
@@ -44,6 +49,7 @@
   private final CrashTracker crashTracker;
   private final UpcomingSteps upcomingSteps;
   private final LongWaitLogger longWaitLogger;
+  private final AdmissionControl admission;
   private boolean rosterRestored;
   private boolean listOutOfDate;
   private final Map<String, ShareTokenBucket> shareBuckets = new HashMap<>();
@@ -76,6 +82,7 @@
     this.upcomingSteps = new UpcomingSteps(state);
     this.dispatcher = new Dispatcher(state, runs, upcomingSteps, crashTracker);
     this.longWaitLogger = new LongWaitLogger(state);
+    this.admission = new AdmissionControl(state);
   }
 
   /**
@@ -88,6 +95,36 @@
     state.dirty = true;
   }
 
+  /**
+   * Accepts a submission unless it surely cannot be done while it is of use. One that the cell
+   * knows is never refused.
+   *
+   * @param spec the specification from the caller
+   * @param mayRefuse whether the cell knows all accepted submissions, so that a refusal is true
+   * @param now the time
+   * @return the decision; if the submission is accepted, {@link #find} returns it unless it has
+   *     ended
+   */
+  public AdmissionDecision admit(SubmissionSpec spec, boolean mayRefuse, long now) {
+    boolean known = status(spec.id()) != null;
+    boolean decides = mayRefuse && !known && state.timings.decisions().admission();
+    AdmissionDecision decision =
+        decides ? admission.decide(spec, wouldExceedShare(spec, now), now) : UNDECIDED;
+    if (decision.accepted()) {
+      Submission submission = accept(spec, now);
+      if (!known) {
+        submission.estimateMillis = decision.estimateMillis();
+      }
+    }
+    return decision;
+  }
+
+  private boolean wouldExceedShare(SubmissionSpec spec, long now) {
+    CustomerLimits customer = state.usage.limits(spec.customer());
+    ShareTokenBucket bucket = shareBuckets.get(spec.customer());
+    return customer != null && bucket != null && !bucket.hasToken(customer.weight(), now);
+  }
+
   /**
    * Accepts a submission, or returns the existing one with its id.
    *
@@ -182,18 +219,32 @@
    *
    * @param id its id
    * @param now the time
-   * @return a line for the submission and one for each step; a single line if it is unknown or has
-   *     ended
+   * @return a line for the submission, one for each step and, until it ends, one for the estimated
+   *     time; a single line if it is unknown or has ended
    */
   public List<String> explain(String id, long now) {
     Submission submission = state.submissions.get(id);
     if (submission != null) {
-      return new Explanation(state, submission, now).lines();
+      List<String> lines = new Explanation(state, submission, now).lines();
+      if (submission.isLive()) {
+        lines.add(id + ": " + estimateLine(submission, now));
+      }
+      return lines;
     }
     EndedSubmission past = state.endedSubmissions.get(id);
     return List.of(id + (past == null ? " is not known" : " has ended: " + past.state()));
   }
 
+  private String estimateLine(Submission submission, long now) {
+    if (submission.state != SubmissionState.QUEUED) {
+      return "estimated time not known: it has started";
+    }
+    long estimate = admission.estimateMillis(submission, now);
+    return estimate == AdmissionDecision.UNKNOWN
+        ? "estimated time not known"
+        : "estimated to end in " + estimate + " ms at the earliest";
+  }
+
   /**
    * Returns the number of submissions that are not archived.
    *
@@ -496,6 +547,7 @@
     state.stepsMayBeReady |= readySteps.hasScheduledSubmissions();
     upcomingSteps.addUpcomingSteps(now);
     longWaitLogger.logLongWaits(now);
+    admission.tick(now);
     state.dirty |= !state.readySteps.isEmpty() || !upcomingSteps.upcoming().isEmpty();
   }
 }
--- a/core/src/main/java/org/hickorypier/core/cell/CellState.java
+++ b/core/src/main/java/org/hickorypier/core/cell/CellState.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.hickorypier.core.admission.EstimateErrors;
 import org.hickorypier.core.model.Resources;
 import org.hickorypier.core.submission.QueueTerms;
 import org.hickorypier.core.submission.StepSpec;
@@ -36,6 +37,7 @@
   final SuitabilityEstimator suitabilityEstimator = new SuitabilityEstimator();
   final Reservations reservations = new Reservations();
   final UrgentReserve reserve = new UrgentReserve();
+  final EstimateErrors estimateErrors = new EstimateErrors();
   final WorkerLosses workerLosses = new WorkerLosses();
   final Evacuations evacuations;
   final Map<String, Submission> submissions = new HashMap<>();
--- a/core/src/main/java/org/hickorypier/core/cell/CustomerUsage.java
+++ b/core/src/main/java/org/hickorypier/core/cell/CustomerUsage.java
@@ -31,6 +31,13 @@
     return limits.get(customer);
   }
 
+  /** Returns the upper limits of all customers. */
+  Map<String, Resources> upperLimits() {
+    Map<String, Resources> upper = new HashMap<>();
+    limits.forEach((name, customer) -> upper.put(name, customer.limit()));
+    return upper;
+  }
+
   /**
    * Sets the capacity of workers that may hold unknown runs. Any customer may own these runs, so
    * the whole capacity counts against each customer's limit.
--- a/core/src/main/java/org/hickorypier/core/cell/RunEndHandler.java
+++ b/core/src/main/java/org/hickorypier/core/cell/RunEndHandler.java
@@ -140,6 +140,8 @@
       return;
     }
     submission.state = SubmissionState.COMPLETED;
+    cell.estimateErrors.record(
+        submission.spec().queue().name(), submission.estimateMillis, now - submission.acceptedAt);
     cell.submissionEvent(
         "completed",
         submission,
--- a/core/src/main/java/org/hickorypier/core/cell/ShareTokenBucket.java
+++ b/core/src/main/java/org/hickorypier/core/cell/ShareTokenBucket.java
@@ -18,10 +18,20 @@
     this.tokens = Double.MAX_VALUE;
   }
 
-  boolean tryTake(double perSecond, long now) {
+  /** Returns whether a token is left, without taking it. */
+  boolean hasToken(double perSecond, long now) {
+    refill(perSecond, now);
+    return tokens >= 1;
+  }
+
+  private void refill(double perSecond, long now) {
     double filled = tokens + (now - refilledAt) * perSecond / MILLIS_PER_SECOND;
     tokens = Math.min(Math.max(1, perSecond), filled);
     refilledAt = now;
+  }
+
+  boolean tryTake(double perSecond, long now) {
+    refill(perSecond, now);
     if (tokens < 1) {
       return false;
     }
--- a/core/src/main/java/org/hickorypier/core/cell/Submission.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Submission.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.hickorypier.core.admission.AdmissionDecision;
 import org.hickorypier.core.submission.CrashRecord;
 import org.hickorypier.core.submission.SubmissionProgress;
 import org.hickorypier.core.submission.SubmissionSpec;
@@ -40,6 +41,9 @@
   /** True if it exceeds its customer's rate; it is placed after submissions within the rate. */
   boolean exceedsShare;
 
+  /** The least time until its end as estimated at its acceptance, in milliseconds; or unknown. */
+  long estimateMillis = AdmissionDecision.UNKNOWN;
+
   long endedAtMillis;
   int unfinishedSteps;
 
--- a/core/src/main/java/org/hickorypier/core/cell/UrgencyOrder.java
+++ b/core/src/main/java/org/hickorypier/core/cell/UrgencyOrder.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
+import org.hickorypier.core.admission.Place;
 import org.hickorypier.core.submission.QueueTerms;
 
 /**
@@ -16,7 +17,7 @@
 final class UrgencyOrder {
 
   /** Multiple of its objective after which a submission is of no use to its caller. */
-  private static final int USEFUL_OBJECTIVE_FACTOR = 3;
+  static final int USEFUL_OBJECTIVE_FACTOR = 3;
 
   private UrgencyOrder() {}
 
@@ -24,13 +25,9 @@
       Collection<StepRun> open, RunDurationEstimator durationEstimator, long now) {
     List<Ranked> ranked = new ArrayList<>(open.size());
     for (StepRun step : open) {
-      ranked.add(rank(step, durationEstimator, now));
+      ranked.add(new Ranked(step, place(step, durationEstimator, now)));
     }
-    ranked.sort(
-        Comparator.comparingInt(Ranked::band)
-            .thenComparingInt(Ranked::priority)
-            .thenComparing(Ranked::late)
-            .thenComparingLong(Ranked::deadline));
+    ranked.sort(Comparator.comparing(Ranked::place));
     List<StepRun> sorted = new ArrayList<>(ranked.size());
     for (Ranked next : ranked) {
       sorted.add(next.step);
@@ -38,7 +35,8 @@
     return sorted;
   }
 
-  private static Ranked rank(StepRun step, RunDurationEstimator durationEstimator, long now) {
+  /** Returns the place of a step: late work comes after work that may meet its objective. */
+  static Place place(StepRun step, RunDurationEstimator durationEstimator, long now) {
     Submission submission = step.submission;
     QueueTerms queue = submission.spec().queue();
     long objective = submission.objectiveMillis(durationEstimator);
@@ -51,9 +49,9 @@
     int band = (submission.exceedsShare ? 1 : 0) + (useless ? 2 : 0);
     long deadline = from + objective;
     boolean late = !step.isPersistent() && expectedEnd > deadline;
-    return new Ranked(step, band, queue.priority(), late, deadline);
+    return new Place(band, queue.priority(), late, deadline);
   }
 
-  /** A step with its sort keys: late work comes after work that may still meet its objective. */
-  private record Ranked(StepRun step, int band, int priority, boolean late, long deadline) {}
+  /** A step with its sort key. */
+  private record Ranked(StepRun step, Place place) {}
 }
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.hickorypier.core.admission.AdmissionDecision;
 import org.hickorypier.core.cell.Cell;
 import org.hickorypier.core.cell.CellTimings;
 import org.hickorypier.core.cell.ContactWindow;
@@ -186,33 +187,45 @@
       // since a successor can accept it shortly.
       return refuse(spec, "the store is unavailable", RetryAfter.delayMillis(spec));
     }
-    Submission submission = cell.accept(spec, now());
+    AdmissionDecision decision = cell.admit(spec, knowsAllAccepted(), now());
+    if (!decision.accepted()) {
+      return refuse(
+          spec,
+          decision.reason(),
+          decision.retryAfterMillis(),
+          "estimate_ms",
+          decision.estimateMillis(),
+          "limit_ms",
+          decision.limitMillis());
+    }
+    Submission submission = cell.find(spec.id());
     requestPass();
     Promise<LinkReply> promise = Promise.promise();
     pendingAcceptances.computeIfAbsent(submission, key -> new ArrayList<>()).add(promise);
     return promise.future();
   }
 
-  private Future<LinkReply> refuse(SubmissionSpec spec, String reason, long retryAfterMillis) {
-    dependencies
-        .log()
-        .event(
-            PART,
-            "refused",
-            "id",
-            spec.id(),
-            "customer",
-            spec.customer(),
-            "queue",
-            spec.queue().name(),
-            "reason",
-            reason,
-            "open",
-            cell.size(),
-            "store_away_ms",
-            journal.unavailableMillis(),
-            "retry_after_ms",
-            retryAfterMillis);
+  private Future<LinkReply> refuse(
+      SubmissionSpec spec, String reason, long retryAfterMillis, Object... more) {
+    List<Object> fields =
+        new ArrayList<>(
+            List.of(
+                "id",
+                spec.id(),
+                "customer",
+                spec.customer(),
+                "queue",
+                spec.queue().name(),
+                "reason",
+                reason,
+                "open",
+                cell.size(),
+                "store_away_ms",
+                journal.unavailableMillis(),
+                "retry_after_ms",
+                retryAfterMillis));
+    fields.addAll(List.of(more));
+    dependencies.log().event(PART, "refused", fields.toArray());
     return Future.succeededFuture(new LinkReply.Refused(reason, retryAfterMillis));
   }
 
