--- a/core/src/main/java/org/hickorypier/core/admission/AdmissionPolicy.java
+++ b/core/src/main/java/org/hickorypier/core/admission/AdmissionPolicy.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 import org.hickorypier.core.model.Resources;
 
@@ -48,8 +47,9 @@
     long estimate = 0;
     boolean limitBinds = false;
     for (StepDemand step : request.steps()) {
-      double byRoom = startByRoom(request, step, backlog);
-      double byLimit = startByLimit(request, step, backlog);
+      List<WorkGroup> ahead = ahead(request, step, backlog);
+      double byRoom = startByRoom(ahead, request, step, backlog);
+      double byLimit = startByLimit(ahead, request, backlog);
       long end = Math.round(Math.max(byRoom, byLimit)) + step.tailMillis();
       if (end > estimate) {
         estimate = end;
@@ -75,33 +75,39 @@
     return Math.max(MIN_RETRY_MILLIS, Math.min(MAX_RETRY_MILLIS, seconds * MILLIS_PER_SECOND));
   }
 
+  /** Returns the groups that may go first on any worker that a step may use. */
+  private static List<WorkGroup> ahead(AdmissionRequest request, StepDemand step, Backlog backlog) {
+    List<WorkGroup> ahead = new ArrayList<>();
+    for (WorkGroup group : backlog.groups()) {
+      if (isAhead(group, request, step)
+          && (group.requires().isEmpty() || group.requires().equals(step.requires()))) {
+        ahead.add(group);
+      }
+    }
+    return ahead;
+  }
+
   /** Returns the least time until a step has room on the workers that it may use. */
-  private static double startByRoom(AdmissionRequest request, StepDemand step, Backlog backlog) {
-    // On any worker that the step may use, waiting work without a requirement could go first.
-    Predicate<WorkGroup> anywhere =
-        group ->
-            isAhead(group, request, step)
-                && (group.requires().isEmpty() || group.requires().equals(step.requires()));
-    double start = startWithin(backlog.capacity(request.service(), ""), anywhere, request, backlog);
+  private static double startByRoom(
+      List<WorkGroup> ahead, AdmissionRequest request, StepDemand step, Backlog backlog) {
+    Resources whole = backlog.capacity(request.service(), "");
+    double start = startWithin(whole, ahead, request, backlog);
     if (step.requires().isEmpty()) {
       return start;
     }
-    Predicate<WorkGroup> labelled =
-        group -> isAhead(group, request, step) && group.requires().equals(step.requires());
+    List<WorkGroup> labelled = ahead.stream().filter(group -> !group.requires().isEmpty()).toList();
     Resources capacity = backlog.capacity(request.service(), step.requires());
     return Math.max(start, startWithin(capacity, labelled, request, backlog));
   }
 
-  private static double startByLimit(AdmissionRequest request, StepDemand step, Backlog backlog) {
+  private static double startByLimit(
+      List<WorkGroup> ahead, AdmissionRequest request, Backlog backlog) {
     Optional<Resources> limit = backlog.limit(request.customer());
     if (limit.isEmpty()) {
       return 0;
     }
-    Predicate<WorkGroup> own =
-        group ->
-            isAhead(group, request, step)
-                && group.customer().equals(request.customer())
-                && (group.requires().isEmpty() || group.requires().equals(step.requires()));
+    List<WorkGroup> own =
+        ahead.stream().filter(group -> group.customer().equals(request.customer())).toList();
     return startWithin(limit.get(), own, request, backlog);
   }
 
@@ -121,7 +127,7 @@
   }
 
   private static double startWithin(
-      Resources capacity, Predicate<WorkGroup> ahead, AdmissionRequest request, Backlog backlog) {
+      Resources capacity, List<WorkGroup> ahead, AdmissionRequest request, Backlog backlog) {
     double byProcessors =
         start(
             capacity.milliProcessors(),
@@ -147,7 +153,7 @@
    */
   private static double start(
       double capacity,
-      Predicate<WorkGroup> ahead,
+      List<WorkGroup> ahead,
       ToDoubleFunction<WorkGroup> work,
       ToDoubleFunction<Resources> amount,
       AdmissionRequest request,
@@ -159,8 +165,8 @@
     List<double[]> counted = new ArrayList<>();
     double millis = 0;
     for (boolean running : new boolean[] {true, false}) {
-      for (WorkGroup group : backlog.groups()) {
-        if (group.running() != running || !ahead.test(group)) {
+      for (WorkGroup group : ahead) {
+        if (group.running() != running) {
           continue;
         }
         double wanted = WORK_MARGIN * work.applyAsDouble(group);
--- a/core/src/main/java/org/hickorypier/core/cell/AdmissionControl.java
+++ b/core/src/main/java/org/hickorypier/core/cell/AdmissionControl.java
@@ -27,13 +27,15 @@
   private static final double FASTEST_PART = 0.5;
 
   private final CellState cell;
+  private final LearnedRunTimes runTimes;
   private final BacklogReader backlogReader;
   private final AdmissionController controller;
   private long reportedAt;
 
   AdmissionControl(CellState cell) {
     this.cell = cell;
-    this.backlogReader = new BacklogReader(cell);
+    this.runTimes = new LearnedRunTimes(cell);
+    this.backlogReader = new BacklogReader(cell, runTimes);
     this.controller = new AdmissionController(cell.estimateErrors);
     this.reportedAt = cell.takenOverAt;
   }
@@ -83,15 +85,11 @@
   private AdmissionRequest request(
       SubmissionSpec spec, boolean exceedsShare, long acceptedAt, long now) {
     QueueTerms queue = spec.queue();
-    Submission probe = new Submission(spec.withoutText(), 0, acceptedAt, 1);
-    long objective = probe.objectiveMillis(cell.durationEstimator);
-    long expected = cell.durationEstimator.expectedMillis(queue.name(), spec.criticalPathMillis());
+    long objective = runTimes.objectiveMillis(spec);
+    long deadline = acceptedAt + objective;
     Place place =
         new Place(
-            exceedsShare ? 1 : 0,
-            queue.priority(),
-            now + expected > acceptedAt + objective,
-            acceptedAt + objective);
+            exceedsShare ? 1 : 0, queue.priority(), runTimes.isLate(spec, deadline, now), deadline);
     long limit = UrgencyOrder.USEFUL_OBJECTIVE_FACTOR * objective - (now - acceptedAt);
     return new AdmissionRequest(
         spec.id(),
@@ -107,7 +105,7 @@
   /** Returns whether the end of a submission depends on room for known run times. */
   private boolean isPredictable(SubmissionSpec spec) {
     return !spec.isScheduled()
-        && backlogReader.isKnown(spec.queue().name())
+        && runTimes.isKnown(spec.queue().name())
         && spec.steps().stream()
             .noneMatch(step -> step.flags().persistent() || step.flags().opportunistic());
   }
@@ -127,7 +125,7 @@
     List<StepDemand> demands = new ArrayList<>();
     for (int index = 0; index < tails.length; index++) {
       StepSpec step = steps.get(index);
-      long runMillis = backlogReader.taskMillis(spec.queue().name(), step.estimateMillis());
+      long runMillis = runTimes.taskMillis(spec.queue().name(), step.estimateMillis());
       double work = (double) step.count() * runMillis;
       demands.add(
           new StepDemand(
@@ -142,7 +140,7 @@
   }
 
   private long leastMillis(SubmissionSpec spec, StepSpec step) {
-    long learned = backlogReader.taskMillis(spec.queue().name(), step.estimateMillis());
+    long learned = runTimes.taskMillis(spec.queue().name(), step.estimateMillis());
     return Math.round(FASTEST_PART * Math.min(learned, step.estimateMillis()));
   }
 }
--- a/core/src/main/java/org/hickorypier/core/cell/BacklogReader.java
+++ b/core/src/main/java/org/hickorypier/core/cell/BacklogReader.java
@@ -32,17 +32,16 @@
   /** Workers report what they run within this time after a takeover. */
   private static final long TAKEOVER_GRACE_MILLIS = 3_000;
 
-  /** Part of a caller's estimate that counts while no run of the queue has completed. */
-  private static final double UNKNOWN_QUEUE_PART = 0.1;
-
   /** Sizes in one class differ by less than a quarter, and a service has few of them. */
   private static final int SIZE_CLASS_BITS = 3;
 
   private final CellState cell;
+  private final LearnedRunTimes runTimes;
   private Backlog latest;
 
-  BacklogReader(CellState cell) {
+  BacklogReader(CellState cell, LearnedRunTimes runTimes) {
     this.cell = cell;
+    this.runTimes = runTimes;
   }
 
   /** Returns the backlog at most 100 ms ago. */
@@ -53,24 +52,6 @@
     return latest;
   }
 
-  /** Returns whether run times of a queue are known. */
-  boolean isKnown(String queue) {
-    return cell.durationEstimator.isKnown(queue);
-  }
-
-  /**
-   * Returns the expected run time of a task, in milliseconds, at least 1: the learned one, or the
-   * least that the caller's estimate may mean.
-   */
-  long taskMillis(String queue, long estimateMillis) {
-    // With an estimate of zero the estimator returns the mean of the queue.
-    double millis =
-        isKnown(queue)
-            ? cell.durationEstimator.expectedMillis(queue, 0)
-            : UNKNOWN_QUEUE_PART * estimateMillis;
-    return Math.max(1, Math.round(millis));
-  }
-
   static WorkUnit unit(StepSpec step) {
     return new WorkUnit(step.flags().gang() ? step.count() : 1, step.reservedResources());
   }
@@ -88,16 +69,14 @@
       addWaiting(sums, step, now);
     }
     List<WorkGroup> groups = new ArrayList<>();
-    sums.forEach((key, sum) -> groups.add(sum.toGroup(key, capacityPart(key.queue, sum.steps))));
+    sums.forEach((key, sum) -> groups.add(sum.toGroup(key, capacityPart(key, sum.steps))));
     boolean complete = cell.usage.isConfigured() && now - cell.takenOverAt >= TAKEOVER_GRACE_MILLIS;
     return new Backlog(now, complete, capacities, cell.usage.upperLimits(), groups);
   }
 
   /** Returns the part of the capacity that the advisor is expected to allow for some steps. */
-  private double capacityPart(QueueTerms queue, int steps) {
-    return queue.advice().isEmpty()
-        ? 1
-        : Math.min(1, steps * cell.suitabilityEstimator.share(queue.name()));
+  private double capacityPart(GroupKey key, int steps) {
+    return key.advised ? Math.min(1, steps * cell.suitabilityEstimator.share(key.queue)) : 1;
   }
 
   /** Returns whether a worker can take work, now or soon. */
@@ -124,7 +103,8 @@
       return;
     }
     StepRun step = run.task.step;
-    long runMillis = taskMillis(step.submission.spec().queue().name(), step.spec.estimateMillis());
+    long runMillis =
+        runTimes.taskMillis(step.submission.spec().queue().name(), step.spec.estimateMillis());
     long elapsed = run.isConfirmed() ? now - run.confirmedAt : 0;
     add(sums, step, true, Math.max(0, runMillis - elapsed), 1, runMillis, now);
   }
@@ -134,7 +114,8 @@
     if (waiting == 0 || !step.submission.isLive() || step.isPersistent()) {
       return;
     }
-    long runMillis = taskMillis(step.submission.spec().queue().name(), step.spec.estimateMillis());
+    long runMillis =
+        runTimes.taskMillis(step.submission.spec().queue().name(), step.spec.estimateMillis());
     // A task that resumes has less left to do; how much is not known.
     int counted = 0;
     for (Task task : step.tasks) {
@@ -152,15 +133,18 @@
       long runMillis,
       long now) {
     Submission submission = step.submission;
-    Place place = UrgencyOrder.place(step, cell.durationEstimator, now);
-    long objective = submission.objectiveMillis(cell.durationEstimator);
+    QueueTerms queue = submission.spec().queue();
+    Place place = runTimes.place(step, now);
+    long objective = runTimes.objectiveMillis(submission.spec());
     Place group = groupPlace(place, Math.max(1, objective / DEADLINE_PERIODS));
     long useful = submission.acceptedAt + UrgencyOrder.USEFUL_OBJECTIVE_FACTOR * objective;
     Resources size = step.spec.reservedResources();
     WorkUnit unit = unit(step.spec);
     GroupKey key =
         new GroupKey(
-            submission.spec().queue(),
+            queue.service(),
+            queue.name(),
+            queue.advice().isPresent(),
             submission.spec().customer(),
             step.spec.requires(),
             running,
@@ -189,7 +173,9 @@
 
   /** What the steps of one group have in common. */
   private record GroupKey(
-      QueueTerms queue,
+      String service,
+      String queue,
+      boolean advised,
       String customer,
       String requires,
       boolean running,
@@ -220,7 +206,7 @@
 
     WorkGroup toGroup(GroupKey key, double capacityPart) {
       return new WorkGroup(
-          key.queue.service(),
+          key.service,
           key.customer,
           key.requires,
           key.place,
--- /dev/null
+++ b/core/src/main/java/org/hickorypier/core/cell/LearnedRunTimes.java
@@ -0,0 +1,55 @@
+package org.hickorypier.core.cell;
+
+import org.hickorypier.core.admission.Place;
+import org.hickorypier.core.submission.SubmissionSpec;
+
+/**
+ * The run times that admission counts with. It is the only use that admission makes of the
+ * estimator of the cell. Confined to the control thread.
+ */
+final class LearnedRunTimes {
+
+  /** Part of a caller's estimate that counts while no run of the queue has completed. */
+  private static final double UNKNOWN_QUEUE_PART = 0.1;
+
+  private final CellState cell;
+
+  LearnedRunTimes(CellState cell) {
+    this.cell = cell;
+  }
+
+  /** Returns whether run times of a queue are known. */
+  boolean isKnown(String queue) {
+    return cell.durationEstimator.isKnown(queue);
+  }
+
+  /**
+   * Returns the expected run time of a task, in milliseconds, at least 1: the learned one, or the
+   * least that the caller's estimate may mean.
+   */
+  long taskMillis(String queue, long estimateMillis) {
+    // With an estimate of zero the estimator returns the mean of the queue.
+    double millis =
+        isKnown(queue)
+            ? cell.durationEstimator.expectedMillis(queue, 0)
+            : UNKNOWN_QUEUE_PART * estimateMillis;
+    return Math.max(1, Math.round(millis));
+  }
+
+  /** Returns the time within which a submission meets its objective, in milliseconds. */
+  long objectiveMillis(SubmissionSpec spec) {
+    return Submission.objectiveMillis(spec, cell.durationEstimator);
+  }
+
+  /** Returns whether a submission whose tasks start now is expected to miss a deadline. */
+  boolean isLate(SubmissionSpec spec, long deadline, long now) {
+    long expected =
+        cell.durationEstimator.expectedMillis(spec.queue().name(), spec.criticalPathMillis());
+    return now + expected > deadline;
+  }
+
+  /** Returns the place of a step in the order of placing. */
+  Place place(StepRun step, long now) {
+    return UrgencyOrder.place(step, cell.durationEstimator, now);
+  }
+}
--- a/core/src/main/java/org/hickorypier/core/cell/Submission.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Submission.java
@@ -123,6 +123,10 @@
 
   /** Returns the time within which it meets its objective, in milliseconds. */
   long objectiveMillis(RunDurationEstimator durationEstimator) {
+    return objectiveMillis(spec, durationEstimator);
+  }
+
+  static long objectiveMillis(SubmissionSpec spec, RunDurationEstimator durationEstimator) {
     long chain = durationEstimator.expectedMillis(spec.queue().name(), spec.criticalPathMillis());
     return Math.round(spec.queue().stretch() * chain) + spec.queue().objectiveMillis();
   }
--- a/core/src/test/java/org/hickorypier/core/cell/AdmissionLoadTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/AdmissionLoadTest.java
@@ -72,10 +72,6 @@
     private long returnRefusedAt = -BACKLOG_AGE_MILLIS;
     private double usefulCoreSeconds;
 
-    Load() {
-      this(11, true);
-    }
-
     Load(long seed, boolean admission) {
       random = new Random(seed);
       DecisionSettings decisions =
@@ -226,7 +222,7 @@
 
   @Test
   void neverRefusesBelowCapacityNorInShortBursts() {
-    Load load = new Load();
+    Load load = new Load(11, true);
     for (int burst = 0; burst < 4; burst++) {
       load.play(2_000, 3);
       load.play(15_000, USUAL_LOAD * 0.8);
@@ -269,7 +265,7 @@
 
   @Test
   void callersThatReturnGetInBeforeNewcomers() {
-    Load load = new Load();
+    Load load = new Load(11, true);
     load.play(20_000, 0.5, 0.5, 25);
     load.play(30_000, 0.5, 0.5, 1);
     load.report("returns");
@@ -280,7 +276,7 @@
 
   @Test
   void knownIdIsNeverRefusedAndNextOwnerAcceptsByItsOwnEstimate() {
-    Load load = new Load();
+    Load load = new Load(11, true);
     load.play(12_000, 0.5, 0.5, 25);
     Submission known = load.open.keySet().iterator().next();
     SubmissionSpec refused =
--- a/daemon/src/test/java/org/hickorypier/daemon/node/NodeTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/NodeTest.java
@@ -351,6 +351,32 @@
     }
   }
 
+  /**
+   * Guards against a refusal of a submission that runs all the same: one that is refused for lack
+   * of room is not known afterwards, and an accepted one is acknowledged again in the full cell.
+   */
+  @Test
+  void submissionThatCannotBeDoneInTimeIsRefusedAndNotKnown() throws Exception {
+    try (SmallCluster cluster = new SmallCluster(1, 200)) {
+      SmallCluster.Instance first = cluster.start();
+      SmallCluster.Instance second = cluster.start();
+      String warmUp = ID_FORMAT.formatted(0);
+      cluster.submit(first, warmUp, 16);
+      cluster.waitUntil(() -> cluster.state(first, warmUp).equals("completed"));
+      AtomicInteger submitted = new AtomicInteger();
+      String format = "6d1f8b32e05c%04x";
+      cluster.waitUntil(
+          () ->
+              cluster.submit(second, format.formatted(submitted.incrementAndGet()), 200).status()
+                  == 503);
+      assertThat(cluster.hasLogged(first, "estimate_ms")).isTrue();
+      String refused = format.formatted(submitted.get());
+      String accepted = format.formatted(submitted.get() - 1);
+      assertThat(cluster.state(first, refused)).isEqualTo("410");
+      assertThat(cluster.submit(second, accepted, 200).status()).isEqualTo(200);
+    }
+  }
+
   @Test
   void invalidInputIsReportedWithAllowedRange() throws Exception {
     try (SmallCluster cluster = new SmallCluster(1, 20)) {
