--- a/core/src/main/java/org/hickorypier/core/cell/CellState.java
+++ b/core/src/main/java/org/hickorypier/core/cell/CellState.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import org.hickorypier.core.estimation.RunTimeEstimator;
 import org.hickorypier.core.estimation.WorkerSpeedEstimator;
+import org.hickorypier.core.admission.EstimateErrors;
 import org.hickorypier.core.model.Resources;
 import org.hickorypier.core.submission.QueueTerms;
 import org.hickorypier.core.submission.StepSpec;
@@ -40,6 +41,7 @@
   final LimitHeadroom headroom = new LimitHeadroom(this);
   final UrgentReserve reserve = new UrgentReserve();
   final ShareSampler shares = new ShareSampler(this);
+  final EstimateErrors estimateErrors = new EstimateErrors();
   final WorkerLosses workerLosses = new WorkerLosses();
   final Evacuations evacuations;
   final Map<String, Submission> submissions = new HashMap<>();
--- a/core/src/main/java/org/hickorypier/core/cell/Submission.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Submission.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.hickorypier.core.admission.AdmissionDecision;
 import org.hickorypier.core.estimation.RunTimeEstimator;
 import org.hickorypier.core.submission.CrashRecord;
 import org.hickorypier.core.submission.StepSpec;
@@ -42,6 +43,9 @@
   /** True if it exceeds its customer's rate; it is placed after submissions within the rate. */
   boolean exceedsShare;
 
+  /** The least time until its end as estimated at its acceptance, in milliseconds; or unknown. */
+  long estimateMillis = AdmissionDecision.UNKNOWN;
+
   long endedAtMillis;
   int unfinishedSteps;
 
@@ -121,10 +125,14 @@
 
   /** Returns the time within which it meets its objective, in milliseconds. */
   long objectiveMillis(RunTimeEstimator durationEstimator) {
+    return objectiveMillis(spec, durationEstimator);
+  }
+
+  static long objectiveMillis(SubmissionSpec spec, RunTimeEstimator durationEstimator) {
     long longest = 0;
-    for (StepRun step : occurrences[0]) {
-      if (step.spec.dependsOn().isEmpty()) {
-        longest = Math.max(longest, pathMillisFrom(step, durationEstimator));
+    for (int index = 0; index < spec.steps().size(); index++) {
+      if (spec.steps().get(index).dependsOn().isEmpty()) {
+        longest = Math.max(longest, pathMillisFrom(spec, index, durationEstimator));
       }
     }
     return Math.round(spec.queue().stretch() * longest) + spec.queue().objectiveMillis();
@@ -134,14 +142,19 @@
    * Returns the expected duration of the longest chain that begins with a step, in milliseconds.
    */
   long pathMillisFrom(StepRun step, RunTimeEstimator durationEstimator) {
+    return pathMillisFrom(spec, step.index, durationEstimator);
+  }
+
+  private static long pathMillisFrom(
+      SubmissionSpec spec, int first, RunTimeEstimator durationEstimator) {
     String queue = spec.queue().name();
     List<StepSpec> steps = spec.steps();
     long[] ends = new long[steps.size()];
     long longest = 0;
-    for (int index = step.index; index < ends.length; index++) {
-      long begin = index == step.index ? 0 : -1;
+    for (int index = first; index < ends.length; index++) {
+      long begin = index == first ? 0 : -1;
       for (int earlier : steps.get(index).dependsOn()) {
-        begin = Math.max(begin, earlier < step.index ? -1 : ends[earlier]);
+        begin = Math.max(begin, earlier < first ? -1 : ends[earlier]);
       }
       long estimate = steps.get(index).estimateMillis();
       ends[index] = begin < 0 ? -1 : begin + durationEstimator.expectedMillis(queue, estimate);
