Refuse truly what no append has carried, and repeated requests where that is certain

Change: while the store is unavailable, new submissions join no append, and those of appends that the store refused each time are taken out again. NotOwner tells under which epoch the request may have been written, Refused the epoch of the owner; RefusalCertainty decides with them. The link to a replaced owner stays open for a second, so that its last replies decide. All new fields are at the end of their frames, so earlier versions ignore them.

--- /dev/null
+++ b/core/src/main/java/org/hickorypier/core/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Decides which submissions are refused, and which refusals are certain. */
+package org.hickorypier.core.admission;
--- a/core/src/main/java/org/hickorypier/core/cell/Cell.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Cell.java
@@ -115,6 +115,21 @@
     return submission;
   }
 
+  /**
+   * Forgets a submission of which nothing was written, so that its caller can be refused.
+   *
+   * @param submission the submission
+   * @throws IllegalStateException if it is durable
+   */
+  public void withdraw(Submission submission) {
+    if (submission.durable) {
+      throw new IllegalStateException("a durable submission cannot be withdrawn");
+    }
+    // Steps whose advice is under way are skipped from now on.
+    submission.state = SubmissionState.CANCELLED;
+    state.submissions.remove(submission.spec().id(), submission);
+  }
+
   /**
    * Restores a submission of an earlier owner.
    *
--- a/daemon/src/main/java/org/hickorypier/daemon/link/LinkCodec.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/link/LinkCodec.java
@@ -78,6 +78,7 @@
     if (request instanceof LinkRequest.Submit submit) {
       byte[] spec = SubmissionCodec.encode(submit.spec());
       packer.packInt(SUBMIT).packBinaryHeader(spec.length).writePayload(spec);
+      packer.packLong(submit.waitMillis());
     } else if (request instanceof LinkRequest.Inquire inquire) {
       packer.packInt(INQUIRE).packString(inquire.id()).packString(inquire.customer());
     } else if (request instanceof LinkRequest.Cancel cancel) {
@@ -120,6 +121,7 @@
       packer.packInt(ACCEPTED);
     } else if (reply instanceof LinkReply.Refused refused) {
       packer.packInt(REFUSED).packString(refused.reason()).packLong(refused.retryAfterMillis());
+      packer.packInt(refused.epoch());
     } else if (reply instanceof LinkReply.State state) {
       packer.packInt(STATE).packInt(state.state().ordinal());
     } else if (reply instanceof LinkReply.NotKnown) {
@@ -140,8 +142,8 @@
     } else if (reply instanceof LinkReply.Configuration configuration) {
       packer.packInt(CONFIGURATION).packLong(configuration.ageMillis());
       packer.packString(configuration.record());
-    } else if (reply instanceof LinkReply.NotOwner) {
-      packer.packInt(NOT_OWNER);
+    } else if (reply instanceof LinkReply.NotOwner denial) {
+      packer.packInt(NOT_OWNER).packInt(denial.writingEpoch());
     } else if (reply instanceof LinkReply.Failed) {
       packer.packInt(FAILED);
     } else {
@@ -242,7 +244,9 @@
     switch (type) {
       case SUBMIT:
         byte[] spec = unpacker.readPayload(unpacker.unpackBinaryHeader());
-        return new LinkRequest.Submit(SubmissionCodec.decode(spec));
+        // Earlier versions end after the specification.
+        return new LinkRequest.Submit(
+            SubmissionCodec.decode(spec), unpacker.hasNext() ? unpacker.unpackLong() : 0);
       case INQUIRE:
         return new LinkRequest.Inquire(unpacker.unpackString(), unpacker.unpackString());
       case CANCEL:
@@ -291,7 +295,11 @@
       case ACCEPTED:
         return new LinkReply.Accepted();
       case REFUSED:
-        return new LinkReply.Refused(unpacker.unpackString(), unpacker.unpackLong());
+        // Earlier versions end after the delay.
+        return new LinkReply.Refused(
+            unpacker.unpackString(),
+            unpacker.unpackLong(),
+            unpacker.hasNext() ? unpacker.unpackInt() : 0);
       case STATE:
         return new LinkReply.State(SubmissionState.values()[unpacker.unpackInt()]);
       case NOT_KNOWN:
@@ -313,7 +321,10 @@
       case CONFIGURATION:
         return new LinkReply.Configuration(unpacker.unpackLong(), unpacker.unpackString());
       case NOT_OWNER:
-        return new LinkReply.NotOwner();
+        // Earlier versions end after the type.
+        return unpacker.hasNext()
+            ? new LinkReply.NotOwner(unpacker.unpackInt())
+            : new LinkReply.NotOwner();
       case FAILED:
         return new LinkReply.Failed();
       case NOTED:
--- a/daemon/src/main/java/org/hickorypier/daemon/link/LinkReply.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/link/LinkReply.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import org.hickorypier.core.admission.CopyOutcome;
 import org.hickorypier.core.cell.StartOutcome;
 import org.hickorypier.core.submission.SubmissionState;
 
@@ -16,8 +17,20 @@
    *
    * @param reason the reason
    * @param retryAfterMillis the delay before a retry, in milliseconds
+   * @param epoch the epoch of the owner that refused it; 0 if unknown, as from earlier versions
    */
-  record Refused(String reason, long retryAfterMillis) implements LinkReply {}
+  record Refused(String reason, long retryAfterMillis, int epoch) implements LinkReply {
+
+    /**
+     * Creates a refusal without an epoch.
+     *
+     * @param reason the reason
+     * @param retryAfterMillis the delay before a retry, in milliseconds
+     */
+    public Refused(String reason, long retryAfterMillis) {
+      this(reason, retryAfterMillis, 0);
+    }
+  }
 
   /**
    * The state of a submission.
@@ -79,8 +92,29 @@
    */
   record Configuration(long ageMillis, String record) implements LinkReply {}
 
-  /** The instance is not, or no longer, the owner; the request may be sent to the next owner. */
-  record NotOwner() implements LinkReply {}
+  /**
+   * The instance is not, or no longer, the owner; the request may be sent to the next owner.
+   *
+   * @param writingEpoch the epoch under which the receiver may have written the request to the
+   *     journal, {@link CopyOutcome#NOT_WRITTEN} if it has not and will not, or {@link
+   *     CopyOutcome#NOT_TOLD}, as from earlier versions
+   */
+  record NotOwner(int writingEpoch) implements LinkReply {
+
+    /** Creates a reply that does not say whether the request was written. */
+    public NotOwner() {
+      this(CopyOutcome.NOT_TOLD);
+    }
+
+    /**
+     * Returns the reply to a request that the receiver has not written and will not write.
+     *
+     * @return the reply
+     */
+    public static NotOwner notWritten() {
+      return new NotOwner(CopyOutcome.NOT_WRITTEN);
+    }
+  }
 
   /** The request could not be carried out, for instance because the advisor gave no answer. */
   record Failed() implements LinkReply {}
--- a/daemon/src/main/java/org/hickorypier/daemon/link/LinkRequest.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/link/LinkRequest.java
@@ -24,8 +24,20 @@
    * Accepts a submission.
    *
    * @param spec the submission
+   * @param waitMillis how long the caller still waits, in milliseconds; 0 if unknown, as from
+   *     earlier versions
    */
-  record Submit(SubmissionSpec spec) implements LinkRequest {}
+  record Submit(SubmissionSpec spec, long waitMillis) implements LinkRequest {
+
+    /**
+     * Creates a request whose caller waits for an unknown time.
+     *
+     * @param spec the submission
+     */
+    public Submit(SubmissionSpec spec) {
+      this(spec, 0);
+    }
+  }
 
   /**
    * Queries the state of a submission.
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/JournalWriter.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/JournalWriter.java
@@ -1,7 +1,9 @@
 package org.hickorypier.daemon.owner;
 
+import io.vertx.core.Future;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -9,6 +11,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.TreeSet;
 import org.hickorypier.core.cell.EventLog;
 import org.hickorypier.core.cell.Submission;
 import org.hickorypier.core.submission.SubmissionCodec;
@@ -17,7 +20,6 @@
 import org.hickorypier.daemon.time.TimerService;
 import org.hickorypier.platform.store.Append;
 import org.hickorypier.platform.store.KeyedRecord;
-import org.hickorypier.platform.store.StoreClient;
 import org.hickorypier.platform.store.StoreError;
 import org.hickorypier.platform.store.StoreException;
 
@@ -25,12 +27,17 @@
  * Writes the owner's journal with a few appends in flight; all that is saved meanwhile goes into
  * the next append.
  *
+ * <p>While the store is unavailable, new submissions join no append, so that few of them have an
+ * unknown outcome; those of an append of which every attempt had no effect are taken out of it. All
+ * else is appended as usual.
+ *
  * <p>Invariants: an append whose outcome is unknown is repeated unchanged, under the same sequence
- * number, until the store reports its outcome; nothing is written after a successor has fenced the
- * partition. Each success proves that no successor had fenced it when the append was sent. Confined
- * to the control thread.
+ * number, until the store reports its outcome; a submission is withdrawn only if no append that may
+ * have taken effect, or is being sent, has carried it; nothing is written after a successor has
+ * fenced the partition. Each success proves that no successor had fenced it when the append was
+ * sent. Confined to the control thread.
  */
-final class JournalWriter {
+final class JournalWriter implements PendingAcceptances.Journal {
 
   private static final String PART = "journal";
 
@@ -55,14 +62,18 @@
   /** Well below the largest call that the store accepts, 2 MB. */
   private static final int BATCH_BYTES = 1 << 20;
 
-  private final StoreClient store;
+  private final Store store;
   private final TimerService timers;
   private final SuspensionDetector suspensionDetector;
   private final DelayMonitor delayMonitor;
   private final EventLog log;
   private final int epoch;
   private final Callbacks callbacks;
-  private final Map<String, Submission> unsavedSpecs = new LinkedHashMap<>();
+
+  /** Submissions to be written for the first time that no append carries, oldest first. */
+  private final TreeSet<Submission> newSubmissions =
+      new TreeSet<>(Comparator.comparingLong(Submission::number));
+
   private final Set<Submission> changedSubmissions = new LinkedHashSet<>();
   private final Map<String, byte[]> otherRecords = new LinkedHashMap<>();
   private final List<Runnable> waitingActions = new ArrayList<>();
@@ -83,7 +94,7 @@
    * @param sequence the sequence number of the last append of this epoch
    */
   JournalWriter(
-      StoreClient store,
+      Store store,
       TimerService timers,
       SuspensionDetector suspensionDetector,
       DelayMonitor delayMonitor,
@@ -102,6 +113,18 @@
     this.provenAt = timers.nowMillis();
   }
 
+  /** The store that keeps the journal. */
+  @FunctionalInterface
+  interface Store {
+
+    /**
+     * Appends records, once for each epoch and sequence number.
+     *
+     * @return completes when they are written; fails with a {@link StoreException}
+     */
+    Future<Long> append(Append append, long timeoutMillis);
+  }
+
   /** The events that the owner is told of. */
   interface Callbacks {
 
@@ -113,11 +136,27 @@
   }
 
   void save(Submission submission) {
-    if (!submission.durable()) {
-      unsavedSpecs.put(submission.spec().id(), submission);
+    if (submission.durable()) {
+      changedSubmissions.add(submission);
+    } else {
+      newSubmissions.add(submission);
     }
-    changedSubmissions.add(submission);
-    schedule();
+    scheduleIfNeeded();
+  }
+
+  @Override
+  public boolean withdraw(Submission submission) {
+    return isUnsent(submission) && newSubmissions.remove(submission);
+  }
+
+  @Override
+  public boolean isUnsent(Submission submission) {
+    return newSubmissions.contains(submission)
+        && inFlight.stream().noneMatch(batch -> batch.versions.containsKey(submission));
+  }
+
+  private boolean hasNewSubmissionsToWrite() {
+    return !newSubmissions.isEmpty() && !unavailable;
   }
 
   void put(String key, byte[] value) {
@@ -125,9 +164,10 @@
     schedule();
   }
 
+  /** Runs an action once all that was saved before is written, but submissions held back. */
   void afterSave(Runnable action) {
     if (inFlight.isEmpty()
-        && unsavedSpecs.isEmpty()
+        && !hasNewSubmissionsToWrite()
         && changedSubmissions.isEmpty()
         && otherRecords.isEmpty()) {
       action.run();
@@ -151,7 +191,8 @@
    * Returns for how long the store has refused or not answered the present append, in milliseconds;
    * 0 if it has not.
    */
-  long unavailableMillis() {
+  @Override
+  public long unavailableMillis() {
     return unavailable ? timers.nowMillis() - unavailableSince : 0;
   }
 
@@ -210,7 +251,8 @@
     List<KeyedRecord> records = new ArrayList<>();
     otherRecords.forEach((key, value) -> records.add(new KeyedRecord(key, value)));
     otherRecords.clear();
-    final Map<Submission, Long> versions = drainChanges(records);
+    Map<Submission, KeyedRecord> newSpecs = new HashMap<>();
+    final Map<Submission, Long> versions = drainChanges(records, newSpecs);
     if (records.isEmpty()) {
       releaseWaitingActions();
       return;
@@ -218,26 +260,44 @@
     // Actions wait for all that was saved before them, so they stay queued while some of it is
     // left over.
     List<Runnable> actions = new ArrayList<>();
-    if (changedSubmissions.isEmpty()) {
+    if (changedSubmissions.isEmpty() && !hasNewSubmissionsToWrite()) {
       actions.addAll(waitingActions);
       waitingActions.clear();
     }
     sequence++;
-    Append append =
-        new Append(
-            JournalKeys.TOPIC,
-            JournalKeys.PARTITION,
-            records,
-            OptionalLong.empty(),
-            JournalKeys.PRODUCER,
-            epoch,
-            sequence);
-    Batch batch = new Batch(append, versions, actions);
+    Batch batch = new Batch(toAppend(records, sequence), versions, newSpecs, actions);
     inFlight.add(batch);
     send(batch);
     scheduleIfNeeded();
   }
 
+  private Append toAppend(List<KeyedRecord> records, long number) {
+    return new Append(
+        JournalKeys.TOPIC,
+        JournalKeys.PARTITION,
+        records,
+        OptionalLong.empty(),
+        JournalKeys.PRODUCER,
+        epoch,
+        number);
+  }
+
+  /** Takes the new submissions out of an append of which no attempt had an effect. */
+  private void takeBackNewSubmissions(Batch batch) {
+    if (batch.newSpecs.isEmpty()) {
+      return;
+    }
+    List<KeyedRecord> records = new ArrayList<>(batch.append.records());
+    records.removeAll(batch.newSpecs.values());
+    if (records.isEmpty()) {
+      records.add(new KeyedRecord(JournalKeys.PROOF, new byte[] {1}));
+    }
+    batch.append = toAppend(records, batch.append.sequence());
+    batch.versions.keySet().removeAll(batch.newSpecs.keySet());
+    newSubmissions.addAll(batch.newSpecs.keySet());
+    batch.newSpecs.clear();
+  }
+
   /**
    * Runs the waiting actions when nothing is left to write, or attaches them to the last append in
    * flight.
@@ -252,31 +312,42 @@
     }
   }
 
-  private Map<Submission, Long> drainChanges(List<KeyedRecord> records) {
+  private Map<Submission, Long> drainChanges(
+      List<KeyedRecord> records, Map<Submission, KeyedRecord> newSpecs) {
     Map<Submission, Long> versions = new HashMap<>();
     int bytes = 0;
     var changed = changedSubmissions.iterator();
     while (changed.hasNext() && bytes < BATCH_BYTES) {
       Submission submission = changed.next();
       changed.remove();
-      String id = submission.spec().id();
       versions.put(submission, submission.version());
-      if (unsavedSpecs.remove(id) != null) {
-        byte[] spec = SubmissionCodec.encode(submission.spec(), submission.number());
-        bytes += spec.length;
-        records.add(new KeyedRecord(JournalKeys.specKey(id), spec));
-      }
       if (submission.needsSaving()) {
-        byte[] value = SubmissionCodec.encodeProgress(submission.progress());
-        bytes += value.length;
-        records.add(new KeyedRecord(JournalKeys.progressKey(id), value));
+        bytes += addProgress(submission, records);
       }
     }
+    while (hasNewSubmissionsToWrite() && bytes < BATCH_BYTES) {
+      Submission submission = newSubmissions.pollFirst();
+      versions.put(submission, submission.version());
+      byte[] spec = SubmissionCodec.encode(submission.spec(), submission.number());
+      bytes += spec.length;
+      KeyedRecord record = new KeyedRecord(JournalKeys.specKey(submission.spec().id()), spec);
+      newSpecs.put(submission, record);
+      records.add(record);
+    }
     return versions;
   }
 
+  private static int addProgress(Submission submission, List<KeyedRecord> records) {
+    byte[] value = SubmissionCodec.encodeProgress(submission.progress());
+    records.add(new KeyedRecord(JournalKeys.progressKey(submission.spec().id()), value));
+    return value.length;
+  }
+
   private void scheduleIfNeeded() {
-    if (!changedSubmissions.isEmpty() || !otherRecords.isEmpty() || !waitingActions.isEmpty()) {
+    if (!changedSubmissions.isEmpty()
+        || hasNewSubmissionsToWrite()
+        || !otherRecords.isEmpty()
+        || !waitingActions.isEmpty()) {
       schedule();
     }
   }
@@ -329,6 +400,7 @@
     // An answer that lies unread does not make the store unavailable.
     boolean inconclusive =
         error.error() == StoreError.UNKNOWN && delayMonitor.wasDelayedSince(batch.lastSentAt);
+    batch.mayBeWritten |= !early && error.error() != StoreError.UNAVAILABLE;
     if (!early && !inconclusive && !unavailable) {
       unavailable = true;
       unavailableSince = timers.nowMillis();
@@ -342,6 +414,9 @@
           "proof_age_ms",
           timers.nowMillis() - provenAt);
     }
+    if (unavailable && !batch.mayBeWritten) {
+      takeBackNewSubmissions(batch);
+    }
     timers.after(
         early ? LINGER : RETRY_DELAY,
         () -> {
@@ -354,8 +429,12 @@
   /** One append, with the versions and actions to report once it is written. */
   private static final class Batch {
 
-    private final Append append;
+    private Append append;
     private final Map<Submission, Long> versions;
+
+    /** The records of submissions that this append writes for the first time. */
+    private final Map<Submission, KeyedRecord> newSpecs;
+
     private final List<Runnable> actions;
 
     /**
@@ -368,9 +447,17 @@
     private int attempts;
     private boolean done;
 
-    Batch(Append append, Map<Submission, Long> versions, List<Runnable> actions) {
+    /** Whether an attempt may have had an effect; its content is fixed from then on. */
+    private boolean mayBeWritten;
+
+    Batch(
+        Append append,
+        Map<Submission, Long> versions,
+        Map<Submission, KeyedRecord> newSpecs,
+        List<Runnable> actions) {
       this.append = append;
       this.versions = versions;
+      this.newSpecs = newSpecs;
       this.actions = actions;
     }
   }
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.hickorypier.core.admission.WithdrawalPolicy;
 import org.hickorypier.core.cell.Cell;
 import org.hickorypier.core.cell.CellTimings;
 import org.hickorypier.core.cell.ContactWindow;
@@ -51,9 +52,6 @@
   /** A full queue shrinks by some thousand submissions in this time. */
   private static final long QUEUE_FULL_RETRY_AFTER_MILLIS = 2_000;
 
-  /** A takeover completes within this time if any instance reaches the store. */
-  private static final long TAKEOVER_MILLIS = 2_200;
-
   /**
    * Maximum age of the proof of ownership behind a "not known" reply. It is below the 3 s after
    * which an accepted submission must be known everywhere.
@@ -68,7 +66,7 @@
   private final WorkerListReader workerListReader;
   private final Consumer<String> onLost;
   private final Map<String, LeaseRenewer> leaseRenewers = new HashMap<>();
-  private final Map<Submission, List<Promise<LinkReply>>> pendingAcceptances = new HashMap<>();
+  private final PendingAcceptances pendingAcceptances;
 
   /** Cancellations that wait for the journal. */
   private final List<Promise<LinkReply>> pendingCancellations = new ArrayList<>();
@@ -107,7 +105,7 @@
     this.cell = new Cell(dependencies.timings(), orders, dependencies.log(), taken.epoch(), now);
     this.journal =
         new JournalWriter(
-            dependencies.store(),
+            dependencies.store()::append,
             dependencies.timers(),
             dependencies.suspensionDetector(),
             dependencies.delayMonitor(),
@@ -115,6 +113,7 @@
             taken.epoch(),
             taken.sequence(),
             new JournalEvents());
+    this.pendingAcceptances = new PendingAcceptances(this::now, journal);
     this.workerListReader = new WorkerListReader(dependencies, this::workersListed);
     orders.connect(cell, journal);
     customers.ifPresent(cell::configure);
@@ -172,7 +171,12 @@
     return journal.unavailableMillis() > millis;
   }
 
-  Future<LinkReply> submit(SubmissionSpec spec) {
+  /**
+   * Accepts a submission.
+   *
+   * @param waitMillis how long the caller waits, in milliseconds; 0 if unknown
+   */
+  Future<LinkReply> submit(SubmissionSpec spec, long waitMillis) {
     SubmissionStatus status = cell.status(spec.id());
     if (status != null && status.durable()) {
       return Future.succeededFuture(new LinkReply.Accepted());
@@ -180,7 +184,7 @@
     if (status == null && cell.size() >= MAX_WAITING_SUBMISSIONS) {
       return refuse(spec, "the queue is full", QUEUE_FULL_RETRY_AFTER_MILLIS);
     }
-    if (status == null && journal.unavailableMillis() > TAKEOVER_MILLIS) {
+    if (status == null && journal.unavailableMillis() > WithdrawalPolicy.TAKEOVER_MILLIS) {
       // If no other instance has taken over by now, the store is unavailable to all instances, and
       // an immediate refusal serves the caller better than a wait. Before that, the request waits,
       // since a successor can accept it shortly.
@@ -188,9 +192,16 @@
     }
     Submission submission = cell.accept(spec, now());
     requestPass();
-    Promise<LinkReply> promise = Promise.promise();
-    pendingAcceptances.computeIfAbsent(submission, key -> new ArrayList<>()).add(promise);
-    return promise.future();
+    return pendingAcceptances.add(submission, waitMillis);
+  }
+
+  /** Refuses a submission that waits for the journal and is never written. */
+  private Future<LinkReply> refuseWithdrawn(Submission submission) {
+    cell.withdraw(submission);
+    return refuse(
+        submission.spec(),
+        "the store did not answer in time, and nothing was written",
+        RetryAfter.delayMillis(submission.spec()));
   }
 
   private Future<LinkReply> refuse(SubmissionSpec spec, String reason, long retryAfterMillis) {
@@ -213,7 +224,7 @@
             journal.unavailableMillis(),
             "retry_after_ms",
             retryAfterMillis);
-    return Future.succeededFuture(new LinkReply.Refused(reason, retryAfterMillis));
+    return Future.succeededFuture(new LinkReply.Refused(reason, retryAfterMillis, epoch));
   }
 
   LinkReply inquire(String id, String customer) {
@@ -289,11 +300,7 @@
     journal.stop();
     workerListReader.stop();
     leaseRenewers.values().forEach(LeaseRenewer::stop);
-    pendingAcceptances
-        .values()
-        .forEach(
-            promises -> promises.forEach(promise -> promise.tryComplete(new LinkReply.NotOwner())));
-    pendingAcceptances.clear();
+    pendingAcceptances.end(epoch);
     List.copyOf(pendingCancellations)
         .forEach(promise -> promise.tryComplete(new LinkReply.NotOwner()));
   }
@@ -389,6 +396,7 @@
       return;
     }
     journal.tick();
+    pendingAcceptances.withdrawDue(this::refuseWithdrawn);
     if (maySendOrders()) {
       cell.tick(now(), dependencies.wallClock().getAsLong());
     }
@@ -471,10 +479,7 @@
                 submission.spec().steps().size(),
                 "epoch",
                 epoch);
-        List<Promise<LinkReply>> promises = pendingAcceptances.remove(submission);
-        if (promises != null) {
-          promises.forEach(promise -> promise.tryComplete(new LinkReply.Accepted()));
-        }
+        pendingAcceptances.accepted(submission);
       }
       requestPass();
     }
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerGateway.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerGateway.java
@@ -7,7 +7,10 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
+import org.hickorypier.core.admission.CopyOutcome;
+import org.hickorypier.core.admission.RefusalCertainty;
 import org.hickorypier.core.cell.EventLog;
 import org.hickorypier.core.cell.InFlightWindow;
 import org.hickorypier.core.cell.OwnershipDenial;
@@ -47,6 +50,12 @@
   /** A link opens within some 10 ms. */
   private static final long LINK_OPEN_TIMEOUT_MILLIS = 300;
 
+  /**
+   * How long the link to a replaced owner stays open for its last replies. A replaced owner that
+   * runs learns of its successor within some 0.2 s.
+   */
+  private static final Duration FORMER_LINK_PERIOD = Duration.ofMillis(1_000);
+
   /** An owner on a slow machine answers within this time. */
   private static final long PROOF_REPLY_TIMEOUT_MILLIS = 500;
 
@@ -261,14 +270,14 @@
     denial.clear();
     if (owner.address().equals(self.address())) {
       announceToFormerOwner(owner);
-      closeLink();
+      leaveLink();
       if (!ownership.isOwner()) {
         // This process was the owner before its restart, and no instance has taken over since.
         ownership.tryTakeOver("this instance was the owner before its restart");
       }
       sendAll();
     } else if (!owner.equals(linkedTo)) {
-      closeLink();
+      leaveLink();
       connect();
     }
   }
@@ -474,12 +483,24 @@
     timers.after(RECONNECT_DELAY, this::connect);
   }
 
-  private void closeLink() {
+  /**
+   * Leaves the link to a replaced owner. Its requests are sent to the successor without waiting,
+   * and the link stays open a little longer: without the former owner's last replies it is not
+   * known which of the requests it may have accepted, and the successor's refusals would all be
+   * uncertain.
+   */
+  private void leaveLink() {
     if (link != null) {
-      Link closing = link;
+      Link former = link;
       link = null;
       linkedTo = OwnerRecord.NONE;
-      closing.close();
+      for (PendingRequest pending : List.copyOf(pendingRequests)) {
+        if (pending.stage == Stage.IN_FLIGHT && pending.copies.isLastSentOver(former)) {
+          window.release(pending.bytes);
+          scheduleResend(pending, RECONNECT_DELAY);
+        }
+      }
+      timers.after(FORMER_LINK_PERIOD, former::close);
     }
     ownerlessSince = timers.nowMillis();
   }
@@ -502,32 +523,50 @@
       return;
     }
     if (ownership.isOwner()) {
-      pending.stage = Stage.IN_FLIGHT;
-      pending.sendCount++;
-      ownership.answer(pending.request).onSuccess(reply -> handleReply(pending, reply));
+      int copy = pending.startCopy(null, timers.nowMillis());
+      ownership
+          .answer(pending.withRemainingTime())
+          .onSuccess(reply -> handleReply(pending, copy, reply));
     } else if (link != null && !denial.isDenied() && window.tryTake(pending.bytes)) {
       if (pending.request instanceof LinkRequest.Submit submit) {
         orderRelay.keepText(submit.spec());
       }
-      pending.stage = Stage.IN_FLIGHT;
-      pending.sendCount++;
-      pending.sentAt = timers.nowMillis();
+      int copy = pending.startCopy(link, timers.nowMillis());
       // The failure detector finds a silent link long before this timeout.
       long remainingMillis = Math.max(0, pending.deadline - pending.sentAt);
-      link.sendRequest(pending.request, remainingMillis + REPLY_TIMEOUT_MILLIS + burstDelayMillis)
+      link.sendRequest(
+              pending.withRemainingTime(),
+              remainingMillis + REPLY_TIMEOUT_MILLIS + burstDelayMillis)
           .onComplete(
               reply -> {
-                window.release(pending.bytes);
-                handleReply(pending, reply);
+                releaseWindow(pending, copy);
+                handleReply(pending, copy, reply);
                 sendReady();
               },
               error -> {
-                window.release(pending.bytes);
-                scheduleResend(pending, RECONNECT_DELAY);
+                releaseWindow(pending, copy);
+                handleLost(pending, copy);
               });
     }
   }
 
+  /** Frees the room of a copy in the window, unless its link was left and did so before. */
+  private void releaseWindow(PendingRequest pending, int copy) {
+    if (pending.isCurrent(copy)) {
+      window.release(pending.bytes);
+    }
+  }
+
+  private void handleLost(PendingRequest pending, int copy) {
+    boolean current = pending.isCurrent(copy);
+    pending.copies.record(copy, CopyOutcome.LOST);
+    if (current && pending.refusal == null) {
+      scheduleResend(pending, RECONNECT_DELAY);
+    } else {
+      evaluateRefusal(pending);
+    }
+  }
+
   private void scheduleResend(PendingRequest pending, Duration delay) {
     pending.stage = Stage.RETRY_DELAY;
     timers.after(
@@ -538,20 +577,74 @@
         });
   }
 
-  private void handleReply(PendingRequest pending, LinkReply reply) {
+  private void handleReply(PendingRequest pending, int copy, LinkReply reply) {
+    boolean current = pending.isCurrent(copy);
+    pending.copies.record(copy, outcomeOf(reply));
+    if (!current) {
+      handleFormerReply(pending, reply);
+      return;
+    }
     repliedAt = timers.nowMillis();
     if (reply instanceof LinkReply.NotOwner) {
       if (link != null && denial.record(repliedAt)) {
         scheduleProof(link);
       }
       scheduleResend(pending, RETRY_DELAY);
-      return;
+    } else if (reply instanceof LinkReply.Refused refused) {
+      pending.stage = Stage.REFUSED;
+      pending.refusal = refused;
+      evaluateRefusal(pending);
+    } else {
+      if (reply instanceof LinkReply.Accepted) {
+        provenAt = repliedAt;
+      }
+      finish(pending, reply);
     }
+  }
+
+  /** Handles a reply to a copy after which another one was sent. */
+  private void handleFormerReply(PendingRequest pending, LinkReply reply) {
     if (reply instanceof LinkReply.Accepted) {
-      provenAt = repliedAt;
+      finish(pending, reply);
+    } else {
+      evaluateRefusal(pending);
+    }
+  }
+
+  private static CopyOutcome outcomeOf(LinkReply reply) {
+    if (reply instanceof LinkReply.NotOwner denied) {
+      return CopyOutcome.denied(denied.writingEpoch());
+    }
+    // An accepted request ends at once, so that no refusal follows.
+    return reply instanceof LinkReply.Refused ? CopyOutcome.refused() : CopyOutcome.LOST;
+  }
+
+  /** Answers a request that its owner has refused, unless replies to other copies may decide. */
+  private void evaluateRefusal(PendingRequest pending) {
+    if (pending.refusal == null || pending.promise.future().isComplete()) {
+      return;
+    }
+    LinkReply.Refused refusal = pending.refusal;
+    RefusalCertainty.Verdict verdict =
+        RefusalCertainty.ofRefusal(refusal.epoch(), pending.copies.outcomes());
+    if (verdict == RefusalCertainty.Verdict.OPEN) {
+      return;
     }
-    boolean mayBeAccepted = reply instanceof LinkReply.Refused && pending.sendCount > 1;
-    finish(pending, mayBeAccepted ? new LinkReply.NotOwner() : reply);
+    if (pending.sendCount > 1) {
+      log.event(
+          PART,
+          "refusal-of-repeated-request",
+          "request",
+          pending.id(),
+          "verdict",
+          verdict,
+          "epoch",
+          refusal.epoch(),
+          "copies",
+          pending.copies.outcomes());
+    }
+    boolean certain = verdict == RefusalCertainty.Verdict.CERTAIN;
+    finish(pending, certain ? refusal : new LinkReply.NotOwner());
   }
 
   /** Asks the linked instance, after a while, whether it owns the cell by now. */
@@ -590,15 +683,19 @@
         "given-up",
         "request",
         pending.request.getClass().getSimpleName(),
+        "id",
+        pending.id(),
         "reason",
         reason,
         "sent",
         pending.sendCount,
+        "copies",
+        pending.copies.outcomes(),
         "ownerless_ms",
         ownerlessMillis());
     finish(
         pending,
-        pending.sendCount == 0
+        RefusalCertainty.isNeverWritten(pending.copies.outcomes())
             ? new LinkReply.Refused(notSentReason(), retryAfterMillis(pending.request))
             : new LinkReply.NotOwner());
   }
@@ -628,7 +725,9 @@
     /** Sent, without a reply yet. */
     IN_FLIGHT,
     /** Not answered, or answered by an instance that does not own the cell. */
-    RETRY_DELAY
+    RETRY_DELAY,
+    /** Refused, while the replies to other copies decide whether that is certain. */
+    REFUSED
   }
 
   /** A request that waits for its reply. */
@@ -639,9 +738,13 @@
     private final long deadline;
     private final Promise<LinkReply> promise = Promise.promise();
     private TimerSubscription deadlineTimer = () -> {};
+    private final RequestCopies copies = new RequestCopies();
     private int sendCount;
     private long sentAt;
 
+    /** The owner's refusal, while it is not certain. */
+    private LinkReply.Refused refusal;
+
     private Stage stage = Stage.READY;
 
     PendingRequest(LinkRequest request, long deadline) {
@@ -652,6 +755,29 @@
               + (request instanceof LinkRequest.Submit submit ? submit.spec().text().length() : 0);
     }
 
+    /** Records that a copy is sent, and returns its number. */
+    private int startCopy(Link sentOver, long now) {
+      stage = Stage.IN_FLIGHT;
+      sendCount++;
+      sentAt = now;
+      return copies.add(sentOver);
+    }
+
+    /** Returns whether a copy is the last one and awaits its reply. */
+    private boolean isCurrent(int copy) {
+      return stage == Stage.IN_FLIGHT && copies.isLast(copy);
+    }
+
+    private LinkRequest withRemainingTime() {
+      return request instanceof LinkRequest.Submit submit
+          ? new LinkRequest.Submit(submit.spec(), Math.max(1, deadline - sentAt))
+          : request;
+    }
+
+    private String id() {
+      return request instanceof LinkRequest.Submit submit ? submit.spec().id() : "";
+    }
+
     private void endRetryDelay() {
       if (stage == Stage.RETRY_DELAY) {
         stage = Stage.READY;
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Ownership.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Ownership.java
@@ -321,10 +321,10 @@
    */
   public Future<LinkReply> answer(LinkRequest request) {
     if (owner == null) {
-      return Future.succeededFuture(new LinkReply.NotOwner());
+      return Future.succeededFuture(LinkReply.NotOwner.notWritten());
     }
     if (request instanceof LinkRequest.Submit submit) {
-      return owner.submit(submit.spec());
+      return owner.submit(submit.spec(), submit.waitMillis());
     } else if (request instanceof LinkRequest.Inquire inquire) {
       return Future.succeededFuture(owner.inquire(inquire.id(), inquire.customer()));
     } else if (request instanceof LinkRequest.Cancel cancel) {
--- a/daemon/src/test/java/org/hickorypier/daemon/link/LinkCodecTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/link/LinkCodecTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -58,7 +59,7 @@
 
   static List<LinkRequest> requests() {
     return List.of(
-        new LinkRequest.Submit(SPEC),
+        new LinkRequest.Submit(SPEC, 2_880),
         new LinkRequest.Inquire("id", "customer"),
         new LinkRequest.Cancel("id", ""),
         new LinkRequest.Count("q"),
@@ -79,7 +80,7 @@
   static List<LinkReply> replies() {
     return List.of(
         new LinkReply.Accepted(),
-        new LinkReply.Refused("full", 2_000),
+        new LinkReply.Refused("full", 2_000, 7),
         new LinkReply.State(SubmissionState.CANCELLED),
         new LinkReply.NotKnown(),
         new LinkReply.Number(12),
@@ -88,6 +89,7 @@
         new LinkReply.Configuration(840, ""),
         new LinkReply.Configuration(0, "{}"),
         new LinkReply.NotOwner(),
+        new LinkReply.NotOwner(7),
         new LinkReply.Failed(),
         new LinkReply.Noted());
   }
@@ -115,4 +117,25 @@
     assertThatThrownBy(() -> LinkCodec.decode(new byte[] {1, 99}))
         .isInstanceOf(UndecodableException.class);
   }
+
+  /**
+   * Guards against links that break between versions: earlier ones end before the caller's time and
+   * before the epochs.
+   */
+  @Test
+  void framesOfEarlierVersionsAreRead() throws UndecodableException {
+    byte[] submit = LinkCodec.encode(7, new LinkRequest.Submit(SPEC));
+    byte[] refused = LinkCodec.encode(7, new LinkReply.Refused("full", 2_000));
+    byte[] notOwner = LinkCodec.encode(7, new LinkReply.NotOwner());
+    assertThat(LinkCodec.decode(withoutLastByte(submit)).request())
+        .isEqualTo(new LinkRequest.Submit(SPEC));
+    assertThat(LinkCodec.decode(withoutLastByte(refused)).reply())
+        .isEqualTo(new LinkReply.Refused("full", 2_000));
+    assertThat(LinkCodec.decode(withoutLastByte(notOwner)).reply())
+        .isEqualTo(new LinkReply.NotOwner());
+  }
+
+  private static byte[] withoutLastByte(byte[] frame) {
+    return Arrays.copyOf(frame, frame.length - 1);
+  }
 }
