--- a/daemon/src/test/java/org/hickorypier/daemon/node/SmallCluster.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/SmallCluster.java
@@ -243,6 +243,11 @@
   }
 
   private void installOwner(Handler<NetSocket> connections) throws Exception {
+    installOwner(1, connections);
+  }
+
+  /** Records an owner of some epoch, which handles its connections as given. */
+  void installOwner(int epoch, Handler<NetSocket> connections) throws Exception {
     NetServer server =
         await(
             vertx
@@ -252,9 +257,9 @@
     String address =
         new ServiceAddress(InetAddress.getLoopbackAddress().getHostAddress(), server.actualPort())
             .toString();
-    byte[] owner = ("1 " + address).getBytes(StandardCharsets.UTF_8);
-    write("keyed.hickorypier-journal", "owner", owner);
-    write("keyed.hickorypier-directory", "cell-0", owner);
+    byte[] owner = (epoch + " " + address).getBytes(StandardCharsets.UTF_8);
+    write("keyed.hickorypier-journal", "owner", owner, epoch);
+    write("keyed.hickorypier-directory", "cell-0", owner, epoch);
     // The group assigns its partitions to members in the order of their names.
     store.join("hickorypier", "a-member-standing-still", "keyed.hickorypier-journal", 60_000);
   }
