--- a/core/src/main/java/org/hickorypier/core/admission/Place.java
+++ b/core/src/main/java/org/hickorypier/core/admission/Place.java
@@ -16,11 +16,14 @@
 public record Place(int band, int priority, boolean late, long deadlineMillis)
     implements Comparable<Place> {
 
-  private static final Comparator<Place> ORDER =
+  /** Compares all but the deadlines. */
+  public static final Comparator<Place> CLASS_ORDER =
       Comparator.comparingInt(Place::band)
           .thenComparingInt(Place::priority)
-          .thenComparing(Place::late)
-          .thenComparingLong(Place::deadlineMillis);
+          .thenComparing(Place::late);
+
+  private static final Comparator<Place> ORDER =
+      CLASS_ORDER.thenComparingLong(Place::deadlineMillis);
 
   @Override
   public int compareTo(Place other) {
--- a/core/src/main/java/org/hickorypier/core/cell/Dispatcher.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Dispatcher.java
@@ -68,7 +68,12 @@
     final long unresolvedUpTo = cell.lastUnresolvedNumber(now);
     cell.usage.setUnresolvedCapacity(cell.unresolvedCapacity(now));
     Map<String, List<WorkerView>> workersByService = new HashMap<>();
-    List<StepRun> sorted = UrgencyOrder.sorted(cell.readySteps, cell.durationEstimator, now);
+    List<StepRun> sorted =
+        UrgencyOrder.sorted(
+            cell.readySteps,
+            cell.durationEstimator,
+            step -> cell.shares.isHeldBack(step, now),
+            now);
     cell.headroom.update(sorted, now);
     preemptions.beginPass();
     for (StepRun step : sorted) {
--- a/core/src/main/java/org/hickorypier/core/cell/UrgencyOrder.java
+++ b/core/src/main/java/org/hickorypier/core/cell/UrgencyOrder.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
+import java.util.function.Predicate;
 import org.hickorypier.core.admission.Place;
 import org.hickorypier.core.estimation.RunTimeEstimator;
 import org.hickorypier.core.submission.QueueTerms;
@@ -20,15 +21,29 @@
   /** Multiple of its objective after which a submission is of no use to its caller. */
   static final int USEFUL_OBJECTIVE_FACTOR = 3;
 
+  /** Shares decide only between steps of one band, priority and lateness. */
+  private static final Comparator<Ranked> RANKING =
+      Comparator.comparing(Ranked::place, Place.CLASS_ORDER)
+          .thenComparing(Ranked::heldBack)
+          .thenComparing(Ranked::place);
+
   private UrgencyOrder() {}
 
+  /**
+   * Returns the steps in the order in which they are placed.
+   *
+   * @param isHeldBack whether a step goes behind those of customers that are below their share
+   */
   static List<StepRun> sorted(
-      Collection<StepRun> open, RunTimeEstimator durationEstimator, long now) {
+      Collection<StepRun> open,
+      RunTimeEstimator durationEstimator,
+      Predicate<StepRun> isHeldBack,
+      long now) {
     List<Ranked> ranked = new ArrayList<>(open.size());
     for (StepRun step : open) {
-      ranked.add(new Ranked(step, place(step, durationEstimator, now)));
+      ranked.add(new Ranked(step, place(step, durationEstimator, now), isHeldBack.test(step)));
     }
-    ranked.sort(Comparator.comparing(Ranked::place));
+    ranked.sort(RANKING);
     List<StepRun> sorted = new ArrayList<>(ranked.size());
     for (Ranked next : ranked) {
       sorted.add(next.step);
@@ -53,6 +68,6 @@
     return new Place(band, queue.priority(), late, deadline);
   }
 
-  /** A step with its sort key. */
-  private record Ranked(StepRun step, Place place) {}
+  /** A step with its sort keys. */
+  private record Ranked(StepRun step, Place place, boolean heldBack) {}
 }
--- a/core/src/test/java/org/hickorypier/core/cell/UrgencyOrderTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/UrgencyOrderTest.java
@@ -36,12 +36,14 @@
     RunTimeEstimator durationEstimator = new RunTimeEstimator();
     long now = 1_100;
     assertThat(
-            UrgencyOrder.sorted(List.of(batch, check.occurrences[0][0]), durationEstimator, now)
+            UrgencyOrder.sorted(
+                    List.of(batch, check.occurrences[0][0]), durationEstimator, held -> false, now)
                 .get(0))
         .isSameAs(batch);
     durationEstimator.recordRun("checks", 70, 640, 1);
     assertThat(
-            UrgencyOrder.sorted(List.of(batch, check.occurrences[0][0]), durationEstimator, now)
+            UrgencyOrder.sorted(
+                    List.of(batch, check.occurrences[0][0]), durationEstimator, held -> false, now)
                 .get(0))
         .isSameAs(check.occurrences[0][0]);
   }
@@ -55,12 +57,13 @@
     StepRun lost = service.occurrences[0][0];
     lost.tasks[0].waitingSince = now - 100;
     StepRun late = waitingStep("late", 1, now - 2_000, false);
-    assertThat(UrgencyOrder.sorted(List.of(late, lost), new RunTimeEstimator(), now))
+    assertThat(UrgencyOrder.sorted(List.of(late, lost), new RunTimeEstimator(), held -> false, now))
         .containsExactly(lost, late);
     // A new owner does not know when the run was lost.
     lost.tasks[0].waitingSince = 0;
     StepRun inTime = waitingStep("in time", 1, now - 100, false);
-    assertThat(UrgencyOrder.sorted(List.of(inTime, lost), new RunTimeEstimator(), now))
+    assertThat(
+            UrgencyOrder.sorted(List.of(inTime, lost), new RunTimeEstimator(), held -> false, now))
         .containsExactly(lost, inTime);
   }
 
@@ -75,7 +78,27 @@
 
     assertThat(
             UrgencyOrder.sorted(
-                List.of(useless, late, excess, usual, urgent), new RunTimeEstimator(), now))
+                List.of(useless, late, excess, usual, urgent),
+                new RunTimeEstimator(),
+                held -> false,
+                now))
         .containsExactly(urgent, late, usual, excess, useless);
   }
+
+  /** Guards against shares that put late or less urgent work before urgent work in time. */
+  @Test
+  void stepsHeldBackGoBehindOthersOfTheSameClassOnly() {
+    long now = 100_000;
+    StepRun held = waitingStep("held", 1, now - 200, false);
+    StepRun other = waitingStep("other", 1, now - 100, false);
+    StepRun lessUrgent = waitingStep("less", 2, now - 500, false);
+
+    assertThat(
+            UrgencyOrder.sorted(
+                List.of(lessUrgent, held, other),
+                new RunTimeEstimator(),
+                step -> step == held,
+                now))
+        .containsExactly(other, held, lessUrgent);
+  }
 }
