--- a/core/src/main/java/org/hickorypier/core/cell/Dispatcher.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Dispatcher.java
@@ -75,7 +75,6 @@
             step -> cell.shares.isHeldBack(step, now),
             now);
     cell.headroom.update(sorted, now);
-    preemptions.beginPass();
     for (StepRun step : sorted) {
       if (!step.submission.isLive() || !step.hasWaitingTasks()) {
         cell.reservations.release(step);
