--- a/core/src/main/java/org/hickorypier/core/cell/StragglerDetector.java
+++ b/core/src/main/java/org/hickorypier/core/cell/StragglerDetector.java
@@ -43,10 +43,10 @@
 
   /**
    * Number of slow runs on a worker, with none of the usual pace, from which on they show that the
-   * worker is disturbed. As long tasks run longer, they are a sixth of the tasks that run at a
-   * time.
+   * worker is disturbed. Where three in a hundred tasks are seven times as long, a sixth of the
+   * tasks that run at a time are long, and three of them often meet on a worker.
    */
-  private static final int MIN_SLOW_RUNS = 3;
+  private static final int MIN_SLOW_RUNS = 4;
 
   /**
    * Length of the longest tasks, as a multiple of the expected run time. A run that gains not one
@@ -77,6 +77,22 @@
    */
   private static final int WORKERS_PER_SLOW_WORKER = 3;
 
+  /** What shows that a run is slow because its worker is disturbed. */
+  private enum Sign {
+    /** Nothing does: the task is long by itself. */
+    NONE,
+    /** Another run was moved away from the worker a moment ago. */
+    KNOWN_DISTURBED,
+    /** The run makes no progress. */
+    STALLED,
+    /** The run was faster before. */
+    SLOWED_DOWN,
+    /** All runs on the worker are slow. */
+    ALL_SLOW,
+    /** The queue is not known to have tasks that take so long. */
+    NO_TASK_AS_LONG
+  }
+
   private final CellState cell;
   private final RunController runs;
 
@@ -105,8 +121,11 @@
    */
   void moveStragglers(WorkerView worker, long now) {
     for (Run run : CellState.copy(worker.runs.values())) {
-      if (isWatched(run) && isStraggling(run, now) && mayMove(run, now)) {
-        move(run, now);
+      if (isWatched(run) && isPaceKnown(run) && isSlow(run)) {
+        Sign sign = signOfDisturbance(run, now);
+        if (sign != Sign.NONE && mayMove(run, now)) {
+          move(run, sign, now);
+        }
       }
     }
   }
@@ -161,21 +180,20 @@
         > MIN_SLOWDOWN_FACTOR * run.pace.remainingFraction() * expectedMillis;
   }
 
-  private boolean isStraggling(Run run, long now) {
-    return isPaceKnown(run) && isSlow(run) && isWorkerDisturbed(run, now);
-  }
-
   /**
-   * Returns whether a slow run is the fault of its worker, not of a long task. It is if the run has
-   * stopped making progress, was faster before, or if the other runs there are slow as well.
-   * Without any of these signs, the run is taken for a long task if another run there has the usual
-   * pace, if it was slow on another worker before, or if the queue is known to have such tasks.
+   * Returns what shows that a slow run is the fault of its worker, not of a long task. Without any
+   * other sign, the run is taken for a long task if another run there has the usual pace, if it was
+   * slow on another worker before, or if the queue is known to have such tasks.
    */
-  private boolean isWorkerDisturbed(Run run, long now) {
-    if (now < run.worker.slowBackoffUntil
-        || isStalled(run)
-        || run.pace.hasSlowedDown(MIN_SLOWDOWN_FACTOR, windowMillis(run))) {
-      return true;
+  private Sign signOfDisturbance(Run run, long now) {
+    if (now < run.worker.slowBackoffUntil) {
+      return Sign.KNOWN_DISTURBED;
+    }
+    if (isStalled(run)) {
+      return Sign.STALLED;
+    }
+    if (run.pace.hasSlowedDown(MIN_SLOWDOWN_FACTOR, windowMillis(run))) {
+      return Sign.SLOWED_DOWN;
     }
     int slow = 0;
     int usual = 0;
@@ -186,15 +204,15 @@
       }
     }
     if (slow >= MIN_SLOW_RUNS && usual == 0) {
-      return true;
+      return Sign.ALL_SLOW;
     }
     double ratio = lengthRatio(run);
     if (usual > 0 || run.task.migrations > 0) {
       recordLongTask(run, ratio);
-      return false;
+      return Sign.NONE;
     }
-    return cell.durationEstimator.shareFrom(queueName(run), LONG_TASK_RATIO_SHARE * ratio)
-        < MIN_LONG_TASK_SHARE;
+    double share = cell.durationEstimator.shareFrom(queueName(run), LONG_TASK_RATIO_SHARE * ratio);
+    return share < MIN_LONG_TASK_SHARE ? Sign.NO_TASK_AS_LONG : Sign.NONE;
   }
 
   private boolean isStalled(Run run) {
@@ -260,7 +278,7 @@
                     && endsLaterThanOn(run, worker.speedFactor()));
   }
 
-  private void move(Run run, long now) {
+  private void move(Run run, Sign sign, long now) {
     Task task = run.task;
     task.migrations++;
     task.avoidedWorker = run.worker;
@@ -275,7 +293,9 @@
         "expected_ms",
         expectedMillis(run),
         "speed",
-        run.worker.speedFactor());
+        run.worker.speedFactor(),
+        "sign",
+        sign);
     backOff(run.worker, now);
     runs.stop(run, now);
   }
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
@@ -269,7 +269,7 @@
     rating = estimator.rating(entry.id(), entry.service(), entry.kind(), bornMillis, now);
     placingFactor =
         estimator.isByWorker()
-            ? Placer.FACTOR_GRID * Math.rint(rating.factor() / Placer.FACTOR_GRID)
+            ? Placer.FACTOR_GRID * Math.rint(rating.cautiousFactor() / Placer.FACTOR_GRID)
             : rating.factor();
   }
 
--- a/core/src/main/java/org/hickorypier/core/estimation/WorkerRating.java
+++ b/core/src/main/java/org/hickorypier/core/estimation/WorkerRating.java
@@ -31,6 +31,16 @@
   /** Spread of the run times of a step's tasks at the same speed, as a logarithm. */
   private static final double TASK_SPREAD = 0.35;
 
+  /** Uncertainty of a worker with all its samples, for which no margin is made. */
+  private static final double KNOWN_UNCERTAINTY =
+      TASK_SPREAD / Math.sqrt(KIND_WEIGHT + MAX_SAMPLES);
+
+  /**
+   * Margin for the uncertainty, in standard errors: with it, a worker without samples counts as
+   * slower than the fast ones, and faster than those that are known as slow.
+   */
+  private static final double CAUTION = 0.75;
+
   /** Time after which a sample counts half, in milliseconds. */
   private static final double HALF_LIFE_MILLIS = 120_000;
 
@@ -95,6 +105,16 @@
     return TASK_SPREAD / Math.sqrt(KIND_WEIGHT + sampleWeight);
   }
 
+  /**
+   * Returns the factor by which tasks are placed. A worker of which little is known counts as slow:
+   * urgent work avoids it, and work with time to spare is what it is tried with.
+   *
+   * @return the factor, raised by a margin for what is not known yet
+   */
+  public double cautiousFactor() {
+    return clampFactor(factor * Math.exp(CAUTION * (uncertainty() - KNOWN_UNCERTAINTY)));
+  }
+
   boolean describes(String otherService, String otherKind, long otherBornMillis) {
     return bornMillis == otherBornMillis && service.equals(otherService) && kind.equals(otherKind);
   }
