--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
@@ -264,7 +264,16 @@
   }
 
   LinkReply explain(String id) {
-    return new LinkReply.Lines(cell.explain(id, now()));
+    List<String> lines = new ArrayList<>(cell.explain(id, now()));
+    Submission submission = cell.find(id);
+    if (submission != null && !submission.durable()) {
+      lines.add(
+          journal.isUnsent(submission)
+              ? "waits for an append to the journal; it can be withdrawn"
+              : "is in an append to the journal that the store has not confirmed");
+      lines.add("the store has been unavailable for " + journal.unavailableMillis() + " ms");
+    }
+    return new LinkReply.Lines(lines);
   }
 
   LinkReply countWaiting(String queue) {
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerGateway.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerGateway.java
@@ -103,6 +103,7 @@
   private final long burstDelayMillis;
   private final TrafficCounter traffic;
   private final InFlightWindow window;
+  private final RecentTries tries = new RecentTries();
   private final long startedAt;
   private long ownerlessSince;
 
@@ -181,6 +182,9 @@
    */
   public Future<LinkReply> ask(LinkRequest request, long timeoutMillis) {
     PendingRequest pending = new PendingRequest(request, timers.nowMillis() + timeoutMillis);
+    if (request instanceof LinkRequest.Submit) {
+      pending.tries = tries.add(pending.id(), pending.copies, timers.nowMillis());
+    }
     if (pendingRequests.isEmpty()) {
       repliedAt = timers.nowMillis();
     }
@@ -492,6 +496,7 @@
   private void leaveLink() {
     if (link != null) {
       Link former = link;
+      final boolean regained = linkedTo.address().equals(directory.owner().address());
       link = null;
       linkedTo = OwnerRecord.NONE;
       for (PendingRequest pending : List.copyOf(pendingRequests)) {
@@ -500,7 +505,12 @@
           scheduleResend(pending, RECONNECT_DELAY);
         }
       }
-      timers.after(FORMER_LINK_PERIOD, former::close);
+      if (regained) {
+        // An owner with two links to this instance would relay orders over the one that ends.
+        former.close();
+      } else {
+        timers.after(FORMER_LINK_PERIOD, former::close);
+      }
     }
     ownerlessSince = timers.nowMillis();
   }
@@ -626,11 +636,11 @@
     }
     LinkReply.Refused refusal = pending.refusal;
     RefusalCertainty.Verdict verdict =
-        RefusalCertainty.ofRefusal(refusal.epoch(), pending.copies.outcomes());
+        RefusalCertainty.ofRefusal(refusal.epoch(), pending.outcomes());
     if (verdict == RefusalCertainty.Verdict.OPEN) {
       return;
     }
-    if (pending.sendCount > 1) {
+    if (pending.outcomes().size() > 1) {
       log.event(
           PART,
           "refusal-of-repeated-request",
@@ -641,7 +651,7 @@
           "epoch",
           refusal.epoch(),
           "copies",
-          pending.copies.outcomes());
+          pending.outcomes());
     }
     boolean certain = verdict == RefusalCertainty.Verdict.CERTAIN;
     finish(pending, certain ? refusal : new LinkReply.NotOwner());
@@ -675,6 +685,10 @@
   }
 
   private void giveUp(PendingRequest pending, String reason) {
+    if (pending.promise.future().isComplete()) {
+      return;
+    }
+    evaluateRefusal(pending);
     if (pending.promise.future().isComplete()) {
       return;
     }
@@ -690,12 +704,12 @@
         "sent",
         pending.sendCount,
         "copies",
-        pending.copies.outcomes(),
+        pending.outcomes(),
         "ownerless_ms",
         ownerlessMillis());
     finish(
         pending,
-        RefusalCertainty.isNeverWritten(pending.copies.outcomes())
+        RefusalCertainty.isNeverWritten(pending.outcomes())
             ? new LinkReply.Refused(notSentReason(), retryAfterMillis(pending.request))
             : new LinkReply.NotOwner());
   }
@@ -742,6 +756,9 @@
     private int sendCount;
     private long sentAt;
 
+    /** The copies of recent requests with the same id. */
+    private List<RequestCopies> tries = List.of();
+
     /** The owner's refusal, while it is not certain. */
     private LinkReply.Refused refusal;
 
@@ -774,6 +791,17 @@
           : request;
     }
 
+    /** Returns what became of all copies that were sent under its id. */
+    private List<CopyOutcome> outcomes() {
+      List<CopyOutcome> all = new ArrayList<>(copies.outcomes());
+      for (RequestCopies each : tries) {
+        if (each != copies) {
+          all.addAll(each.outcomes());
+        }
+      }
+      return all;
+    }
+
     private String id() {
       return request instanceof LinkRequest.Submit submit ? submit.spec().id() : "";
     }
--- a/daemon/src/test/java/org/hickorypier/daemon/node/RepeatedRequestTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/RepeatedRequestTest.java
@@ -100,7 +100,7 @@
       SmallCluster.Instance instance = cluster.startWithoutOwner(Strength.UNKNOWN);
       cluster.waitUntil(() -> cluster.hasLogged(instance, "owner-linked"));
       NetSocket caller = cluster.connect(instance.settings().front());
-      RawCaller raw = new RawCaller(caller).submit(ID);
+      final RawCaller raw = new RawCaller(caller).submit(ID);
       SmallCluster.await(received.future());
       Promise<Void> refused = Promise.promise();
       cluster.installOwner(
@@ -120,4 +120,31 @@
       assertThat(raw.responseCount("" + status)).as(raw.receivedText()).isEqualTo(1);
     }
   }
+
+  /**
+   * A caller whose first try had no outcome comes back through the same instance. The owner that
+   * refuses it need not know of the owner that may have accepted the first try.
+   */
+  @ParameterizedTest
+  @CsvSource({"true, 503", "false, 504"})
+  void refusalOfLaterTryTakesTheEarlierOneIntoAccount(boolean answered, int status)
+      throws Exception {
+    Iterator<Boolean> answers = List.of(answered, true).iterator();
+    try (SmallCluster cluster = new SmallCluster(1, 20)) {
+      cluster.installOwner(
+          FIRST_EPOCH,
+          socket ->
+              link(
+                  cluster,
+                  socket,
+                  request ->
+                      answers.next()
+                          ? Future.succeededFuture(REFUSED)
+                          : Promise.<LinkReply>promise().future()));
+      SmallCluster.Instance instance = cluster.startWithoutOwner(Strength.UNKNOWN);
+      cluster.waitUntil(() -> cluster.hasLogged(instance, "owner-linked"));
+      assertThat(cluster.submit(instance, ID, 1).status()).isEqualTo(status);
+      assertThat(cluster.submit(instance, ID, 1).status()).isEqualTo(status);
+    }
+  }
 }
--- a/daemon/src/test/java/org/hickorypier/daemon/owner/JournalWriterTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/owner/JournalWriterTest.java
@@ -272,6 +272,23 @@
     }
   }
 
+  /**
+   * Guards against a delay after one lost answer that is longer than a further append takes. The
+   * answer is missed after 0.5 s, and the append is answered when it is sent again 80 ms later.
+   */
+  @Test
+  void oneLostAnswerDelaysLaterSubmissionsByOneAppend() {
+    store.silent = true;
+    submit("lost", 2_880);
+    run(20);
+    store.silent = false;
+    run(500);
+    submit("held", 2_880);
+    run(200);
+    assertThat(acceptedAt.get("lost")).isEqualTo(593);
+    assertThat(acceptedAt.get("held")).isEqualTo(606);
+  }
+
   /** Guards against ends of runs that wait while submissions are held back. */
   @Test
   void otherRecordsAreAppendedWhileSubmissionsAreHeldBack() {
