--- a/daemon/src/test/java/org/hickorypier/daemon/owner/JournalWriterTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/owner/JournalWriterTest.java
@@ -10,6 +10,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
+import java.util.stream.LongStream;
 import org.hickorypier.core.cell.Cell;
 import org.hickorypier.core.cell.CellOutput;
 import org.hickorypier.core.cell.CellTimings;
@@ -33,6 +35,8 @@
 import org.hickorypier.platform.store.StoreError;
 import org.hickorypier.platform.store.StoreException;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 
 /** Guards against refusals of submissions that the journal holds, or may hold later. */
 class JournalWriterTest {
@@ -70,8 +74,16 @@
     private boolean silent;
     private long delayMillis = 5;
 
+    /** Changes the behaviour from call to call, or null. */
+    private Random faults;
+
     @Override
     public Future<Long> append(Append append, long timeoutMillis) {
+      if (faults != null) {
+        refusing = faults.nextInt(10) < 4;
+        silent = faults.nextInt(10) < 3;
+        delayMillis = faults.nextInt(10) < 5 ? 5 : faults.nextInt(2_500);
+      }
       Promise<Long> answer = Promise.promise();
       if (refusing) {
         timers.after(Duration.ofMillis(5), () -> answer.tryFail(error(StoreError.UNAVAILABLE, -1)));
@@ -90,6 +102,9 @@
             }
             if (append.sequence() == last + 1) {
               written.add(append);
+            } else {
+              // What was written once may only be repeated unchanged.
+              assertThat(keys(append)).isEqualTo(keys(written.get((int) append.sequence() - 101)));
             }
             if (!unanswered) {
               answer.tryComplete(0L);
@@ -102,6 +117,10 @@
       return new StoreException(error, offset, "" + error, null);
     }
 
+    private List<String> keys(Append append) {
+      return append.records().stream().map(KeyedRecord::key).toList();
+    }
+
     private boolean holds(String id) {
       return written.stream()
           .flatMap(append -> append.records().stream())
@@ -319,4 +338,33 @@
     run(3_000);
     assertThat(store.holds("held")).isFalse();
   }
+
+  /**
+   * Lets the store refuse, stay silent, and apply appends late, also after they were repeated, and
+   * checks every reply against what the store holds in the end.
+   */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void repliesAreTrueWhateverTheStoreDoes(long seed) {
+    store.faults = new Random(seed);
+    Random callers = new Random(seed);
+    for (int index = 0; index < 200; index++) {
+      submit("s" + index, callers.nextInt(4) == 0 ? 0 : 200 + callers.nextInt(4_000));
+      run(20);
+    }
+    run(2_000);
+    store.faults = null;
+    store.refusing = false;
+    store.silent = false;
+    store.delayMillis = 5;
+    run(8_000);
+    assertThat(replies.values()).allMatch(Future::isComplete);
+    assertThat(withReply(LinkReply.Refused.class)).noneMatch(store::holds);
+    assertThat(withReply(LinkReply.Accepted.class)).allMatch(store::holds);
+    assertThat(cell.size()).isEqualTo(withReply(LinkReply.Accepted.class).size());
+  }
+
+  static LongStream seeds() {
+    return LongStream.range(0, 200);
+  }
 }
