Refuse by admission only once an append has proved the ownership

An owner that was replaced less than two seconds ago still refused, and its successor could have accepted an earlier try of the same submission. The refusal now waits for an append that was sent after the request arrived.

--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
@@ -72,6 +72,9 @@
   /** Cancellations that wait for the journal. */
   private final List<Promise<LinkReply>> pendingCancellations = new ArrayList<>();
 
+  /** Refusals that wait for a proof of ownership. */
+  private final List<Promise<LinkReply>> pendingRefusals = new ArrayList<>();
+
   private final WorkerTimeout workerTimeout;
   private final ContactWindow contactWindow;
   private final WorkerEvents workerEvents = new WorkerEvents();
@@ -194,20 +197,45 @@
     }
     AdmissionDecision decision = cell.admit(spec, knowsAllAccepted(), now());
     if (!decision.accepted()) {
-      return refuse(
-          spec,
-          decision.reason(),
-          decision.retryAfterMillis(),
-          "estimate_ms",
-          decision.estimateMillis(),
-          "limit_ms",
-          decision.limitMillis());
+      return refuseOnceProven(spec, decision, waitMillis);
     }
     Submission submission = cell.find(spec.id());
     requestPass();
     return pendingAcceptances.add(submission, waitMillis);
   }
 
+  /**
+   * Refuses a submission once an append shows that no successor had taken over when it arrived. A
+   * successor may have accepted an earlier try of it, and the refusal would be wrong.
+   */
+  private Future<LinkReply> refuseOnceProven(
+      SubmissionSpec spec, AdmissionDecision decision, long waitMillis) {
+    Promise<LinkReply> promise = Promise.promise();
+    pendingRefusals.add(promise);
+    promise.future().onComplete(done -> pendingRefusals.remove(promise));
+    journal.put(JournalKeys.PROOF, new byte[] {1});
+    journal.afterSave(
+        () -> {
+          if (promise.future().isComplete()) {
+            return;
+          }
+          // Another try of the same submission may have been accepted meanwhile.
+          Future<LinkReply> reply =
+              cell.status(spec.id()) != null
+                  ? submit(spec, waitMillis)
+                  : refuse(
+                      spec,
+                      decision.reason(),
+                      decision.retryAfterMillis(),
+                      "estimate_ms",
+                      decision.estimateMillis(),
+                      "limit_ms",
+                      decision.limitMillis());
+          reply.onSuccess(promise::tryComplete);
+        });
+    return promise.future();
+  }
+
   /** Refuses a submission that waits for the journal and is never written. */
   private Future<LinkReply> refuseWithdrawn(Submission submission) {
     cell.withdraw(submission);
@@ -324,6 +352,8 @@
     workerListReader.stop();
     leaseRenewers.values().forEach(LeaseRenewer::stop);
     pendingAcceptances.end(epoch);
+    List.copyOf(pendingRefusals)
+        .forEach(promise -> promise.tryComplete(new LinkReply.NotOwner(epoch)));
     List.copyOf(pendingCancellations)
         .forEach(promise -> promise.tryComplete(new LinkReply.NotOwner()));
   }
