--- a/core/src/main/java/org/hickorypier/core/cell/LearnedRunTimes.java
+++ b/core/src/main/java/org/hickorypier/core/cell/LearnedRunTimes.java
@@ -28,10 +28,9 @@
    * least that the caller's estimate may mean.
    */
   long taskMillis(String queue, long estimateMillis) {
-    // With an estimate of zero the estimator returns the mean of the queue.
     double millis =
         isKnown(queue)
-            ? cell.durationEstimator.expectedMillis(queue, 0)
+            ? cell.durationEstimator.meanMillis(queue)
             : UNKNOWN_QUEUE_PART * estimateMillis;
     return Math.max(1, Math.round(millis));
   }
@@ -43,9 +42,7 @@
 
   /** Returns whether a submission whose tasks start now is expected to miss a deadline. */
   boolean isLate(SubmissionSpec spec, long deadline, long now) {
-    long expected =
-        cell.durationEstimator.expectedMillis(spec.queue().name(), spec.criticalPathMillis());
-    return now + expected > deadline;
+    return now + Submission.longestPathMillis(spec, cell.durationEstimator) > deadline;
   }
 
   /** Returns the place of a step in the order of placing. */
--- a/core/src/main/java/org/hickorypier/core/cell/Submission.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Submission.java
@@ -129,13 +129,19 @@
   }
 
   static long objectiveMillis(SubmissionSpec spec, RunTimeEstimator durationEstimator) {
+    long longest = longestPathMillis(spec, durationEstimator);
+    return Math.round(spec.queue().stretch() * longest) + spec.queue().objectiveMillis();
+  }
+
+  /** Returns the expected duration of the longest chain of a submission, in milliseconds. */
+  static long longestPathMillis(SubmissionSpec spec, RunTimeEstimator durationEstimator) {
     long longest = 0;
     for (int index = 0; index < spec.steps().size(); index++) {
       if (spec.steps().get(index).dependsOn().isEmpty()) {
         longest = Math.max(longest, pathMillisFrom(spec, index, durationEstimator));
       }
     }
-    return Math.round(spec.queue().stretch() * longest) + spec.queue().objectiveMillis();
+    return longest;
   }
 
   /**
--- a/core/src/main/java/org/hickorypier/core/estimation/QueueRunTimes.java
+++ b/core/src/main/java/org/hickorypier/core/estimation/QueueRunTimes.java
@@ -93,6 +93,10 @@
     return Math.exp(weight * corrected + (1 - weight) * logMillis);
   }
 
+  double meanMillis() {
+    return meanMillis;
+  }
+
   /** Returns the weight of the callers' estimates, from 0 to 1. */
   double estimateWeight() {
     double sum = logMillisVariance + logErrorVariance;
--- a/core/src/main/java/org/hickorypier/core/estimation/RunTimeEstimator.java
+++ b/core/src/main/java/org/hickorypier/core/estimation/RunTimeEstimator.java
@@ -72,6 +72,17 @@
     return times == null ? estimateMillis : Math.round(times.expectedMillis(estimateMillis));
   }
 
+  /**
+   * Returns the mean run time of a queue's tasks at the usual speed, whatever their estimates.
+   *
+   * @param queue the queue of the tasks
+   * @return the time in milliseconds; 0 if no run is known
+   */
+  public double meanMillis(String queue) {
+    QueueRunTimes times = queues.get(queue);
+    return times == null ? 0 : times.meanMillis();
+  }
+
   /**
    * Returns the weight of the callers' estimates in the expected run times of a queue.
    *
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
@@ -353,7 +353,7 @@
     leaseRenewers.values().forEach(LeaseRenewer::stop);
     pendingAcceptances.end(epoch);
     List.copyOf(pendingRefusals)
-        .forEach(promise -> promise.tryComplete(new LinkReply.NotOwner(epoch)));
+        .forEach(promise -> promise.tryComplete(LinkReply.NotOwner.notWritten()));
     List.copyOf(pendingCancellations)
         .forEach(promise -> promise.tryComplete(new LinkReply.NotOwner()));
   }
