--- a/measure/src/main/java/org/hickorypier/measure/CommandRegistry.java
+++ b/measure/src/main/java/org/hickorypier/measure/CommandRegistry.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.hickorypier.measure.control.ControlCommand;
 import org.hickorypier.measure.delivery.DeliveryCommand;
+import org.hickorypier.measure.start.StartCommand;
 import org.hickorypier.measure.takeover.TakeoverCommand;
 
 /**
@@ -21,7 +22,8 @@
           new FairnessCommand(),
           new DeliveryCommand(),
           new TakeoverCommand(),
-          new ControlCommand());
+          new ControlCommand(),
+          new StartCommand());
 
   private CommandRegistry() {}
 
