Run a timer's task in the timer's own callback

Cause: each timer scheduled a second task on the context it already ran on. Change: the task runs at once if the timer was set on the control thread.

--- a/daemon/src/main/java/org/hickorypier/daemon/time/VertxTimerService.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/time/VertxTimerService.java
@@ -35,15 +35,23 @@
 
   @Override
   public TimerSubscription every(Duration period, Runnable task) {
-    long timerId =
-        vertx.setPeriodic(period.toMillis(), id -> context.runOnContext(ignored -> task.run()));
+    long timerId = vertx.setPeriodic(period.toMillis(), id -> runOnContext(task));
     return () -> vertx.cancelTimer(timerId);
   }
 
   @Override
   public TimerSubscription after(Duration delay, Runnable task) {
     long delayMillis = Math.max(1, delay.toMillis());
-    long timerId = vertx.setTimer(delayMillis, id -> context.runOnContext(ignored -> task.run()));
+    long timerId = vertx.setTimer(delayMillis, id -> runOnContext(task));
     return () -> vertx.cancelTimer(timerId);
   }
+
+  /** A timer that was set on the context runs on it, and needs no second task. */
+  private void runOnContext(Runnable task) {
+    if (vertx.getOrCreateContext() == context) {
+      task.run();
+    } else {
+      context.runOnContext(ignored -> task.run());
+    }
+  }
 }
