Check for a handover only at the owner

Cause: every instance checked each 100 ms whether to hand the cell over. Change: the checks start when the cell is taken or the process leaves.

--- a/daemon/src/main/java/org/hickorypier/daemon/node/Handover.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Handover.java
@@ -18,6 +18,7 @@
 import org.hickorypier.daemon.owner.Ownership;
 import org.hickorypier.daemon.owner.ProcessorSpeedMonitor;
 import org.hickorypier.daemon.time.TimerService;
+import org.hickorypier.daemon.time.TimerSubscription;
 
 /**
  * Hands the cell over to another instance when this one shuts down, when the store is unavailable
@@ -110,6 +111,8 @@
   private long nextRoundAtMillis;
   private long nextSpeedHandoverAtMillis;
   private int rotationOffset;
+  private TimerSubscription checkTimer;
+  private TimerSubscription standbyTimer;
 
   Handover(
       Ownership ownership, ProcessorSpeedMonitor speedMonitor, TimerService timers, EventLog log) {
@@ -119,18 +122,30 @@
     this.log = log;
   }
 
-  void start() {
-    timers.every(CHECK_PERIOD, this::checkHandover);
-    timers.every(STANDBY_PERIOD, this::requestStandbys);
+  /** Starts the checks, which end by themselves once this instance does not own the cell. */
+  void ownershipGained() {
+    startChecks();
+    if (standbyTimer == null) {
+      standbyTimer = timers.every(STANDBY_PERIOD, this::requestStandbys);
+    }
+  }
+
+  private void startChecks() {
+    if (checkTimer == null) {
+      checkTimer = timers.every(CHECK_PERIOD, this::checkHandover);
+    }
   }
 
   private void requestStandbys() {
-    if (ownership.isOwner()) {
-      List<Successor> linked =
-          peers.stream().filter(Peer::supportsRelays).map(Peer::asSuccessor).toList();
-      for (Successor standby : Successor.standbys(linked, STANDBY_COUNT)) {
-        standby.peer().link().sendRequest(new LinkRequest.StandBy(), STANDBY_REPLY_TIMEOUT_MILLIS);
-      }
+    if (!ownership.isOwner()) {
+      standbyTimer.cancel();
+      standbyTimer = null;
+      return;
+    }
+    List<Successor> linked =
+        peers.stream().filter(Peer::supportsRelays).map(Peer::asSuccessor).toList();
+    for (Successor standby : Successor.standbys(linked, STANDBY_COUNT)) {
+      standby.peer().link().sendRequest(new LinkRequest.StandBy(), STANDBY_REPLY_TIMEOUT_MILLIS);
     }
   }
 
@@ -167,6 +182,7 @@
   Future<Void> leave(long timeoutMillis) {
     if (leavePromise == null) {
       leavePromise = Promise.promise();
+      startChecks();
       timers.after(Duration.ofMillis(timeoutMillis), leavePromise::tryComplete);
       ownership.leave().onComplete(written -> checkHandover());
     }
@@ -179,9 +195,11 @@
     }
     if (leavePromise != null) {
       handOverForShutdown();
-    } else if (ownership.isOwner()
-        && speedMonitor.isSlowed()
-        && timers.nowMillis() >= nextSpeedHandoverAtMillis) {
+    } else if (!ownership.isOwner()) {
+      rotationOffset = 0;
+      checkTimer.cancel();
+      checkTimer = null;
+    } else if (speedMonitor.isSlowed() && timers.nowMillis() >= nextSpeedHandoverAtMillis) {
       handOverToFasterInstance();
     } else {
       handOverIfStoreUnavailable();
--- a/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
@@ -173,6 +173,7 @@
             settings.revokeMillis(),
             new OperatorRequests());
     handover = new Handover(ownership, speedMonitor, timers, log);
+    ownership.onGained(handover::ownershipGained);
     gateway =
         new OwnerGateway(
             vertx.createNetClient(
@@ -239,7 +240,6 @@
                   gateway::checkOwnerAlive,
                   gateway::hasOwnerBeenProvenSince,
                   gateway::silentMillis);
-              handover.start();
             });
   }
 
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Ownership.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Ownership.java
@@ -120,6 +120,7 @@
   private boolean leaving;
   private boolean closed;
   private boolean joining;
+  private Runnable onGained = () -> {};
   private Runnable onLost = () -> {};
 
   /**
@@ -240,6 +241,15 @@
     }
   }
 
+  /**
+   * Sets the action that runs whenever this instance has become the owner.
+   *
+   * @param action runs on the control thread
+   */
+  public void onGained(Runnable action) {
+    onGained = action;
+  }
+
   /**
    * Sets the action that runs whenever this instance ceases to be the owner.
    *
@@ -463,6 +473,7 @@
                       customers,
                       evacuations,
                       this::endOwnership);
+              onGained.run();
               journalFollower.stop();
               announceOwner(self.toOwnerRecord(taken.epoch()));
               return Future.succeededFuture(true);
