Check the owner only while requests wait for it

Cause: the failure detector ran each 50 ms without anything to detect. Change: the first waiting request starts the timer, which ends itself once none waits. A silent owner is still probed within 50 ms of its limit.

--- a/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
@@ -208,7 +208,6 @@
     configurationWatcher.start();
     configurationWatcher.askWhileStoreUnavailable(gateway::askForConfiguration);
     directory.start();
-    gateway.start();
     // A caller whose connection is refused uses up one of its few attempts, so the front starts
     // first.
     Future<?> frontStarted = startTraffic(context);
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerFailureDetector.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerFailureDetector.java
@@ -6,6 +6,7 @@
 import org.hickorypier.daemon.link.Link;
 import org.hickorypier.daemon.link.LinkRequest;
 import org.hickorypier.daemon.time.TimerService;
+import org.hickorypier.daemon.time.TimerSubscription;
 
 /**
  * Probes an owner that leaves requests unanswered, and starts a takeover if it shows no sign of
@@ -49,6 +50,7 @@
   private final Supplier<Duration> takeoverDelay;
   private final long burstDelayMillis;
   private boolean probeInFlight;
+  private TimerSubscription checkTimer;
 
   /** The requests that wait for the owner. */
   interface Requests {
@@ -105,16 +107,23 @@
     return NEW_OWNER_BURSTS * burstDelayMillis;
   }
 
-  void start() {
-    timers.every(CHECK_PERIOD, this::checkOwner);
+  /** Checks the owner from now on, for as long as requests wait for it. */
+  void requestAdded() {
+    if (checkTimer == null) {
+      checkTimer = timers.every(CHECK_PERIOD, this::checkOwner);
+    }
   }
 
   private void checkOwner() {
+    if (requests.pendingCount() == 0) {
+      checkTimer.cancel();
+      checkTimer = null;
+      return;
+    }
     Link link = requests.link();
     if (link == null
         || directory.hasChangedWithin(newOwnerGraceMillis(burstDelayMillis))
         || probeInFlight
-        || requests.pendingCount() == 0
         || requests.silentMillis() < PROBE_AFTER_MILLIS + burstDelayMillis) {
       return;
     }
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerGateway.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerGateway.java
@@ -80,6 +80,7 @@
   private final OrderRelay orderRelay;
   private final Candidate self;
   private final ProcessorSpeedMonitor speedMonitor;
+  private final OwnerFailureDetector failureDetector;
   private final Set<PendingRequest> pendingRequests = new LinkedHashSet<>();
   private Link link;
   private OwnerRecord linkedTo = OwnerRecord.NONE;
@@ -148,6 +149,15 @@
     this.startedAt = timers.nowMillis();
     this.ownerlessSince = startedAt;
     this.repliedAt = ownerlessSince;
+    this.failureDetector =
+        new OwnerFailureDetector(
+            timers,
+            log,
+            directory,
+            ownership,
+            new PendingRequestStatus(),
+            this::takeoverDelay,
+            burstDelayMillis);
     ownership.onLost(this::ownershipLost);
   }
 
@@ -176,6 +186,7 @@
       repliedAt = timers.nowMillis();
     }
     pendingRequests.add(pending);
+    failureDetector.requestAdded();
     pending.deadlineTimer =
         timers.after(Duration.ofMillis(timeoutMillis), () -> giveUp(pending, "deadline"));
     if (unservedMillis() > MAX_OWNERLESS_WAIT_MILLIS) {
@@ -187,19 +198,6 @@
     return pending.promise.future();
   }
 
-  /** Starts failure detection for the owner. */
-  public void start() {
-    new OwnerFailureDetector(
-            timers,
-            log,
-            directory,
-            ownership,
-            new PendingRequestStatus(),
-            this::takeoverDelay,
-            burstDelayMillis)
-        .start();
-  }
-
   /** View of the pending requests for the failure detector. */
   private final class PendingRequestStatus implements OwnerFailureDetector.Requests {
 
