Compute the time without an owner when readiness is asked for

Cause: a timer copied it each 100 ms for the thread that answers readiness. Change: the gateway publishes since when no owner is reachable, whenever that changes. Readiness is up to 100 ms more exact than before.

--- a/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
@@ -98,7 +98,6 @@
   private volatile long shutdownDeadlineNanos;
   private boolean draining;
   private final Promise<Void> drainPromise = Promise.promise();
-  private volatile long ownerlessMillis;
   private Handover handover;
   private AdviceClient advisorClient;
   private VertxTimerService timers;
@@ -173,7 +172,6 @@
             settings.revokeMillis(),
             new OperatorRequests());
     handover = new Handover(ownership, speedMonitor, timers, log);
-    ownership.onGained(handover::ownershipGained);
     gateway =
         new OwnerGateway(
             vertx.createNetClient(
@@ -196,7 +194,11 @@
             dependencies.burstDelayMillis(),
             traffic,
             new InFlightWindow(dependencies.linkBytesPerSecond()));
-    timers.every(Duration.ofMillis(100), () -> ownerlessMillis = gateway.ownerlessMillis());
+    ownership.onGained(
+        () -> {
+          gateway.ownershipGained();
+          handover.ownershipGained();
+        });
     timers.every(SPEED_SAMPLE_PERIOD, speedMonitor::sample);
     TrafficReporter trafficReporter =
         new TrafficReporter(
@@ -272,7 +274,7 @@
     return !shutdownRequested
         && configurationWatcher.current() != null
         && configurationWatcher.isFresh()
-        && ownerlessMillis < MAX_OWNERLESS_MILLIS;
+        && gateway.ownerlessMillis() < MAX_OWNERLESS_MILLIS;
   }
 
   /** Applies what the operator has written to the store. */
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerGateway.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerGateway.java
@@ -27,7 +27,7 @@
  *
  * <p>All requests are idempotent by the submission's id, so a request without a reply is sent
  * again. Invariant: a request ends as refused only if no owner may have accepted it. Confined to
- * the control thread.
+ * the control thread, except for {@link #ownerlessMillis}.
  */
 public final class OwnerGateway {
 
@@ -71,6 +71,8 @@
   /** Retry delay that is suggested for queries: they are cheap, and another instance may answer. */
   private static final long QUERY_RETRY_AFTER_MILLIS = 1_000;
 
+  private static final long NEVER = Long.MAX_VALUE;
+
   private final NetClient client;
   private final TimerService timers;
   private final EventLog log;
@@ -98,6 +100,9 @@
   private final long startedAt;
   private long ownerlessSince;
 
+  /** {@link #ownerlessSince} for other threads; {@link #NEVER} while requests reach an owner. */
+  private volatile long unreachableSince;
+
   /** When the owner last answered, or when the first request after an idle period was made. */
   private long repliedAt;
 
@@ -148,6 +153,7 @@
     this.window = window;
     this.startedAt = timers.nowMillis();
     this.ownerlessSince = startedAt;
+    this.unreachableSince = startedAt;
     this.repliedAt = ownerlessSince;
     this.failureDetector =
         new OwnerFailureDetector(
@@ -171,6 +177,16 @@
    */
   private void ownershipLost() {
     ownerlessSince = timers.nowMillis();
+    publishReachability();
+  }
+
+  /** Handles that this instance has become the owner. */
+  public void ownershipGained() {
+    publishReachability();
+  }
+
+  private void publishReachability() {
+    unreachableSince = isOwnerReachable() ? NEVER : ownerlessSince;
   }
 
   /**
@@ -338,12 +354,13 @@
   }
 
   /**
-   * Returns how long requests have reached no owner.
+   * Returns how long requests have reached no owner; callable from any thread.
    *
    * @return milliseconds; 0 if they reach one
    */
   public long ownerlessMillis() {
-    return isOwnerReachable() ? 0 : timers.nowMillis() - ownerlessSince;
+    long since = unreachableSince;
+    return since == NEVER ? 0 : timers.nowMillis() - since;
   }
 
   /**
@@ -392,6 +409,7 @@
                   target.epoch(), request -> opened.sendRequest(request, firstReplyTimeoutMillis));
               denial.clear();
               link = opened;
+              publishReachability();
               consecutiveRefusals = 0;
               linkedTo = target;
               log.event(
@@ -469,6 +487,7 @@
     link = null;
     linkedTo = OwnerRecord.NONE;
     ownerlessSince = timers.nowMillis();
+    publishReachability();
     timers.after(RECONNECT_DELAY, this::connect);
   }
 
@@ -480,6 +499,7 @@
       closing.close();
     }
     ownerlessSince = timers.nowMillis();
+    publishReachability();
   }
 
   /** Sends all requests that have no reply to the present owner, oldest first. */
