Wake the log's writer only for lines

Cause: the writer woke each 100 ms with nothing to write. Change: it waits for a line, and then 100 ms for those that follow.

--- a/daemon/src/main/java/org/hickorypier/daemon/report/JsonLineLog.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/report/JsonLineLog.java
@@ -30,7 +30,8 @@
   private static final int MAX_QUEUED_LINES = 4_000;
 
   /**
-   * The writer runs periodically, because a wake-up for each line would cost more than the line.
+   * The writer collects lines for this time, because a wake-up for each line would cost more than
+   * the line. It waits without a limit for the first one, because an idle instance writes none.
    */
   private static final long WRITE_PERIOD_MILLIS = 100;
 
@@ -74,6 +75,9 @@
         return;
       }
       queue.add(formatLine(now, part, event, fields, rateLimit.takeDropped()));
+      if (queue.size() == 1) {
+        queue.notifyAll();
+      }
     }
   }
 
@@ -93,6 +97,9 @@
   public void close() {
     closed = true;
     closeRequested.countDown();
+    synchronized (queue) {
+      queue.notifyAll();
+    }
     try {
       writer.join(WRITE_PERIOD_MILLIS);
     } catch (InterruptedException error) {
@@ -103,6 +110,7 @@
   private void runWriter() {
     try {
       while (!closed) {
+        awaitLine();
         awaitNextWrite();
         writeQueued();
       }
@@ -114,6 +122,19 @@
     }
   }
 
+  private void awaitLine() {
+    synchronized (queue) {
+      try {
+        while (queue.isEmpty() && !closed) {
+          queue.wait();
+        }
+      } catch (InterruptedException error) {
+        // Nobody interrupts the writer but the end of the process; a final write follows.
+        closed = true;
+      }
+    }
+  }
+
   /** Waits for the next write, so that the lines of a period share one; ends early at the close. */
   private void awaitNextWrite() {
     try {
