--- a/daemon/src/main/java/org/hickorypier/daemon/owner/JournalFollower.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/JournalFollower.java
@@ -22,7 +22,11 @@
 
   private static final String PART = "standby";
 
-  private static final Duration READ_PERIOD = Duration.ofMillis(250);
+  /** Pause after a read, so that the records of a busy owner arrive together. */
+  private static final Duration READ_PAUSE = Duration.ofMillis(250);
+
+  /** Longest wait of a read while nothing is written; an idle owner writes once a second. */
+  private static final long READ_WAIT_MILLIS = 1_000;
 
   /** Exceeds the time in which a lost owner is noticed, since nobody renews the request then. */
   private static final long REQUEST_VALIDITY_MILLIS = 8_000;
@@ -81,9 +85,9 @@
       return;
     }
     current
-        .readNext(0)
+        .readNext(READ_WAIT_MILLIS)
         .onSuccess(changes -> apply(current, changes))
-        .onComplete(done -> timers.after(READ_PERIOD, () -> readNext(current)));
+        .onComplete(done -> timers.after(READ_PAUSE, () -> readNext(current)));
   }
 
   private void apply(TopicReader current, TopicReader.Changes changes) {
