Rehearsal: ask again where a state cannot be read

A query of a state that failed ended the polling; that this was the cause is likely, not shown, and the fault did not come again. Change: a failed query is repeated like one without an end.

--- a/daemon/src/main/java/org/hickorypier/daemon/node/Rehearsal.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Rehearsal.java
@@ -138,6 +138,7 @@
   private void awaitCompletion(
       NodeSettings target, String path, int remainingPolls, Runnable next) {
     call(target.front(), HttpMethod.GET, path, null)
+        .otherwise(error -> "")
         .onSuccess(
             state -> {
               if (state.contains("completed") || state.contains("cancelled")) {
