--- a/measure/src/test/java/org/hickorypier/measure/MeasureTest.java
+++ b/measure/src/test/java/org/hickorypier/measure/MeasureTest.java
@@ -35,6 +35,7 @@
         "packing --seeds 101            | '--seeds is '101', allowed is 1 to 100'",
         "fairness --workers 7           | '--workers is '7', allowed is 8 to 5000'",
         "control --workers 601          | '--workers is '601', allowed is 1 to 600'",
+        "start --runs 0                 | '--runs is '0', allowed is 1 to 100'",
         "fairness here                  | 'here' is not an option",
         "nothing                        | 'nothing' is not a command"
       },
