--- a/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
@@ -98,7 +98,6 @@
   private volatile long shutdownDeadlineNanos;
   private boolean draining;
   private final Promise<Void> drainPromise = Promise.promise();
-  private volatile long ownerlessMillis;
   private Handover handover;
   private AdviceClient advisorClient;
   private VertxTimerService timers;
@@ -195,7 +194,11 @@
             dependencies.burstDelayMillis(),
             traffic,
             new InFlightWindow(dependencies.linkBytesPerSecond()));
-    timers.every(Duration.ofMillis(100), () -> ownerlessMillis = gateway.ownerlessMillis());
+    ownership.onGained(
+        () -> {
+          gateway.ownershipGained();
+          handover.ownershipGained();
+        });
     timers.every(SPEED_SAMPLE_PERIOD, speedMonitor::sample);
     TrafficReporter trafficReporter =
         new TrafficReporter(
@@ -207,7 +210,6 @@
     configurationWatcher.start();
     configurationWatcher.askWhileStoreUnavailable(gateway::askForConfiguration);
     directory.start();
-    gateway.start();
     // A caller whose connection is refused uses up one of its few attempts, so the front starts
     // first.
     Future<?> frontStarted = startTraffic(context);
@@ -239,7 +241,6 @@
                   gateway::checkOwnerAlive,
                   gateway::hasOwnerBeenProvenSince,
                   gateway::silentMillis);
-              handover.start();
             });
   }
 
@@ -273,7 +274,7 @@
     return !shutdownRequested
         && configurationWatcher.current() != null
         && configurationWatcher.isFresh()
-        && ownerlessMillis < MAX_OWNERLESS_MILLIS;
+        && gateway.ownerlessMillis() < MAX_OWNERLESS_MILLIS;
   }
 
   /** Applies what the operator has written to the store. */
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerGateway.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerGateway.java
@@ -30,7 +30,7 @@
  *
  * <p>All requests are idempotent by the submission's id, so a request without a reply is sent
  * again. Invariant: a request ends as refused only if no owner may have accepted it. Confined to
- * the control thread.
+ * the control thread, except for {@link #ownerlessMillis}.
  */
 public final class OwnerGateway {
 
@@ -80,6 +80,8 @@
   /** Retry delay that is suggested for queries: they are cheap, and another instance may answer. */
   private static final long QUERY_RETRY_AFTER_MILLIS = 1_000;
 
+  private static final long NEVER = Long.MAX_VALUE;
+
   private final NetClient client;
   private final TimerService timers;
   private final EventLog log;
@@ -89,6 +91,7 @@
   private final OrderRelay orderRelay;
   private final Candidate self;
   private final ProcessorSpeedMonitor speedMonitor;
+  private final OwnerFailureDetector failureDetector;
   private final Set<PendingRequest> pendingRequests = new LinkedHashSet<>();
   private Link link;
   private OwnerRecord linkedTo = OwnerRecord.NONE;
@@ -107,6 +110,9 @@
   private final long startedAt;
   private long ownerlessSince;
 
+  /** {@link #ownerlessSince} for other threads; {@link #NEVER} while requests reach an owner. */
+  private volatile long unreachableSince;
+
   /** When the owner last answered, or when the first request after an idle period was made. */
   private long repliedAt;
 
@@ -157,7 +163,17 @@
     this.window = window;
     this.startedAt = timers.nowMillis();
     this.ownerlessSince = startedAt;
+    this.unreachableSince = startedAt;
     this.repliedAt = ownerlessSince;
+    this.failureDetector =
+        new OwnerFailureDetector(
+            timers,
+            log,
+            directory,
+            ownership,
+            new PendingRequestStatus(),
+            this::takeoverDelay,
+            burstDelayMillis);
     ownership.onLost(this::ownershipLost);
   }
 
@@ -171,6 +187,16 @@
    */
   private void ownershipLost() {
     ownerlessSince = timers.nowMillis();
+    publishReachability();
+  }
+
+  /** Handles that this instance has become the owner. */
+  public void ownershipGained() {
+    publishReachability();
+  }
+
+  private void publishReachability() {
+    unreachableSince = isOwnerReachable() ? NEVER : ownerlessSince;
   }
 
   /**
@@ -189,6 +215,7 @@
       repliedAt = timers.nowMillis();
     }
     pendingRequests.add(pending);
+    failureDetector.requestAdded();
     pending.deadlineTimer =
         timers.after(Duration.ofMillis(timeoutMillis), () -> giveUp(pending, "deadline"));
     if (unservedMillis() > MAX_OWNERLESS_WAIT_MILLIS) {
@@ -200,19 +227,6 @@
     return pending.promise.future();
   }
 
-  /** Starts failure detection for the owner. */
-  public void start() {
-    new OwnerFailureDetector(
-            timers,
-            log,
-            directory,
-            ownership,
-            new PendingRequestStatus(),
-            this::takeoverDelay,
-            burstDelayMillis)
-        .start();
-  }
-
   /** View of the pending requests for the failure detector. */
   private final class PendingRequestStatus implements OwnerFailureDetector.Requests {
 
@@ -353,12 +367,13 @@
   }
 
   /**
-   * Returns how long requests have reached no owner.
+   * Returns how long requests have reached no owner; callable from any thread.
    *
    * @return milliseconds; 0 if they reach one
    */
   public long ownerlessMillis() {
-    return isOwnerReachable() ? 0 : timers.nowMillis() - ownerlessSince;
+    long since = unreachableSince;
+    return since == NEVER ? 0 : timers.nowMillis() - since;
   }
 
   /**
@@ -407,6 +422,7 @@
                   target.epoch(), request -> opened.sendRequest(request, firstReplyTimeoutMillis));
               denial.clear();
               link = opened;
+              publishReachability();
               consecutiveRefusals = 0;
               linkedTo = target;
               log.event(
@@ -484,6 +500,7 @@
     link = null;
     linkedTo = OwnerRecord.NONE;
     ownerlessSince = timers.nowMillis();
+    publishReachability();
     timers.after(RECONNECT_DELAY, this::connect);
   }
 
@@ -513,6 +530,7 @@
       }
     }
     ownerlessSince = timers.nowMillis();
+    publishReachability();
   }
 
   /** Sends all requests that have no reply to the present owner, oldest first. */
