--- a/core/src/main/java/org/hickorypier/core/cell/PreemptionController.java
+++ b/core/src/main/java/org/hickorypier/core/cell/PreemptionController.java
@@ -85,7 +85,10 @@
         + SETTLE_MILLIS;
   }
 
-  /** Tells whether a step is of a kind for which other runs are stopped. */
+  /**
+   * Tells whether a step is of a kind for which other runs are stopped. Where its tickets lapse
+   * before the stops are done, it could never start in their room.
+   */
   boolean mayPreempt(StepRun step) {
     DecisionSettings decisions = cell.timings.decisions();
     StepFlags flags = step.spec.flags();
@@ -93,7 +96,8 @@
         && decisions.interruption().isPresent()
         && step.submission.spec().queue().priority() > 0
         && !flags.persistent()
-        && !flags.opportunistic();
+        && !flags.opportunistic()
+        && (step.advice == null || step.advice.newTicketsOutlast(stopMillis()));
   }
 
   /**
--- a/core/src/main/java/org/hickorypier/core/cell/StepAdvice.java
+++ b/core/src/main/java/org/hickorypier/core/cell/StepAdvice.java
@@ -59,6 +59,11 @@
     return ticket.text;
   }
 
+  /** Tells whether a ticket that has just been issued is still valid after a time. */
+  boolean newTicketsOutlast(long millis) {
+    return terms.ticketValidityMillis() - TICKET_MARGIN_MILLIS > millis;
+  }
+
   void invalidateTicket(WorkerView worker) {
     Ticket ticket = suitableTickets.get(worker.id());
     if (ticket != null) {
--- a/core/src/test/java/org/hickorypier/core/cell/PreemptionTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/PreemptionTest.java
@@ -129,6 +129,20 @@
     assertThat(gangStarts()).hasSize(2);
   }
 
+  /** Guards against requests without end for tickets that lapse before the stops are done. */
+  @Test
+  void nothingIsStoppedWhereTicketsLapseTooSoon() {
+    AdviceTerms shortLived = new AdviceTerms(100, 1, 700);
+    fixture.addWorker("w0");
+    fixture.submit(spec("batch", BATCHES, step(2, 7_500, 60_000, false)));
+    fixture.confirmAll();
+    QueueTerms queue = new QueueTerms("g", "service", 1, 2, 1.5, 0, Optional.of(shortLived));
+    fixture.submit(spec("gang", queue, step(2, 8_000, 5_000, true)));
+    run(2_000, "");
+    assertThat(fixture.adviceRequests).isEmpty();
+    assertThat(fixture.stops).isEmpty();
+  }
+
   @Test
   void silentWorkerIsReplaced() {
     preempt();
