Refuse what no owner has written when its instance ends

Cause: requests that wait at an ending instance for an owner were answered 504, though no owner had taken them.

Change: OwnerGateway.refuseUnsent, called when the front closes.

Shown: RepeatedRequestTest.endingInstanceRefusesWhatWasNeverWritten (503 where every receiver says that it wrote nothing, 504 otherwise); all tests of core and daemon pass (971 in 110 classes).

--- a/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
@@ -465,7 +465,11 @@
    */
   public Future<Void> closeFront() {
     FrontServer server = frontServer;
-    return server == null ? Future.succeededFuture() : server.close();
+    if (server == null) {
+      return Future.succeededFuture();
+    }
+    context.runOnContext(none -> gateway.refuseUnsent());
+    return server.close();
   }
 
   /**
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerGateway.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerGateway.java
@@ -200,6 +200,18 @@
     return pending.promise.future();
   }
 
+  /**
+   * Refuses the requests that no owner has written or will write, since this instance ends: their
+   * callers would be told that the outcome is unknown.
+   */
+  public void refuseUnsent() {
+    for (PendingRequest pending : List.copyOf(pendingRequests)) {
+      if (RefusalCertainty.isNeverWritten(pending.outcomes())) {
+        giveUp(pending, "this instance ends");
+      }
+    }
+  }
+
   /** Starts failure detection for the owner. */
   public void start() {
     new OwnerFailureDetector(
--- a/daemon/src/test/java/org/hickorypier/daemon/node/RepeatedRequestTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/RepeatedRequestTest.java
@@ -147,4 +147,40 @@
       assertThat(cluster.submit(instance, ID, 1).status()).isEqualTo(status);
     }
   }
+
+  /** Guards against an unknown outcome of what no owner has taken when its instance ends. */
+  @ParameterizedTest
+  @CsvSource({"0, 503", "6, 504"})
+  void endingInstanceRefusesWhatWasNeverWritten(int epoch, int status) throws Exception {
+    try (SmallCluster cluster = new SmallCluster(1, 20)) {
+      Promise<Void> denied = Promise.promise();
+      Promise<Void> denialReceived = Promise.promise();
+      LinkRequestHandler denial =
+          request -> {
+            if (request instanceof LinkRequest.Submit) {
+              denied.tryComplete();
+            } else if (denied.future().isComplete()
+                && request instanceof LinkRequest.ProveOwnership) {
+              // An instance asks for a proof once it has received a denial.
+              denialReceived.tryComplete();
+            }
+            return Future.succeededFuture(new LinkReply.NotOwner(epoch));
+          };
+      cluster.installOwner(
+          FIRST_EPOCH,
+          socket ->
+              new Link(
+                  socket,
+                  denial,
+                  new VertxTimerService(cluster.vertx, cluster.vertx.getOrCreateContext()),
+                  new TrafficCounter()));
+      SmallCluster.Instance instance = cluster.startWithoutOwner(Strength.UNKNOWN);
+      cluster.waitUntil(() -> cluster.hasLogged(instance, "owner-linked"));
+      RawCaller caller = new RawCaller(cluster.connect(instance.settings().front())).submit(ID);
+      SmallCluster.await(denialReceived.future());
+      instance.node().closeFront();
+      cluster.waitUntil(caller::hasResponse);
+      assertThat(caller.responseCount("" + status)).as(caller.receivedText()).isEqualTo(1);
+    }
+  }
 }
