Interrupt no run whose submission would become useless

Under 1.2 times the load, gangs were served at the cost of batches that then ended after three objectives.

--- a/core/src/main/java/org/hickorypier/core/cell/PreemptionController.java
+++ b/core/src/main/java/org/hickorypier/core/cell/PreemptionController.java
@@ -354,8 +354,11 @@
     long remaining = Math.max(0, remainingChainMillis(step) - age);
     // In a full cell the room comes back when the preempting step is done.
     long wait = expectedMillis(preempting, preempting.spec);
-    long deadline =
-        step.submission.acceptedAt + step.submission.objectiveMillis(cell.durationEstimator);
+    long end = now + remaining;
+    long interruptedEnd = end + cost.longestLossMillis() + wait;
+    long objective = step.submission.objectiveMillis(cell.durationEstimator);
+    long accepted = step.submission.acceptedAt;
+    long usefulUntil = accepted + UrgencyOrder.USEFUL_OBJECTIVE_FACTOR * objective;
     long interruptedAt = run.task.interruptedAt;
     return new PreemptionCandidate(
         name,
@@ -365,7 +368,8 @@
         run.size,
         Math.min(age, cost.saveMillis()),
         interruptedAt == 0 ? Long.MAX_VALUE : now - interruptedAt,
-        now + remaining + cost.longestLossMillis() + wait <= deadline);
+        interruptedEnd <= accepted + objective,
+        interruptedEnd <= usefulUntil || end > usefulUntil);
   }
 
   private long stoppableMilliProcessors(long now) {
--- a/core/src/main/java/org/hickorypier/core/preemption/PreemptionCandidate.java
+++ b/core/src/main/java/org/hickorypier/core/preemption/PreemptionCandidate.java
@@ -16,6 +16,7 @@
  * @param sinceInterruptionMillis time since its task was interrupted last, in milliseconds; {@link
  *     Long#MAX_VALUE} if it never was
  * @param meetsObjective whether its submission still meets its objective if the run is interrupted
+ * @param staysUseful false if the interruption would make its submission end too late to be of use
  */
 public record PreemptionCandidate(
     String run,
@@ -25,4 +26,5 @@
     Resources size,
     long unsavedMillis,
     long sinceInterruptionMillis,
-    boolean meetsObjective) {}
+    boolean meetsObjective,
+    boolean staysUseful) {}
--- a/core/src/main/java/org/hickorypier/core/preemption/PreemptionPlanner.java
+++ b/core/src/main/java/org/hickorypier/core/preemption/PreemptionPlanner.java
@@ -28,8 +28,8 @@
    *
    * @param request the step and the bounds
    * @param candidates the runs that may be stopped
-   * @return the plan with the least loss that was found, of runs that still meet their objective;
-   *     empty if the step cannot be given room within the bounds
+   * @return the plan with the least loss that was found, of runs that still meet their objective if
+   *     these suffice; empty if the step cannot be given room within the bounds
    */
   public Optional<PreemptionPlan> plan(
       PreemptionRequest request, List<PreemptionCandidate> candidates) {
@@ -39,9 +39,14 @@
             .filter(run -> run.priority() > request.priority())
             .filter(run -> run.sinceInterruptionMillis() >= MIN_INTERRUPTION_INTERVAL_MILLIS)
             .filter(run -> !sameCustomer || run.customer().equals(request.customer()))
-            .filter(PreemptionCandidate::meetsObjective)
+            .filter(PreemptionCandidate::staysUseful)
             .toList();
-    return attempt(request, eligible);
+    List<PreemptionCandidate> punctual =
+        eligible.stream().filter(PreemptionCandidate::meetsObjective).toList();
+    return attempt(request, punctual)
+        .or(
+            () ->
+                punctual.size() == eligible.size() ? Optional.empty() : attempt(request, eligible));
   }
 
   private static Optional<PreemptionPlan> attempt(
