Bound the processor time of scheduling passes

A pass looked at the tickets of all workers for each step, also where none could be valid, and followed 4 ms after any event however long the last one took. Steps without a valid ticket are skipped now, and the pause before a pass grows to four times its duration.

--- a/core/src/main/java/org/hickorypier/core/cell/Dispatcher.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Dispatcher.java
@@ -286,12 +286,14 @@
     }
     StepAdvice advice = step.advice;
     Map<Task, WorkerView> chosen =
-        Placer.choose(
-            step,
-            tasks,
-            workers,
-            worker -> advice == null || advice.validTicket(worker, now) != null,
-            now);
+        advice != null && !advice.mayHaveValidTicket(now)
+            ? Map.of()
+            : Placer.choose(
+                step,
+                tasks,
+                workers,
+                worker -> advice == null || advice.validTicket(worker, now) != null,
+                now);
     startTasks(step, chosen, now);
     if (advice == null || chosen.size() == tasks.size()) {
       return;
--- a/core/src/main/java/org/hickorypier/core/cell/StepAdvice.java
+++ b/core/src/main/java/org/hickorypier/core/cell/StepAdvice.java
@@ -31,6 +31,9 @@
   /** Earliest time of the next request. */
   long nextRequestAt;
 
+  /** No ticket is valid after this time. */
+  private long lastValidUntil;
+
   StepAdvice(AdviceTerms terms) {
     this.terms = terms;
   }
@@ -64,6 +67,11 @@
     return terms.ticketValidityMillis() - TICKET_MARGIN_MILLIS > millis;
   }
 
+  /** Returns whether any ticket may be valid; false spares a look at each worker. */
+  boolean mayHaveValidTicket(long now) {
+    return now <= lastValidUntil;
+  }
+
   void invalidateTicket(WorkerView worker) {
     Ticket ticket = suitableTickets.get(worker.id());
     if (ticket != null) {
@@ -80,6 +88,7 @@
         unsuitableWorkers.add(worker.id());
       } else {
         long validUntil = now + validMillis - TICKET_MARGIN_MILLIS;
+        lastValidUntil = Math.max(lastValidUntil, validUntil);
         suitableTickets.put(worker.id(), new Ticket(ticket, validUntil, worker.bornMillis));
       }
     }
--- /dev/null
+++ b/core/src/test/java/org/hickorypier/core/cell/PassPacingTest.java
@@ -0,0 +1,42 @@
+package org.hickorypier.core.cell;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class PassPacingTest {
+
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
+  private final PassPacing pacing = new PassPacing();
+
+  private void pass(int count, long nanos) {
+    for (int index = 0; index < count; index++) {
+      pacing.recordPass(nanos);
+    }
+  }
+
+  @Test
+  void shortPassesFollowEventsAtOnce() {
+    pass(100, NANOS_PER_MILLI / 2);
+    assertThat(pacing.delay()).hasMillis(4);
+  }
+
+  /** Guards against an owner whose processor is taken up by scheduling passes. */
+  @Test
+  void longPassesTakeOneFifthOfTheProcessor() {
+    pass(100, 6 * NANOS_PER_MILLI);
+    assertThat(pacing.delay()).hasMillis(24);
+    pass(100, NANOS_PER_MILLI);
+    assertThat(pacing.delay()).hasMillis(4);
+  }
+
+  @Test
+  void singleInterruptedPassHardlyDelaysTheNext() {
+    pass(100, NANOS_PER_MILLI);
+    pass(1, 20 * NANOS_PER_MILLI);
+    assertThat(pacing.delay().toMillis()).isLessThan(20);
+    pass(100, 500 * NANOS_PER_MILLI);
+    assertThat(pacing.delay()).hasMillis(50);
+  }
+}
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
@@ -18,6 +18,7 @@
 import org.hickorypier.core.cell.ContactWindow;
 import org.hickorypier.core.cell.CustomerLimits;
 import org.hickorypier.core.cell.EvacuationReading;
+import org.hickorypier.core.cell.PassPacing;
 import org.hickorypier.core.cell.RetryAfter;
 import org.hickorypier.core.cell.RosterEntry;
 import org.hickorypier.core.cell.Submission;
@@ -39,9 +40,6 @@
 
   private static final String PART = "owner";
 
-  /** Events that arrive within this time are handled in one scheduling pass. */
-  private static final Duration PASS_DELAY = Duration.ofMillis(4);
-
   private static final Duration TICK_PERIOD = Duration.ofMillis(100);
 
   /**
@@ -78,6 +76,7 @@
   private final WorkerTimeout workerTimeout;
   private final ContactWindow contactWindow;
   private final WorkerEvents workerEvents = new WorkerEvents();
+  private final PassPacing passPacing = new PassPacing();
   private final TimerSubscription tickTimer;
   private boolean passScheduled;
   private boolean ended;
@@ -459,7 +458,7 @@
   private void requestPass() {
     if (!passScheduled && !ended && cell.needsPass()) {
       passScheduled = true;
-      dependencies.timers().after(PASS_DELAY, this::pass);
+      dependencies.timers().after(passPacing.delay(), this::pass);
     }
   }
 
@@ -475,7 +474,9 @@
   private void pass() {
     passScheduled = false;
     if (now() >= startsSuspendedUntil && maySendOrders() && isEvacuationReadAgeKnown()) {
+      long startNanos = System.nanoTime();
       cell.pass(now(), dependencies.wallClock().getAsLong());
+      passPacing.recordPass(System.nanoTime() - startNanos);
     }
   }
 
