--- a/core/src/test/java/org/hickorypier/core/cell/PreemptionLoadTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/PreemptionLoadTest.java
@@ -69,8 +69,6 @@
     assertThat(submissions)
         .allMatch(submission -> submission.visibleState() == SubmissionState.COMPLETED);
     run(false);
-    System.out.println(
-        "gangs in time: " + with + " with preemption, " + gangsInTime + " without, of " + gangs);
     assertThat(with).isGreaterThanOrEqualTo(gangs * 9 / 10);
     assertThat(gangsInTime).isLessThan(gangs / 2);
   }
--- a/core/src/test/java/org/hickorypier/core/cell/WorkerSpeedLoadTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/WorkerSpeedLoadTest.java
@@ -279,20 +279,6 @@
     final Map<Work, Result> with = player.play();
     Player plain = new Player(false);
     final Map<Work, Result> without = plain.play();
-    for (Work work : Work.values()) {
-      System.out.printf(
-          "speeds: %s in time %.3f of %d, %.3f without; gangs with slow member %d (%d) of %d,"
-              + " %d without%n",
-          work,
-          with.get(work).share(),
-          with.get(work).ended,
-          without.get(work).share(),
-          with.get(work).gangsWithSlowMember,
-          with.get(work).gangsWithSlowMemberDespiteRoom,
-          with.get(work).gangs,
-          without.get(work).gangsWithSlowMember);
-    }
-    System.out.println("speeds: stops " + player.stops + ", without " + plain.stops);
     assertThat(with.get(Work.CHECK).share()).isGreaterThan(0.97);
     assertThat(with.get(Work.CHECK).share()).isGreaterThan(without.get(Work.CHECK).share());
     assertThat(with.get(Work.BATCH).share()).isGreaterThan(0.97);
