--- a/core/src/main/java/org/hickorypier/core/cell/DecisionSettings.java
+++ b/core/src/main/java/org/hickorypier/core/cell/DecisionSettings.java
@@ -12,7 +12,6 @@
  * @param admission whether submissions are refused that cannot be done while they are of use
  * @param fairShares whether customers over their share wait behind the others under contention
  * @param workerSpeeds whether the speed of each worker is learned and used to place tasks
- * @param copies whether slow tasks of steps that allow it are run a second time
  * @param interruption what it costs to interrupt a run; empty if that is not known, in which case
  *     nothing is interrupted
  */
@@ -21,10 +20,9 @@
     boolean admission,
     boolean fairShares,
     boolean workerSpeeds,
-    boolean copies,
     Optional<InterruptionCost> interruption) {
 
   /** All decisions are used; the cost of an interruption is not known. */
   public static final DecisionSettings DEFAULT =
-      new DecisionSettings(true, true, true, true, true, Optional.empty());
+      new DecisionSettings(true, true, true, true, Optional.empty());
 }
--- a/core/src/test/java/org/hickorypier/core/cell/AdmissionLoadTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/AdmissionLoadTest.java
@@ -75,7 +75,7 @@
     Load(long seed, boolean admission) {
       random = new Random(seed);
       DecisionSettings decisions =
-          new DecisionSettings(true, admission, true, true, true, Optional.empty());
+          new DecisionSettings(true, admission, true, true, Optional.empty());
       fixture = new CellFixture(1, CellFixture.TIMINGS.withDecisions(decisions));
       for (int index = 0; index < 8; index++) {
         fixture.addWorker("w" + index);
--- a/core/src/test/java/org/hickorypier/core/cell/PreemptionLoadTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/PreemptionLoadTest.java
@@ -75,7 +75,7 @@
 
   private void run(boolean preemption) {
     DecisionSettings decisions =
-        new DecisionSettings(preemption, true, true, true, true, Optional.of(COST));
+        new DecisionSettings(preemption, true, true, true, Optional.of(COST));
     fixture = new CellFixture(1, CellFixture.TIMINGS.withDecisions(decisions));
     random = new Random(11);
     present.clear();
--- a/core/src/test/java/org/hickorypier/core/cell/PreemptionTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/PreemptionTest.java
@@ -30,7 +30,7 @@
           1,
           CellFixture.TIMINGS.withDecisions(
               new DecisionSettings(
-                  true, true, true, true, true, Optional.of(new InterruptionCost(200, 250, 500)))));
+                  true, true, true, true, Optional.of(new InterruptionCost(200, 250, 500)))));
   private final Set<RunKey> stopped = new HashSet<>();
   private final Map<String, Long> endNumbers = new HashMap<>();
   private StepRun gang;
--- a/core/src/test/java/org/hickorypier/core/cell/StragglerDetectorTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/StragglerDetectorTest.java
@@ -134,8 +134,7 @@
   @Test
   void taskIsNotMovedIfStopAndRestoreTakeLonger() {
     InterruptionCost cost = new InterruptionCost(1_000, 1_500, 2_000);
-    DecisionSettings decisions =
-        new DecisionSettings(true, true, true, true, true, Optional.of(cost));
+    DecisionSettings decisions = new DecisionSettings(true, true, true, true, Optional.of(cost));
     fixture = new CellFixture(1, CellFixture.TIMINGS.withDecisions(decisions));
     start(new StepFlags(false, false, true, false, false, false));
     reportProgress(1.0 / 6, 900);
--- a/core/src/test/java/org/hickorypier/core/cell/WorkerSpeedLoadTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/WorkerSpeedLoadTest.java
@@ -99,7 +99,7 @@
 
     Player(boolean workerSpeeds) {
       DecisionSettings decisions =
-          new DecisionSettings(false, false, false, workerSpeeds, false, Optional.empty());
+          new DecisionSettings(false, false, false, workerSpeeds, Optional.empty());
       fixture = new CellFixture(1, CellFixture.TIMINGS.withDecisions(decisions));
       for (int index = 0; index < WORKERS; index++) {
         fixture.addWorker("w" + index);
--- a/core/src/test/java/org/hickorypier/core/cell/model/ModelOwner.java
+++ b/core/src/test/java/org/hickorypier/core/cell/model/ModelOwner.java
@@ -37,7 +37,7 @@
           .withEvacuationMillis(5_000)
           .withDecisions(
               new DecisionSettings(
-                  true, true, true, true, true, Optional.of(new InterruptionCost(20, 20, 100))));
+                  true, true, true, true, Optional.of(new InterruptionCost(20, 20, 100))));
 
   /** Longest wait of a read of the evacuations. */
   private static final int MAX_EVACUATION_READ_MILLIS = 1_000;
--- a/daemon/src/main/java/org/hickorypier/daemon/node/NodeSettings.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/NodeSettings.java
@@ -164,7 +164,6 @@
           flag("admission"),
           flag("fairShares"),
           flag("workerSpeeds"),
-          flag("copies"),
           interruptionCost());
     }
 
--- a/daemon/src/test/java/org/hickorypier/daemon/node/NodeSettingsTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/NodeSettingsTest.java
@@ -77,8 +77,8 @@
             .cellTimings();
     assertThat(timings.decisions().admission()).isFalse();
     assertThat(timings.decisions().preemption()).isTrue();
-    assertThatThrownBy(() -> NodeSettings.decode(validSettings().put("copies", "no")))
-        .hasMessageContaining("copies is no; expected true or false");
+    assertThatThrownBy(() -> NodeSettings.decode(validSettings().put("fairShares", "no")))
+        .hasMessageContaining("fairShares is no; expected true or false");
   }
 
   @Test
