--- a/core/src/main/java/org/hickorypier/core/cell/BacklogReader.java
+++ b/core/src/main/java/org/hickorypier/core/cell/BacklogReader.java
@@ -79,10 +79,12 @@
     return key.advised ? Math.min(1, steps * cell.suitabilityEstimator.share(key.queue)) : 1;
   }
 
-  /** Returns whether a worker can take work, now or soon. */
+  /**
+   * Returns whether a worker can take work, now or soon. One that has not answered this owner yet
+   * counts, or the estimates after a takeover would be too long.
+   */
   private static boolean isUsable(WorkerView worker, long now) {
     return worker.listed
-        && worker.hasAnswered
         && !worker.evacuated
         && !worker.entry().draining()
         && !worker.isSilentForLong(now);
--- a/core/src/main/java/org/hickorypier/core/cell/Dispatcher.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Dispatcher.java
@@ -59,6 +59,8 @@
   }
 
   void pass(long now) {
+    // Rated before the refresh too, which forgets workers that were not rated for a while.
+    cell.workers.values().forEach(worker -> worker.rate(cell.speedEstimator, now));
     cell.speedEstimator.refresh(now);
     for (WorkerView worker : cell.workers.values()) {
       worker.rate(cell.speedEstimator, now);
@@ -519,8 +521,11 @@
   void adviceFailed(StepRun step, long now) {
     step.advice.requestedAt = 0;
     step.advice.nextRequestAt = now + ADVICE_RETRY_MILLIS;
-    cell.reservations.release(step);
-    step.preemption = null;
+    // Stops that do not wait for this answer go on, and keep their room.
+    if (step.preemption == null || step.preemption.ticketsRenewed()) {
+      cell.reservations.release(step);
+      step.preemption = null;
+    }
     cell.dirty = true;
   }
 }
--- a/core/src/main/java/org/hickorypier/core/cell/LimitHeadroom.java
+++ b/core/src/main/java/org/hickorypier/core/cell/LimitHeadroom.java
@@ -39,9 +39,10 @@
       String customer = step.submission.spec().customer();
       StepRun holder = holders.get(customer);
       if (cell.usage.limits(customer) != null
-          && (holder == null || priority(step) < priority(holder))
+          && (holder == null || isBefore(step, holder))
           && !cell.waitsForUnheardWorkers(step.submission, unresolvedUpTo)
           && isBlockedByLimit(step)
+          && isUseful(step, now)
           && mayHold(step, now)) {
         holders.put(customer, step);
       }
@@ -64,6 +65,20 @@
         && (inProgress || !cell.usage.allows(customer, each, waiting));
   }
 
+  /** Of steps of one priority, that for which runs are being stopped keeps the room they free. */
+  private static boolean isBefore(StepRun step, StepRun holder) {
+    return priority(step) < priority(holder)
+        || priority(step) == priority(holder)
+            && step.preemption != null
+            && holder.preemption == null;
+  }
+
+  /** Tells whether a step may still end while its submission is of use. */
+  private boolean isUseful(StepRun step, long now) {
+    return UrgencyOrder.place(step, cell.durationEstimator, now).band()
+        < UrgencyOrder.FIRST_USELESS_BAND;
+  }
+
   private boolean mayHold(StepRun step, long now) {
     return now - heldSince.getOrDefault(step, now)
         <= step.submission.objectiveMillis(cell.durationEstimator);
@@ -72,8 +87,8 @@
   private void begin(StepRun step, long now) {
     String customer = step.submission.spec().customer();
     Resources each = step.spec.reservedResources();
-    if (!cell.usage.allows(customer, each, step.waitingCount())
-        && heldSince.putIfAbsent(step, now) == null) {
+    boolean begins = heldSince.putIfAbsent(step, now) == null;
+    if (begins && !cell.usage.allows(customer, each, step.waitingCount())) {
       cell.submissionEvent(
           "limit-headroom",
           step.submission,
@@ -96,7 +111,8 @@
     String customer = step.submission.spec().customer();
     StepRun holder = holders.get(customer);
     if (holder == null
-        || priority(holder) >= priority(step)
+        || holder == step
+        || !holdsBack(holder, step)
         || !holder.hasWaitingTasks()
         || mayStartRegardless(step, count, now)) {
       return null;
@@ -107,6 +123,13 @@
     return cell.usage.allows(customer, held.plus(wanted), 1) ? null : holder;
   }
 
+  private static boolean holdsBack(StepRun holder, StepRun step) {
+    return priority(holder) < priority(step)
+        || priority(holder) == priority(step)
+            && holder.preemption != null
+            && step.preemption == null;
+  }
+
   private boolean mayStartRegardless(StepRun step, int count, long now) {
     boolean starved =
         now - step.waitingSince() > step.submission.objectiveMillis(cell.durationEstimator);
--- a/core/src/main/java/org/hickorypier/core/cell/PreemptionController.java
+++ b/core/src/main/java/org/hickorypier/core/cell/PreemptionController.java
@@ -369,7 +369,7 @@
         Math.min(age, cost.saveMillis()),
         interruptedAt == 0 ? Long.MAX_VALUE : now - interruptedAt,
         interruptedEnd <= accepted + objective,
-        interruptedEnd <= usefulUntil || end > usefulUntil);
+        interruptedEnd <= usefulUntil || !run.resumed && end > usefulUntil);
   }
 
   private long stoppableMilliProcessors(long now) {
--- a/core/src/main/java/org/hickorypier/core/cell/RunController.java
+++ b/core/src/main/java/org/hickorypier/core/cell/RunController.java
@@ -205,6 +205,7 @@
       for (StepRun step : steps) {
         cell.readySteps.remove(step);
         cell.reservations.release(step);
+        step.preemption = null;
         stopStep(step, now);
       }
     }
--- a/core/src/main/java/org/hickorypier/core/cell/RunEndHandler.java
+++ b/core/src/main/java/org/hickorypier/core/cell/RunEndHandler.java
@@ -168,6 +168,7 @@
     submission.unfinishedSteps--;
     cell.readySteps.remove(step);
     cell.reservations.release(step);
+    step.preemption = null;
     if (submission.unfinishedSteps > 0) {
       cell.stepsMayBeReady = true;
       return;
--- a/core/src/main/java/org/hickorypier/core/cell/UrgencyOrder.java
+++ b/core/src/main/java/org/hickorypier/core/cell/UrgencyOrder.java
@@ -27,6 +27,9 @@
           .thenComparing(Ranked::heldBack)
           .thenComparing(Ranked::place);
 
+  /** The bands from this one on hold work that ends too late to be of use. */
+  static final int FIRST_USELESS_BAND = 2;
+
   private UrgencyOrder() {}
 
   /**
@@ -62,7 +65,7 @@
     long from = step.isPersistent() ? step.waitingSince() : submission.acceptedAt;
     boolean useless =
         !step.isPersistent() && expectedEnd > from + USEFUL_OBJECTIVE_FACTOR * objective;
-    int band = (submission.exceedsShare ? 1 : 0) + (useless ? 2 : 0);
+    int band = (submission.exceedsShare ? 1 : 0) + (useless ? FIRST_USELESS_BAND : 0);
     long deadline = from + objective;
     boolean late = !step.isPersistent() && expectedEnd > deadline;
     return new Place(band, queue.priority(), late, deadline);
--- a/core/src/main/java/org/hickorypier/core/estimation/RunTimeEstimator.java
+++ b/core/src/main/java/org/hickorypier/core/estimation/RunTimeEstimator.java
@@ -69,7 +69,9 @@
    */
   public long expectedMillis(String queue, long estimateMillis) {
     QueueRunTimes times = queues.get(queue);
-    return times == null ? estimateMillis : Math.round(times.expectedMillis(estimateMillis));
+    return times == null
+        ? estimateMillis
+        : Math.max(1, Math.round(times.expectedMillis(estimateMillis)));
   }
 
   /**
--- a/core/src/main/java/org/hickorypier/core/estimation/WorkerSpeedCodec.java
+++ b/core/src/main/java/org/hickorypier/core/estimation/WorkerSpeedCodec.java
@@ -63,7 +63,10 @@
                 unpacker.unpackFloat()));
       }
       return speeds;
-    } catch (IOException | MessagePackException | IllegalArgumentException error) {
+    } catch (IOException
+        | MessagePackException
+        | IllegalArgumentException
+        | IndexOutOfBoundsException error) {
       throw new UndecodableException(bytes.length + " bytes are not valid worker speeds", error);
     }
   }
--- a/daemon/src/main/java/org/hickorypier/daemon/node/Rehearsal.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Rehearsal.java
@@ -33,6 +33,7 @@
 
   /** A failed run fails the build, and a busy machine takes ten times as long as an idle one. */
   private static final long TIMEOUT_SECONDS = 60;
+
   private static final int SUBMISSIONS = 20;
   private static final int MAX_POLLS = 200;
   private static final long POLL_INTERVAL_MILLIS = 20;
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/ConfigurationWatcher.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/ConfigurationWatcher.java
@@ -137,9 +137,8 @@
   public void start() {
     long sentAt = timers.nowMillis();
     // After a suspension or a lost answer a proof is needed immediately, so the read does not
-    // wait. Before the first configuration there is nothing to prove, and a waiting read is
-    // answered
-    // as soon as it is written.
+    // wait. Before the first configuration there is nothing to prove, and the store answers a
+    // waiting read as soon as there is one.
     long waitMillis = isFresh() ? READ_WAIT_MILLIS : 0;
     reader
         .readNext(waitMillis)
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -71,7 +72,7 @@
   private final List<Promise<LinkReply>> pendingCancellations = new ArrayList<>();
 
   /** Refusals that wait for a proof of ownership. */
-  private final List<Promise<LinkReply>> pendingRefusals = new ArrayList<>();
+  private final Set<PendingRefusal> pendingRefusals = new LinkedHashSet<>();
 
   private final WorkerTimeout workerTimeout;
   private final ContactWindow contactWindow;
@@ -186,17 +187,25 @@
       return Future.succeededFuture(new LinkReply.Accepted());
     }
     if (status == null && cell.size() >= MAX_WAITING_SUBMISSIONS) {
-      return refuse(spec, "the queue is full", QUEUE_FULL_RETRY_AFTER_MILLIS);
+      return refuseOnceProven(spec, waitMillis, "the queue is full", QUEUE_FULL_RETRY_AFTER_MILLIS);
     }
     if (status == null && journal.unavailableMillis() > WithdrawalPolicy.TAKEOVER_MILLIS) {
-      // If no other instance has taken over by now, the store is unavailable to all instances, and
-      // an immediate refusal serves the caller better than a wait. Before that, the request waits,
-      // since a successor can accept it shortly.
+      // Most likely the store is unavailable to all instances by now, and an immediate refusal
+      // serves the caller better than a wait. Before that, the request waits, since a successor can
+      // accept it shortly. Nothing proves here that no successor has taken over.
       return refuse(spec, "the store is unavailable", RetryAfter.delayMillis(spec));
     }
     AdmissionDecision decision = cell.admit(spec, knowsAllAccepted(), now());
     if (!decision.accepted()) {
-      return refuseOnceProven(spec, decision, waitMillis);
+      return refuseOnceProven(
+          spec,
+          waitMillis,
+          decision.reason(),
+          decision.retryAfterMillis(),
+          "estimate_ms",
+          decision.estimateMillis(),
+          "limit_ms",
+          decision.limitMillis());
     }
     Submission submission = cell.find(spec.id());
     requestPass();
@@ -208,10 +217,11 @@
    * successor may have accepted an earlier try of it, and the refusal would be wrong.
    */
   private Future<LinkReply> refuseOnceProven(
-      SubmissionSpec spec, AdmissionDecision decision, long waitMillis) {
+      SubmissionSpec spec, long waitMillis, String reason, long retryAfterMillis, Object... more) {
     Promise<LinkReply> promise = Promise.promise();
-    pendingRefusals.add(promise);
-    promise.future().onComplete(done -> pendingRefusals.remove(promise));
+    PendingRefusal pending = new PendingRefusal(spec, promise, now(), waitMillis);
+    pendingRefusals.add(pending);
+    promise.future().onComplete(done -> pendingRefusals.remove(pending));
     journal.put(JournalKeys.PROOF, new byte[] {1});
     journal.afterSave(
         () -> {
@@ -221,20 +231,41 @@
           // Another try of the same submission may have been accepted meanwhile.
           Future<LinkReply> reply =
               cell.status(spec.id()) != null
-                  ? submit(spec, waitMillis)
-                  : refuse(
-                      spec,
-                      decision.reason(),
-                      decision.retryAfterMillis(),
-                      "estimate_ms",
-                      decision.estimateMillis(),
-                      "limit_ms",
-                      decision.limitMillis());
+                  ? submit(spec, pending.remainingMillis(now()))
+                  : refuse(spec, reason, retryAfterMillis, more);
           reply.onSuccess(promise::tryComplete);
         });
     return promise.future();
   }
 
+  /** A refusal that waits for a proof of ownership. */
+  private record PendingRefusal(
+      SubmissionSpec spec, Promise<LinkReply> promise, long since, long waitMillis) {
+
+    /** Returns how long the caller still waits, in milliseconds; not positive if unknown. */
+    long remainingMillis(long now) {
+      return waitMillis > 0 ? Math.max(1, waitMillis - (now - since)) : waitMillis;
+    }
+  }
+
+  /** Answers the refusals whose proof does not come in time, as submissions that wait for it. */
+  private void completeDueRefusals() {
+    for (PendingRefusal pending : List.copyOf(pendingRefusals)) {
+      long remaining = pending.remainingMillis(now());
+      if (cell.status(pending.spec.id()) == null
+          && WithdrawalPolicy.isDue(
+              journal.unavailableMillis(),
+              now() - pending.since,
+              remaining > 0 ? remaining : Long.MAX_VALUE)) {
+        refuse(
+                pending.spec,
+                "the store did not answer in time, and nothing was written",
+                RetryAfter.delayMillis(pending.spec))
+            .onSuccess(pending.promise::tryComplete);
+      }
+    }
+  }
+
   /** Refuses a submission that waits for the journal and is never written. */
   private Future<LinkReply> refuseWithdrawn(Submission submission) {
     cell.withdraw(submission);
@@ -352,7 +383,7 @@
     leaseRenewers.values().forEach(LeaseRenewer::stop);
     pendingAcceptances.end(epoch);
     List.copyOf(pendingRefusals)
-        .forEach(promise -> promise.tryComplete(LinkReply.NotOwner.notWritten()));
+        .forEach(pending -> pending.promise.tryComplete(LinkReply.NotOwner.notWritten()));
     List.copyOf(pendingCancellations)
         .forEach(promise -> promise.tryComplete(new LinkReply.NotOwner()));
   }
@@ -449,6 +480,7 @@
     }
     journal.tick();
     pendingAcceptances.withdrawDue(this::refuseWithdrawn);
+    completeDueRefusals();
     if (maySendOrders()) {
       cell.tick(now(), dependencies.wallClock().getAsLong());
     }
