--- a/core/src/test/java/org/hickorypier/core/cell/PreemptionTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/PreemptionTest.java
@@ -111,6 +111,15 @@
     assertThat(fixture.starts).hasSize(2);
   }
 
+  /** Guards against stops that were in vain since another call for the step has failed. */
+  @Test
+  void failedCallDoesNotGiveTheFreedRoomAway() {
+    preempt();
+    fixture.cell.adviceFailed(gang, fixture.now);
+    run(100, "");
+    assertThat(gangStarts()).hasSize(2);
+  }
+
   @Test
   void nothingIsStoppedWithoutTicketsAndRoomIsFreedWhenTheAdvisorFails() {
     submitGang();
