--- a/core/src/main/java/org/hickorypier/core/cell/ShareSampler.java
+++ b/core/src/main/java/org/hickorypier/core/cell/ShareSampler.java
@@ -66,11 +66,10 @@
 
   /**
    * Returns whether a step waits behind those of customers that are below their share. No step does
-   * so for longer than the window of the shares.
+   * so once its submission is older than the window of the shares.
    */
   boolean isHeldBack(StepRun step, long now) {
-    long waitingSince = Math.max(step.submission.acceptedAt, step.waitingSince());
-    return now - waitingSince < FairShares.WINDOW_MILLIS
+    return now - step.submission.acceptedAt < FairShares.WINDOW_MILLIS
         && shares.isOverShare(step.submission.spec().customer());
   }
 }
--- a/core/src/main/java/org/hickorypier/core/estimation/WorkerRating.java
+++ b/core/src/main/java/org/hickorypier/core/estimation/WorkerRating.java
@@ -78,6 +78,16 @@
     this.kindFigure = kindFigure;
   }
 
+  /**
+   * Drops the samples of a rating that is not used any more. The samples of other workers refer to
+   * it, and would keep those of every earlier incarnation in memory.
+   */
+  void dropSamples() {
+    Arrays.fill(steps, null);
+    size = 0;
+    next = 0;
+  }
+
   /**
    * Returns the relative run time of tasks on the worker.
    *
--- a/core/src/main/java/org/hickorypier/core/estimation/WorkerSpeedEstimator.java
+++ b/core/src/main/java/org/hickorypier/core/estimation/WorkerSpeedEstimator.java
@@ -107,7 +107,10 @@
       if (!byWorker) {
         rating.useFactorOfKind();
       }
-      ratings.put(id, rating);
+      WorkerRating replaced = ratings.put(id, rating);
+      if (replaced != null) {
+        replaced.dropSamples();
+      }
     }
     rating.usedAt = now;
     return rating;
@@ -139,7 +142,16 @@
     }
     changed = false;
     refreshedAt = now;
-    ratings.values().removeIf(rating -> now - rating.usedAt > UNUSED_MILLIS);
+    ratings
+        .values()
+        .removeIf(
+            rating -> {
+              boolean unused = now - rating.usedAt > UNUSED_MILLIS;
+              if (unused) {
+                rating.dropSamples();
+              }
+              return unused;
+            });
     for (int count = 0; count < SWEEPS; count++) {
       sweep(now);
     }
