--- a/core/src/main/java/org/hickorypier/core/cell/PreemptionController.java
+++ b/core/src/main/java/org/hickorypier/core/cell/PreemptionController.java
@@ -47,9 +47,6 @@
    */
   private static final double MARGIN_FRACTION = 0.25;
 
-  /** Multiple of its objective after which a submission is of no use to its caller. */
-  private static final int USEFUL_OBJECTIVE_FACTOR = 3;
-
   /** Interval of the plans of one step; a plan looks at all runs of the suitable workers. */
   private static final long PLAN_INTERVAL_MILLIS = 200;
 
@@ -134,7 +131,8 @@
     long objective = step.submission.objectiveMillis(cell.durationEstimator);
     long deadline = step.submission.acceptedAt + objective;
     return earliestEnd + MARGIN_FRACTION * chain >= deadline
-        && earliestEnd <= step.submission.acceptedAt + USEFUL_OBJECTIVE_FACTOR * objective;
+        && earliestEnd
+            <= step.submission.acceptedAt + UrgencyOrder.USEFUL_OBJECTIVE_FACTOR * objective;
   }
 
   /** Tasks that have lost runs start by rules of their own, for which no other run is stopped. */
--- a/core/src/main/java/org/hickorypier/core/cell/SpeedPreference.java
+++ b/core/src/main/java/org/hickorypier/core/cell/SpeedPreference.java
@@ -24,9 +24,6 @@
 
   private static final double UNKNOWN_UNEVENNESS = 1.5;
 
-  /** Multiple of its objective after which a submission is of no use to its caller. */
-  private static final int USEFUL_OBJECTIVE_FACTOR = 3;
-
   /** Fastest factor that workers have in practice; work that needs more is late everywhere. */
   private static final double FASTEST_FACTOR = 0.5;
 
@@ -61,7 +58,7 @@
     double spentMillis = now - submission.acceptedAt + laterMillis;
     double factor = (objective - spentMillis) / neededMillis;
     if (factor < FASTEST_FACTOR) {
-      factor = (USEFUL_OBJECTIVE_FACTOR * objective - spentMillis) / neededMillis;
+      factor = (UrgencyOrder.USEFUL_OBJECTIVE_FACTOR * objective - spentMillis) / neededMillis;
     }
     return factor < FASTEST_FACTOR ? Double.POSITIVE_INFINITY : factor;
   }
--- a/core/src/main/java/org/hickorypier/core/preemption/StopSelection.java
+++ b/core/src/main/java/org/hickorypier/core/preemption/StopSelection.java
@@ -24,7 +24,9 @@
   private final PreemptionRequest request;
   private final List<PreemptionCandidate> candidates;
   private final Map<String, WorkerState> workers = new LinkedHashMap<>();
-  private final List<PreemptionCandidate> elsewhere = new ArrayList<>();
+
+  /** Runs that make no room for tasks, but spare the reserve or the customer's limit. */
+  private final List<PreemptionCandidate> stoppedForBounds = new ArrayList<>();
 
   /** A worker with the runs that stay and those that are to be stopped. */
   private static final class WorkerState {
@@ -165,7 +167,7 @@
     List<PreemptionCandidate> chosen = victims();
     for (PreemptionCandidate run : candidates) {
       if (useful.test(run) && !chosen.contains(run)) {
-        elsewhere.add(run);
+        stoppedForBounds.add(run);
         if (satisfied.getAsBoolean()) {
           return true;
         }
@@ -198,7 +200,7 @@
   List<PreemptionCandidate> victims() {
     List<PreemptionCandidate> victims = new ArrayList<>();
     workers.values().forEach(worker -> victims.addAll(worker.stopped));
-    victims.addAll(elsewhere);
+    victims.addAll(stoppedForBounds);
     return victims;
   }
 
