--- a/daemon/src/main/java/org/hickorypier/daemon/node/Rehearsal.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Rehearsal.java
@@ -7,12 +7,14 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.json.JsonObject;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.apache.commons.cli.ParseException;
 import org.hickorypier.platform.http.PooledHttpClient;
@@ -35,6 +37,14 @@
   private static final long TIMEOUT_SECONDS = 60;
 
   private static final int SUBMISSIONS = 20;
+
+  /** From here on outgoing connections take ports, also one that was found free before. */
+  private static final int FIRST_EPHEMERAL_PORT = 32_768;
+
+  private static final int LOWEST_PORT = 20_000;
+
+  private static int nextPort =
+      ThreadLocalRandom.current().nextInt(LOWEST_PORT, FIRST_EPHEMERAL_PORT - 1_000);
   private static final int MAX_POLLS = 200;
   private static final long POLL_INTERVAL_MILLIS = 20;
   private static final long CALL_TIMEOUT_MILLIS = 3_000;
@@ -182,9 +192,16 @@
         .put("workerHeartbeatMillis", 1_500);
   }
 
+  /** Returns a port that is free and was not returned before. */
   private static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return socket.getLocalPort();
+    for (int port = nextPort; port < FIRST_EPHEMERAL_PORT; port++) {
+      try (ServerSocket socket = new ServerSocket(port)) {
+        nextPort = port + 1;
+        return socket.getLocalPort();
+      } catch (BindException taken) {
+        // The next one may be free.
+      }
     }
+    throw new IOException("no free port below " + FIRST_EPHEMERAL_PORT);
   }
 }
