A refusal cut short by the end of an owner may not claim that nothing was written

Cause: when an owner ended, it answered each refusal that still waited for its proof with "not written", although another try of the same id could have been accepted by it in the meantime.

Change: such a refusal now names the owner's epoch as one that may have written the submission. Comments of LimitHeadroom, PendingAcceptances and QueueRunTimes say what the code does.

--- a/core/src/main/java/org/hickorypier/core/cell/LimitHeadroom.java
+++ b/core/src/main/java/org/hickorypier/core/cell/LimitHeadroom.java
@@ -13,9 +13,9 @@
  * all members of the gang.
  *
  * <p>Invariants: one step of each customer holds room at a time, for at most its objective, and
- * affects only less urgent steps of the same customer. A step that has waited for longer than its
- * own objective and has no run may still start one task, or as a gang. Confined to the control
- * thread.
+ * affects only less urgent steps of the same customer, and equally urgent ones while runs are being
+ * stopped for the holder. A step that has waited for longer than its own objective and has no run
+ * may still start one task, or as a gang. Confined to the control thread.
  */
 final class LimitHeadroom {
 
--- a/core/src/main/java/org/hickorypier/core/estimation/QueueRunTimes.java
+++ b/core/src/main/java/org/hickorypier/core/estimation/QueueRunTimes.java
@@ -3,6 +3,10 @@
 /**
  * The run times of one queue's tasks, at the usual worker speed. Mutable; confined to the control
  * thread.
+ *
+ * <p>The distribution is kept here rather than in HdrHistogram because old samples must lose weight
+ * and samples are relative to the expected time; HdrHistogram counts whole, equally weighted
+ * values.
  */
 final class QueueRunTimes {
 
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
@@ -383,11 +383,18 @@
     leaseRenewers.values().forEach(LeaseRenewer::stop);
     pendingAcceptances.end(epoch);
     List.copyOf(pendingRefusals)
-        .forEach(pending -> pending.promise.tryComplete(LinkReply.NotOwner.notWritten()));
+        .forEach(pending -> pending.promise.tryComplete(unprovenReply(pending.spec)));
     List.copyOf(pendingCancellations)
         .forEach(promise -> promise.tryComplete(new LinkReply.NotOwner()));
   }
 
+  /** Another try of the same submission may have been accepted while the refusal was pending. */
+  private LinkReply unprovenReply(SubmissionSpec spec) {
+    return cell.status(spec.id()) == null
+        ? LinkReply.NotOwner.notWritten()
+        : new LinkReply.NotOwner(epoch);
+  }
+
   /** Returns what may still run on the workers once this owner has ended. */
   List<RosterEntry> finalRoster() {
     return cell.finalRoster(now());
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/PendingAcceptances.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/PendingAcceptances.java
@@ -49,7 +49,7 @@
      */
     boolean withdraw(Submission submission);
 
-    /** Returns whether no append has carried a submission. */
+    /** Returns whether no append carries a submission, so that it can still be withdrawn. */
     boolean isUnsent(Submission submission);
   }
 
