--- a/daemon/src/test/java/org/hickorypier/daemon/node/NodeTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/NodeTest.java
@@ -4,6 +4,8 @@
 
 import io.vertx.core.Promise;
 import io.vertx.core.http.HttpMethod;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
 import io.vertx.core.net.NetSocket;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -102,6 +104,29 @@
     }
   }
 
+  /**
+   * Guards against scheduled submissions that never start while the worker list holds an entry of
+   * another writer whose capacity is not a whole number.
+   */
+  @Test
+  void scheduledSubmissionStartsBesideAnInvalidWorkerEntry() throws Exception {
+    try (SmallCluster cluster = new SmallCluster(2, 50)) {
+      cluster.putForeignEntry(
+          "foreign",
+          new JsonObject()
+              .put("Service", "service-without-queue")
+              .put("Address", "127.0.0.1:9")
+              .put("State", "ready")
+              .put("Capacity", new JsonObject().put("Cpu", Double.MAX_VALUE).put("MemMb", 1_000))
+              .put("Labels", new JsonArray().add("a").add("r1")));
+      SmallCluster.Instance instance = cluster.start();
+      String id = ID_FORMAT.formatted(1);
+      assertThat(cluster.submitScheduled(instance, id, 300).status()).isEqualTo(200);
+      cluster.waitUntil(() -> cluster.state(instance, id).equals("completed"));
+      assertThat(cluster.starts()).hasSize(1);
+    }
+  }
+
   /**
    * Guards against an owner whose start orders fill its slow link: other instances relay them, also
    * those of a submission that the owner accepted itself.
--- a/daemon/src/test/java/org/hickorypier/daemon/node/SmallCluster.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/SmallCluster.java
@@ -151,6 +151,11 @@
     store.put("keyed.servers", workers.get(worker).id(), entry.toBuffer().getBytes());
   }
 
+  /** Publishes an entry that no worker has written. */
+  void putForeignEntry(String id, JsonObject entry) {
+    store.put("keyed.servers", id, entry.toBuffer().getBytes());
+  }
+
   /** Publishes that a worker is draining. */
   void drain(int worker, long remainingMillis) {
     putWorkerEntry(
@@ -372,10 +377,29 @@
   }
 
   private HttpReply submit(Instance instance, String id, JsonObject step) {
-    JsonObject body = new JsonObject().put("Spec", "text").put("Phases", new JsonArray().add(step));
+    return submitBody(
+        instance,
+        id,
+        new JsonObject().put("Spec", "text").put("Phases", new JsonArray().add(step)));
+  }
+
+  private HttpReply submitBody(Instance instance, String id, JsonObject body) {
     return call(instance.settings().front(), HttpMethod.POST, PREFIX + id, body.toBuffer());
   }
 
+  /** Submits one task with one occurrence, which is due after a delay. */
+  HttpReply submitScheduled(Instance instance, String id, long delayMillis) {
+    return submitBody(
+        instance,
+        id,
+        new JsonObject()
+            .put("Spec", "text")
+            .put("Phases", new JsonArray().add(step(1)))
+            .put("Times", 1)
+            .put("StartAtMs", System.currentTimeMillis() + delayMillis)
+            .put("IntervalMs", 1_000));
+  }
+
   /** Submits one persistent task. */
   HttpReply submitPersistent(Instance instance, String id) {
     return submit(instance, id, step(1).put("Persistent", true));
