One part of the cell that fails no longer keeps the others from working

Cause: Cell.tick performed its parts in turn, so an exception in one of them left out all later ones with each tick: scheduled submissions, resent stops, members of gangs that were not confirmed, the archive.

Change: IndependentActions runs the parts of the tick, and the placements of a pass, one by one, and throws the failures once all have run. None is swallowed: the process logs "fault" as before, now with the name of the part and the place of the original exception.

--- a/core/src/main/java/org/hickorypier/core/cell/Cell.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Cell.java
@@ -566,24 +566,27 @@
   }
 
   /**
-   * Performs the periodic work.
+   * Performs the periodic work. If a part of it fails, the others are still performed.
    *
    * @param now the time
    * @param wallMillis the wall-clock time, milliseconds since 1970
+   * @throws IllegalStateException if a part has failed
    */
   public void tick(long now, long wallMillis) {
-    workers.tick(now);
-    crashTracker.tick(now);
-    state.reserve.sample();
-    state.shares.sample(now);
-    runs.resendStops(now);
-    runs.stopUnconfirmedGangs(now);
-    archive.tick(wallMillis);
+    IndependentActions parts = new IndependentActions();
+    parts.run("check of the workers", () -> workers.tick(now));
+    parts.run("check of lost runs", () -> crashTracker.tick(now));
+    parts.run("sample of the urgent work", state.reserve::sample);
+    parts.run("sample of the shares", () -> state.shares.sample(now));
+    parts.run("resending of stops", () -> runs.resendStops(now));
+    parts.run("stop of unconfirmed gangs", () -> runs.stopUnconfirmedGangs(now));
+    parts.run("archive", () -> archive.tick(wallMillis));
     state.stepsMayBeReady |= readySteps.hasScheduledSubmissions();
-    upcomingSteps.addUpcomingSteps(now);
-    longWaitLogger.logLongWaits(now);
-    speedRecordWriter.tick(now);
-    admission.tick(now);
+    parts.run("search for upcoming steps", () -> upcomingSteps.addUpcomingSteps(now));
+    parts.run("log of long waits", () -> longWaitLogger.logLongWaits(now));
+    parts.run("record of the speeds", () -> speedRecordWriter.tick(now));
+    parts.run("check of the estimates", () -> admission.tick(now));
     state.dirty |= !state.readySteps.isEmpty() || !upcomingSteps.upcoming().isEmpty();
+    parts.throwFailure();
   }
 }
--- a/core/src/main/java/org/hickorypier/core/cell/Dispatcher.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Dispatcher.java
@@ -77,25 +77,27 @@
             step -> cell.shares.isHeldBack(step, now),
             now);
     cell.headroom.update(sorted, now);
+    IndependentActions placements = new IndependentActions();
     for (StepRun step : sorted) {
       if (!step.submission.isLive() || !step.hasWaitingTasks()) {
         cell.reservations.release(step);
         cell.readySteps.remove(step);
       } else if (!cell.waitsForUnheardWorkers(step.submission, unresolvedUpTo)) {
-        String service = step.submission.spec().queue().service();
-        placeStep(
-            step,
-            workersByService.computeIfAbsent(service, name -> cell.acceptingWorkers(name, now)),
-            now);
+        List<WorkerView> workers = workersFor(step, workersByService, now);
+        placements.run(
+            "placement of " + step.submission.spec().id(), () -> placeStep(step, workers, now));
       }
     }
     for (StepRun step : upcomingSteps.upcoming()) {
-      String service = step.submission.spec().queue().service();
-      requestAdviceAhead(
-          step,
-          workersByService.computeIfAbsent(service, name -> cell.acceptingWorkers(name, now)),
-          now);
+      requestAdviceAhead(step, workersFor(step, workersByService, now), now);
     }
+    placements.throwFailure();
+  }
+
+  private List<WorkerView> workersFor(
+      StepRun step, Map<String, List<WorkerView>> workersByService, long now) {
+    String service = step.submission.spec().queue().service();
+    return workersByService.computeIfAbsent(service, name -> cell.acceptingWorkers(name, now));
   }
 
   private static boolean isRequestPending(StepAdvice advice, long now) {
--- a/core/src/test/java/org/hickorypier/core/cell/CellFixture.java
+++ b/core/src/test/java/org/hickorypier/core/cell/CellFixture.java
@@ -57,6 +57,9 @@
 
   boolean advisorAvailable = true;
 
+  /** The submission for whose tasks no order can be sent; null if orders can be sent for all. */
+  String unorderable;
+
   /** Whether the owner reads the worker list before each pass. */
   boolean listReadable = true;
 
@@ -274,14 +277,22 @@
 
   @Override
   public void start(Run run, long deadline, String ticket) {
+    checkOrderable(run.key());
     starts.add(new StartedRun(run, deadline, ticket));
   }
 
   @Override
   public void stop(WorkerView worker, RunKey run) {
+    checkOrderable(run);
     stops.add(run);
   }
 
+  private void checkOrderable(RunKey run) {
+    if (run.task().submission().equals(unorderable)) {
+      throw new IllegalStateException("no order for " + run);
+    }
+  }
+
   @Override
   public boolean advise(StepRun step, List<WorkerView> workers) {
     if (advisorAvailable) {
--- a/daemon/src/main/java/org/hickorypier/daemon/node/NodeMain.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/NodeMain.java
@@ -198,7 +198,11 @@
   }
 
   private static String describe(Throwable error) {
-    StackTraceElement[] trace = error.getStackTrace();
+    Throwable root = error;
+    while (root.getCause() != null) {
+      root = root.getCause();
+    }
+    StackTraceElement[] trace = root.getStackTrace();
     return error + (trace.length == 0 ? "" : " at " + trace[0]);
   }
 
