Sums of resources are capped instead of failing

Accelerators are counted in an int, so two entries of 2^30 sufficed. Two copies of a product had the same fault.

Change: plus returns the largest amount in place of one that doesn't fit; times replaces the two copies. Amounts from outside are limited by the decoders; this keeps sums of restored ones safe as well.

Measured: ResourcesTest.sumsAndProductsBeyondTheirTypeAreTheLargestAmounts failed before (negative amounts) and passes.

--- a/core/src/main/java/org/hickorypier/core/cell/LimitHeadroom.java
+++ b/core/src/main/java/org/hickorypier/core/cell/LimitHeadroom.java
@@ -118,8 +118,8 @@
       return null;
     }
     Resources each = holder.spec.reservedResources();
-    Resources held = times(each, holder.waitingCount());
-    Resources wanted = times(step.spec.reservedResources(), count);
+    Resources held = each.times(holder.waitingCount());
+    Resources wanted = step.spec.reservedResources().times(count);
     return cell.usage.allows(customer, held.plus(wanted), 1) ? null : holder;
   }
 
@@ -144,13 +144,6 @@
     return true;
   }
 
-  private static Resources times(Resources each, int count) {
-    return new Resources(
-        each.milliProcessors() * count,
-        each.memoryMebibytes() * count,
-        each.accelerators() * count);
-  }
-
   private static int priority(StepRun step) {
     return step.submission.spec().queue().priority();
   }
--- a/core/src/main/java/org/hickorypier/core/cell/PreemptionController.java
+++ b/core/src/main/java/org/hickorypier/core/cell/PreemptionController.java
@@ -228,19 +228,12 @@
     plan.tasksByWorker()
         .forEach(
             (id, count) ->
-                resources.put(cell.workers.get(id), times(step.spec.taskResources(), count)));
+                resources.put(cell.workers.get(id), step.spec.taskResources().times(count)));
     List<Run> victims =
         plan.victims().stream().map(run -> candidateRuns.get(Integer.parseInt(run.run()))).toList();
     return new Planned(resources, victims, plan.lossCoreMillis());
   }
 
-  private static Resources times(Resources each, int count) {
-    return new Resources(
-        each.milliProcessors() * count,
-        each.memoryMebibytes() * count,
-        each.accelerators() * count);
-  }
-
   /** Returns the request for a step; empty if another preemption may use up the limit first. */
   private Optional<PreemptionRequest> request(
       StepRun step, List<WorkerRoom> rooms, long unreservedMilliProcessors, long now) {
@@ -248,7 +241,7 @@
     Resources each = step.spec.taskResources();
     Resources pending = pendingPreemptions(step);
     int waiting = step.waitingCount();
-    if (!cell.usage.allows(customer, times(each, waiting).plus(pending), 1)
+    if (!cell.usage.allows(customer, each.times(waiting).plus(pending), 1)
         && !pending.equals(Resources.NONE)) {
       return Optional.empty();
     }
@@ -275,7 +268,7 @@
       if (other != step
           && other.preemption != null
           && other.submission.spec().customer().equals(step.submission.spec().customer())) {
-        pending = pending.plus(times(other.spec.taskResources(), other.waitingCount()));
+        pending = pending.plus(other.spec.taskResources().times(other.waitingCount()));
       }
     }
     return pending;
--- a/core/src/main/java/org/hickorypier/core/model/Resources.java
+++ b/core/src/main/java/org/hickorypier/core/model/Resources.java
@@ -31,13 +31,38 @@
    * Returns the sum of two amounts.
    *
    * @param other the amount to add
-   * @return the sum
+   * @return the sum; an amount that does not fit its type is the largest one that does
    */
   public Resources plus(Resources other) {
     return new Resources(
-        milliProcessors + other.milliProcessors,
-        memoryMebibytes + other.memoryMebibytes,
-        accelerators + other.accelerators);
+        cappedSum(milliProcessors, other.milliProcessors),
+        cappedSum(memoryMebibytes, other.memoryMebibytes),
+        (int) Math.min(Integer.MAX_VALUE, (long) accelerators + other.accelerators));
+  }
+
+  /** Returns the sum of amounts that are not negative, which is negative if it overflows. */
+  private static long cappedSum(long amount, long other) {
+    long sum = amount + other;
+    return sum < 0 ? Long.MAX_VALUE : sum;
+  }
+
+  /**
+   * Returns the amounts of a number of tasks.
+   *
+   * @param count the number of tasks, not negative
+   * @return the product; an amount that does not fit its type is the largest one that does
+   */
+  public Resources times(int count) {
+    return new Resources(
+        cappedProduct(milliProcessors, count),
+        cappedProduct(memoryMebibytes, count),
+        (int) Math.min(Integer.MAX_VALUE, (long) accelerators * count));
+  }
+
+  private static long cappedProduct(long amount, int count) {
+    return Math.multiplyHigh(amount, count) == 0 && amount * count >= 0
+        ? amount * count
+        : Long.MAX_VALUE;
   }
 
   /**
--- a/core/src/test/java/org/hickorypier/core/model/ResourcesTest.java
+++ b/core/src/test/java/org/hickorypier/core/model/ResourcesTest.java
@@ -25,6 +25,19 @@
         .hasMessageContaining("-1, 0, 0");
   }
 
+  /** Guards against a sum over the workers that overflows and ends the work that needs it. */
+  @Test
+  void sumsAndProductsBeyondTheirTypeAreTheLargestAmounts() {
+    Resources largest = new Resources(Long.MAX_VALUE, Long.MAX_VALUE, Integer.MAX_VALUE);
+    Resources large = new Resources(Long.MAX_VALUE / 3, 1L << 62, Integer.MAX_VALUE / 2);
+
+    assertThat(largest.plus(new Resources(1, Long.MAX_VALUE, 1))).isEqualTo(largest);
+    assertThat(large.times(4)).isEqualTo(largest);
+    assertThat(large.times(1)).isEqualTo(large);
+    assertThat(large.times(0)).isEqualTo(Resources.NONE);
+    assertThat(new Resources(3, 5, 7).times(10)).isEqualTo(new Resources(30, 50, 70));
+  }
+
   @Property(seed = "1", tries = 200)
   void minusUndoesPlus(@ForAll @IntRange(max = 1_000) int a, @ForAll @IntRange(max = 1_000) int b) {
     Resources first = new Resources(a, b, a % 8);
