Capacity of workers that never answered does not count as that of the cell

Cause: the shares of customers, and the limit of stops for more urgent work, were taken from all entries of the worker list. An entry of another writer within the allowed range names a worker that doesn't exist; with a million processors in it, every use of processors looked like none, and a customer over its share was not held back.

Change: only listed workers that have answered this owner count. After a takeover a worker counts from its first answer on, before which nothing starts on it either.

--- a/core/src/main/java/org/hickorypier/core/cell/PreemptionController.java
+++ b/core/src/main/java/org/hickorypier/core/cell/PreemptionController.java
@@ -367,7 +367,7 @@
     recentStops.removeIf(stopped -> now - stopped.at() >= STOP_WINDOW_MILLIS);
     long cores = 0;
     for (WorkerView worker : cell.workers.values()) {
-      cores += worker.listed ? worker.entry().capacity().milliProcessors() : 0;
+      cores += worker.addsCapacity() ? worker.entry().capacity().milliProcessors() : 0;
     }
     long stopped = recentStops.stream().mapToLong(Stopped::milliProcessors).sum();
     return cores / CORES_PER_STOPPED_CORE - stopped;
--- a/core/src/main/java/org/hickorypier/core/cell/ShareSampler.java
+++ b/core/src/main/java/org/hickorypier/core/cell/ShareSampler.java
@@ -32,7 +32,7 @@
     }
     Resources capacity = Resources.NONE;
     for (WorkerView worker : cell.workers.values()) {
-      if (worker.listed) {
+      if (worker.addsCapacity()) {
         capacity = capacity.plus(worker.entry().capacity());
       }
     }
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
@@ -372,6 +372,14 @@
     return entry.capacity().accelerators() - usedAccelerators;
   }
 
+  /**
+   * Returns whether the capacity of the worker is part of that of the cell. Until the worker has
+   * answered, its entry may be that of another writer, which names a worker that does not exist.
+   */
+  boolean addsCapacity() {
+    return listed && hasAnswered;
+  }
+
   private boolean answeredRecently(long now) {
     return now - lastAnswerAt <= MAX_ANSWER_AGE_MILLIS;
   }
