Reads and lease renewals go on after a failure to apply a result

The reads of the worker list, of the configuration and of the owner directory schedule the next read after they have applied one, as does a lease renewal. An exception meanwhile ended them for good: the list would have gone out of date after 3 s, and a worker's lease would have expired.

Measured: ConfigurationWatcherTest.readFollowsOneThatCannotBeApplied and LeaseRenewerTest.renewalFollowsReportThatCannotBeApplied failed before and pass. The reads of the worker list and the directory have the same form and no test of their own.

--- a/daemon/src/main/java/org/hickorypier/daemon/owner/ConfigurationWatcher.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/ConfigurationWatcher.java
@@ -249,7 +249,16 @@
     }
   }
 
+  /** Applies a read. Another one follows even if it fails, or later versions would be missed. */
   private void handleChanges(TopicReader.Changes changes, long sentAt) {
+    try {
+      apply(changes, sentAt);
+    } finally {
+      start();
+    }
+  }
+
+  private void apply(TopicReader.Changes changes, long sentAt) {
     Set<String> before = Set.copyOf(evacuated);
     if (changes.isSnapshot()) {
       evacuated.clear();
@@ -268,7 +277,6 @@
       recordProof(sentAt);
       listener.evacuationsRead(new EvacuationReading(evacuated, sentAt));
     }
-    start();
   }
 
   private void applyEvacuation(String dataCentre, boolean requested) {
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/LeaseRenewer.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/LeaseRenewer.java
@@ -151,8 +151,11 @@
             this::handleLateReport)
         .onComplete(
             report -> {
-              handleReport(report, sentAt, wait);
-              onAnswer.accept(dependencies.timers().nowMillis() - sentAt);
+              try {
+                handleReport(report, sentAt, wait);
+              } finally {
+                onAnswer.accept(dependencies.timers().nowMillis() - sentAt);
+              }
             },
             error -> {
               handleFailure(error, sentAt, wait);
@@ -179,7 +182,16 @@
     if (now - sentAt >= wait) {
       timeout.record(now - sentAt - wait);
     }
-    cell.renewalAnswered(worker, report, sentAt, now);
+    boolean applied = false;
+    try {
+      cell.renewalAnswered(worker, report, sentAt, now);
+      applied = true;
+    } finally {
+      // Without further renewals the lease would expire, and the worker would stop all its runs.
+      if (!applied) {
+        dependencies.timers().after(RETRY_DELAY, this::renew);
+      }
+    }
     events.workerAnswered();
     if (wait == 0) {
       renew();
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerDirectory.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerDirectory.java
@@ -96,13 +96,17 @@
     }
   }
 
+  /** Applies a read. Another one follows even if it fails, or later owners would be missed. */
   private void handleChanges(TopicReader.Changes changes) {
-    for (KeyedRecord record : changes.records()) {
-      if (record.key().equals(JournalKeys.DIRECTORY_KEY)) {
-        applyRecord(record.value());
+    try {
+      for (KeyedRecord record : changes.records()) {
+        if (record.key().equals(JournalKeys.DIRECTORY_KEY)) {
+          applyRecord(record.value());
+        }
       }
+    } finally {
+      start();
     }
-    start();
   }
 
   private void applyRecord(byte[] value) {
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/WorkerListReader.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/WorkerListReader.java
@@ -81,7 +81,16 @@
     stopped = true;
   }
 
+  /** Applies a read. Another one follows even if it fails, or the list would stay as it is. */
   private void handleChanges(TopicReader.Changes changes) {
+    try {
+      apply(changes);
+    } finally {
+      scheduleRead();
+    }
+  }
+
+  private void apply(TopicReader.Changes changes) {
     if (changes.isSnapshot()) {
       entries.clear();
     }
@@ -98,7 +107,6 @@
     if (!stopped) {
       listener.workersListed(entries, departed);
     }
-    scheduleRead();
   }
 
   private void scheduleRead() {
--- a/daemon/src/test/java/org/hickorypier/daemon/owner/ConfigurationWatcherTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/owner/ConfigurationWatcherTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.hickorypier.core.cell.EvacuationReading;
 import org.hickorypier.core.cluster.ClusterConfiguration;
 import org.hickorypier.daemon.time.ManualTimerService;
@@ -57,6 +58,22 @@
    */
   @Test
   void readBeforeTheFirstConfigurationWaitsAtTheStore() throws Exception {
+    startWatcher(reading -> {});
+    assertThat(waits.poll(20, TimeUnit.SECONDS)).isEqualTo("1000");
+    assertThat(waits).isEmpty();
+  }
+
+  /** Guards against an instance that misses all later versions once it has failed to apply one. */
+  @Test
+  void readFollowsOneThatCannotBeApplied() throws Exception {
+    startWatcher(
+        reading -> {
+          throw new IllegalStateException("the reading cannot be applied");
+        });
+    assertThat(waits.poll(20, TimeUnit.SECONDS)).isEqualTo("1000");
+  }
+
+  private void startWatcher(Consumer<EvacuationReading> readings) throws Exception {
     HttpServer server =
         await(vertx.createHttpServer().requestHandler(this::answer).listen(0, "127.0.0.1"));
     StoreClient store =
@@ -68,18 +85,20 @@
             new SuspensionDetector(timers::nowMillis, timers::nowMillis),
             (part, event, fields) -> {},
             5_000,
-            new IgnoringListener())
+            new ReadingListener(readings))
         .start();
-    assertThat(waits.poll(20, TimeUnit.SECONDS)).isEqualTo("1000");
-    assertThat(waits).isEmpty();
   }
 
-  private static final class IgnoringListener implements ConfigurationWatcher.Listener {
+  /** Passes the readings of evacuations on, and ignores configurations. */
+  private record ReadingListener(Consumer<EvacuationReading> readings)
+      implements ConfigurationWatcher.Listener {
 
     @Override
     public void configurationChanged(ClusterConfiguration configuration) {}
 
     @Override
-    public void evacuationsRead(EvacuationReading reading) {}
+    public void evacuationsRead(EvacuationReading reading) {
+      readings.accept(reading);
+    }
   }
 }
--- a/daemon/src/test/java/org/hickorypier/daemon/owner/LeaseRenewerTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/owner/LeaseRenewerTest.java
@@ -5,6 +5,7 @@
 import io.vertx.core.Context;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
 import io.vertx.core.net.NetServer;
 import java.time.Duration;
 import java.util.List;
@@ -134,6 +135,10 @@
             callsUntilSilent.tryComplete(calls);
           }
         };
+    return renewer(address, log);
+  }
+
+  private LeaseRenewer renewer(String address, EventLog log) {
     CellTimings timings = CellTimings.of(10_000, 3_000, 60_000);
     Cell cell = new Cell(timings, new NoOutput(), log, 1, timers.nowMillis());
     WorkerEntry entry =
@@ -164,6 +169,44 @@
         new NoEvents());
   }
 
+  /** Guards against a worker whose lease expires since one of its reports could not be applied. */
+  @Test
+  void renewalFollowsReportThatCannotBeApplied() throws Exception {
+    Context control = vertx.getOrCreateContext();
+    Promise<Void> renewedAgain = Promise.promise();
+    HttpServer worker =
+        vertx
+            .createHttpServer()
+            .requestHandler(
+                request -> {
+                  calls++;
+                  if (calls > 1) {
+                    renewedAgain.tryComplete();
+                  }
+                  request.response().end("{\"ClockMs\":1,\"born\":1}");
+                })
+            .listen(0, LOOPBACK)
+            .toCompletionStage()
+            .toCompletableFuture()
+            .get(TEST_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    EventLog failingLog =
+        (part, event, fields) -> {
+          if (event.equals("worker-heard")) {
+            throw new IllegalStateException("the report cannot be applied");
+          }
+        };
+    control.runOnContext(
+        none -> {
+          renewer(LOOPBACK + ":" + worker.actualPort(), failingLog).renew();
+          vertx.setPeriodic(5, id -> control.runOnContext(tick -> timers.advance(RETRY_DELAY)));
+        });
+    renewedAgain
+        .future()
+        .toCompletionStage()
+        .toCompletableFuture()
+        .get(TEST_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+  }
+
   @Test
   void workerWithoutAnswerIsSilent() throws Exception {
     assertThat(callsUntilWorkerIsSilent(Duration.ZERO)).isEqualTo(1);
