The owner's periodic work goes on after a failure, and the log names each part that failed

Cause: Owner.tick had the form of Cell.tick: a failure of one part left out the later ones and the request for a scheduling pass, so that with a persistent fault passes waited for the next read of the worker list, up to 0.4 s. Names of placements were put together for each step, also without a failure.

Change: Owner.tick runs its parts with IndependentActions. The exception names all parts that failed, so the line "fault" tells each of them. A placement costs nothing unless it fails.

No test makes a part of Owner.tick fail; the class that runs them is tested by FailingPartTest.

--- a/core/src/main/java/org/hickorypier/core/cell/Cell.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Cell.java
@@ -587,6 +587,6 @@
     parts.run("record of the speeds", () -> speedRecordWriter.tick(now));
     parts.run("check of the estimates", () -> admission.tick(now));
     state.dirty |= !state.readySteps.isEmpty() || !upcomingSteps.upcoming().isEmpty();
-    parts.throwFailure();
+    parts.throwIfFailed();
   }
 }
--- a/core/src/main/java/org/hickorypier/core/cell/Dispatcher.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Dispatcher.java
@@ -83,15 +83,17 @@
         cell.reservations.release(step);
         cell.readySteps.remove(step);
       } else if (!cell.waitsForUnheardWorkers(step.submission, unresolvedUpTo)) {
-        List<WorkerView> workers = workersFor(step, workersByService, now);
-        placements.run(
-            "placement of " + step.submission.spec().id(), () -> placeStep(step, workers, now));
+        try {
+          placeStep(step, workersFor(step, workersByService, now), now);
+        } catch (RuntimeException error) {
+          placements.addFailure("placement of " + step.submission.spec().id(), error);
+        }
       }
     }
     for (StepRun step : upcomingSteps.upcoming()) {
       requestAdviceAhead(step, workersFor(step, workersByService, now), now);
     }
-    placements.throwFailure();
+    placements.throwIfFailed();
   }
 
   private List<WorkerView> workersFor(
--- a/core/src/main/java/org/hickorypier/core/cell/IndependentActions.java
+++ b/core/src/main/java/org/hickorypier/core/cell/IndependentActions.java
@@ -1,5 +1,8 @@
 package org.hickorypier.core.cell;
 
+import java.util.ArrayList;
+import java.util.List;
+
 /**
  * Runs actions that do not depend on each other, so that one that fails does not keep the others
  * from running.
@@ -7,12 +10,13 @@
  * <p>Failure prevented: the shares of the customers cannot be computed, and with each attempt the
  * rest of the periodic work is left out, so that no submission with a schedule ever starts.
  *
- * <p>Invariant: no failure is lost; the first one is thrown once all actions have run, and the
- * others are suppressed by it. Confined to the control thread.
+ * <p>Invariant: no failure is lost; once all actions have run, one exception names all of them.
+ * Confined to one thread.
  */
-final class IndependentActions {
+public final class IndependentActions {
 
-  private IllegalStateException failure;
+  private final List<String> messages = new ArrayList<>(0);
+  private RuntimeException firstError;
 
   /**
    * Runs an action and keeps its failure.
@@ -20,27 +24,36 @@
    * @param name what the action does, for the log
    * @param action the action
    */
-  void run(String name, Runnable action) {
+  public void run(String name, Runnable action) {
     try {
       action.run();
     } catch (RuntimeException error) {
-      IllegalStateException named = new IllegalStateException(name + " failed: " + error, error);
-      if (failure == null) {
-        failure = named;
-      } else {
-        failure.addSuppressed(named);
-      }
+      addFailure(name, error);
+    }
+  }
+
+  /**
+   * Keeps the failure of an action that the caller has run itself.
+   *
+   * @param name what the action does, for the log
+   * @param error its failure
+   */
+  public void addFailure(String name, RuntimeException error) {
+    messages.add(name + " failed: " + error);
+    if (firstError == null) {
+      firstError = error;
     }
   }
 
   /**
-   * Throws the failures of the actions that have run.
+   * Throws an exception if an action has failed.
    *
-   * @throws IllegalStateException if an action has failed
+   * @throws IllegalStateException with the names and errors of the actions that have failed; its
+   *     cause is the first error
    */
-  void throwFailure() {
-    if (failure != null) {
-      throw failure;
+  public void throwIfFailed() {
+    if (firstError != null) {
+      throw new IllegalStateException(String.join("; ", messages), firstError);
     }
   }
 }
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
@@ -19,6 +19,7 @@
 import org.hickorypier.core.cell.ContactWindow;
 import org.hickorypier.core.cell.CustomerLimits;
 import org.hickorypier.core.cell.EvacuationReading;
+import org.hickorypier.core.cell.IndependentActions;
 import org.hickorypier.core.cell.PassPacing;
 import org.hickorypier.core.cell.RetryAfter;
 import org.hickorypier.core.cell.RosterEntry;
@@ -485,13 +486,18 @@
     if (ended) {
       return;
     }
-    journal.tick();
-    pendingAcceptances.withdrawDue(this::refuseWithdrawn);
-    completeDueRefusals();
+    IndependentActions parts = new IndependentActions();
+    parts.run("proof of ownership", journal::tick);
+    parts.run(
+        "withdrawal of submissions", () -> pendingAcceptances.withdrawDue(this::refuseWithdrawn));
+    parts.run("refusal of submissions", this::completeDueRefusals);
     if (maySendOrders()) {
-      cell.tick(now(), dependencies.wallClock().getAsLong());
+      parts.run(
+          "periodic work of the cell",
+          () -> cell.tick(now(), dependencies.wallClock().getAsLong()));
     }
     requestPass();
+    parts.throwIfFailed();
   }
 
   private void requestPass() {
