Workers that never answered are left out of the roster

Cause: the roster that an owner writes for its successor held every entry of the worker list until its worker had been silent for half a second, also entries of other writers. A successor takes such a worker for one that may run tasks of any customer and counts its capacity against all limits until its leases have run out: with an entry of a million processors, no customer with a limit gets a worker after a takeover in that time. Entries of other writers also filled the roster, which is one record of the store and may have 262,144 bytes; 60 entries of the largest size that is still accepted exceed it.

Change: a worker enters the roster once it has answered, before which it gets no orders. A worker that an earlier owner listed stays on it as before.

--- a/core/src/main/java/org/hickorypier/core/cell/RosterWriter.java
+++ b/core/src/main/java/org/hickorypier/core/cell/RosterWriter.java
@@ -7,7 +7,8 @@
 import java.util.Set;
 
 /**
- * Writes the roster, which tells a successor the state of the workers.
+ * Writes the roster, which tells a successor the state of the workers. A worker that has never
+ * answered is left out: a successor would count its capacity against the limits of all customers.
  *
  * <p>Invariants: at most one write is in progress. A worker gets orders ({@code onRoster}) and
  * renewals ({@code renewable}) only while the newest roster that a successor may read allows them,
@@ -50,7 +51,7 @@
     writing = true;
     writtenAt = now;
     List<WorkerView> written = new ArrayList<>(cell.workers.values());
-    written.removeIf(worker -> worker.retired);
+    written.removeIf(worker -> worker.retired || worker.unconfirmed);
     List<RosterEntry> entries = entriesOf(written, now);
     List<WorkerView> open = written.stream().filter(WorkerView::isOpen).toList();
     List<WorkerView> renewed =
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerRegistry.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerRegistry.java
@@ -77,8 +77,8 @@
     if (worker == null) {
       worker = new WorkerView(entry);
       cell.workers.put(entry.id(), worker);
+      worker.unconfirmed = true;
       cell.log.event(PART, "worker-listed", "worker", entry.id(), "address", entry.address());
-      roster.markStale();
     } else if (entry.bornMillis() > worker.bornMillis) {
       // Only its own report says what a restarted worker runs; until then it gets no orders.
       handleMissingAnswer(worker, now);
@@ -171,6 +171,10 @@
    */
   private void closeAndOpen(long now) {
     for (WorkerView worker : cell.workers.values()) {
+      if (worker.unconfirmed && worker.hasAnswered) {
+        worker.unconfirmed = false;
+        roster.markStale();
+      }
       if (worker.isOpen() && worker.shouldClose(now)) {
         if (worker.isSilentForLong(now) && !TrialWorkers.isAlone(worker)) {
           cell.workerLosses.record(worker, worker.silentSince, now);
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
@@ -59,6 +59,12 @@
   /** Whether the worker is on the durable roster, so that a successor contacts it. */
   boolean onRoster;
 
+  /**
+   * Whether the worker is known from its entry only, which may be that of another writer. It has no
+   * runs then: earlier owners did not list it, and this one gives it no orders.
+   */
+  boolean unconfirmed;
+
   /** Whether the worker may have runs that an earlier owner ordered and did not list. */
   boolean runsUnknown;
 
