--- a/daemon/src/test/java/org/hickorypier/daemon/node/NodeTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/NodeTest.java
@@ -7,6 +7,7 @@
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import io.vertx.core.net.NetSocket;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -127,6 +128,60 @@
     }
   }
 
+  /**
+   * Guards against an owner that cannot contact the workers behind an entry of another writer whose
+   * id or address cannot stand in a request.
+   */
+  @Test
+  void workersServeBesideEntriesThatCannotBeContacted() throws Exception {
+    try (SmallCluster cluster = new SmallCluster(2, 50)) {
+      List<String> texts =
+          List.of("a\nb", "a\u0000b", "a b", "\u00fc\u4e2d", "x".repeat(200), "a..b", "%", "[");
+      for (String text : texts) {
+        cluster.putForeignEntry(text, foreignEntry("127.0.0.1:9"));
+        cluster.putForeignEntry("at " + texts.indexOf(text), foreignEntry(text + ":9"));
+      }
+      SmallCluster.Instance instance = cluster.start();
+      String id = ID_FORMAT.formatted(1);
+      cluster.waitUntil(() -> cluster.submit(instance, id, 3).status() == 200);
+      cluster.waitUntil(() -> cluster.state(instance, id).equals("completed"));
+      assertThat(cluster.starts()).hasSize(3);
+    }
+  }
+
+  /**
+   * Guards against a journal that stands still since the roster, filled with entries of another
+   * writer, is larger than a record of the store may be.
+   */
+  @Test
+  void submissionsAreAcceptedBesideManyLargeEntries() throws Exception {
+    try (SmallCluster cluster = new SmallCluster(2, 50)) {
+      JsonArray labels = new JsonArray();
+      for (int index = 0; index < 16; index++) {
+        labels.add("x".repeat(255));
+      }
+      SmallCluster.Instance instance = cluster.start();
+      for (int index = 0; index < 80; index++) {
+        JsonObject entry = foreignEntry("127.0.0.1:9").put("Labels", labels);
+        cluster.putForeignEntry("foreign-" + index, entry);
+      }
+      cluster.waitUntil(() -> cluster.hasLogged(instance, "worker-listed [worker, foreign-79,"));
+      String id = ID_FORMAT.formatted(1);
+      cluster.waitUntil(() -> cluster.submit(instance, id, 3).status() == 200);
+      cluster.waitUntil(() -> cluster.state(instance, id).equals("completed"));
+      assertThat(cluster.starts()).hasSize(3);
+    }
+  }
+
+  private static JsonObject foreignEntry(String address) {
+    return new JsonObject()
+        .put("Service", "service")
+        .put("Address", address)
+        .put("State", "ready")
+        .put("Capacity", new JsonObject().put("Cpu", 1_000).put("MemMb", 1_000))
+        .put("Labels", new JsonArray().add("a").add("r1"));
+  }
+
   /**
    * Guards against an owner whose start orders fill its slow link: other instances relay them, also
    * those of a submission that the owner accepted itself.
--- a/standins/src/main/java/org/hickorypier/standins/http/StoreServer.java
+++ b/standins/src/main/java/org/hickorypier/standins/http/StoreServer.java
@@ -21,6 +21,9 @@
   private static final long POLL_MILLIS = 5;
   private static final int LENGTH_BYTES = 4;
 
+  /** Largest record that the platform's store accepts. */
+  private static final int MAX_RECORD_BYTES = 262_144;
+
   private final Vertx vertx;
   private final InMemoryStore store;
   private final StandInServer server;
@@ -84,6 +87,10 @@
     int position = 0;
     while (body != null && position < body.length()) {
       int length = body.getInt(position);
+      if (length > MAX_RECORD_BYTES) {
+        throw new IllegalArgumentException(
+            "a record has " + length + " bytes, allowed are at most " + MAX_RECORD_BYTES);
+      }
       position += LENGTH_BYTES;
       records.add(body.getBytes(position, position + length));
       position += length;
