--- a/daemon/src/test/java/org/hickorypier/daemon/node/NodeTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/NodeTest.java
@@ -173,6 +173,23 @@
     }
   }
 
+  /**
+   * Guards against a submission that is accepted into the journal, cannot be written, and keeps all
+   * others waiting.
+   */
+  @Test
+  void submissionThatIsTooLargeForTheJournalIsRefusedAndOthersAreAccepted() throws Exception {
+    try (SmallCluster cluster = new SmallCluster(2, 50)) {
+      SmallCluster.Instance instance = cluster.start();
+      String large = ID_FORMAT.formatted(1);
+      assertThat(cluster.submitSteps(instance, large, 60_000).status()).isEqualTo(400);
+      assertThat(cluster.state(instance, large)).isEqualTo("410");
+      String id = ID_FORMAT.formatted(2);
+      assertThat(cluster.submit(instance, id, 3).status()).isEqualTo(200);
+      cluster.waitUntil(() -> cluster.state(instance, id).equals("completed"));
+    }
+  }
+
   private static JsonObject foreignEntry(String address) {
     return new JsonObject()
         .put("Service", "service")
--- a/daemon/src/test/java/org/hickorypier/daemon/node/SmallCluster.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/SmallCluster.java
@@ -387,6 +387,15 @@
     return call(instance.settings().front(), HttpMethod.POST, PREFIX + id, body.toBuffer());
   }
 
+  /** Submits a number of steps of one task that declares nothing. */
+  HttpReply submitSteps(Instance instance, String id, int steps) {
+    JsonArray phases = new JsonArray();
+    for (int index = 0; index < steps; index++) {
+      phases.add(new JsonObject());
+    }
+    return submitBody(instance, id, new JsonObject().put("Spec", "text").put("Phases", phases));
+  }
+
   /** Submits one task with one occurrence, which is due after a delay. */
   HttpReply submitScheduled(Instance instance, String id, long delayMillis) {
     return submitBody(
