--- a/core/src/main/java/org/hickorypier/core/cell/Cell.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Cell.java
@@ -370,10 +370,11 @@
   }
 
   /**
-   * Applies the worker list of the platform.
+   * Applies the worker list of the platform. If an entry cannot be applied, the others still are.
    *
    * @param entries all listed workers, by id
    * @param now the time
+   * @throws IllegalStateException if an entry could not be applied
    */
   public void workersListed(Map<String, WorkerEntry> entries, long now) {
     workers.handleListed(entries, now);
@@ -581,11 +582,13 @@
     parts.run("resending of stops", () -> runs.resendStops(now));
     parts.run("stop of unconfirmed gangs", () -> runs.stopUnconfirmedGangs(now));
     parts.run("archive", () -> archive.tick(wallMillis));
-    state.stepsMayBeReady |= readySteps.hasScheduledSubmissions();
+    parts.run(
+        "search for scheduled submissions",
+        () -> state.stepsMayBeReady |= readySteps.hasScheduledSubmissions());
     parts.run("search for upcoming steps", () -> upcomingSteps.addUpcomingSteps(now));
     parts.run("log of long waits", () -> longWaitLogger.logLongWaits(now));
     parts.run("record of the speeds", () -> speedRecordWriter.tick(now));
-    parts.run("check of the estimates", () -> admission.tick(now));
+    parts.run("report of the estimates' errors", () -> admission.tick(now));
     state.dirty |= !state.readySteps.isEmpty() || !upcomingSteps.upcoming().isEmpty();
     parts.throwIfFailed();
   }
--- a/core/src/main/java/org/hickorypier/core/cell/Dispatcher.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Dispatcher.java
@@ -83,6 +83,7 @@
         cell.reservations.release(step);
         cell.readySteps.remove(step);
       } else if (!cell.waitsForUnheardWorkers(step.submission, unresolvedUpTo)) {
+        // Without a lambda, since a pass goes over thousands of steps.
         try {
           placeStep(step, workersFor(step, workersByService, now), now);
         } catch (RuntimeException error) {
@@ -91,7 +92,11 @@
       }
     }
     for (StepRun step : upcomingSteps.upcoming()) {
-      requestAdviceAhead(step, workersFor(step, workersByService, now), now);
+      try {
+        requestAdviceAhead(step, workersFor(step, workersByService, now), now);
+      } catch (RuntimeException error) {
+        placements.addFailure("advice for " + step.submission.spec().id(), error);
+      }
     }
     placements.throwIfFailed();
   }
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerRegistry.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerRegistry.java
@@ -62,7 +62,14 @@
 
   void handleListed(Map<String, WorkerEntry> entries, long now) {
     cell.listedAt = now;
-    entries.values().forEach(entry -> handleListed(entry, now));
+    IndependentActions listings = new IndependentActions();
+    for (WorkerEntry entry : entries.values()) {
+      try {
+        handleListed(entry, now);
+      } catch (RuntimeException error) {
+        listings.addFailure("listing of " + entry.id(), error);
+      }
+    }
     for (WorkerView worker : cell.workers.values()) {
       if (worker.listed && !entries.containsKey(worker.id())) {
         worker.listed = false;
@@ -70,6 +77,7 @@
       }
     }
     cell.dirty = true;
+    listings.throwIfFailed();
   }
 
   private void handleListed(WorkerEntry entry, long now) {
--- a/core/src/test/java/org/hickorypier/core/cell/CellFixture.java
+++ b/core/src/test/java/org/hickorypier/core/cell/CellFixture.java
@@ -57,8 +57,11 @@
 
   boolean advisorAvailable = true;
 
-  /** The submission for whose tasks no order can be sent; null if orders can be sent for all. */
-  String unorderable;
+  /** The submission whose orders fail, or null. */
+  String failingSubmission;
+
+  /** The worker whose listing fails, or null. */
+  String failingWorker;
 
   /** Whether the owner reads the worker list before each pass. */
   boolean listReadable = true;
@@ -85,6 +88,9 @@
   }
 
   private void record(String part, String event, Object... fields) {
+    if (event.equals("worker-listed") && fields[1].equals(failingWorker)) {
+      throw new IllegalStateException("no listing of " + failingWorker);
+    }
     events.add(now + " " + event + " " + Arrays.toString(fields));
   }
 
@@ -277,18 +283,18 @@
 
   @Override
   public void start(Run run, long deadline, String ticket) {
-    checkOrderable(run.key());
+    failIfWanted(run.key());
     starts.add(new StartedRun(run, deadline, ticket));
   }
 
   @Override
   public void stop(WorkerView worker, RunKey run) {
-    checkOrderable(run);
+    failIfWanted(run);
     stops.add(run);
   }
 
-  private void checkOrderable(RunKey run) {
-    if (run.task().submission().equals(unorderable)) {
+  private void failIfWanted(RunKey run) {
+    if (run.task().submission().equals(failingSubmission)) {
       throw new IllegalStateException("no order for " + run);
     }
   }
--- a/core/src/test/java/org/hickorypier/core/cell/FailingPartTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/FailingPartTest.java
@@ -6,7 +6,9 @@
 import static org.hickorypier.core.cell.CellFixture.spec;
 import static org.hickorypier.core.cell.CellFixture.step;
 
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import org.hickorypier.core.submission.SubmissionSpec;
 import org.junit.jupiter.api.Test;
 
@@ -35,7 +37,7 @@
             fixture.now + DUE_MILLIS,
             1_000,
             0));
-    fixture.unorderable = "cancelled";
+    fixture.failingSubmission = "cancelled";
     fixture.advance(DUE_MILLIS);
     WorkerView worker = fixture.findWorker("w");
     fixture.reportFrom(worker, worker.bornMillis, List.copyOf(worker.runs.keySet()));
@@ -50,11 +52,27 @@
         .hasMessageContaining("no order for");
   }
 
+  /** Guards against one entry that cannot be applied and keeps later workers from being listed. */
+  @Test
+  void workersAreListedWhileAnotherEntryCannotBeApplied() {
+    Map<String, WorkerEntry> entries = new LinkedHashMap<>();
+    for (String id : List.of("first", "second", "third")) {
+      entries.put(id, FakeFleet.entry(id, "10.0.0.1:1", 1, CellFixture.CAPACITY));
+    }
+    fixture.failingWorker = "first";
+    Throwable failure = catchThrowable(() -> fixture.cell.workersListed(entries, fixture.now));
+    assertThat(fixture.findWorker("second").listed).isTrue();
+    assertThat(fixture.findWorker("third").listed).isTrue();
+    assertThat(failure)
+        .isInstanceOf(IllegalStateException.class)
+        .hasMessageContaining("listing of first failed");
+  }
+
   /** Guards against one submission that cannot be placed and keeps all less urgent ones waiting. */
   @Test
   void submissionStartsWhileAnotherCannotBePlaced() {
     fixture.addWorker("w");
-    fixture.unorderable = "first";
+    fixture.failingSubmission = "first";
     for (String id : List.of("first", "second")) {
       fixture.cell.accept(spec(id, QUEUE, step(1, 1_000, 500, false)), fixture.now);
     }
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/LeaseRenewer.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/LeaseRenewer.java
@@ -182,17 +182,14 @@
     if (now - sentAt >= wait) {
       timeout.record(now - sentAt - wait);
     }
-    boolean applied = false;
     try {
       cell.renewalAnswered(worker, report, sentAt, now);
-      applied = true;
-    } finally {
+      events.workerAnswered();
+    } catch (RuntimeException error) {
       // Without further renewals the lease would expire, and the worker would stop all its runs.
-      if (!applied) {
-        dependencies.timers().after(RETRY_DELAY, this::renew);
-      }
+      dependencies.timers().after(RETRY_DELAY, this::renew);
+      throw error;
     }
-    events.workerAnswered();
     if (wait == 0) {
       renew();
     } else if (report.ended().isEmpty()) {
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
@@ -452,14 +452,17 @@
   }
 
   private void workersListed(Map<String, WorkerEntry> entries, Set<String> departed) {
-    cell.workersListed(entries, now());
-    cell.workersDeparted(departed, now());
-    updateRenewals();
+    IndependentActions parts = new IndependentActions();
+    parts.run("worker list", () -> cell.workersListed(entries, now()));
+    parts.run("departure of workers", () -> cell.workersDeparted(departed, now()));
+    parts.run("lease renewals", this::updateRenewals);
     requestPass();
+    parts.throwIfFailed();
   }
 
   private void updateRenewals() {
     leaseRenewers.values().removeIf(LeaseRenewer::isStopped);
+    IndependentActions contacts = new IndependentActions();
     for (WorkerView worker : cell.workers()) {
       LeaseRenewer current = leaseRenewers.get(worker.id());
       if (current == null || !current.isFor(worker)) {
@@ -477,9 +480,10 @@
                 contactWindow,
                 workerEvents);
         leaseRenewers.put(worker.id(), renewal);
-        renewal.renew();
+        contacts.run("contact of " + worker.id(), renewal::renew);
       }
     }
+    contacts.throwIfFailed();
   }
 
   private void tick() {
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/WorkerListReader.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/WorkerListReader.java
@@ -38,7 +38,10 @@
   private final DepartureDetector departureDetector;
   private final Listener listener;
   private final Map<String, WorkerEntry> entries = new HashMap<>();
+
+  /** The errors of the entries that are in the list and not used, so that each is logged once. */
   private final Map<String, String> decodeErrors = new HashMap<>();
+
   private boolean stopped;
   private long readSentAt;
 
@@ -93,6 +96,7 @@
   private void apply(TopicReader.Changes changes) {
     if (changes.isSnapshot()) {
       entries.clear();
+      decodeErrors.keySet().retainAll(changes.records().stream().map(KeyedRecord::key).toList());
     }
     Set<String> departed = new HashSet<>();
     for (KeyedRecord record : changes.records()) {
@@ -119,6 +123,7 @@
     departed.remove(id);
     if (value == null) {
       entries.remove(id);
+      decodeErrors.remove(id);
       if (departureDetector.recordRemoval(
           id, suspensionDetector.uninterruptedSince(), timers.nowMillis())) {
         departed.add(id);
--- a/daemon/src/test/java/org/hickorypier/daemon/node/NodeTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/NodeTest.java
@@ -122,6 +122,7 @@
               .put("Labels", new JsonArray().add("a").add("r1")));
       SmallCluster.Instance instance = cluster.start();
       String id = ID_FORMAT.formatted(1);
+      cluster.waitUntil(() -> cluster.hasLogged(instance, "unreadable-entry [worker, foreign,"));
       assertThat(cluster.submitScheduled(instance, id, 300).status()).isEqualTo(200);
       cluster.waitUntil(() -> cluster.state(instance, id).equals("completed"));
       assertThat(cluster.starts()).hasSize(1);
