--- a/daemon/src/test/java/org/hickorypier/daemon/owner/OwnerDirectoryTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/owner/OwnerDirectoryTest.java
@@ -2,17 +2,29 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import org.hickorypier.daemon.time.ManualTimerService;
+import org.hickorypier.daemon.time.TimerService;
+import org.hickorypier.daemon.time.VertxTimerService;
 import org.hickorypier.platform.http.PooledHttpClient;
 import org.hickorypier.platform.http.ServiceAddress;
 import org.hickorypier.platform.store.StoreClient;
+import org.hickorypier.standins.http.StoreServer;
+import org.hickorypier.standins.store.InMemoryStore;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
 class OwnerDirectoryTest {
 
+  private static final long TEST_TIMEOUT_SECONDS = 20;
+
   private final Vertx vertx = Vertx.vertx();
   private final ManualTimerService timers = new ManualTimerService();
   private final OwnerDirectory directory =
@@ -47,4 +59,43 @@
     timers.advance(Duration.ofMillis(200));
     assertThat(directory.hasChangedWithin(1_000)).isFalse();
   }
+
+  /** Guards against an instance that knows no later owner since it could not apply one. */
+  @Test
+  void laterOwnerIsReadAfterOneThatCannotBeApplied() throws Exception {
+    TimerService control = new VertxTimerService(vertx, vertx.getOrCreateContext());
+    InMemoryStore store = new InMemoryStore(1, control::nowMillis);
+    HttpServer server = await(new StoreServer(vertx, store).listen(0));
+    BlockingQueue<Integer> epochs = new LinkedBlockingQueue<>();
+    OwnerDirectory failing =
+        new OwnerDirectory(
+            new StoreClient(
+                new PooledHttpClient(vertx, 2),
+                new ServiceAddress("127.0.0.1", server.actualPort())),
+            control,
+            (part, event, fields) -> {},
+            owner -> {
+              epochs.add(owner.epoch());
+              throw new IllegalStateException("the owner cannot be applied");
+            });
+    putOwner(store, 1);
+    vertx.getOrCreateContext().runOnContext(none -> failing.start());
+    assertThat(epochs.poll(TEST_TIMEOUT_SECONDS, TimeUnit.SECONDS)).isEqualTo(1);
+    putOwner(store, 2);
+    assertThat(epochs.poll(TEST_TIMEOUT_SECONDS, TimeUnit.SECONDS)).isEqualTo(2);
+  }
+
+  private static void putOwner(InMemoryStore store, int epoch) {
+    store.put(
+        JournalKeys.DIRECTORY_TOPIC,
+        JournalKeys.DIRECTORY_KEY,
+        (epoch + " 10.0.0.1:1").getBytes(StandardCharsets.UTF_8));
+  }
+
+  private static <T> T await(Future<T> future) throws Exception {
+    return future
+        .toCompletionStage()
+        .toCompletableFuture()
+        .get(TEST_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+  }
 }
--- a/daemon/src/test/java/org/hickorypier/daemon/owner/ReadsGoOnTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/owner/WorkerListReaderTest.java
@@ -24,8 +24,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-/** Tests that a read of the store follows one whose result could not be applied. */
-class ReadsGoOnTest {
+class WorkerListReaderTest {
 
   private static final long TEST_TIMEOUT_SECONDS = 20;
 
@@ -33,7 +32,8 @@
   private final Context control = vertx.getOrCreateContext();
   private final TimerService timers = new VertxTimerService(vertx, control);
   private final InMemoryStore store = new InMemoryStore(1, timers::nowMillis);
-  private final BlockingQueue<Integer> applied = new LinkedBlockingQueue<>();
+  private final BlockingQueue<Integer> listed = new LinkedBlockingQueue<>();
+  private final BlockingQueue<String> errors = new LinkedBlockingQueue<>();
   private StoreClient client;
 
   @BeforeEach
@@ -56,13 +56,11 @@
         .get(TEST_TIMEOUT_SECONDS, TimeUnit.SECONDS);
   }
 
-  private Integer nextApplied() throws InterruptedException {
-    return applied.poll(TEST_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+  private Integer nextListed() throws InterruptedException {
+    return listed.poll(TEST_TIMEOUT_SECONDS, TimeUnit.SECONDS);
   }
 
-  /** Guards against a worker list that stays as it is since one state could not be applied. */
-  @Test
-  void workerListIsReadAgain() throws Exception {
+  private WorkerListReader reader(WorkerListReader.Listener listener) {
     OwnerDependencies dependencies =
         new OwnerDependencies(
             client,
@@ -71,46 +69,50 @@
             System::currentTimeMillis,
             new SuspensionDetector(timers::nowMillis, timers::nowMillis),
             new DelayMonitor(timers),
-            (part, event, fields) -> {},
+            (part, event, fields) -> errors.add(event + " " + fields[1]),
             CellTimings.of(10_000, 3_000, 60_000),
             1_500,
             250_000,
             1);
+    return new WorkerListReader(dependencies, listener);
+  }
+
+  private void put(String id, String entry) {
+    byte[] value = entry == null ? null : entry.getBytes(StandardCharsets.UTF_8);
+    store.put(StoreClient.WORKERS_TOPIC, id, value);
+  }
+
+  /** Guards against a worker list that stays as it is since one state could not be applied. */
+  @Test
+  void listIsReadAgainAfterOneThatCannotBeApplied() throws Exception {
     WorkerListReader reader =
-        new WorkerListReader(
-            dependencies,
+        reader(
             (entries, departed) -> {
-              applied.add(entries.size());
+              listed.add(entries.size());
               throw new IllegalStateException("the list cannot be applied");
             });
     control.runOnContext(none -> reader.start());
-    assertThat(nextApplied()).isZero();
-    assertThat(nextApplied()).isZero();
+    assertThat(nextListed()).isZero();
+    assertThat(nextListed()).isZero();
   }
 
-  /** Guards against an instance that knows no later owner since it could not apply one. */
+  /** Guards against an invalid entry that is not reported when another writer brings it back. */
   @Test
-  void laterOwnerIsReadAfterOneThatCannotBeApplied() throws Exception {
-    OwnerDirectory directory =
-        new OwnerDirectory(
-            client,
-            timers,
-            (part, event, fields) -> {},
-            owner -> {
-              applied.add(owner.epoch());
-              throw new IllegalStateException("the owner cannot be applied");
-            });
-    putOwner(1);
-    control.runOnContext(none -> directory.start());
-    assertThat(nextApplied()).isEqualTo(1);
-    putOwner(2);
-    assertThat(nextApplied()).isEqualTo(2);
+  void invalidEntryIsReportedOnceForEachTimeItAppears() throws Exception {
+    WorkerListReader reader = reader((entries, departed) -> listed.add(entries.size()));
+    put("invalid", "{}");
+    control.runOnContext(none -> reader.start());
+    assertThat(nextError()).isEqualTo("unreadable-entry invalid");
+    put("invalid", "{}");
+    put("invalid", null);
+    put("invalid", "{}");
+    assertThat(nextError()).isEqualTo("unreadable-entry invalid");
+    listed.clear();
+    assertThat(nextListed()).isZero();
+    assertThat(errors).isEmpty();
   }
 
-  private void putOwner(int epoch) {
-    store.put(
-        JournalKeys.DIRECTORY_TOPIC,
-        JournalKeys.DIRECTORY_KEY,
-        (epoch + " 10.0.0.1:1").getBytes(StandardCharsets.UTF_8));
+  private String nextError() throws InterruptedException {
+    return errors.poll(TEST_TIMEOUT_SECONDS, TimeUnit.SECONDS);
   }
 }
--- a/standins/src/main/java/org/hickorypier/standins/store/InMemoryStore.java
+++ b/standins/src/main/java/org/hickorypier/standins/store/InMemoryStore.java
@@ -26,6 +26,9 @@
   private final Map<String, Group> groups = new HashMap<>();
   private final int partitions;
 
+  /** Number of records put; the epoch of each, so that none passes for a repeat of another. */
+  private long puts;
+
   /** A group with its members, in the order of their names. */
   private static final class Group {
     private final Map<String, Long> aliveUntil = new TreeMap<>();
@@ -82,7 +85,7 @@
       System.arraycopy(value, 0, entry, 1 + name.length, length);
     }
     try {
-      log(topic, 0).append(List.of(entry), new AppendTerms(-1, key, millis.getAsLong() + 1, 1));
+      log(topic, 0).append(List.of(entry), new AppendTerms(-1, key, ++puts, 1));
     } catch (StoreRefusal error) {
       throw new IllegalStateException("a write without conditions was refused", error);
     }
