The reserve for urgent work counts the room of the whole service

Cause: the room beside the reserve was summed over the workers that accept any task. Where many workers were reserved for single tasks, the few that were left had to hold the reserve of all, and all work but checks waited. Change: workers that are reserved for one task count, and the reserve takes at most half of the present room, so that it cannot hold back all of it after many workers were lost. The explanation tells what the reserve leaves.

--- a/core/src/main/java/org/hickorypier/core/cell/CellState.java
+++ b/core/src/main/java/org/hickorypier/core/cell/CellState.java
@@ -152,13 +152,20 @@
   }
 
   List<WorkerView> acceptingWorkers(String service, long now) {
-    List<WorkerView> taking = new ArrayList<>();
+    List<WorkerView> accepting = usableWorkers(service, now);
+    accepting.removeIf(worker -> !worker.acceptsOrders(now));
+    return accepting;
+  }
+
+  /** Returns the workers that may get orders, with those reserved for one task. */
+  List<WorkerView> usableWorkers(String service, long now) {
+    List<WorkerView> usable = new ArrayList<>();
     for (WorkerView worker : workers.values()) {
-      if (worker.entry().service().equals(service) && worker.acceptsOrders(now)) {
-        taking.add(worker);
+      if (worker.entry().service().equals(service) && worker.isUsable(now)) {
+        usable.add(worker);
       }
     }
-    return taking;
+    return usable;
   }
 
   /**
--- a/core/src/main/java/org/hickorypier/core/cell/Dispatcher.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Dispatcher.java
@@ -48,6 +48,9 @@
   private final TrialWorkers trialWorkers;
   private final PreemptionController preemptions;
 
+  /** The workers that may get orders in the present pass, by service. */
+  private final Map<String, List<WorkerView>> usableWorkers = new HashMap<>();
+
   Dispatcher(
       CellState cell, RunController runs, UpcomingSteps upcoming, CrashTracker crashTracker) {
     this.cell = cell;
@@ -67,6 +70,7 @@
       worker.cold = worker.isCold(now);
     }
     trialWorkers.releaseUnneeded(now);
+    usableWorkers.clear();
     final long unresolvedUpTo = cell.lastUnresolvedNumber(now);
     cell.usage.setUnresolvedCapacity(cell.unresolvedCapacity(now));
     Map<String, List<WorkerView>> workersByService = new HashMap<>();
@@ -145,7 +149,7 @@
     }
     List<Task> besideOthers = new ArrayList<>();
     Map<Task, List<Task>> alone = new LinkedHashMap<>();
-    for (Task task : startableTasks(step, workers, now)) {
+    for (Task task : startableTasks(step, now)) {
       if (startsAlone(task, now)) {
         alone.computeIfAbsent(task.crashUnit(), first -> new ArrayList<>()).add(task);
       } else {
@@ -195,7 +199,7 @@
       return false;
     }
     StepAdvice advice = step.advice;
-    long unreserved = unreservedMilliProcessors(cell, step, workers);
+    long unreserved = unreservedMilliProcessors(step, now);
     long startAt = now + preemptions.stopMillis();
     List<WorkerView> ticketed =
         workers.stream()
@@ -319,14 +323,14 @@
   }
 
   /** Returns the waiting tasks that fit the customer's limit and leave the urgent reserve free. */
-  private List<Task> startableTasks(StepRun step, List<WorkerView> workers, long now) {
+  private List<Task> startableTasks(StepRun step, long now) {
     List<Task> waiting = new ArrayList<>();
     if (step.isGang() && !step.allTasksWaiting()) {
       return waiting;
     }
     String customer = step.submission.spec().customer();
     Resources each = step.spec.taskResources();
-    long free = unreservedMilliProcessors(cell, step, workers);
+    long free = unreservedMilliProcessors(step, now);
     for (Task task : step.tasks) {
       int count = waiting.size() + 1;
       if (task.isWaiting()
@@ -343,23 +347,30 @@
     return waiting;
   }
 
-  /** Tells whether the reserve for urgent work leaves no room for even one task of a step. */
-  static boolean isBlockedByReserve(CellState cell, StepRun step, List<WorkerView> workers) {
-    return step.spec.taskResources().milliProcessors()
-        > unreservedMilliProcessors(cell, step, workers);
+  private long unreservedMilliProcessors(StepRun step, long now) {
+    String service = step.submission.spec().queue().service();
+    return unreservedMilliProcessors(
+        cell, step, usableWorkers.computeIfAbsent(service, name -> cell.usableWorkers(name, now)));
   }
 
-  private static long unreservedMilliProcessors(
-      CellState cell, StepRun step, List<WorkerView> workers) {
+  /**
+   * Returns the free capacity that a step may take beside the reserve for urgent work.
+   *
+   * @param usable the workers of the service that may get orders; those reserved for one task
+   *     count, or the workers left to the others would have to hold the reserve of all
+   */
+  static long unreservedMilliProcessors(CellState cell, StepRun step, List<WorkerView> usable) {
     QueueTerms queue = step.submission.spec().queue();
     if (cell.isUrgent(step) || step.spec.flags().opportunistic() || step.isPersistent()) {
       return Long.MAX_VALUE;
     }
-    long free = -cell.reserve.reservedMilliProcessors(queue.service());
-    for (WorkerView worker : workers) {
+    long free = 0;
+    long capacity = 0;
+    for (WorkerView worker : usable) {
       free += Math.max(0, worker.freeProcessors());
+      capacity += worker.entry().capacity().milliProcessors();
     }
-    return free;
+    return free - cell.reserve.reservedMilliProcessors(queue.service(), capacity);
   }
 
   private void startTasks(StepRun step, Map<Task, WorkerView> chosen, long now) {
--- a/core/src/main/java/org/hickorypier/core/cell/Explanation.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Explanation.java
@@ -132,9 +132,11 @@
       freeSlots += slots;
       suitableSlots += step.advice == null || step.advice.isSuitable(worker) ? slots : 0;
     }
-    if (Dispatcher.isBlockedByReserve(cell, step, accepting)) {
-      return "room beside the reserve for urgent work: "
-          + cell.reserve.reservedMilliProcessors(submission.spec().queue().service())
+    List<WorkerView> usable = cell.usableWorkers(submission.spec().queue().service(), now);
+    long unreserved = Dispatcher.unreservedMilliProcessors(cell, step, usable);
+    if (unreserved < step.spec.taskResources().milliProcessors()) {
+      return "room beside the reserve for urgent work, which leaves "
+          + Math.max(0, unreserved)
           + " millicores";
     }
     return "room: "
--- a/core/src/main/java/org/hickorypier/core/cell/UrgentReserve.java
+++ b/core/src/main/java/org/hickorypier/core/cell/UrgentReserve.java
@@ -20,6 +20,9 @@
   /** Weight of one sample; at ten samples a second the mean adapts within about 5 s. */
   private static final double SAMPLE_WEIGHT = 0.02;
 
+  /** Largest share of a service that is held back, also when many of its workers are lost. */
+  private static final double MAX_RESERVED_SHARE = 0.5;
+
   private final Map<String, UrgentUsage> usageByService = new HashMap<>();
 
   /** Usage by the work of the most urgent priority of one service. */
@@ -58,13 +61,18 @@
     }
   }
 
-  /** Returns the capacity that other work must leave free, in thousandths of a core. */
-  long reservedMilliProcessors(String service) {
+  /**
+   * Returns the capacity that other work must leave free, in thousandths of a core.
+   *
+   * @param capacity the capacity of the service at present, in thousandths of a core
+   */
+  long reservedMilliProcessors(String service, long capacity) {
     UrgentUsage usage = usageByService.get(service);
-    return usage == null
-        ? 0
-        : Math.max(
-            0,
-            Math.round(RESERVE_FACTOR * usage.meanMilliProcessors) - usage.runningMilliProcessors);
+    if (usage == null) {
+      return 0;
+    }
+    long wanted =
+        Math.round(RESERVE_FACTOR * usage.meanMilliProcessors) - usage.runningMilliProcessors;
+    return Math.max(0, Math.min(wanted, Math.round(MAX_RESERVED_SHARE * capacity)));
   }
 }
