A task is suspected by the weight of its losses, not by their number

From two on, however it came about, a task waited for an empty worker without an end, and three quarters of the workers could be kept for that. Ruled out: the reserve for urgent work alone; lost runs that were counted twice. Change: the loss of a worker is weighed (CrashEvidence): how much likelier it is if the task crashes its workers than by the rate of losses, by the other tasks on the worker, or by a loss of many workers at once. A task is isolated once it is likelier to crash its workers than not; before its last two starts one in ten suffices. An announced run that nobody finds has no weight. The first isolation is waited for 2 s, the later ones 60 s at most, and a worker is kept for twice as long as the slowest crash of the task took. A task that outlives its lost runs by far is sound. The time of a loss that is found by a rebirth is that at which the worker fell silent; it was that of the report, seconds later. Losses of a worker that was closed before are no longer recorded twice. Kept: five starts at most, and a verdict only from crashes alone, settled and not shared with other workers.

--- a/core/src/main/java/org/hickorypier/core/cell/CellState.java
+++ b/core/src/main/java/org/hickorypier/core/cell/CellState.java
@@ -168,6 +168,14 @@
     return usable;
   }
 
+  int countListedWorkers() {
+    int listed = 0;
+    for (WorkerView worker : workers.values()) {
+      listed += worker.listed ? 1 : 0;
+    }
+    return listed;
+  }
+
   /**
    * Returns the resources of a task, also if its submission has ended: a run that is still on a
    * worker uses them until it is stopped.
--- a/core/src/main/java/org/hickorypier/core/cell/CrashHistory.java
+++ b/core/src/main/java/org/hickorypier/core/cell/CrashHistory.java
@@ -1,7 +1,9 @@
 package org.hickorypier.core.cell;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.function.Predicate;
 import org.hickorypier.core.submission.CrashRecord;
 
@@ -47,6 +49,38 @@
     lateStarts = 0;
   }
 
+  /** Returns the number of runs that an owner has seen to be lost with their workers. */
+  int seenLosses() {
+    int seen = 0;
+    for (LostRun lost : lostRuns) {
+      seen += lost.isSeen() ? 1 : 0;
+    }
+    return seen;
+  }
+
+  /** Returns the number of runs that may have been started by an owner that was then lost. */
+  int unseenRuns() {
+    return lostRuns.size() - seenLosses();
+  }
+
+  /** Returns for how long a lost run may have worked at most, in milliseconds. */
+  long longestLostMillis() {
+    long longest = 0;
+    for (LostRun lost : lostRuns) {
+      longest = lost.isSeen() ? Math.max(longest, lost.ranMillis()) : longest;
+    }
+    return longest;
+  }
+
+  /** Returns how much the losses suggest that the task crashes its workers. */
+  int decibans() {
+    int sum = 0;
+    for (LostRun lost : lostRuns) {
+      sum += lost.decibans();
+    }
+    return sum;
+  }
+
   /** Records a lost run. */
   void add(LostRun lost, String worker) {
     lastLostWorker = worker;
@@ -59,7 +93,13 @@
         LostRun.Kind kind = known.isAlone() ? known.kind() : lost.kind();
         lostRuns.set(
             index,
-            new LostRun(lost.number(), kind, known.lostAt(), known.ranMillis(), lost.settled()));
+            new LostRun(
+                lost.number(),
+                kind,
+                known.lostAt(),
+                known.ranMillis(),
+                Math.min(known.decibans(), lost.decibans()),
+                lost.settled()));
         return;
       }
     }
@@ -80,7 +120,7 @@
   }
 
   private long countLostBefore(int number) {
-    return lostRuns.stream().filter(lost -> lost.number() < number).count();
+    return lostRuns.stream().filter(lost -> lost.isSeen() && lost.number() < number).count();
   }
 
   /** Returns how many runs were started after three lost ones and were not lost. */
@@ -95,7 +135,8 @@
 
   /**
    * Announces a run. A run that an earlier owner announced, that no worker has and whose end none
-   * has listed, counts as lost if a worker was lost meanwhile.
+   * has listed, may have been started if a worker was lost meanwhile. It is no evidence of a crash:
+   * most such runs were never ordered.
    *
    * @return false if it was announced before
    */
@@ -104,7 +145,7 @@
       return false;
     }
     if (announcedByEarlierOwner && workerLostSinceTakeover) {
-      lostRuns.add(restored(announcedRun, LostRun.Kind.UNSEEN, now));
+      lostRuns.add(restored(announcedRun, LostRun.Kind.UNSEEN, 0, now));
     }
     announcedRun = number;
     announcementDurable = false;
@@ -141,7 +182,10 @@
         + ", beside others "
         + numbers(LostRun.Kind.BESIDE_OTHERS)
         + ", unseen "
-        + numbers(LostRun.Kind.UNSEEN);
+        + numbers(LostRun.Kind.UNSEEN)
+        + ", "
+        + decibans()
+        + " decibans";
   }
 
   CrashRecord toRecord() {
@@ -150,7 +194,18 @@
         numbers(LostRun.Kind.ALONE),
         numbers(LostRun.Kind.UNSEEN),
         announcedRun,
-        lateStarts);
+        lateStarts,
+        weights());
+  }
+
+  private Map<Integer, Integer> weights() {
+    Map<Integer, Integer> weights = new HashMap<>();
+    for (LostRun lost : lostRuns) {
+      if (lost.isSeen()) {
+        weights.put(lost.number(), lost.decibans());
+      }
+    }
+    return weights;
   }
 
   private List<Integer> numbers(LostRun.Kind kind) {
@@ -159,20 +214,26 @@
 
   static CrashHistory restore(CrashRecord crashRecord, long now) {
     CrashHistory history = new CrashHistory();
-    history.restore(crashRecord.lostBeside(), LostRun.Kind.BESIDE_OTHERS, now);
-    history.restore(crashRecord.lostAlone(), LostRun.Kind.ALONE, now);
-    history.restore(crashRecord.lostUnseen(), LostRun.Kind.UNSEEN, now);
+    history.restore(crashRecord, crashRecord.lostBeside(), LostRun.Kind.BESIDE_OTHERS, now);
+    history.restore(crashRecord, crashRecord.lostAlone(), LostRun.Kind.ALONE, now);
+    for (int number : crashRecord.lostUnseen()) {
+      history.lostRuns.add(restored(number, LostRun.Kind.UNSEEN, 0, now));
+    }
     history.announcedRun = crashRecord.announcedRun();
     history.lateStarts = crashRecord.lateStarts();
     history.announcedByEarlierOwner = crashRecord.announcedRun() > 0;
     return history;
   }
 
-  private void restore(List<Integer> numbers, LostRun.Kind kind, long now) {
-    numbers.forEach(number -> lostRuns.add(restored(number, kind, now)));
+  private void restore(
+      CrashRecord crashRecord, List<Integer> numbers, LostRun.Kind kind, long now) {
+    for (int number : numbers) {
+      int decibans = crashRecord.decibans().getOrDefault(number, LostRun.UNKNOWN_DECIBANS);
+      lostRuns.add(restored(number, kind, decibans, now));
+    }
   }
 
-  private static LostRun restored(int number, LostRun.Kind kind, long now) {
-    return new LostRun(number, kind, now, LostRun.UNKNOWN_MILLIS, true);
+  private static LostRun restored(int number, LostRun.Kind kind, int decibans, long now) {
+    return new LostRun(number, kind, now, LostRun.UNKNOWN_MILLIS, decibans, true);
   }
 }
--- a/core/src/main/java/org/hickorypier/core/cell/CrashPolicy.java
+++ b/core/src/main/java/org/hickorypier/core/cell/CrashPolicy.java
@@ -6,14 +6,16 @@
  * Decides what may be done with a task whose runs were lost with their workers.
  *
  * <p>A worker crashes for reasons of its own, under a task that crashes it, or under another one
- * beside it. Only a run that was alone on its worker tells these apart, so a task is given up by
- * the runs that were lost alone, and never for work beside it. Losses that several workers share at
- * the same moment are no evidence against a task. Stateless.
+ * beside it. A task is suspected by the weight of its losses ({@link CrashEvidence}), not by their
+ * number: where workers crash often, sound tasks lose several runs. Only a run that was alone on
+ * its worker tells a task from those beside it, so a suspected task runs alone if a worker can be
+ * had soon, and is given up only by runs that were lost alone and not at the same time as other
+ * workers. Stateless.
  */
 final class CrashPolicy {
 
-  /** Number of lost runs from which on a task runs alone. */
-  static final int LOSSES_BEFORE_ALONE = 2;
+  /** Number of lost runs from which on a task may be suspected. */
+  private static final int LOSSES_BEFORE_SUSPICION = 2;
 
   /** Number of lost runs from which on a task may be given up. */
   private static final int LOSSES_BEFORE_VERDICT = 4;
@@ -26,6 +28,15 @@
   /** Number of crashes under the task alone that show it to be the cause. */
   private static final int CONCLUSIVE_CRASHES = 2;
 
+  /** Weight of one such crash that suffices if no more starts are allowed. */
+  private static final int LAST_CRASH_DECIBANS = 10;
+
+  /** Longest time for which a suspected task waits for a worker of its own. */
+  private static final long MAX_ISOLATION_WAIT_MILLIS = 2_000;
+
+  /** The same before the last starts, or under a strong suspicion. */
+  private static final long MAX_LAST_ISOLATION_WAIT_MILLIS = 60_000;
+
   /** Longest time for which a task waits for calm before it is tried once more. */
   private static final long MAX_CALM_WAIT_MILLIS = 20_000;
 
@@ -37,6 +48,14 @@
 
   private CrashPolicy() {}
 
+  private static boolean isSuspected(CrashHistory crashes) {
+    int losses = crashes.seenLosses();
+    int decibans = crashes.decibans();
+    return losses >= LOSSES_BEFORE_SUSPICION && CrashEvidence.isSuspicious(decibans)
+        || losses >= LOSSES_BEFORE_LAST_STARTS
+            && CrashEvidence.isSuspiciousBeforeLastStarts(decibans);
+  }
+
   /**
    * Decides on a task.
    *
@@ -46,35 +65,61 @@
    * @return the verdict
    */
   static CrashVerdict decide(Task unit, WorkerLosses workerLosses, long now) {
-    List<LostRun> lostRuns = unit.crashes.lostRuns();
-    if (lostRuns.size() < LOSSES_BEFORE_ALONE) {
+    CrashHistory crashes = unit.crashes;
+    if (!isSuspected(crashes)) {
       return CrashVerdict.START;
     }
-    if (lostRuns.size() < LOSSES_BEFORE_VERDICT) {
-      return CrashVerdict.START_ALONE;
-    }
+    List<LostRun> lostRuns = crashes.lostRuns();
     int conclusive = 0;
-    int seen = 0;
+    int conclusiveDecibans = 0;
     long lastLostAt = 0;
+    boolean awaitsNews = false;
     for (LostRun lost : lostRuns) {
       lastLostAt = Math.max(lastLostAt, lost.lostAt());
-      if (lost.isAlone() && !lost.settled()) {
-        return CrashVerdict.WAIT;
+      awaitsNews |= lost.isAlone() && !lost.settled();
+      boolean shared = workerLosses.hasCommonCause(unit, lost.lostAt());
+      if (lost.isAlone() && lost.settled() && !shared) {
+        conclusive++;
+        conclusiveDecibans += lost.decibans();
       }
-      seen += lost.isSeen() ? 1 : 0;
-      conclusive += lost.isAlone() && !workerLosses.hasCommonCause(unit, lost.lostAt()) ? 1 : 0;
     }
-    // An earlier owner may have been lost together with a worker before it learned of the loss.
-    int unseenLosses = unit.step.submission.mayHaveUnknownRuns ? 1 : 0;
-    boolean mayStartAgain = seen + unseenLosses + unit.crashes.lateStarts() < MAX_STARTS;
-    if (conclusive >= (mayStartAgain ? CONCLUSIVE_CRASHES : 1)) {
+    boolean strong = CrashEvidence.isStrong(crashes.decibans());
+    boolean mayStartAgain = startsThatMayHaveCrashed(unit, strong) < MAX_STARTS;
+    boolean verdictDue = crashes.seenLosses() >= LOSSES_BEFORE_VERDICT || !mayStartAgain;
+    if (verdictDue && awaitsNews) {
+      return CrashVerdict.WAIT;
+    }
+    boolean lastCrashSuffices =
+        conclusive > 0 && (strong || conclusiveDecibans >= LAST_CRASH_DECIBANS);
+    if (verdictDue && (conclusive >= CONCLUSIVE_CRASHES || !mayStartAgain && lastCrashSuffices)) {
       return CrashVerdict.GIVE_UP;
     }
+    if (verdictDue && strong && !mayBeTriedAgain(mayStartAgain, lastLostAt, workerLosses, now)) {
+      return CrashVerdict.WAIT;
+    }
+    boolean lastStarts = strong || crashes.seenLosses() >= LOSSES_BEFORE_LAST_STARTS;
+    long maxWait = lastStarts ? MAX_LAST_ISOLATION_WAIT_MILLIS : MAX_ISOLATION_WAIT_MILLIS;
+    boolean waitedForWorker = unit.isolationWantedAt > 0 && now - unit.isolationWantedAt >= maxWait;
+    return waitedForWorker ? CrashVerdict.START : CrashVerdict.START_ALONE;
+  }
+
+  /**
+   * Counts the starts after which the worker crashed or may have: an earlier owner may have been
+   * lost together with a worker before it learned of the loss.
+   */
+  private static int startsThatMayHaveCrashed(Task unit, boolean strong) {
+    CrashHistory crashes = unit.crashes;
+    int unseen = unit.step.submission.mayHaveUnknownRuns ? 1 : 0;
+    return strong
+        ? crashes.seenLosses() + Math.max(unseen, crashes.unseenRuns()) + crashes.lateStarts()
+        : crashes.seenLosses() + unseen;
+  }
+
+  private static boolean mayBeTriedAgain(
+      boolean mayStartAgain, long lastLostAt, WorkerLosses workerLosses, long now) {
     long waitedMillis = now - lastLostAt;
-    boolean startsAlone =
-        mayStartAgain
-            ? workerLosses.isCalm(now) || waitedMillis >= MAX_CALM_WAIT_MILLIS
-            : waitedMillis >= LAST_WAIT_MILLIS;
-    return startsAlone ? CrashVerdict.START_ALONE : CrashVerdict.WAIT;
+    return mayStartAgain
+        ? workerLosses.isCalm(now) || waitedMillis >= MAX_CALM_WAIT_MILLIS
+        : waitedMillis >= LAST_WAIT_MILLIS;
   }
 }
--- a/core/src/main/java/org/hickorypier/core/cell/CrashTracker.java
+++ b/core/src/main/java/org/hickorypier/core/cell/CrashTracker.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
@@ -17,9 +18,15 @@
  */
 final class CrashTracker {
 
-  /** A persistent task that has run for so long starts with a clean history after its next loss. */
+  /** A task that has run for so long starts with a clean history after its next loss. */
   private static final long SOUND_RUN_MILLIS = 30_000;
 
+  /** The same for a task whose lost runs were much shorter. */
+  private static final long MIN_SOUND_RUN_MILLIS = 5_000;
+
+  /** A task that runs for this many times its longest lost run does not crash its worker. */
+  private static final long OUTLIVED_FACTOR = 3;
+
   private final CellState cell;
 
   private final LostWorkers lostWorkers = new LostWorkers();
@@ -50,30 +57,42 @@
    * Records that runs are lost with their worker, before they are removed.
    *
    * @param cause why they are known to be lost
+   * @param lostAt since when they cannot have run
    * @param crashed whether the worker is known to have crashed
    */
   void handleLoss(
-      WorkerView worker, Collection<Run> lost, String cause, boolean crashed, long now) {
-    long lostAt = worker.silent ? worker.silentSince : now;
+      WorkerView worker,
+      Collection<Run> lost,
+      String cause,
+      long lostAt,
+      boolean crashed,
+      long now) {
     boolean seenAgain = crashed || hasNewerIncarnation(worker);
     boolean alone = TrialWorkers.isAlone(worker);
-    Map<Task, Integer> runNumbers = new LinkedHashMap<>();
+    // Weighed before any of the losses is recorded: they must not explain each other.
+    Map<Run, Integer> weights = new LinkedHashMap<>();
     for (Run run : lost) {
-      Task unit = run.task == null || run.task.done ? null : run.task.crashUnit();
-      logLoss(run, unit, cause, lostAt);
-      // A worker that drains ends as announced, with all that is left on it.
-      if (unit != null && run.task.step.submission.isLive() && !worker.entry().draining()) {
-        if (unit.crashes == null) {
-          unit.crashes = new CrashHistory();
-        }
-        LostRun.Kind kind =
-            alone && worker.trialUnit == unit ? LostRun.Kind.ALONE : LostRun.Kind.BESIDE_OTHERS;
-        unit.crashes.add(
-            new LostRun(run.key.number(), kind, lostAt, lostAt - run.orderedAt, seenAgain),
-            worker.id());
-        runNumbers.put(unit, run.key.number());
-      }
+      int decibans = countsAsLost(run) ? weigh(run, lostAt, now) : 0;
+      weights.put(run, decibans);
+      logLoss(run, cause, lostAt, decibans);
     }
+    Map<Task, Integer> runNumbers = new LinkedHashMap<>();
+    weights.forEach(
+        (run, decibans) -> {
+          if (countsAsLost(run)) {
+            Task unit = run.task.crashUnit();
+            if (unit.crashes == null) {
+              unit.crashes = new CrashHistory();
+            }
+            LostRun.Kind kind =
+                alone && worker.trialUnit == unit ? LostRun.Kind.ALONE : LostRun.Kind.BESIDE_OTHERS;
+            long ranMillis = lostAt - run.orderedAt;
+            unit.crashes.add(
+                new LostRun(run.key.number(), kind, lostAt, ranMillis, decibans, seenAgain),
+                worker.id());
+            runNumbers.put(unit, run.key.number());
+          }
+        });
     suspects.addAll(runNumbers.keySet());
     for (Task unit : runNumbers.keySet()) {
       cell.recordChange(unit.step.submission);
@@ -84,7 +103,42 @@
     }
   }
 
-  private void logLoss(Run run, Task unit, String cause, long lostAt) {
+  /** A worker that drains ends as announced, with all that is left on it. */
+  private static boolean countsAsLost(Run run) {
+    return run.task != null
+        && !run.task.done
+        && run.task.step.submission.isLive()
+        && !run.worker.entry().draining();
+  }
+
+  private int weigh(Run run, long lostAt, long now) {
+    Task unit = run.task.crashUnit();
+    Map<Task, Double> others = new HashMap<>();
+    for (Run beside : run.worker.runs.values()) {
+      if (beside.task != null && beside.task.crashUnit() != unit) {
+        others.merge(beside.task.crashUnit(), crashProbability(beside, lostAt), (one, two) -> one);
+      }
+    }
+    double otherTasks = others.values().stream().mapToDouble(Double::doubleValue).sum();
+    int workers = cell.countListedWorkers();
+    double rate = cell.workerLosses.lossesPerMilli(unit, workers, cell.takenOverAt, now);
+    return CrashEvidence.weigh(
+        lostAt - run.orderedAt,
+        rate * unit.step.countWorkersOf(unit),
+        otherTasks,
+        cell.workerLosses.shareLostTogether(unit, lostAt, workers));
+  }
+
+  /** Returns the probability that a run has crashed its worker, by the earlier runs of its task. */
+  private static double crashProbability(Run run, long lostAt) {
+    CrashHistory crashes = run.task.crashUnit().crashes;
+    boolean outlived =
+        crashes == null || lostAt - run.orderedAt > OUTLIVED_FACTOR * crashes.longestLostMillis();
+    return CrashEvidence.crashProbability(outlived ? 0 : crashes.decibans());
+  }
+
+  private void logLoss(Run run, String cause, long lostAt, int decibans) {
+    CrashHistory crashes = run.task == null ? null : run.task.crashUnit().crashes;
     cell.runEvent(
         "run-lost",
         run.key,
@@ -98,7 +152,11 @@
         "beside",
         run.worker.runs.size() - 1,
         "lost_before",
-        unit == null || unit.crashes == null ? 0 : unit.crashes.lostRuns().size());
+        crashes == null ? 0 : crashes.seenLosses(),
+        "decibans",
+        decibans,
+        "decibans_before",
+        crashes == null ? 0 : crashes.decibans());
   }
 
   private boolean hasNewerIncarnation(WorkerView worker) {
@@ -222,10 +280,11 @@
 
   private static boolean hasRunSoundly(Task unit, long now) {
     Run run = unit.currentRun;
-    return run != null
-        && unit.step.isPersistent()
-        && run.isConfirmed()
-        && !run.worker.silent
-        && now - run.confirmedAt >= SOUND_RUN_MILLIS;
+    if (run == null || !run.isConfirmed() || run.worker.silent) {
+      return false;
+    }
+    long soundMillis =
+        Math.max(MIN_SOUND_RUN_MILLIS, OUTLIVED_FACTOR * unit.crashes.longestLostMillis());
+    return now - run.confirmedAt >= Math.min(SOUND_RUN_MILLIS, soundMillis);
   }
 }
--- a/core/src/main/java/org/hickorypier/core/cell/Dispatcher.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Dispatcher.java
@@ -158,8 +158,10 @@
     }
     placeTasks(step, besideOthers, workers, reservation, now);
     alone.forEach(
-        (unit, tasks) ->
-            placeTasks(step, tasks, trialWorkers.workersFor(unit, tasks.size(), now), null, now));
+        (unit, tasks) -> {
+          unit.isolationWantedAt = unit.isolationWantedAt == 0 ? now : unit.isolationWantedAt;
+          placeTasks(step, tasks, trialWorkers.workersFor(unit, tasks.size(), now), null, now);
+        });
     if (!alone.isEmpty()) {
       workers.removeIf(worker -> worker.trialUnit != null);
     }
--- a/core/src/main/java/org/hickorypier/core/cell/RunController.java
+++ b/core/src/main/java/org/hickorypier/core/cell/RunController.java
@@ -52,6 +52,7 @@
     run.resumed = !task.checkpoint.isEmpty();
     task.currentRun = run;
     task.lastRunNumber = number;
+    task.crashUnit().isolationWantedAt = 0;
     occupy(run);
     cell.runEvent(
         "ordered",
--- a/core/src/main/java/org/hickorypier/core/cell/StepRun.java
+++ b/core/src/main/java/org/hickorypier/core/cell/StepRun.java
@@ -1,5 +1,7 @@
 package org.hickorypier.core.cell;
 
+import java.util.HashSet;
+import java.util.Set;
 import org.hickorypier.core.estimation.StepSamples;
 import org.hickorypier.core.submission.StepSpec;
 
@@ -161,6 +163,20 @@
     return highest + 1;
   }
 
+  /** Returns on how many workers a task, or the gang that it stands for, runs; 1 at least. */
+  int countWorkersOf(Task unit) {
+    if (!isGang()) {
+      return 1;
+    }
+    Set<WorkerView> workers = new HashSet<>();
+    for (Task member : tasks) {
+      if (member.currentRun != null) {
+        workers.add(member.currentRun.worker);
+      }
+    }
+    return Math.max(1, workers.size());
+  }
+
   int countRunsOn(WorkerView worker) {
     int count = 0;
     for (Task task : tasks) {
--- a/core/src/main/java/org/hickorypier/core/cell/Task.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Task.java
@@ -38,6 +38,9 @@
   /** Its runs that were lost with their workers, or null; of a gang, the first member's. */
   CrashHistory crashes;
 
+  /** When it began to wait for a worker of its own, on the owner's monotonic clock; 0 if not. */
+  long isolationWantedAt;
+
   /**
    * When a run of it was last stopped to make room for more urgent work, on the owner's monotonic
    * clock; 0 if none was.
--- a/core/src/main/java/org/hickorypier/core/cell/TrialWorkers.java
+++ b/core/src/main/java/org/hickorypier/core/cell/TrialWorkers.java
@@ -9,7 +9,7 @@
  * Reserves workers for tasks that may crash them, so that such a task runs beside no other.
  *
  * <p>Invariants: a reserved worker gets no orders for other work until the task has run there for a
- * while; of the workers of a service a quarter stays free of reservations, and at most a quarter is
+ * while; of the workers of a service half stays free of reservations, and at most a quarter is
  * emptied for them, except for one gang at a time. Confined to the control thread.
  */
 final class TrialWorkers {
@@ -17,13 +17,19 @@
   /** Longest time for which the first run of a task alone keeps its worker to itself. */
   private static final long MAX_FIRST_TRIAL_MILLIS = 5_000;
 
-  /** Covers a crash that takes twice as long to be seen as the quickest one under the task. */
-  private static final long FIRST_TRIAL_FACTOR = 2;
+  /**
+   * Covers a crash that takes twice as long to be seen as the quickest one under the task, and from
+   * the second trial on as the slowest one.
+   */
+  private static final long TRIAL_FACTOR = 2;
 
-  private static final long MIN_FIRST_TRIAL_MILLIS = 300;
+  private static final long MIN_TRIAL_MILLIS = 300;
 
-  /** Time for which the later ones keep it to themselves. */
-  private static final long TRIAL_MILLIS = 30_000;
+  /** Number of lost runs before the first run of a task alone. */
+  private static final int LOSSES_BEFORE_FIRST_TRIAL = 2;
+
+  /** Longest time for which the later ones keep it to themselves. */
+  private static final long MAX_TRIAL_MILLIS = 30_000;
 
   /** A persistent task that ran for so long before is not the cause of a crash. */
   private static final long PROVEN_RUN_MILLIS = 10_000;
@@ -93,12 +99,17 @@
   }
 
   private static long trialMillis(Task unit) {
-    List<LostRun> lostRuns = unit.crashes.lostRuns();
-    if (lostRuns.size() > CrashPolicy.LOSSES_BEFORE_ALONE) {
-      return TRIAL_MILLIS;
+    long quickest = Long.MAX_VALUE;
+    long longest = 0;
+    for (LostRun lost : unit.crashes.lostRuns()) {
+      if (lost.isSeen()) {
+        quickest = Math.min(quickest, lost.ranMillis());
+        longest = Math.max(longest, lost.ranMillis());
+      }
     }
-    long quickest = lostRuns.stream().mapToLong(LostRun::ranMillis).min().orElse(0);
-    return Math.min(MAX_FIRST_TRIAL_MILLIS, MIN_FIRST_TRIAL_MILLIS + FIRST_TRIAL_FACTOR * quickest);
+    return unit.crashes.seenLosses() > LOSSES_BEFORE_FIRST_TRIAL
+        ? Math.min(MAX_TRIAL_MILLIS, MIN_TRIAL_MILLIS + TRIAL_FACTOR * longest)
+        : Math.min(MAX_FIRST_TRIAL_MILLIS, MIN_TRIAL_MILLIS + TRIAL_FACTOR * quickest);
   }
 
   private static boolean isSuitable(StepRun step, WorkerView worker) {
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerLosses.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerLosses.java
@@ -20,8 +20,22 @@
   /** Number of other workers from which on a loss counts as part of a larger one. */
   private static final int MIN_OTHERS = 2;
 
-  /** Number of lost runs of a task that explain the loss of a worker where it ran. */
-  private static final int EXPLAINING_LOSSES = 3;
+  /** Number of lost runs of a task that may explain the loss of a worker where it ran. */
+  private static final int EXPLAINING_LOSSES = 2;
+
+  /** Span around a loss in which others happen at the same time, in milliseconds. */
+  static final long TOGETHER_MILLIS = 2 * COMMON_CAUSE_MILLIS;
+
+  /** Time over which the rate of losses is taken; the troubles of a day change within minutes. */
+  private static final long RATE_MILLIS = 60_000;
+
+  /**
+   * Losses, and the time of one worker, that count in addition to those observed. A takeover begins
+   * with a rate of one loss in ten minutes, which few losses suffice to correct.
+   */
+  private static final double PRIOR_LOSSES = 0.1;
+
+  private static final long PRIOR_WORKER_MILLIS = 60_000;
 
   /** Time without losses after which the workers count as calm. */
   private static final long CALM_MILLIS = 5_000;
@@ -39,7 +53,7 @@
               each ->
                   each != unit
                       && each.crashes != null
-                      && each.crashes.lostRuns().size() >= EXPLAINING_LOSSES);
+                      && each.crashes.seenLosses() >= EXPLAINING_LOSSES);
     }
   }
 
@@ -59,12 +73,41 @@
    * lost more runs.
    */
   boolean hasCommonCause(Task unit, long silentSince) {
-    long others =
+    return countTogether(unit, silentSince) >= MIN_OTHERS;
+  }
+
+  private long countTogether(Task unit, long silentSince) {
+    return losses.stream()
+        .filter(each -> Math.abs(each.silentSince - silentSince) <= COMMON_CAUSE_MILLIS)
+        .filter(each -> !each.isExplainedWithout(unit))
+        .count();
+  }
+
+  /**
+   * Returns the share of the workers that were lost at about that time with a common cause.
+   *
+   * @param workers the number of workers
+   */
+  double shareLostTogether(Task unit, long silentSince, int workers) {
+    long others = countTogether(unit, silentSince);
+    return others < MIN_OTHERS ? 0 : Math.min(1, (double) others / Math.max(1, workers));
+  }
+
+  /**
+   * Returns the rate at which a worker is lost for reasons other than a task, per millisecond.
+   *
+   * @param unit the task
+   * @param workers the number of workers
+   * @param since when the losses began to be recorded, in milliseconds
+   */
+  double lossesPerMilli(Task unit, int workers, long since, long now) {
+    long observedMillis = Math.min(RATE_MILLIS, now - since);
+    long lost =
         losses.stream()
-            .filter(each -> Math.abs(each.silentSince - silentSince) <= COMMON_CAUSE_MILLIS)
-            .filter(each -> !each.isExplainedWithout(unit))
+            .filter(each -> now - each.silentSince <= RATE_MILLIS)
+            .filter(each -> !each.units.contains(unit) && !each.isExplainedWithout(unit))
             .count();
-    return others >= MIN_OTHERS;
+    return (lost + PRIOR_LOSSES) / (workers * observedMillis + PRIOR_WORKER_MILLIS);
   }
 
   boolean hasAnySince(long time) {
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerRegistry.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerRegistry.java
@@ -150,7 +150,8 @@
         runs.handleDeparture(worker, now);
       } else if (worker.silent && now > worker.leaseEnd()) {
         if (!worker.runs.isEmpty()) {
-          crashTracker.handleLoss(worker, worker.runs.values(), "lease-expired", false, now);
+          crashTracker.handleLoss(
+              worker, worker.runs.values(), "lease-expired", worker.lostAt(now), false, now);
         }
         runs.handleLeaseExpiry(worker, now);
       }
@@ -185,6 +186,7 @@
       }
       if (worker.isOpen() && worker.shouldClose(now)) {
         if (worker.isSilentForLong(now) && !TrialWorkers.isAlone(worker)) {
+          worker.lossRecorded = true;
           cell.workerLosses.record(worker, worker.silentSince, now);
         }
         worker.closedAfter =
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerReportHandler.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerReportHandler.java
@@ -148,7 +148,7 @@
     List<Run> lost =
         missing.keySet().stream().filter(run -> run.workerBornMillis < worker.bornMillis).toList();
     if (!lost.isEmpty()) {
-      crashTracker.handleLoss(worker, lost, "worker-reborn", true, now);
+      crashTracker.handleLoss(worker, lost, "worker-reborn", worker.previousLostAt, true, now);
     }
     missing.forEach(
         (run, reason) -> {
@@ -166,10 +166,10 @@
    */
   private void handleNewIncarnation(WorkerView worker, long bornMillis, long now) {
     cell.workerEvent("worker-reborn", worker, "runs", worker.runs.size());
-    if (!TrialWorkers.isAlone(worker)) {
-      cell.workerLosses.record(worker, now, now);
+    if (!worker.lossRecorded && !TrialWorkers.isAlone(worker)) {
+      cell.workerLosses.record(worker, worker.lostAt(now), now);
     }
-    worker.beginIncarnation(bornMillis);
+    worker.beginIncarnation(bornMillis, now);
     for (RunKey key : worker.unansweredOrders.keySet()) {
       worker.runsToRefuse.add(key);
       cell.output.stop(worker, key);
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
@@ -89,6 +89,12 @@
   long silentSince;
   long lastAnswerAt;
 
+  /** When the previous incarnation was lost, on the owner's monotonic clock. */
+  long previousLostAt;
+
+  /** Whether the loss of the present incarnation is among those of the cell. */
+  boolean lossRecorded;
+
   /** Whether the lease may be renewed: no roster that a successor may read says that it expires. */
   boolean renewable = true;
 
@@ -249,7 +255,9 @@
    * Resets the view of a restarted worker, which has lost its state and numbers its ends from the
    * start.
    */
-  void beginIncarnation(long newBornMillis) {
+  void beginIncarnation(long newBornMillis, long now) {
+    previousLostAt = lostAt(now);
+    lossRecorded = false;
     bornMillis = newBornMillis;
     lastProcessedEnd = 0;
     lastDurableEnd = 0;
@@ -262,6 +270,11 @@
     slowStreak = 0;
   }
 
+  /** Returns since when a worker that is found to be lost cannot have run anything. */
+  long lostAt(long now) {
+    return silent ? silentSince : now;
+  }
+
   void update(WorkerEntry newer, long now) {
     if (newer != entry || !listed) {
       coldUntil = now + newer.coldMillis();
--- a/core/src/main/java/org/hickorypier/core/submission/SubmissionCodec.java
+++ b/core/src/main/java/org/hickorypier/core/submission/SubmissionCodec.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -204,11 +205,22 @@
       packer.packInt(entry.getValue().announcedRun());
       packer.packInt(entry.getValue().lateStarts());
     }
+    // Apart from the above, since readers of earlier versions stop before it.
+    if (crashes.values().stream().allMatch(each -> each.decibans().isEmpty())) {
+      return;
+    }
+    for (CrashRecord each : crashes.values()) {
+      packer.packMapHeader(each.decibans().size());
+      for (Map.Entry<Integer, Integer> weight : each.decibans().entrySet()) {
+        packer.packInt(weight.getKey());
+        packer.packInt(weight.getValue());
+      }
+    }
   }
 
   private static Map<Integer, CrashRecord> unpackCrashes(MessageUnpacker unpacker)
       throws IOException {
-    Map<Integer, CrashRecord> crashes = new HashMap<>();
+    Map<Integer, CrashRecord> crashes = new LinkedHashMap<>();
     int entries = unpacker.unpackMapHeader();
     for (int index = 0; index < entries; index++) {
       int position = unpacker.unpackInt();
@@ -219,9 +231,23 @@
       int lateStarts = unpacker.unpackInt();
       crashes.put(position, new CrashRecord(beside, alone, unseen, announcedRun, lateStarts));
     }
+    if (unpacker.hasNext()) {
+      for (Map.Entry<Integer, CrashRecord> entry : crashes.entrySet()) {
+        entry.setValue(entry.getValue().withDecibans(unpackWeights(unpacker)));
+      }
+    }
     return crashes;
   }
 
+  private static Map<Integer, Integer> unpackWeights(MessageUnpacker unpacker) throws IOException {
+    Map<Integer, Integer> weights = new HashMap<>();
+    int entries = unpacker.unpackMapHeader();
+    for (int index = 0; index < entries; index++) {
+      weights.put(unpacker.unpackInt(), unpacker.unpackInt());
+    }
+    return weights;
+  }
+
   private static void packQueue(MessagePacker packer, QueueTerms queue) throws IOException {
     packer.packString(queue.name()).packString(queue.service()).packInt(queue.priority());
     packer.packInt(queue.maxAttempts()).packDouble(queue.stretch());
--- a/core/src/test/java/org/hickorypier/core/cell/FakeFleet.java
+++ b/core/src/test/java/org/hickorypier/core/cell/FakeFleet.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Predicate;
+import java.util.function.ToLongFunction;
 import org.hickorypier.core.model.Resources;
 import org.hickorypier.core.submission.SubmissionSpec;
 import org.hickorypier.core.submission.SubmissionState;
@@ -67,6 +68,9 @@
 
   long workMillis = 600;
 
+  /** How long each task runs. */
+  ToLongFunction<TaskName> workMillisOf = task -> workMillis;
+
   /** Whether the store accepts writes. */
   boolean storeAvailable = true;
 
@@ -221,7 +225,7 @@
         crash(life);
         break;
       }
-      if (!run.persistent && age >= workMillis) {
+      if (!run.persistent && age >= workMillisOf.applyAsLong(run.key.task())) {
         end(life, run, RunEnd.DONE);
       }
     }
--- a/core/src/test/java/org/hickorypier/core/submission/SubmissionCodecTest.java
+++ b/core/src/test/java/org/hickorypier/core/submission/SubmissionCodecTest.java
@@ -98,6 +98,18 @@
     assertThat(SubmissionCodec.encodeProgress(progress)).hasSize(14);
   }
 
+  @Test
+  void weightOfLostRunSurvivesRoundTripAndTakesThreeBytes() throws UndecodableException {
+    CrashRecord crashes = new CrashRecord(List.of(1), List.of(), List.of(), 2, 0, Map.of(1, 27));
+    SubmissionProgress progress =
+        new SubmissionProgress(
+            SubmissionState.RUNNING, 0, List.of(new BitSet()), Map.of(), Map.of(0, crashes));
+    byte[] encoded = SubmissionCodec.encodeProgress(progress);
+
+    assertThat(encoded).hasSize(17);
+    assertThat(SubmissionCodec.decodeProgress(encoded)).isEqualTo(progress);
+  }
+
   /**
    * Guards against a takeover that fails because another program corrupted a record in the store:
    * the record must be reported as undecodable, which costs only its own submission.
