What is known of a worker belongs to one lifetime

A worker that starts again under its id may be of another kind. Cause: the answer of a worker to a renewal names the start of its lifetime, and was mostly handled before the worker's new entry was read. From then on the worker was open for orders, and its labels, rack and capacity were those of the entry before (WorkerView.entry, Placer.matches); nothing compared the two. Ruled out: the order in which the entry is read first; the worker counts as silent until it answers. Change: WorkerLifetime, one immutable value per lifetime, holds the start and the description. A lifetime of which no entry was read has no labels and no capacity and gets no orders, also none that are sent again; nor does one that a newer entry has superseded, if an answer of it arrives late. A successor no longer takes the roster for a description: its labels may be those of an earlier lifetime, its capacity is an upper bound. On related paths: whether the advisor allows a worker, a full worker and a cold one belong to one lifetime now. CellTest.runsRestartOnceTheRestartedWorkerReportsWithoutThem expected a start on a lifetime of which no entry was read, which is the fault. It now asserts that nothing starts before the entry and the restart after it.

--- a/core/src/main/java/org/hickorypier/core/cell/BacklogReader.java
+++ b/core/src/main/java/org/hickorypier/core/cell/BacklogReader.java
@@ -61,7 +61,7 @@
     Map<GroupKey, Sums> sums = new HashMap<>();
     for (WorkerView worker : cell.workers.values()) {
       if (isUsable(worker, now)) {
-        addCapacity(capacities, worker.entry());
+        addCapacity(capacities, worker);
         worker.runs.values().forEach(run -> addRunning(sums, run, now));
       }
     }
@@ -90,12 +90,13 @@
         && !worker.isSilentForLong(now);
   }
 
-  private static void addCapacity(Map<Backlog.Pool, Resources> capacities, WorkerEntry worker) {
-    capacities.merge(new Backlog.Pool(worker.service(), ""), worker.capacity(), Resources::plus);
-    for (String label : worker.labels()) {
+  private static void addCapacity(Map<Backlog.Pool, Resources> capacities, WorkerView worker) {
+    String service = worker.entry().service();
+    Resources capacity = worker.lifetime().capacity();
+    capacities.merge(new Backlog.Pool(service, ""), capacity, Resources::plus);
+    for (String label : worker.lifetime().labels()) {
       if (!label.isEmpty()) {
-        capacities.merge(
-            new Backlog.Pool(worker.service(), label), worker.capacity(), Resources::plus);
+        capacities.merge(new Backlog.Pool(service, label), capacity, Resources::plus);
       }
     }
   }
--- a/core/src/main/java/org/hickorypier/core/cell/CrashTracker.java
+++ b/core/src/main/java/org/hickorypier/core/cell/CrashTracker.java
@@ -162,7 +162,7 @@
   private boolean hasNewerIncarnation(WorkerView worker) {
     for (WorkerView other : cell.workers.values()) {
       if (other.entry().address().equals(worker.entry().address())
-          && other.entry().bornMillis() > worker.bornMillis) {
+          && other.entry().bornMillis() > worker.bornMillis()) {
         return true;
       }
     }
--- a/core/src/main/java/org/hickorypier/core/cell/LostWorkers.java
+++ b/core/src/main/java/org/hickorypier/core/cell/LostWorkers.java
@@ -22,7 +22,7 @@
   void add(WorkerView worker, long lostAt, Map<Task, Integer> runNumbers) {
     String address = worker.entry().address();
     byId.put(
-        worker.id(), new LostWorker(worker.id(), address, worker.bornMillis, lostAt, runNumbers));
+        worker.id(), new LostWorker(worker.id(), address, worker.bornMillis(), lostAt, runNumbers));
   }
 
   /** Removes a worker and returns it, or null if it is not lost. */
--- a/core/src/main/java/org/hickorypier/core/cell/Run.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Run.java
@@ -54,7 +54,7 @@
     this.key = key;
     this.task = task;
     this.worker = worker;
-    this.workerBornMillis = worker.bornMillis;
+    this.workerBornMillis = worker.bornMillis();
     this.size = size;
     this.customer = customer;
   }
--- a/core/src/main/java/org/hickorypier/core/cell/RunEndHandler.java
+++ b/core/src/main/java/org/hickorypier/core/cell/RunEndHandler.java
@@ -126,7 +126,7 @@
         && !flags.opportunistic()
         && !flags.persistent()
         && !run.resumed
-        && run.workerBornMillis == worker.bornMillis
+        && run.workerBornMillis == worker.bornMillis()
         && !worker.isCold(run.confirmedAt)
         && run.confirmedAt >= worker.slowBackoffUntil;
   }
--- a/core/src/main/java/org/hickorypier/core/cell/StepAdvice.java
+++ b/core/src/main/java/org/hickorypier/core/cell/StepAdvice.java
@@ -1,15 +1,13 @@
 package org.hickorypier.core.cell;
 
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import org.hickorypier.core.submission.AdviceTerms;
 
 /**
- * The advisor's answers for one step: which workers are suitable, which never changes, and their
- * tickets, which expire.
+ * The advisor's answers for one step: which workers are suitable, which never changes during their
+ * lifetime, and their tickets, which expire.
  *
  * <p>Confined to the control thread.
  */
@@ -21,9 +19,14 @@
    */
   private static final long TICKET_MARGIN_MILLIS = 250;
 
+  /** No worker was started then. */
+  private static final long NEVER = -1;
+
   final AdviceTerms terms;
   private final Map<String, Ticket> suitableTickets = new HashMap<>();
-  private final Set<String> unsuitableWorkers = new HashSet<>();
+
+  /** The start of the lifetime in which each worker was found unsuitable. */
+  private final Map<String, Long> unsuitableWorkers = new HashMap<>();
 
   /** When the pending request was sent; 0 if none is pending. */
   long requestedAt;
@@ -39,11 +42,13 @@
   }
 
   boolean isRated(WorkerView worker) {
-    return suitableTickets.containsKey(worker.id()) || unsuitableWorkers.contains(worker.id());
+    return isSuitable(worker)
+        || unsuitableWorkers.getOrDefault(worker.id(), NEVER) == worker.bornMillis();
   }
 
   boolean isSuitable(WorkerView worker) {
-    return suitableTickets.containsKey(worker.id());
+    Ticket ticket = suitableTickets.get(worker.id());
+    return ticket != null && ticket.workerBornMillis == worker.bornMillis();
   }
 
   boolean hasSuitableWorkers() {
@@ -56,7 +61,9 @@
    */
   String validTicket(WorkerView worker, long now) {
     Ticket ticket = suitableTickets.get(worker.id());
-    if (ticket == null || ticket.validUntil < now || ticket.workerBornMillis != worker.bornMillis) {
+    if (ticket == null
+        || ticket.validUntil < now
+        || ticket.workerBornMillis != worker.bornMillis()) {
       return null;
     }
     return ticket.text;
@@ -85,11 +92,11 @@
     for (WorkerView worker : named) {
       String ticket = tickets.get(worker.id());
       if (ticket == null) {
-        unsuitableWorkers.add(worker.id());
+        unsuitableWorkers.put(worker.id(), worker.bornMillis());
       } else {
         long validUntil = now + validMillis - TICKET_MARGIN_MILLIS;
         lastValidUntil = Math.max(lastValidUntil, validUntil);
-        suitableTickets.put(worker.id(), new Ticket(ticket, validUntil, worker.bornMillis));
+        suitableTickets.put(worker.id(), new Ticket(ticket, validUntil, worker.bornMillis()));
       }
     }
   }
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerRegistry.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerRegistry.java
@@ -41,7 +41,7 @@
   void restoreRoster(Collection<RosterEntry> entries) {
     for (RosterEntry restored : entries) {
       WorkerEntry entry = restored.worker();
-      WorkerView worker = new WorkerView(entry);
+      WorkerView worker = WorkerView.fromRoster(entry);
       worker.onRoster = true;
       worker.rosterCapacity = entry.capacity();
       worker.closedAfter = restored.closedAfter();
@@ -87,7 +87,7 @@
       cell.workers.put(entry.id(), worker);
       worker.unconfirmed = true;
       cell.log.event(PART, "worker-listed", "worker", entry.id(), "address", entry.address());
-    } else if (entry.bornMillis() > worker.bornMillis) {
+    } else if (entry.bornMillis() > worker.bornMillis()) {
       // Only its own report says what a restarted worker runs; until then it gets no orders.
       handleMissingAnswer(worker, now);
       if (!worker.entry().address().equals(entry.address())) {
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerReportHandler.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerReportHandler.java
@@ -46,7 +46,7 @@
   }
 
   void handleReport(WorkerView worker, RenewalReport report, long sentAt, long now) {
-    if (worker.bornMillis != report.bornMillis()) {
+    if (worker.bornMillis() != report.bornMillis()) {
       handleNewIncarnation(worker, report.bornMillis(), now);
     }
     if (!worker.hasAnswered) {
@@ -84,7 +84,7 @@
    * stand for good, while the worker may have restarted or started other runs since.
    */
   void handleLateReport(WorkerView worker, RenewalReport report, long now) {
-    if (worker.bornMillis == report.bornMillis()) {
+    if (worker.bornMillis() == report.bornMillis()) {
       handleEnds(worker, report, now);
       cell.dirty = true;
     }
@@ -104,10 +104,10 @@
       worker.lastProcessedEnd = lastEnd;
       worker.unsavedEnds.addAll(processed);
       long durable = lastEnd;
-      long incarnation = worker.bornMillis;
+      long incarnation = worker.bornMillis();
       cell.output.afterSave(
           () -> {
-            if (worker.bornMillis == incarnation) {
+            if (worker.bornMillis() == incarnation) {
               processed.forEach(worker.unsavedEnds::remove);
               worker.lastDurableEnd = Math.max(worker.lastDurableEnd, durable);
             }
@@ -146,7 +146,9 @@
 
   private void handleMissing(WorkerView worker, Map<Run, String> missing, long now) {
     List<Run> lost =
-        missing.keySet().stream().filter(run -> run.workerBornMillis < worker.bornMillis).toList();
+        missing.keySet().stream()
+            .filter(run -> run.workerBornMillis < worker.bornMillis())
+            .toList();
     if (!lost.isEmpty()) {
       crashTracker.handleLoss(worker, lost, "worker-reborn", worker.previousLostAt, true, now);
     }
@@ -165,7 +167,8 @@
    * ago; the run is therefore stopped first.
    */
   private void handleNewIncarnation(WorkerView worker, long bornMillis, long now) {
-    cell.workerEvent("worker-reborn", worker, "runs", worker.runs.size());
+    boolean described = worker.entry().bornMillis() == bornMillis;
+    cell.workerEvent("worker-reborn", worker, "runs", worker.runs.size(), "described", described);
     if (!worker.lossRecorded && !TrialWorkers.isAlone(worker)) {
       cell.workerLosses.record(worker, worker.lostAt(now), now);
     }
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
@@ -51,7 +51,7 @@
 
   private WorkerEntry entry;
   boolean listed;
-  long bornMillis;
+  private WorkerLifetime lifetime;
 
   /** Whether the worker has answered a renewal under this owner's token. */
   boolean hasAnswered;
@@ -176,7 +176,17 @@
 
   WorkerView(WorkerEntry entry) {
     this.entry = entry;
-    this.bornMillis = entry.bornMillis();
+    this.lifetime = WorkerLifetime.undescribed(entry.bornMillis()).after(entry);
+  }
+
+  /**
+   * Returns a worker of which an earlier owner has told. What it told describes no lifetime: the
+   * labels may be those of an earlier one, and the capacity is an upper bound.
+   */
+  static WorkerView fromRoster(WorkerEntry entry) {
+    WorkerView worker = new WorkerView(entry);
+    worker.lifetime = WorkerLifetime.undescribed(entry.bornMillis());
+    return worker;
   }
 
   /**
@@ -188,8 +198,19 @@
     return entry.id();
   }
 
+  /** Returns the lifetime that the worker was in when it last answered. */
+  WorkerLifetime lifetime() {
+    return lifetime;
+  }
+
+  /** Returns the start of that lifetime, in milliseconds since 1970. */
+  long bornMillis() {
+    return lifetime.bornMillis();
+  }
+
   /**
-   * Returns the worker's latest entry in the worker list.
+   * Returns the worker's latest entry in the worker list, which may be that of a lifetime before or
+   * after the present one.
    *
    * @return the entry
    */
@@ -258,7 +279,11 @@
   void beginIncarnation(long newBornMillis, long now) {
     previousLostAt = lostAt(now);
     lossRecorded = false;
-    bornMillis = newBornMillis;
+    lifetime = WorkerLifetime.undescribed(newBornMillis).after(entry);
+    rating = null;
+    placingFactor = 1;
+    fullUntil = 0;
+    coldUntil = lifetime.isDescribed() ? coldUntil : 0;
     lastProcessedEnd = 0;
     lastDurableEnd = 0;
     unsavedEnds.clear();
@@ -280,12 +305,16 @@
       coldUntil = now + newer.coldMillis();
     }
     entry = newer;
+    lifetime = lifetime.after(newer);
     listed = true;
   }
 
-  /** Takes over the present estimate of the worker's speed. */
+  /** Takes over the present estimate of the worker's speed once its kind is known. */
   void rate(WorkerSpeedEstimator estimator, long now) {
-    rating = estimator.rating(entry.id(), entry.service(), entry.kind(), bornMillis, now);
+    if (!lifetime.isDescribed()) {
+      return;
+    }
+    rating = estimator.rating(entry.id(), entry.service(), lifetime.kind(), bornMillis(), now);
     placingFactor =
         estimator.isByWorker()
             ? Placer.FACTOR_GRID * Math.rint(rating.cautiousFactor() / Placer.FACTOR_GRID)
@@ -368,11 +397,11 @@
   /**
    * Returns the worker as a successor has to know it: in the incarnation that has the runs, which
    * the list may have left behind, and with the most that may be in use, since runs that were
-   * started before its capacity shrank may exceed it.
+   * started before its capacity shrank may exceed it. A successor places nothing by it.
    */
   WorkerEntry rosterEntry() {
     Resources used = new Resources(usedProcessors, usedMemory, (int) usedAccelerators);
-    return entry.ofIncarnation(bornMillis, entry.capacity().max(used));
+    return entry.ofIncarnation(bornMillis(), entry.capacity().max(used));
   }
 
   long usedProcessors() {
@@ -380,15 +409,15 @@
   }
 
   long freeProcessors() {
-    return entry.capacity().milliProcessors() - usedProcessors - reservedProcessors;
+    return lifetime.capacity().milliProcessors() - usedProcessors - reservedProcessors;
   }
 
   long freeMemory() {
-    return entry.capacity().memoryMebibytes() - usedMemory - reservedMemory;
+    return lifetime.capacity().memoryMebibytes() - usedMemory - reservedMemory;
   }
 
   long freeAccelerators() {
-    return entry.capacity().accelerators() - usedAccelerators;
+    return lifetime.capacity().accelerators() - usedAccelerators;
   }
 
   /**
@@ -450,7 +479,11 @@
    * for a while may have restarted, and the order's deadline does not apply to its new clock.
    */
   boolean acceptsResentOrders(long now) {
-    return !silent && !evacuated && renewable && now - lastAnswerAt <= MAX_RESEND_ANSWER_AGE_MILLIS;
+    return lifetime.isDescribed()
+        && !silent
+        && !evacuated
+        && renewable
+        && now - lastAnswerAt <= MAX_RESEND_ANSWER_AGE_MILLIS;
   }
 
   /** Returns whether the worker may get orders for any task. */
@@ -461,6 +494,7 @@
   /** Returns whether the worker may get orders for the task that it is reserved for. */
   boolean isUsable(long now) {
     return listed
+        && lifetime.isDescribed()
         && answeredRecently(now)
         && hasAnswered
         && onRoster
--- a/core/src/test/java/org/hickorypier/core/cell/AdmissionLoadTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/AdmissionLoadTest.java
@@ -165,7 +165,7 @@
         worker.runs.values().stream()
             .filter(run -> ended.stream().noneMatch(next -> next.run() == run.key()))
             .forEach(run -> running.add(new RunningTask(run.key(), "", percent(run))));
-        fixture.reportNow(worker, worker.bornMillis, running, ended);
+        fixture.reportNow(worker, worker.bornMillis(), running, ended);
       }
       fixture.writePending();
       if (fixture.now % 100 < TICK_MILLIS) {
--- a/core/src/test/java/org/hickorypier/core/cell/CellFixture.java
+++ b/core/src/test/java/org/hickorypier/core/cell/CellFixture.java
@@ -218,7 +218,7 @@
   }
 
   void reportFrom(WorkerView worker, EndedRun... ends) {
-    reportFrom(worker, worker.bornMillis, List.of(), ends);
+    reportFrom(worker, worker.bornMillis(), List.of(), ends);
   }
 
   void reportFrom(WorkerView worker, long bornMillis, List<RunKey> running, EndedRun... ends) {
@@ -243,7 +243,7 @@
     advance(5);
     cell.renewalAnswered(
         worker,
-        new RenewalReport(worker.bornMillis, workerClock, List.of(running), List.of()),
+        new RenewalReport(worker.bornMillis(), workerClock, List.of(running), List.of()),
         sentAt,
         now);
   }
--- a/core/src/test/java/org/hickorypier/core/cell/CellTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/CellTest.java
@@ -112,7 +112,10 @@
     assertThat(fixture.starts).hasSize(1);
     fixture.writePending();
     fixture.pass();
+    assertThat(fixture.starts).hasSize(1);
 
+    fixture.listWorker("w", 2);
+    fixture.pass();
     assertThat(fixture.starts).hasSize(2);
     assertThat(fixture.starts.get(1).run().key().number()).isEqualTo(2);
   }
--- a/core/src/test/java/org/hickorypier/core/cell/FailingPartTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/FailingPartTest.java
@@ -40,7 +40,7 @@
     fixture.failingSubmission = "cancelled";
     fixture.advance(DUE_MILLIS);
     WorkerView worker = fixture.findWorker("w");
-    fixture.reportFrom(worker, worker.bornMillis, List.copyOf(worker.runs.keySet()));
+    fixture.reportFrom(worker, worker.bornMillis(), List.copyOf(worker.runs.keySet()));
     assertThat(fixture.starts).hasSize(1);
 
     Throwable failure = catchThrowable(() -> fixture.cell.tick(fixture.now, fixture.now));
--- a/core/src/test/java/org/hickorypier/core/cell/LateReportTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/LateReportTest.java
@@ -29,7 +29,7 @@
     fixture.confirmAll();
     final Run run = fixture.starts.get(0).run();
     fixture.cell.renewalUnanswered(slow, fixture.now);
-    fixture.cell.renewalAnsweredLate(slow, reportOfEnd(slow, slow.bornMillis, run), fixture.now);
+    fixture.cell.renewalAnsweredLate(slow, reportOfEnd(slow, slow.bornMillis(), run), fixture.now);
     fixture.writePending();
     fixture.addWorker("other");
     fixture.advance(CellFixture.TIMINGS.longestLeaseMillis() + 1_000);
@@ -46,7 +46,7 @@
     fixture.submit(spec("s", QUEUE, step(1, 1_000, 500, false)));
     final Run run = fixture.starts.get(0).run();
     fixture.cell.renewalUnanswered(slow, fixture.now);
-    fixture.cell.renewalAnsweredLate(slow, reportOfEnd(slow, slow.bornMillis, run), fixture.now);
+    fixture.cell.renewalAnsweredLate(slow, reportOfEnd(slow, slow.bornMillis(), run), fixture.now);
     assertThat(slow.silent()).isTrue();
     assertThat(slow.acceptsOrders(fixture.now)).isFalse();
   }
@@ -57,7 +57,7 @@
     final Submission submission = fixture.submit(spec("s", QUEUE, step(1, 1_000, 500, false)));
     final Run run = fixture.starts.get(0).run();
     fixture.cell.renewalAnsweredLate(
-        restarted, reportOfEnd(restarted, restarted.bornMillis - 1, run), fixture.now);
+        restarted, reportOfEnd(restarted, restarted.bornMillis() - 1, run), fixture.now);
     assertThat(submission.state).isNotEqualTo(SubmissionState.COMPLETED);
   }
 }
--- a/core/src/test/java/org/hickorypier/core/cell/PreemptionTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/PreemptionTest.java
@@ -55,7 +55,7 @@
             running.add(new RunningTask(key, "", 5));
           }
         }
-        fixture.reportNow(worker, worker.bornMillis, running, ends);
+        fixture.reportNow(worker, worker.bornMillis(), running, ends);
       }
       fixture.cell.tick(fixture.now, fixture.now);
       fixture.writePending();
--- a/core/src/test/java/org/hickorypier/core/cell/TakenOverLeaseTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/TakenOverLeaseTest.java
@@ -36,7 +36,7 @@
       for (WorkerView worker : owner.cell.workers()) {
         if (worker.id().startsWith("staying")) {
           List<RunKey> running = List.copyOf(worker.runs.keySet());
-          owner.reportFrom(worker, worker.bornMillis, running);
+          owner.reportFrom(worker, worker.bornMillis(), running);
         } else if (!worker.silent) {
           owner.cell.renewalUnanswered(worker, owner.now);
         }
@@ -100,7 +100,7 @@
     WorkerView worker = silenceWorkerWithTask("s", 1_000);
     assertThat(fixture.roster).noneMatch(RosterEntry::renewed);
 
-    fixture.reportFrom(worker, worker.bornMillis, List.copyOf(worker.runs.keySet()));
+    fixture.reportFrom(worker, worker.bornMillis(), List.copyOf(worker.runs.keySet()));
     assertThat(worker.nextDeadline(fixture.now, TIMINGS.leaseMillis())).isNegative();
     fixture.cell.tick(fixture.now, fixture.now);
     assertThat(worker.nextDeadline(fixture.now, TIMINGS.leaseMillis())).isNegative();
--- a/core/src/test/java/org/hickorypier/core/cell/WorkerCapacityTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/WorkerCapacityTest.java
@@ -20,13 +20,13 @@
   private final WorkerView worker = fixture.addWorker("w");
 
   private void changeCapacity(Resources capacity) {
-    fixture.listWorker(FakeFleet.entry("w", ADDRESS, worker.bornMillis, capacity));
+    fixture.listWorker(FakeFleet.entry("w", ADDRESS, worker.bornMillis(), capacity));
   }
 
   /** Lets the worker report what was ordered, and runs a pass. */
   private void report() {
     fixture.confirmAll();
-    fixture.reportFrom(worker, worker.bornMillis, List.copyOf(worker.runs.keySet()));
+    fixture.reportFrom(worker, worker.bornMillis(), List.copyOf(worker.runs.keySet()));
     fixture.cell.tick(fixture.now, fixture.now);
     fixture.writePending();
     fixture.pass();
@@ -56,7 +56,7 @@
       EndedRun end = new EndedRun(index + 1, runs.get(index).key(), RunEnd.DONE, "");
       fixture.reportFrom(
           worker,
-          worker.bornMillis,
+          worker.bornMillis(),
           runs.subList(index + 1, 8).stream().map(Run::key).toList(),
           end);
       fixture.writePending();
@@ -97,7 +97,7 @@
 
     CellFixture successor = fixture.successor(2, "s");
     successor.cell.configure(customers);
-    successor.listWorker(FakeFleet.entry("w", ADDRESS, worker.bornMillis, SHRUNK));
+    successor.listWorker(FakeFleet.entry("w", ADDRESS, worker.bornMillis(), SHRUNK));
     successor.addWorker("other");
     successor.submit(spec("next", QUEUE, step(12, 1_000, 500, false)));
     assertThat(successor.starts).hasSizeLessThanOrEqualTo(2);
