The incarnation of a worker is named as elsewhere in the code; the verdict on crashes is split

Cause: the class was named WorkerLifetime, while the code and the glossary say incarnation; CrashPolicy.decide held the whole verdict in one method. Change: WorkerIncarnation, isProven and mayBeTriedAgain.

--- a/core/src/main/java/org/hickorypier/core/cell/BacklogReader.java
+++ b/core/src/main/java/org/hickorypier/core/cell/BacklogReader.java
@@ -92,9 +92,9 @@
 
   private static void addCapacity(Map<Backlog.Pool, Resources> capacities, WorkerView worker) {
     String service = worker.entry().service();
-    Resources capacity = worker.lifetime().capacity();
+    Resources capacity = worker.incarnation().capacity();
     capacities.merge(new Backlog.Pool(service, ""), capacity, Resources::plus);
-    for (String label : worker.lifetime().labels()) {
+    for (String label : worker.incarnation().labels()) {
       if (!label.isEmpty()) {
         capacities.merge(new Backlog.Pool(service, label), capacity, Resources::plus);
       }
--- a/core/src/main/java/org/hickorypier/core/cell/CrashPolicy.java
+++ b/core/src/main/java/org/hickorypier/core/cell/CrashPolicy.java
@@ -1,7 +1,5 @@
 package org.hickorypier.core.cell;
 
-import java.util.List;
-
 /**
  * Decides what may be done with a task whose runs were lost with their workers.
  *
@@ -69,33 +67,18 @@
     if (!isSuspected(crashes)) {
       return CrashVerdict.START;
     }
-    List<LostRun> lostRuns = crashes.lostRuns();
-    int conclusive = 0;
-    int conclusiveDecibans = 0;
-    long lastLostAt = 0;
-    boolean awaitsNews = false;
-    for (LostRun lost : lostRuns) {
-      lastLostAt = Math.max(lastLostAt, lost.lostAt());
-      awaitsNews |= lost.isAlone() && !lost.settled();
-      boolean shared = workerLosses.hasCommonCause(unit, lost.lostAt());
-      if (lost.isAlone() && lost.settled() && !shared) {
-        conclusive++;
-        conclusiveDecibans += lost.decibans();
-      }
-    }
     boolean strong = CrashEvidence.isStrong(crashes.decibans());
     boolean mayStartAgain = startsThatMayHaveCrashed(unit, strong) < MAX_STARTS;
-    boolean verdictDue = crashes.seenLosses() >= LOSSES_BEFORE_VERDICT || !mayStartAgain;
-    if (verdictDue && awaitsNews) {
-      return CrashVerdict.WAIT;
-    }
-    boolean lastCrashSuffices =
-        conclusive > 0 && (strong || conclusiveDecibans >= LAST_CRASH_DECIBANS);
-    if (verdictDue && (conclusive >= CONCLUSIVE_CRASHES || !mayStartAgain && lastCrashSuffices)) {
-      return CrashVerdict.GIVE_UP;
-    }
-    if (verdictDue && strong && !mayBeTriedAgain(mayStartAgain, lastLostAt, workerLosses, now)) {
-      return CrashVerdict.WAIT;
+    if (crashes.seenLosses() >= LOSSES_BEFORE_VERDICT || !mayStartAgain) {
+      if (crashes.lostRuns().stream().anyMatch(lost -> lost.isAlone() && !lost.settled())) {
+        return CrashVerdict.WAIT;
+      }
+      if (isProven(unit, strong, mayStartAgain, workerLosses)) {
+        return CrashVerdict.GIVE_UP;
+      }
+      if (strong && !mayBeTriedAgain(crashes, mayStartAgain, workerLosses, now)) {
+        return CrashVerdict.WAIT;
+      }
     }
     boolean lastStarts = strong || crashes.seenLosses() >= LOSSES_BEFORE_LAST_STARTS;
     long maxWait = lastStarts ? MAX_LAST_ISOLATION_WAIT_MILLIS : MAX_ISOLATION_WAIT_MILLIS;
@@ -103,6 +86,21 @@
     return waitedForWorker ? CrashVerdict.START : CrashVerdict.START_ALONE;
   }
 
+  /** Returns whether enough workers crashed under a task alone, and not together with others. */
+  private static boolean isProven(
+      Task unit, boolean strong, boolean mayStartAgain, WorkerLosses workerLosses) {
+    int crashes = 0;
+    int decibans = 0;
+    for (LostRun lost : unit.crashes.lostRuns()) {
+      if (lost.isAlone() && !workerLosses.hasCommonCause(unit, lost.lostAt())) {
+        crashes++;
+        decibans += lost.decibans();
+      }
+    }
+    boolean lastCrashSuffices = crashes > 0 && (strong || decibans >= LAST_CRASH_DECIBANS);
+    return crashes >= CONCLUSIVE_CRASHES || !mayStartAgain && lastCrashSuffices;
+  }
+
   /**
    * Counts the starts after which the worker crashed or may have: an earlier owner may have been
    * lost together with a worker before it learned of the loss.
@@ -116,7 +114,8 @@
   }
 
   private static boolean mayBeTriedAgain(
-      boolean mayStartAgain, long lastLostAt, WorkerLosses workerLosses, long now) {
+      CrashHistory crashes, boolean mayStartAgain, WorkerLosses workerLosses, long now) {
+    long lastLostAt = crashes.lostRuns().stream().mapToLong(LostRun::lostAt).max().orElse(now);
     long waitedMillis = now - lastLostAt;
     return mayStartAgain
         ? workerLosses.isCalm(now) || waitedMillis >= MAX_CALM_WAIT_MILLIS
--- a/core/src/main/java/org/hickorypier/core/cell/Dispatcher.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Dispatcher.java
@@ -370,7 +370,7 @@
     long capacity = 0;
     for (WorkerView worker : usable) {
       free += Math.max(0, worker.freeProcessors());
-      capacity += worker.lifetime().capacity().milliProcessors();
+      capacity += worker.incarnation().capacity().milliProcessors();
     }
     return free - cell.reserve.reservedMilliProcessors(queue.service(), capacity);
   }
--- a/core/src/main/java/org/hickorypier/core/cell/Placer.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Placer.java
@@ -105,7 +105,7 @@
 
   /** Returns how many tasks of the step a worker has room for if nothing runs there. */
   static int slotsIfEmpty(StepRun step, WorkerView worker) {
-    Resources capacity = worker.lifetime().capacity();
+    Resources capacity = worker.incarnation().capacity();
     long most =
         tasksThatFit(
             step.spec,
@@ -130,14 +130,14 @@
   }
 
   static boolean matches(StepSpec spec, WorkerView worker) {
-    return spec.requires().isEmpty() || worker.lifetime().labels().contains(spec.requires());
+    return spec.requires().isEmpty() || worker.incarnation().labels().contains(spec.requires());
   }
 
   private static Map<Task, WorkerView> chooseOneRack(
       StepRun step, List<Task> tasks, List<WorkerView> candidates, long now) {
     Map<String, List<WorkerView>> racks = new LinkedHashMap<>();
     for (WorkerView worker : candidates) {
-      racks.computeIfAbsent(worker.lifetime().rack(), rack -> new ArrayList<>()).add(worker);
+      racks.computeIfAbsent(worker.incarnation().rack(), rack -> new ArrayList<>()).add(worker);
     }
     Map<Task, WorkerView> best = Map.of();
     for (List<WorkerView> rack : racks.values()) {
@@ -344,7 +344,7 @@
   }
 
   private static double fitScore(StepSpec spec, WorkerView worker, int assigned) {
-    Resources capacity = worker.lifetime().capacity();
+    Resources capacity = worker.incarnation().capacity();
     double leftProcessors =
         worker.freeProcessors() - (assigned + 1.0) * spec.taskResources().milliProcessors();
     double leftMemory =
@@ -352,7 +352,7 @@
     double score =
         leftProcessors / Math.max(1, capacity.milliProcessors())
             + leftMemory / Math.max(1, capacity.memoryMebibytes());
-    if (!spec.affinity().isEmpty() && !worker.lifetime().labels().contains(spec.affinity())) {
+    if (!spec.affinity().isEmpty() && !worker.incarnation().labels().contains(spec.affinity())) {
       score += AFFINITY_MISS_PENALTY;
     }
     return score;
--- a/core/src/main/java/org/hickorypier/core/cell/PreemptionController.java
+++ b/core/src/main/java/org/hickorypier/core/cell/PreemptionController.java
@@ -183,7 +183,7 @@
         continue;
       }
       racks
-          .computeIfAbsent(worker.lifetime().rack(), rack -> new ArrayList<>())
+          .computeIfAbsent(worker.incarnation().rack(), rack -> new ArrayList<>())
           .add(roomOn(step, worker, now));
       for (Run run : worker.runs.values()) {
         if (isCandidate(step, run, now)) {
@@ -367,7 +367,7 @@
     recentStops.removeIf(stopped -> now - stopped.at() >= STOP_WINDOW_MILLIS);
     long cores = 0;
     for (WorkerView worker : cell.workers.values()) {
-      cores += worker.addsCapacity() ? worker.lifetime().capacity().milliProcessors() : 0;
+      cores += worker.addsCapacity() ? worker.incarnation().capacity().milliProcessors() : 0;
     }
     long stopped = recentStops.stream().mapToLong(Stopped::milliProcessors).sum();
     return cores / CORES_PER_STOPPED_CORE - stopped;
--- a/core/src/main/java/org/hickorypier/core/cell/ShareSampler.java
+++ b/core/src/main/java/org/hickorypier/core/cell/ShareSampler.java
@@ -33,7 +33,7 @@
     Resources capacity = Resources.NONE;
     for (WorkerView worker : cell.workers.values()) {
       if (worker.addsCapacity()) {
-        capacity = capacity.plus(worker.lifetime().capacity());
+        capacity = capacity.plus(worker.incarnation().capacity());
       }
     }
     Set<String> waiting = new HashSet<>();
--- a/core/src/main/java/org/hickorypier/core/cell/StepAdvice.java
+++ b/core/src/main/java/org/hickorypier/core/cell/StepAdvice.java
@@ -7,7 +7,7 @@
 
 /**
  * The advisor's answers for one step: which workers are suitable, which never changes during their
- * lifetime, and their tickets, which expire.
+ * incarnation, and their tickets, which expire.
  *
  * <p>Confined to the control thread.
  */
@@ -25,7 +25,7 @@
   final AdviceTerms terms;
   private final Map<String, Ticket> suitableTickets = new HashMap<>();
 
-  /** The start of the lifetime in which each worker was found unsuitable. */
+  /** The start of the incarnation in which each worker was found unsuitable. */
   private final Map<String, Long> unsuitableWorkers = new HashMap<>();
 
   /** When the pending request was sent; 0 if none is pending. */
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
@@ -51,7 +51,7 @@
 
   private WorkerEntry entry;
   boolean listed;
-  private WorkerLifetime lifetime;
+  private WorkerIncarnation incarnation;
 
   /** Whether the worker has answered a renewal under this owner's token. */
   boolean hasAnswered;
@@ -176,16 +176,16 @@
 
   WorkerView(WorkerEntry entry) {
     this.entry = entry;
-    this.lifetime = WorkerLifetime.undescribed(entry.bornMillis()).after(entry);
+    this.incarnation = WorkerIncarnation.undescribed(entry.bornMillis()).after(entry);
   }
 
   /**
-   * Returns a worker of which an earlier owner has told. What it told describes no lifetime: the
-   * labels may be those of an earlier one, and the capacity is an upper bound.
+   * Returns a worker from the roster of an earlier owner. Its entry there describes no incarnation:
+   * the labels may be those of an earlier one, and the capacity is an upper bound.
    */
   static WorkerView fromRoster(WorkerEntry entry) {
     WorkerView worker = new WorkerView(entry);
-    worker.lifetime = WorkerLifetime.undescribed(entry.bornMillis());
+    worker.incarnation = WorkerIncarnation.undescribed(entry.bornMillis());
     return worker;
   }
 
@@ -198,19 +198,19 @@
     return entry.id();
   }
 
-  /** Returns the lifetime that the worker was in when it last answered. */
-  WorkerLifetime lifetime() {
-    return lifetime;
+  /** Returns the incarnation that the worker was in when it last answered. */
+  WorkerIncarnation incarnation() {
+    return incarnation;
   }
 
-  /** Returns the start of that lifetime, in milliseconds since 1970. */
+  /** Returns the start of that incarnation, in milliseconds since 1970. */
   long bornMillis() {
-    return lifetime.bornMillis();
+    return incarnation.bornMillis();
   }
 
   /**
-   * Returns the worker's latest entry in the worker list, which may be that of a lifetime before or
-   * after the present one.
+   * Returns the worker's latest entry in the worker list, which may be that of an incarnation
+   * before or after the present one.
    *
    * @return the entry
    */
@@ -279,11 +279,11 @@
   void beginIncarnation(long newBornMillis, long now) {
     previousLostAt = lostAt(now);
     lossRecorded = false;
-    lifetime = WorkerLifetime.undescribed(newBornMillis).after(entry);
+    incarnation = WorkerIncarnation.undescribed(newBornMillis).after(entry);
     rating = null;
     placingFactor = 1;
     fullUntil = 0;
-    coldUntil = lifetime.isDescribed() ? coldUntil : 0;
+    coldUntil = incarnation.isDescribed() ? coldUntil : 0;
     lastProcessedEnd = 0;
     lastDurableEnd = 0;
     unsavedEnds.clear();
@@ -305,16 +305,16 @@
       coldUntil = now + newer.coldMillis();
     }
     entry = newer;
-    lifetime = lifetime.after(newer);
+    incarnation = incarnation.after(newer);
     listed = true;
   }
 
   /** Takes over the present estimate of the worker's speed once its kind is known. */
   void rate(WorkerSpeedEstimator estimator, long now) {
-    if (!lifetime.isDescribed()) {
+    if (!incarnation.isDescribed()) {
       return;
     }
-    rating = estimator.rating(entry.id(), entry.service(), lifetime.kind(), bornMillis(), now);
+    rating = estimator.rating(entry.id(), entry.service(), incarnation.kind(), bornMillis(), now);
     placingFactor =
         estimator.isByWorker()
             ? Placer.FACTOR_GRID * Math.rint(rating.cautiousFactor() / Placer.FACTOR_GRID)
@@ -409,15 +409,15 @@
   }
 
   long freeProcessors() {
-    return lifetime.capacity().milliProcessors() - usedProcessors - reservedProcessors;
+    return incarnation.capacity().milliProcessors() - usedProcessors - reservedProcessors;
   }
 
   long freeMemory() {
-    return lifetime.capacity().memoryMebibytes() - usedMemory - reservedMemory;
+    return incarnation.capacity().memoryMebibytes() - usedMemory - reservedMemory;
   }
 
   long freeAccelerators() {
-    return lifetime.capacity().accelerators() - usedAccelerators;
+    return incarnation.capacity().accelerators() - usedAccelerators;
   }
 
   /**
@@ -479,7 +479,7 @@
    * for a while may have restarted, and the order's deadline does not apply to its new clock.
    */
   boolean acceptsResentOrders(long now) {
-    return lifetime.isDescribed()
+    return incarnation.isDescribed()
         && !silent
         && !evacuated
         && renewable
@@ -494,7 +494,7 @@
   /** Returns whether the worker may get orders for the task that it is reserved for. */
   boolean isUsable(long now) {
     return listed
-        && lifetime.isDescribed()
+        && incarnation.isDescribed()
         && answeredRecently(now)
         && hasAnswered
         && onRoster
--- a/core/src/test/java/org/hickorypier/core/cell/WorkerLifetimeTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/WorkerIncarnationTest.java
@@ -16,7 +16,7 @@
 import org.junit.jupiter.params.provider.MethodSource;
 
 /** Tests workers that start again under their id, with other labels and another capacity. */
-class WorkerLifetimeTest {
+class WorkerIncarnationTest {
 
   private static final String ADDRESS = "10.0.0.1:1";
   private static final Resources SMALL = new Resources(2_000, 64_000, 0);
@@ -69,7 +69,7 @@
     fixture.pass();
   }
 
-  /** Guards against starts by the labels of the lifetime before, while the list lags behind. */
+  /** Guards against starts by the labels of the incarnation before, while the list lags behind. */
   @ParameterizedTest(name = "{0}")
   @MethodSource("kindsOfWork")
   void nothingStartsByOldLabelsIfReportIsFirst(String name, StepSpec step) {
@@ -84,7 +84,7 @@
     assertThat(fixture.starts).isEmpty();
   }
 
-  /** Guards against starts by the labels of the lifetime before, while the report is awaited. */
+  /** Guards against starts by the labels of the incarnation before, while the report is awaited. */
   @ParameterizedTest(name = "{0}")
   @MethodSource("kindsOfWork")
   void nothingStartsByOldLabelsIfEntryIsFirst(String name, StepSpec step) {
@@ -97,9 +97,11 @@
     assertThat(fixture.starts).isEmpty();
   }
 
-  /** Guards against a late answer of the lifetime before that opens the worker by its new entry. */
+  /**
+   * Guards against a late answer of the incarnation before that opens the worker by its new entry.
+   */
   @Test
-  void answerOfEarlierLifetimeDoesNotOpenTheNextOne() {
+  void answerOfEarlierIncarnationDoesNotOpenTheNextOne() {
     WorkerView worker = addWorker(OTHER);
     fixture.listWorker(entry(2, CAPACITY, REQUIRED));
     fixture.reportFrom(worker, 1, List.of());
@@ -109,10 +111,11 @@
   }
 
   /**
-   * Guards against starts beyond the capacity of a lifetime that is smaller than the one before.
+   * Guards against starts beyond the capacity of an incarnation that is smaller than the one
+   * before.
    */
   @Test
-  void startsFollowTheCapacityOfTheNewLifetime() {
+  void startsFollowTheCapacityOfTheNewIncarnation() {
     WorkerView worker = addWorker(REQUIRED);
     fixture.reportFrom(worker, 2, List.of());
     fixture.submit(spec("s", QUEUE, tasks()));
@@ -124,9 +127,9 @@
     assertThat(fixture.starts).hasSize(2);
   }
 
-  /** Guards against an order that is repeated to a lifetime with other labels. */
+  /** Guards against an order that is repeated to an incarnation with other labels. */
   @Test
-  void unansweredOrderIsNotRepeatedToTheNextLifetime() {
+  void unansweredOrderIsNotRepeatedToTheNextIncarnation() {
     WorkerView worker = addWorker(REQUIRED);
     fixture.submit(spec("s", QUEUE, step(1, false, false)));
     fixture.listWorker(entry(2, CAPACITY, OTHER));
