--- a/core/src/main/java/org/hickorypier/core/cell/TrialWorkers.java
+++ b/core/src/main/java/org/hickorypier/core/cell/TrialWorkers.java
@@ -9,7 +9,7 @@
  * Reserves workers for tasks that may crash them, so that such a task runs beside no other.
  *
  * <p>Invariants: a reserved worker gets no orders for other work until the task has run there for a
- * while; of the workers of a service half stays free of reservations, and at most a quarter is
+ * while; of the workers of a service a quarter stays free of reservations, and at most a quarter is
  * emptied for them, except for one gang at a time. Confined to the control thread.
  */
 final class TrialWorkers {
--- a/core/src/test/java/org/hickorypier/core/cell/WorkerIncarnationTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/WorkerIncarnationTest.java
@@ -88,7 +88,7 @@
   @ParameterizedTest(name = "{0}")
   @MethodSource("kindsOfWork")
   void nothingStartsByOldLabelsIfEntryIsFirst(String name, StepSpec step) {
-    WorkerView worker = addWorker(REQUIRED);
+    final WorkerView worker = addWorker(REQUIRED);
     fixture.listWorker(entry(2, CAPACITY, OTHER));
     fixture.submit(spec("s", QUEUE, step));
     settle();
