--- a/core/src/test/java/org/hickorypier/core/cell/CrashingTaskTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/CrashingTaskTest.java
@@ -18,7 +18,6 @@
 import org.hickorypier.core.submission.StepSpec;
 import org.hickorypier.core.submission.SubmissionSpec;
 import org.hickorypier.core.submission.SubmissionState;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Tests what becomes of a task that crashes the workers that start it, and of those beside it. */
@@ -256,7 +255,6 @@
 
   /** Guards against a sixth start where both of the last two end before their worker crashes. */
   @Test
-  @Tag("known-red")
   void noStartFollowsTwoLastOnesThatEndedWithoutCrash() {
     fleet.failing = run -> run.task().equals(CRASHING) && run.number() > 3;
     fleet.crashing = CRASHING::equals;
