--- a/core/src/main/java/org/hickorypier/core/cell/WorkerLosses.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerLosses.java
@@ -26,7 +26,7 @@
   /** Span around a loss in which others happen at the same time, in milliseconds. */
   static final long TOGETHER_MILLIS = 2 * COMMON_CAUSE_MILLIS;
 
-  /** Time over which the rate of losses is taken; the troubles of a day change within minutes. */
+  /** Time over which the rate of losses is taken, since causes of losses come and go. */
   private static final long RATE_MILLIS = 60_000;
 
   /**
