Review case 5: one kill of the owner ends every successor

The case of waiting submissions now shows a load that the owner carries, 5,400 submissions, and one kill of the owner: each instance that takes the cell over exceeds its heap, again and again, and accepted checks get no answer (LOST).

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -7,8 +7,8 @@
   echo "first run the build of deploy/system.toml and review/build-2.sh" >&2
   exit 2
 fi
-java -Xmx768m -cp 'target/review-2:target/lib/*' ScheduledSubmissions review/8/record.txt 2>/dev/null
+java -Xmx768m -cp 'target/review-2:target/lib/*' ManyEnds review/8/record.txt 2>/dev/null
 code=$?
-tail -n 6 review/8/record.txt
+tail -n 2 review/8/record.txt
 [[ $code -le 2 ]] || code=2
 exit $code
--- a/review/standins-2/ScheduledSubmissions.java
+++ b/review/standins-2/ScheduledSubmissions.java
@@ -6,19 +6,22 @@
 import java.util.List;
 
 /**
- * One tenant hands in submissions that are due in an hour, a hundred a second; another tenant hands
- * in a check every second.
+ * One tenant hands in submissions that are due in an hour, a hundred a second for a minute; another
+ * tenant hands in a check every second. Then the instance that last wrote to the store is killed
+ * once, and is back after a second.
  *
  * <p>Broken if two processes end by themselves three times each (Fault), or if a check that was
- * accepted gets no answer, or has not ended, finish_s after the end of the traffic (LOST). All
- * processes, the store, the workers and all links are sound.
+ * accepted gets no answer, or has not ended, finish_s after the end of the traffic (LOST).
  */
 public final class ScheduledSubmissions {
 
   private static final int WORKERS = 32;
   private static final int EACH_MILLIS = 10;
   private static final int SPEC_BYTES = 4_000;
-  private static final long TRAFFIC_MILLIS = 84_000;
+  private static final int SCHEDULED = 5_400;
+  private static final int DOWN_MILLIS = 1_000;
+  private static final long KILL_AT_MILLIS = 60_000;
+  private static final long TRAFFIC_MILLIS = 80_000;
   private static final long HOUR_MILLIS = 3_600_000;
   private static final String LATER_KEY = "key-of-the-scheduled";
   private static final String CHECK_KEY = "key-of-the-checks";
@@ -63,9 +66,10 @@
     long begun = stage.now();
     int handedIn = 0;
     int checks = 0;
+    boolean killed = false;
     while (stage.now() < begun + TRAFFIC_MILLIS) {
-      long due = (stage.now() - begun) / (Stage.trouble() ? EACH_MILLIS : 1_000);
-      while (handedIn < due && endings(stage) < 3) {
+      long due = Math.min(SCHEDULED, (stage.now() - begun) / EACH_MILLIS);
+      while (handedIn < due) {
         callers.handIn("/later/" + Callers.id(100_000 + handedIn++), LATER_KEY, body);
       }
       if (checks < (stage.now() - begun) / 1_000) {
@@ -74,6 +78,11 @@
             CHECK_KEY,
             Callers.body("check", Callers.step(2, 1_000, 500)));
       }
+      if (Stage.trouble() && !killed && stage.now() > begun + KILL_AT_MILLIS) {
+        killed = true;
+        stage.note(callers.accepted.size() + " submissions were accepted before the kill");
+        stage.instances.get(stage.store.lastWriter).kill(DOWN_MILLIS);
+      }
       Thread.sleep(EACH_MILLIS);
     }
     int accepted = callers.accepted.size();
@@ -108,9 +117,4 @@
             + " accepted checks are not shown as completed: " + lost);
     return ending < 2 && lost.isEmpty() ? 0 : 1;
   }
-
-  /** Returns how often processes have ended by themselves. */
-  private static int endings(Stage stage) {
-    return stage.instances.stream().mapToInt(instance -> instance.exits.size()).sum();
-  }
 }
--- a/review/standins-2/Stage.java
+++ b/review/standins-2/Stage.java
@@ -165,7 +165,10 @@
     final TreeMap<String, Long> members = new TreeMap<>();
     final List<Runnable> waiting = new ArrayList<>();
     long generation;
-    int port;
+
+    /** The instance that appended last. */
+    volatile int lastWriter;
+
     long refusedTooLarge;
     long largestRecord;
 
@@ -193,7 +196,8 @@
       all.forEach(Runnable::run);
     }
 
-    Future<?> listen() {
+    /** Listens for one instance, so that its calls can be told from those of the others. */
+    Future<Integer> listenFor(int instance) {
       return vertx
           .createHttpServer(new HttpServerOptions().setHttp2ClearTextEnabled(false))
           .requestHandler(
@@ -202,12 +206,15 @@
                       .body()
                       .onSuccess(
                           body -> {
+                            if (request.path().endsWith("/log-append")) {
+                              lastWriter = instance;
+                            }
                             if (!silent) {
                               vertx.setTimer(2, id -> handle(request, body));
                             }
                           }))
           .listen(0, LOOPBACK)
-          .onSuccess(server -> port = server.actualPort());
+          .map(server -> server.actualPort());
     }
 
     void handle(HttpServerRequest request, Buffer body) {
@@ -663,7 +670,7 @@
     long downFor;
     final List<String> exits = new ArrayList<>();
 
-    Instance(int index) throws IOException {
+    Instance(int index, int storePort) throws IOException {
       this.index = index;
       settings = folder.resolve("instance-" + index + ".json");
       output = folder.resolve("instance-" + index + ".log");
@@ -676,7 +683,7 @@
               .put("metricsPort", 0)
               .put("front", LOOPBACK + ":" + front)
               .put("ready", LOOPBACK + ":" + ready)
-              .put("store", LOOPBACK + ":" + store.port)
+              .put("store", LOOPBACK + ":" + storePort)
               .put("advisor", "")
               .put("processorShare", 0.75)
               .put("processorSpeed", 1)
@@ -836,7 +843,6 @@
   void begin(
       int instanceCount, int workerCount, long cpuEach, JsonArray routes, JsonArray tenants)
       throws Exception {
-    wait(store.listen());
     onLoop(() -> configure(routes, tenants));
     for (int index = 0; index < workerCount; index++) {
       Worker worker = new Worker("w-" + index, cpuEach, "r1-" + index / 8);
@@ -844,7 +850,7 @@
       wait(worker.listen());
     }
     for (int index = 0; index < instanceCount; index++) {
-      Instance instance = new Instance(index);
+      Instance instance = new Instance(index, wait(store.listenFor(index)));
       instances.add(instance);
       instance.start();
     }
