Review case 8: more ends a worker than two pages

With 700 tasks on each of 8 workers the second page of ends came, beside other load, before the first scheduling pass of the new owner. The case now has 1,400 tasks on each of 4 workers, so that it does not depend on the speed of the machine, and goes on where a slow machine has not started all tasks when the first one ends.

--- a/review/standins-2/ManyEnds.java
+++ b/review/standins-2/ManyEnds.java
@@ -9,7 +9,7 @@
 import java.util.TreeMap;
 
 /**
- * A large submission of small tasks, all of which end while no instance runs: all instances are
+ * A large submission of small tasks, most of which end while no instance runs: all instances are
  * killed at the same moment and are back two seconds later, before any lease has lapsed. Each
  * worker then lists more ends than it returns at a time.
  *
@@ -18,8 +18,12 @@
  */
 public final class ManyEnds {
 
-  private static final int WORKERS = 8;
-  private static final int TASKS = 700 * WORKERS;
+  private static final int WORKERS = 4;
+  private static final int TASKS = 1_400 * WORKERS;
+
+  /** Each worker runs more tasks than it returns ends at a time. */
+  private static final int LEAST_RUNNING = 1_050 * WORKERS;
+
   private static final int WORK_MILLIS = 2_300;
   private static final int DOWN_MILLIS = 2_000;
   private static final String KEY = "key-of-the-tenant";
@@ -95,14 +99,16 @@
     boolean accepted =
         stage.wait(
             callers.handIn(
-                path, KEY, Callers.body("check", Callers.step(TASKS, 20, WORK_MILLIS))));
+                path, KEY, Callers.body("check", Callers.step(TASKS, 11, WORK_MILLIS))));
     long begun = stage.now();
-    while (stage.starts < TASKS && stage.now() < begun + 10_000) {
+    // A slow machine may not have started all tasks when the first of them ends.
+    while (stage.starts < TASKS && stage.ends == 0 && stage.now() < begun + 10_000) {
       Thread.sleep(20);
     }
+    long running = stage.starts - stage.ends;
     stage.note(stage.starts + " starts, " + stage.ends + " ends");
-    if (!accepted || stage.starts < TASKS || stage.ends > 0) {
-      stage.note("the tasks did not all run at once");
+    if (!accepted || running < LEAST_RUNNING) {
+      stage.note("too few of the tasks run at once");
       return 2;
     }
     if (Stage.trouble()) {
