A former owner's calls count until its proof has expired

Cause: where the list names a later incarnation of a worker that has not answered the new owner, its runs wait for the longest lease from the takeover.

--- a/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
@@ -374,8 +374,11 @@
   void expectUnheardIncarnation(long listedBornMillis, CellState cell, long now) {
     if (listedBornMillis > unheardBornMillis) {
       unheardBornMillis = listedBornMillis;
+      // A former owner sends calls until its last proof of ownership has expired.
       long lastCallAt =
-          hasAnswered ? lostAt(now) + CellTimings.MAX_ANSWER_WAIT_MILLIS : cell.takenOverAt;
+          hasAnswered
+              ? lostAt(now) + CellTimings.MAX_ANSWER_WAIT_MILLIS
+              : cell.takenOverAt + cell.timings.ownershipProofMillis();
       unheardLeasesEnd = lastCallAt + cell.timings.longestFormerLeaseMillis();
     }
   }
--- a/core/src/test/java/org/hickorypier/core/cell/FormerIncarnationTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/FormerIncarnationTest.java
@@ -205,6 +205,20 @@
     assertThat(fixture.starts).hasSize(2);
   }
 
+  /** Guards against calls that a former owner sent until its proof of ownership expired. */
+  @Test
+  void successorExpectsCallsOfFormerOwnerUntilItsProofHasExpired() {
+    fixture.addWorker("w");
+    fixture.cell.tick(fixture.now, fixture.now);
+    fixture.writePending();
+    CellFixture successor = fixture.successor(2);
+    successor.listWorker("w", 2);
+    WorkerView worker = successor.findWorker("w");
+    assertThat(worker.unknownRunsEnd())
+        .isGreaterThanOrEqualTo(
+            successor.now + TIMINGS.ownershipProofMillis() + TIMINGS.longestFormerLeaseMillis());
+  }
+
   /** Guards against a restart that is not expected since an odd entry was listed before. */
   @Test
   void eachLaterIncarnationOnTheListIsExpected() {
