A successor reads of workers that were removed or run nothing

Cause: a worker without runs was left off the roster as soon as it got no more orders, and a removed one at once. A call of the former owner that waits for such a worker, or arrives late, grants the next incarnation the longest lease; the successor lists that as a worker it has never seen and counts its own lease alone.

Change: a worker stays on the roster until no call to it can grant a lease any more (RemovedWorkers, WorkerView.callsToIncarnationsEnd: the longest delay of a call and the longest lease after the last call that grants one). A worker that runs nothing and gets no orders is asked for reports only, so it is left off in time. Its entry lists no runs, so a successor waits for nothing.

Shown: FormerIncarnationTest.successorExpectsFormerLeaseOfRemovedWorker and ...OfSilentWorkerWithoutRuns failed on and pass.

--- a/core/src/main/java/org/hickorypier/core/cell/CellState.java
+++ b/core/src/main/java/org/hickorypier/core/cell/CellState.java
@@ -52,6 +52,8 @@
 
   final Map<String, WorkerView> workers = new LinkedHashMap<>();
 
+  final RemovedWorkers removedWorkers = new RemovedWorkers();
+
   /** Steps that are due, have no unfinished dependencies, and have waiting tasks. */
   final Set<StepRun> readySteps = new LinkedHashSet<>();
 
--- a/core/src/main/java/org/hickorypier/core/cell/RosterWriter.java
+++ b/core/src/main/java/org/hickorypier/core/cell/RosterWriter.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -55,6 +56,11 @@
     List<WorkerView> written = new ArrayList<>(cell.workers.values());
     written.removeIf(worker -> worker.retired || worker.unconfirmed);
     List<RosterEntry> entries = entriesOf(written, now);
+    Set<String> writtenIds = new HashSet<>();
+    written.forEach(worker -> writtenIds.add(worker.id()));
+    cell.removedWorkers.entries(now).stream()
+        .filter(entry -> !writtenIds.contains(entry.worker().id()))
+        .forEach(entries::add);
     Map<WorkerView, Long> open = new HashMap<>();
     written.stream()
         .filter(WorkerView::isOpen)
@@ -117,6 +123,9 @@
   }
 
   private boolean hasExpiringLease(long now) {
+    if (!cell.removedWorkers.isEmpty()) {
+      return true;
+    }
     for (WorkerView worker : cell.workers.values()) {
       boolean expiring = worker.leaseExpiringOnRoster && worker.leaseEnd() > now;
       if (!worker.retired && (expiring || worker.formerLeaseMillis(now) > 0)) {
--- a/core/src/main/java/org/hickorypier/core/cell/RunController.java
+++ b/core/src/main/java/org/hickorypier/core/cell/RunController.java
@@ -68,7 +68,7 @@
     run.lastOrderAt = now;
     run.ticket = ticket;
     run.orderDeadline = run.worker.clockAt(now) + cell.timings.startOrderMillis();
-    run.worker.highestDeadline = Math.max(run.worker.highestDeadline, run.orderDeadline);
+    run.worker.recordGrant(run.orderDeadline, now);
     cell.output.start(run, run.orderDeadline, ticket);
   }
 
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerRegistry.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerRegistry.java
@@ -28,9 +28,6 @@
 
   private final RosterWriter roster;
 
-  /** When workers were removed, by their ids; calls to them may be carried out later. */
-  private final Map<String, Long> removedAt = new HashMap<>();
-
   WorkerRegistry(
       CellState cell, RunController runs, RunAdoption adoption, CrashTracker crashTracker) {
     this.cell = cell;
@@ -90,7 +87,7 @@
     WorkerView worker = cell.workers.get(entry.id());
     if (worker == null) {
       worker = new WorkerView(entry, cell.ownerTokens.next());
-      if (removedAt.containsKey(entry.id())) {
+      if (cell.removedWorkers.contains(entry.id())) {
         worker.expectFormerCalls(cell.timings, now);
       }
       cell.workers.put(entry.id(), worker);
@@ -154,7 +151,7 @@
   }
 
   private void removeLostWorkers(long now) {
-    removedAt.values().removeIf(at -> now - at > cell.timings.longestFormerCallMillis());
+    cell.removedWorkers.expire(now);
     Set<String> goneIds = new HashSet<>();
     for (WorkerView worker : cell.workers.values()) {
       if (worker.silent && worker.departed) {
@@ -173,16 +170,27 @@
               && !cell.mayHoldUnknownRuns(worker, now);
       if (worker.silent && empty && !worker.listed) {
         goneIds.add(worker.id());
+        recordRemoved(worker, now);
       }
     }
     if (!goneIds.isEmpty()) {
       cell.log.event(PART, "workers-gone", "workers", goneIds);
       cell.workers.keySet().removeAll(goneIds);
-      goneIds.forEach(id -> removedAt.put(id, now));
       roster.markStale();
     }
   }
 
+  private void recordRemoved(WorkerView worker, long now) {
+    long leasesEnd =
+        worker.hasAnswered
+            ? now + cell.timings.longestFormerCallMillis()
+            : worker.callsToIncarnationsEnd(cell.timings);
+    long closedAfter = worker.isOpen() ? cell.lastSubmissionNumber() : worker.closedAfter;
+    if (leasesEnd > now) {
+      cell.removedWorkers.add(worker, closedAfter, leasesEnd);
+    }
+  }
+
   /**
    * Closes workers that get no more orders, and reopens them.
    *
@@ -214,7 +222,7 @@
       boolean retired =
           !worker.isOpen()
               && worker.isEmpty()
-              && worker.formerLeaseMillis(now) == 0
+              && worker.callsToIncarnationsEnd(cell.timings) <= now
               && !cell.mayHoldUnknownRuns(worker, now);
       if (retired != worker.retired) {
         worker.retired = retired;
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
@@ -29,6 +29,8 @@
    */
   private static final long NO_READING = -1;
 
+  private static final long NEVER = -1;
+
   /**
    * Age of the last answer from which on the worker may have crashed and restarted. A worker
    * answers at least once a second; this is three times that. It is exceeded, for instance, while
@@ -87,6 +89,12 @@
   /** The start of that incarnation; 0 if none is listed. */
   private long unheardBornMillis;
 
+  /**
+   * When the last call that grants a lease was sent by this owner, on its monotonic clock; {@link
+   * #NEVER} if there was none.
+   */
+  private long lastGrantAt = NEVER;
+
   /**
    * Whether calls to a former incarnation may still be carried out, since the worker has not
    * answered a renewal under the token of this incarnation.
@@ -391,6 +399,22 @@
     return now <= unheardLeasesEnd && run.mayHaveReachedLaterIncarnation();
   }
 
+  /** Records that a call which grants a lease is sent. */
+  void recordGrant(long deadline, long now) {
+    highestDeadline = Math.max(highestDeadline, deadline);
+    lastGrantAt = now;
+  }
+
+  /**
+   * Returns when every lease has expired that a later incarnation may take from a call to this one,
+   * or this one from a call to a former one.
+   */
+  long callsToIncarnationsEnd(CellTimings timings) {
+    return lastGrantAt == NEVER
+        ? formerLeasesEnd
+        : Math.max(formerLeasesEnd, lastGrantAt + timings.longestFormerCallMillis());
+  }
+
   /** Returns when the last run can have ended if the worker stays silent. */
   long lastRunEnd() {
     boolean unheard =
@@ -462,7 +486,7 @@
    * not answer the last renewal gets none: otherwise each attempt would postpone the time at which
    * its tasks can be given to other workers. Nor does a worker whose lease expires according to a
    * roster that a successor may read, or one that has not answered for a while, since it may have
-   * restarted with a new clock.
+   * restarted with a new clock, or one that has no runs and gets no orders.
    *
    * @param now the time, on the owner's monotonic clock, in milliseconds
    * @param leaseMillis the length of the lease, in milliseconds
@@ -470,13 +494,14 @@
    *     a report only
    */
   public long nextDeadline(long now, long leaseMillis) {
-    if (clockReading == NO_READING || !answeredRecently(now) || silent || !renewable) {
+    boolean unneeded = !isOpen() && isEmpty();
+    if (clockReading == NO_READING || !answeredRecently(now) || silent || !renewable || unneeded) {
       lastRenewalDeadline = -1;
       return -1;
     }
     long deadline = clockAt(now) + leaseMillis;
     lastRenewalDeadline = deadline;
-    highestDeadline = Math.max(highestDeadline, deadline);
+    recordGrant(deadline, now);
     return deadline;
   }
 
--- a/core/src/test/java/org/hickorypier/core/cell/FormerIncarnationTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/FormerIncarnationTest.java
@@ -205,6 +205,36 @@
     assertThat(fixture.starts).hasSize(2);
   }
 
+  /** Guards against a lease that a successor does not count, since its worker is off the roster. */
+  @Test
+  void successorExpectsFormerLeaseOfRemovedWorker() {
+    WorkerView worker = fixture.addWorker("w");
+    worker.nextDeadline(fixture.now, TIMINGS.leaseMillis());
+    fixture.unlistWorker("w");
+    beSilent(fixture, worker, 1_000);
+    fixture.cell.workersDeparted(List.of("w"), fixture.now);
+    assertThat(fixture.cell.workers()).isEmpty();
+    fixture.cell.tick(fixture.now, fixture.now);
+    fixture.writePending();
+
+    CellFixture successor = fixture.successor(2);
+    successor.listWorker("w", 2);
+    successor.reportFrom(successor.findWorker("w"), 2, List.of());
+    assertThat(successor.findWorker("w").formerLeaseMillis(successor.now)).isPositive();
+  }
+
+  /** Guards against the same for a worker that is left off the roster, since it runs nothing. */
+  @Test
+  void successorExpectsFormerLeaseOfSilentWorkerWithoutRuns() {
+    WorkerView worker = fixture.addWorker("w");
+    worker.nextDeadline(fixture.now, TIMINGS.leaseMillis());
+    beSilent(fixture, worker, 5_000);
+    CellFixture successor = fixture.successor(2);
+    successor.listWorker("w", 2);
+    successor.reportFrom(successor.findWorker("w"), 2, List.of());
+    assertThat(successor.findWorker("w").formerLeaseMillis(successor.now)).isPositive();
+  }
+
   /** Guards against calls that a former owner sent until its proof of ownership expired. */
   @Test
   void successorExpectsCallsOfFormerOwnerUntilItsProofHasExpired() {
