Runs whose orders may have reached an unheard incarnation are held

Cause: a worker starts again under its id and carries out a start order that was sent to its former incarnation, which the call's header cannot tell apart, and holds it for the longest lease (10 s). If it is cut off before the owner has heard it or read its new entry, the owner counted its own lease, 3.9 s, and started the task again. It took the order for lost, or for confirmed by the former incarnation.

Change: the answer to a start order carries the worker's clock (StartAnswer), which tells whose answer it is. A run with a copy of its order in transit when the worker fell silent, or confirmed on another clock, is held for the longest lease; one confirmed on the expected clock no longer is, when a later incarnation is listed. The roster tells a successor which runs (UnheardRuns). The loss counts as evidence of a crash at the end of the granted leases as before.

Ruled out: that a lease was renewed by a former owner (the clock and token of the renewals in the traces), a late stop.

--- a/core/src/main/java/org/hickorypier/core/cell/Cell.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Cell.java
@@ -472,14 +472,14 @@
   }
 
   /**
-   * Applies the outcome of a start order.
+   * Applies the answer to a start order.
    *
    * @param run the run
-   * @param outcome the outcome of the order
+   * @param answer the answer, or {@link StartAnswer#MISSING}
    * @param now the time
    */
-  public void startAnswered(Run run, StartOutcome outcome, long now) {
-    runs.handleStartAnswer(run, outcome, now);
+  public void startAnswered(Run run, StartAnswer answer, long now) {
+    runs.handleStartAnswer(run, answer, now);
   }
 
   /**
--- a/core/src/main/java/org/hickorypier/core/cell/CellState.java
+++ b/core/src/main/java/org/hickorypier/core/cell/CellState.java
@@ -109,7 +109,7 @@
 
   /** Returns how long a worker that stays silent may keep its runs, in milliseconds. */
   long remainingLeaseMillis(WorkerView worker, long now) {
-    return Math.max(0, worker.lastRunEnd() - now);
+    return Math.max(0, worker.lastRunEnd(timings, now) - now);
   }
 
   /** Tells whether a step belongs to the most urgent priority of its service. */
--- a/core/src/main/java/org/hickorypier/core/cell/CrashTracker.java
+++ b/core/src/main/java/org/hickorypier/core/cell/CrashTracker.java
@@ -199,6 +199,13 @@
     cell.dirty = true;
   }
 
+  /** Records that a run whose loss was recorded is active. */
+  void withdrawLoss(Run run) {
+    if (run.task != null && run.task.crashUnit().crashes != null) {
+      withdraw(run.task.crashUnit(), run.key.number());
+    }
+  }
+
   private void withdraw(Task unit, int number) {
     boolean lost = unit.crashes.has(number);
     if (!unit.crashes.remove(number)) {
@@ -269,7 +276,9 @@
                 || unit.done
                 || unit.crashes.isEmpty());
     for (Task unit : new ArrayList<>(suspects)) {
-      if (cell.crashVerdict(unit, now) == CrashVerdict.GIVE_UP) {
+      Run run = unit.currentRun;
+      boolean mayBeActive = run != null && run.lossRecorded;
+      if (!mayBeActive && cell.crashVerdict(unit, now) == CrashVerdict.GIVE_UP) {
         crashingTasks.giveUp(unit, now);
       } else if (hasRunSoundly(unit, now)) {
         unit.crashes.clear();
--- a/core/src/main/java/org/hickorypier/core/cell/RosterCodec.java
+++ b/core/src/main/java/org/hickorypier/core/cell/RosterCodec.java
@@ -53,6 +53,10 @@
       for (RosterEntry each : entries) {
         packer.packLong(each.formerLeaseMillis());
       }
+      for (RosterEntry each : entries) {
+        packer.packLong(each.unheardRuns().leaseMillis());
+        packRuns(packer, Optional.of(each.unheardRuns().runs()));
+      }
       return packer.toByteArray();
     } catch (IOException error) {
       throw new IllegalStateException("cannot encode into a memory buffer", error);
@@ -98,6 +102,14 @@
           entries.set(index, entries.get(index).withFormerLease(unpacker.unpackLong()));
         }
       }
+      if (unpacker.hasNext()) {
+        for (int index = 0; index < count; index++) {
+          long leaseMillis = unpacker.unpackLong();
+          List<RunKey> runs = unpackRuns(unpacker).orElse(List.of());
+          UnheardRuns unheard = new UnheardRuns(runs, leaseMillis);
+          entries.set(index, entries.get(index).withUnheardRuns(unheard));
+        }
+      }
       return entries;
     } catch (IOException | MessagePackException error) {
       throw new UndecodableException(bytes.length + " bytes are not a valid roster", error);
--- a/core/src/main/java/org/hickorypier/core/cell/RosterEntry.java
+++ b/core/src/main/java/org/hickorypier/core/cell/RosterEntry.java
@@ -17,13 +17,15 @@
  * @param runs all runs that the worker may have; empty if the writer does not list them
  * @param formerLeaseMillis how long after the writing of this entry a lease may last that the
  *     worker has taken from a call to a former incarnation, in milliseconds; 0 if there is none
+ * @param unheardRuns those of the runs that may be active longer than the lease
  */
 public record RosterEntry(
     WorkerEntry worker,
     long closedAfter,
     long leaseMillis,
     Optional<List<RunKey>> runs,
-    long formerLeaseMillis) {
+    long formerLeaseMillis,
+    UnheardRuns unheardRuns) {
 
   /** Marks a worker that may get orders for any submission. */
   public static final long OPEN = -1;
@@ -48,7 +50,7 @@
    */
   public RosterEntry(
       WorkerEntry worker, long closedAfter, long leaseMillis, Optional<List<RunKey>> runs) {
-    this(worker, closedAfter, leaseMillis, runs, 0);
+    this(worker, closedAfter, leaseMillis, runs, 0, UnheardRuns.NONE);
   }
 
   /**
@@ -70,7 +72,12 @@
    */
   public RosterEntry withDraining(boolean draining) {
     return new RosterEntry(
-        worker.withDraining(draining), closedAfter, leaseMillis, runs, formerLeaseMillis);
+        worker.withDraining(draining),
+        closedAfter,
+        leaseMillis,
+        runs,
+        formerLeaseMillis,
+        unheardRuns);
   }
 
   /**
@@ -80,7 +87,17 @@
    * @return the entry
    */
   public RosterEntry withFormerLease(long millis) {
-    return new RosterEntry(worker, closedAfter, leaseMillis, runs, millis);
+    return new RosterEntry(worker, closedAfter, leaseMillis, runs, millis, unheardRuns);
+  }
+
+  /**
+   * Returns the entry with other runs that may be active longer than the lease.
+   *
+   * @param unheard those runs
+   * @return the entry
+   */
+  public RosterEntry withUnheardRuns(UnheardRuns unheard) {
+    return new RosterEntry(worker, closedAfter, leaseMillis, runs, formerLeaseMillis, unheard);
   }
 
   /**
@@ -96,7 +113,8 @@
         closedAfter,
         renewed() ? RENEWED : Math.max(0, leaseMillis - millis),
         runs,
-        Math.max(0, formerLeaseMillis - millis));
+        Math.max(0, formerLeaseMillis - millis),
+        unheardRuns.afterElapsed(millis));
   }
 
   /**
--- a/core/src/main/java/org/hickorypier/core/cell/RosterWriter.java
+++ b/core/src/main/java/org/hickorypier/core/cell/RosterWriter.java
@@ -111,12 +111,12 @@
           || !worker.unsavedEnds.isEmpty()
           || cell.mayHoldUnknownRuns(worker, now)) {
         entries.add(
-            new RosterEntry(
+            expiringEntry(
+                worker,
                 worker.rosterEntry(),
                 worker.isOpen() ? cell.lastSubmissionNumber() : worker.closedAfter,
-                cell.remainingLeaseMillis(worker, now),
                 possibleRuns(worker, now),
-                worker.formerLeaseMillis(now)));
+                now));
       }
     }
     return entries;
@@ -142,12 +142,28 @@
       return new RosterEntry(described, RosterEntry.OPEN)
           .withFormerLease(worker.formerLeaseMillis(now));
     }
-    long leaseMillis =
-        worker.isLeaseExpiring(now) ? cell.remainingLeaseMillis(worker, now) : RosterEntry.RENEWED;
     Optional<List<RunKey>> listed =
         possibleRuns(worker, now).filter(each -> listedBefore + each.size() <= MAX_LISTED_RUNS);
-    return new RosterEntry(
-        described, worker.closedAfter, leaseMillis, listed, worker.formerLeaseMillis(now));
+    return worker.isLeaseExpiring(now)
+        ? expiringEntry(worker, described, worker.closedAfter, listed, now)
+        : new RosterEntry(described, worker.closedAfter, RosterEntry.RENEWED, listed)
+            .withFormerLease(worker.formerLeaseMillis(now));
+  }
+
+  /** Returns the entry of a worker whose lease is left to expire. */
+  private RosterEntry expiringEntry(
+      WorkerView worker,
+      WorkerEntry described,
+      long closedAfter,
+      Optional<List<RunKey>> listed,
+      long now) {
+    long longestMillis = cell.remainingLeaseMillis(worker, now);
+    List<RunKey> unheard = worker.runsBeyondLease(cell.timings, now);
+    boolean separate = listed.isPresent() && !unheard.isEmpty();
+    long leaseMillis = separate ? Math.max(0, worker.leaseEnd() - now) : longestMillis;
+    return new RosterEntry(described, closedAfter, leaseMillis, listed)
+        .withFormerLease(worker.formerLeaseMillis(now))
+        .withUnheardRuns(separate ? new UnheardRuns(unheard, longestMillis) : UnheardRuns.NONE);
   }
 
   private Optional<List<RunKey>> possibleRuns(WorkerView worker, long now) {
--- a/core/src/main/java/org/hickorypier/core/cell/Run.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Run.java
@@ -45,9 +45,27 @@
   /** Whether a report of the worker has listed the run, so that its incarnation is known. */
   boolean reported;
 
-  /** Whether a copy of the start order had no answer. */
+  /** Whether a copy of the start order had no answer from the incarnation it was sent to. */
   boolean unanswered;
 
+  /** When the last such copy was given up; it may be carried out later. */
+  long unansweredAt;
+
+  /**
+   * Whether the worker's clock in the answer to the order shows that the incarnation that it was
+   * sent to has the run.
+   */
+  boolean clockConfirmed;
+
+  /**
+   * Until when a former owner expects the run on an incarnation that nobody has heard of, on the
+   * owner's monotonic clock; 0 if it does not.
+   */
+  long unheardEnd;
+
+  /** Whether the loss of the run with its worker was recorded; it may be active all the same. */
+  boolean lossRecorded;
+
   int percent = -1;
 
   /** Whether the run starts by restoring a checkpoint. */
@@ -114,10 +132,21 @@
   }
 
   /**
-   * Returns whether a later incarnation of the worker than the one that has answered may have it.
+   * Returns whether a later incarnation of the worker than the one that has answered may have it,
+   * if there is one.
    */
   boolean mayHaveReachedLaterIncarnation() {
-    return !reported || unanswered;
+    return unanswered || !(reported || clockConfirmed);
+  }
+
+  /**
+   * Returns whether a copy of the start order was in transit when the worker answered last, so that
+   * an incarnation that nobody has heard of may have carried it out.
+   */
+  boolean hasOrderInTransit() {
+    boolean givenUp =
+        unanswered && unansweredAt + CellTimings.MAX_ANSWER_WAIT_MILLIS >= worker.lastAnswerAt;
+    return givenUp || orderCopies > 0 && !isConfirmed();
   }
 
   boolean isConfirmed() {
--- a/core/src/main/java/org/hickorypier/core/cell/RunController.java
+++ b/core/src/main/java/org/hickorypier/core/cell/RunController.java
@@ -72,16 +72,18 @@
     cell.output.start(run, run.orderDeadline, ticket);
   }
 
-  void handleStartAnswer(Run run, StartOutcome outcome, long now) {
+  void handleStartAnswer(Run run, StartAnswer answer, long now) {
     if (run.worker.runs.get(run.key) != run) {
       return;
     }
+    StartOutcome outcome = answer.outcome();
     boolean formerIncarnation = run.orderToken != run.worker.fencingToken();
     if (formerIncarnation && (outcome == StartOutcome.STARTED || outcome == StartOutcome.OLD)) {
       // The present incarnation may still carry out a copy; its report says whether it has the run.
       return;
     }
     if (outcome == StartOutcome.STARTED) {
+      attribute(run, answer.clockMillis(), now);
       confirm(run, now);
       return;
     }
@@ -95,6 +97,38 @@
     cell.dirty = true;
   }
 
+  /**
+   * Finds out by the worker's clock whether the incarnation that the order was sent to has the run.
+   * Each incarnation has a clock of its own.
+   */
+  private void attribute(Run run, long clockMillis, long now) {
+    if (clockMillis == StartAnswer.NO_READING) {
+      return;
+    }
+    long expectedMillis = run.orderDeadline - cell.timings.startOrderMillis();
+    long earliest = expectedMillis - CellTimings.LEASE_MARGIN_MILLIS;
+    long latest = expectedMillis + now - run.lastOrderAt + CellTimings.MAX_ANSWER_WAIT_MILLIS;
+    if (earliest <= clockMillis && clockMillis <= latest) {
+      run.clockConfirmed = true;
+      return;
+    }
+    markUnanswered(run, now);
+    cell.runEvent(
+        "started-by-later-incarnation",
+        run.key,
+        run.worker,
+        "clock_ms",
+        clockMillis,
+        "expected_clock_ms",
+        expectedMillis);
+  }
+
+  /** Records that the incarnation that the order was sent to has not answered a copy of it. */
+  private static void markUnanswered(Run run, long now) {
+    run.unanswered = true;
+    run.unansweredAt = now;
+  }
+
   /** Records that the worker has the run. */
   void confirm(Run run, long now) {
     if (run.confirmedAt == 0) {
@@ -118,7 +152,7 @@
   }
 
   private void handleMissingAnswer(Run run, long now) {
-    run.unanswered = true;
+    markUnanswered(run, now);
     run.worker.unansweredOrders.put(run.key, now);
     if (run.stopping) {
       return;
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerRegistry.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerRegistry.java
@@ -56,6 +56,16 @@
       for (RunKey run : restored.runs().orElse(List.of())) {
         adoption.adoptListed(worker, run, cell.takenOverAt);
       }
+      expectUnheardRuns(worker, restored.unheardRuns(), cell.takenOverAt);
+    }
+  }
+
+  private static void expectUnheardRuns(WorkerView worker, UnheardRuns unheard, long now) {
+    for (RunKey key : unheard.runs()) {
+      Run run = worker.runs.get(key);
+      if (run != null) {
+        run.unheardEnd = now + unheard.leaseMillis();
+      }
     }
   }
 
@@ -156,13 +166,8 @@
     for (WorkerView worker : cell.workers.values()) {
       if (worker.silent && worker.departed) {
         runs.handleDeparture(worker, now);
-      } else if (worker.silent && now > worker.leaseEnd()) {
-        List<Run> expired =
-            worker.runs.values().stream().filter(run -> !worker.mayRunUnheard(run, now)).toList();
-        if (!expired.isEmpty()) {
-          crashTracker.handleLoss(worker, expired, "lease-expired", worker.lostAt(now), false, now);
-          runs.handleLeaseExpiry(worker, expired, now);
-        }
+      } else if (worker.silent) {
+        loseRuns(worker, now);
       }
       boolean empty =
           worker.runs.isEmpty()
@@ -180,6 +185,27 @@
     }
   }
 
+  /**
+   * Records the losses once the leases that were granted to the worker have expired, and removes
+   * the runs once none of them can be active on a later incarnation either.
+   */
+  private void loseRuns(WorkerView worker, long now) {
+    if (now > worker.grantedLeaseEnd()) {
+      List<Run> lost = worker.runs.values().stream().filter(run -> !run.lossRecorded).toList();
+      if (!lost.isEmpty()) {
+        crashTracker.handleLoss(worker, lost, "lease-expired", worker.lostAt(now), false, now);
+        lost.forEach(run -> run.lossRecorded = true);
+      }
+    }
+    List<Run> expired =
+        worker.runs.values().stream()
+            .filter(run -> now > worker.runEnd(run, cell.timings, now))
+            .toList();
+    if (!expired.isEmpty()) {
+      runs.handleLeaseExpiry(worker, expired, now);
+    }
+  }
+
   private void recordRemoved(WorkerView worker, long now) {
     long leasesEnd =
         worker.hasAnswered
@@ -262,9 +288,10 @@
           // A worker without runs may still hold a lease.
           replaceRuns(worker, List.of(), now);
         } else {
-          worker.earlierLeasesEnd = Math.min(worker.earlierLeasesEnd, now + entry.leaseMillis());
+          worker.earlierLeasesEnd = now + entry.leaseMillis();
           worker.formerLeasesEnd = Math.min(worker.formerLeasesEnd, now + entry.leaseMillis());
           entry.runs().ifPresent(listed -> replaceRuns(worker, listed, now));
+          expectUnheardRuns(worker, entry.unheardRuns(), now);
         }
       }
     }
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerReportHandler.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerReportHandler.java
@@ -126,6 +126,10 @@
       runs.confirm(run, now);
     }
     run.reported = true;
+    if (run.lossRecorded) {
+      run.lossRecorded = false;
+      crashTracker.withdrawLoss(run);
+    }
     run.percent = running.percent();
     stragglerDetector.recordProgress(run, running.percent(), clock, now);
     if (run.task != null && !running.checkpoint().isEmpty()) {
@@ -150,7 +154,7 @@
   private void handleMissing(WorkerView worker, Map<Run, String> missing, long now) {
     List<Run> lost =
         missing.keySet().stream()
-            .filter(run -> run.workerBornMillis < worker.bornMillis())
+            .filter(run -> run.workerBornMillis < worker.bornMillis() && !run.lossRecorded)
             .toList();
     if (!lost.isEmpty()) {
       crashTracker.handleLoss(worker, lost, "worker-reborn", worker.previousLostAt, true, now);
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
@@ -2,6 +2,7 @@
 
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.hickorypier.core.estimation.WorkerRating;
@@ -383,20 +384,51 @@
     if (listedBornMillis > unheardBornMillis) {
       unheardBornMillis = listedBornMillis;
       // A former owner sends calls until its last proof of ownership has expired.
-      long lastCallAt =
+      unheardLeasesEnd =
           hasAnswered
-              ? lostAt(now) + CellTimings.MAX_ANSWER_WAIT_MILLIS
-              : cell.takenOverAt + cell.timings.ownershipProofMillis();
-      unheardLeasesEnd = lastCallAt + cell.timings.longestFormerLeaseMillis();
+              ? orderInTransitEnd(cell.timings, now)
+              : cell.takenOverAt
+                  + cell.timings.ownershipProofMillis()
+                  + cell.timings.longestFormerLeaseMillis();
     }
   }
 
   /**
-   * Returns whether a run may be active although all leases of the incarnation that has answered
-   * have expired: its order may have reached a later one.
+   * Returns when every lease has expired that an incarnation which nobody has heard of may have
+   * taken from calls that were in transit when the worker fell silent.
    */
-  boolean mayRunUnheard(Run run, long now) {
-    return now <= unheardLeasesEnd && run.mayHaveReachedLaterIncarnation();
+  private long orderInTransitEnd(CellTimings timings, long now) {
+    return lostAt(now) + CellTimings.MAX_ANSWER_WAIT_MILLIS + timings.longestFormerLeaseMillis();
+  }
+
+  /** Returns until when a run may be active if the worker stays silent. */
+  long runEnd(Run run, CellTimings timings, long now) {
+    long end = leaseEnd();
+    if (run.mayHaveReachedLaterIncarnation()) {
+      end = Math.max(end, unheardLeasesEnd);
+    }
+    if (run.hasOrderInTransit()) {
+      end = Math.max(end, orderInTransitEnd(timings, now));
+    }
+    return Math.max(end, run.unheardEnd);
+  }
+
+  /** Returns the runs that may be active longer than the leases of the known incarnation. */
+  List<RunKey> runsBeyondLease(CellTimings timings, long now) {
+    long end = leaseEnd();
+    return runs.values().stream()
+        .filter(run -> runEnd(run, timings, now) > end)
+        .map(run -> run.key)
+        .toList();
+  }
+
+  /** Returns when the last run can have ended if the worker stays silent. */
+  long lastRunEnd(CellTimings timings, long now) {
+    long end = leaseEnd();
+    for (Run run : runs.values()) {
+      end = Math.max(end, runEnd(run, timings, now));
+    }
+    return end;
   }
 
   /** Records that a call which grants a lease is sent. */
@@ -415,14 +447,6 @@
         : Math.max(formerLeasesEnd, lastGrantAt + timings.longestFormerCallMillis());
   }
 
-  /** Returns when the last run can have ended if the worker stays silent. */
-  long lastRunEnd() {
-    boolean unheard =
-        unheardLeasesEnd > 0
-            && runs.values().stream().anyMatch(Run::mayHaveReachedLaterIncarnation);
-    return unheard ? Math.max(leaseEnd(), unheardLeasesEnd) : leaseEnd();
-  }
-
   /**
    * Returns when every lease under which the worker may have runs of earlier owners has expired.
    */
@@ -510,13 +534,17 @@
    * monotonic clock.
    */
   long leaseEnd() {
-    long othersEnd = Math.max(earlierLeasesEnd, formerLeasesEnd);
+    return Math.max(grantedLeaseEnd(), formerLeasesEnd);
+  }
+
+  /** Returns the same without leases that it may have taken from calls to former incarnations. */
+  long grantedLeaseEnd() {
     if (clockReading == NO_READING || highestDeadline <= clockReading) {
-      return Math.max(clockReadAt, othersEnd);
+      return Math.max(clockReadAt, earlierLeasesEnd);
     }
     double remaining = (highestDeadline - clockReading) / CellTimings.SLOWEST_CLOCK_RATE;
     long ownLeasesEnd = clockReadAt + Math.round(remaining) + CellTimings.LEASE_MARGIN_MILLIS;
-    return Math.max(ownLeasesEnd, othersEnd);
+    return Math.max(ownLeasesEnd, earlierLeasesEnd);
   }
 
   void add(Run run) {
--- a/daemon/src/main/java/org/hickorypier/daemon/link/LinkCodec.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/link/LinkCodec.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import org.hickorypier.core.cell.RosterCodec;
 import org.hickorypier.core.cell.RunKey;
+import org.hickorypier.core.cell.StartAnswer;
 import org.hickorypier.core.cell.StartOutcome;
 import org.hickorypier.core.cell.TaskName;
 import org.hickorypier.core.submission.SubmissionCodec;
@@ -138,7 +139,9 @@
       packer.packInt(LINES);
       packStrings(packer, lines.lines());
     } else if (reply instanceof LinkReply.Started started) {
-      packer.packInt(STARTED).packInt(started.outcome().ordinal());
+      StartAnswer answer = started.answer();
+      packer.packInt(STARTED).packInt(answer.outcome().ordinal());
+      packer.packLong(answer.clockMillis());
     } else if (reply instanceof LinkReply.Configuration configuration) {
       packer.packInt(CONFIGURATION).packLong(configuration.ageMillis());
       packer.packString(configuration.record());
@@ -317,7 +320,11 @@
       case LINES:
         return new LinkReply.Lines(unpackStrings(unpacker));
       case STARTED:
-        return new LinkReply.Started(StartOutcome.values()[unpacker.unpackInt()]);
+        // Earlier versions end after the outcome.
+        return new LinkReply.Started(
+            new StartAnswer(
+                StartOutcome.values()[unpacker.unpackInt()],
+                unpacker.hasNext() ? unpacker.unpackLong() : StartAnswer.NO_READING));
       case CONFIGURATION:
         return new LinkReply.Configuration(unpacker.unpackLong(), unpacker.unpackString());
       case NOT_OWNER:
--- a/daemon/src/main/java/org/hickorypier/daemon/link/LinkReply.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/link/LinkReply.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import org.hickorypier.core.admission.CopyOutcome;
-import org.hickorypier.core.cell.StartOutcome;
+import org.hickorypier.core.cell.StartAnswer;
 import org.hickorypier.core.submission.SubmissionState;
 
 /** A reply to a {@link LinkRequest}. All implementations are immutable. */
@@ -77,11 +77,11 @@
   }
 
   /**
-   * The outcome of a relayed start order.
+   * The answer to a relayed start order.
    *
-   * @param outcome the worker's answer
+   * @param answer the worker's answer
    */
-  record Started(StartOutcome outcome) implements LinkReply {}
+  record Started(StartAnswer answer) implements LinkReply {}
 
   /**
    * The newest configuration in the store, as the receiver of the request has read it.
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/OrderRelay.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/OrderRelay.java
@@ -6,6 +6,7 @@
 import java.util.function.IntSupplier;
 import org.hickorypier.core.cell.EventLog;
 import org.hickorypier.core.cell.OwnerTokens;
+import org.hickorypier.core.cell.StartAnswer;
 import org.hickorypier.core.cell.StartOutcome;
 import org.hickorypier.core.submission.SubmissionSpec;
 import org.hickorypier.daemon.link.LinkReply;
@@ -98,7 +99,7 @@
       return refuse(order, "the process was suspended");
     }
     if (OwnerTokens.epochOf(order.token()) < newestEpoch.getAsInt()) {
-      return Future.succeededFuture(new LinkReply.Started(StartOutcome.FENCED));
+      return Future.succeededFuture(new LinkReply.Started(StartAnswer.of(StartOutcome.FENCED)));
     }
     String submission = order.run().task().submission();
     if (request.textIncluded()) {
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/OrderRouter.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/OrderRouter.java
@@ -8,7 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.hickorypier.core.cell.StartOutcome;
+import org.hickorypier.core.cell.StartAnswer;
 import org.hickorypier.core.membership.RendezvousHash;
 import org.hickorypier.daemon.link.LinkReply;
 import org.hickorypier.daemon.link.LinkRequest;
@@ -117,9 +117,9 @@
   /**
    * Sends an order through a relay.
    *
-   * @return the outcome, or empty if no relay has sent the order; the future never fails
+   * @return the answer, or empty if no relay has sent the order; the future never fails
    */
-  Future<Optional<StartOutcome>> start(StartOrder order) {
+  Future<Optional<StartAnswer>> start(StartOrder order) {
     String submission = order.run().task().submission();
     Relay known = relayBySubmission.get(submission);
     Relay relay = known != null && !known.silent ? known : select(submission);
@@ -128,13 +128,13 @@
     }
     relayBySubmission.put(submission, relay);
     boolean textIncluded = relay != known;
-    Promise<Optional<StartOutcome>> result = Promise.promise();
+    Promise<Optional<StartAnswer>> result = Promise.promise();
     TimerSubscription timer =
         timers.after(
             answerTimeout,
             () -> {
               relay.silent = true;
-              result.tryComplete(Optional.of(StartOutcome.UNKNOWN));
+              result.tryComplete(Optional.of(StartAnswer.MISSING));
             });
     relay
         .sender
@@ -144,15 +144,15 @@
         .onComplete(
             reply -> {
               relay.silent = false;
-              result.tryComplete(outcome(submission, relay, reply));
+              result.tryComplete(answer(submission, relay, reply));
             },
-            error -> result.tryComplete(Optional.of(StartOutcome.UNKNOWN)));
+            error -> result.tryComplete(Optional.of(StartAnswer.MISSING)));
     return result.future().onComplete(done -> timer.cancel());
   }
 
-  private Optional<StartOutcome> outcome(String submission, Relay relay, LinkReply reply) {
+  private Optional<StartAnswer> answer(String submission, Relay relay, LinkReply reply) {
     if (reply instanceof LinkReply.Started started) {
-      return Optional.of(started.outcome());
+      return Optional.of(started.answer());
     }
     // The relay has not sent the order, for instance because it no longer has the text.
     relayBySubmission.remove(submission, relay);
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/OrderSender.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/OrderSender.java
@@ -10,6 +10,7 @@
 import org.hickorypier.core.cell.RosterEntry;
 import org.hickorypier.core.cell.Run;
 import org.hickorypier.core.cell.RunKey;
+import org.hickorypier.core.cell.StartAnswer;
 import org.hickorypier.core.cell.StartOutcome;
 import org.hickorypier.core.cell.StepRun;
 import org.hickorypier.core.cell.Submission;
@@ -104,9 +105,9 @@
             ticket);
     boolean relay = decideRelaying(ORDER_OVERHEAD_BYTES + text.length());
     // A repeated order goes directly: the relay may be the reason why the first had no answer.
-    Future<StartOutcome> sent =
+    Future<StartAnswer> sent =
         relay && run.isFirstOrder() ? startThroughRelay(order) : startDirectly(order);
-    sent.onSuccess(outcome -> handleStartOutcome(run, order.token(), outcome));
+    sent.onSuccess(answer -> handleStartAnswer(run, order.token(), answer));
   }
 
   private boolean decideRelaying(int orderBytes) {
@@ -128,36 +129,35 @@
     return relay;
   }
 
-  private Future<StartOutcome> startThroughRelay(StartOrder order) {
+  private Future<StartAnswer> startThroughRelay(StartOrder order) {
     return orderRouter
         .start(order)
         .compose(
-            outcome ->
-                outcome.map(Future::succeededFuture).orElseGet(() -> startUnlessEnded(order)));
+            answer -> answer.map(Future::succeededFuture).orElseGet(() -> startUnlessEnded(order)));
   }
 
-  private Future<StartOutcome> startUnlessEnded(StartOrder order) {
-    return events.isEnded() ? Future.succeededFuture(StartOutcome.UNKNOWN) : startDirectly(order);
+  private Future<StartAnswer> startUnlessEnded(StartOrder order) {
+    return events.isEnded() ? Future.succeededFuture(StartAnswer.MISSING) : startDirectly(order);
   }
 
-  private Future<StartOutcome> startDirectly(StartOrder order) {
+  private Future<StartAnswer> startDirectly(StartOrder order) {
     long sentAt = now();
     return dependencies
         .workers()
         .start(order, workerTimeout.millis())
-        .onSuccess(outcome -> workerTimeout.record(now() - sentAt));
+        .onSuccess(answer -> workerTimeout.record(now() - sentAt));
   }
 
-  private void handleStartOutcome(Run run, long token, StartOutcome outcome) {
+  private void handleStartAnswer(Run run, long token, StartAnswer answer) {
     if (events.isEnded()) {
       return;
     }
-    boolean fenced = outcome == StartOutcome.FENCED;
+    boolean fenced = answer.outcome() == StartOutcome.FENCED;
     if (fenced && isLatestToken(run.worker(), token)) {
       events.fenced(run.worker().id());
       return;
     }
-    cell.startAnswered(run, fenced ? StartOutcome.OTHER_LIFE : outcome, now());
+    cell.startAnswered(run, fenced ? answer.withOutcome(StartOutcome.OTHER_LIFE) : answer, now());
     events.workerAnswered();
   }
 
