Tasks wait until a worker has told all pages of its ends

Cause: a worker lists its ends 500 at a time.

Change: RenewalReport.coverage() tells whether a report lists all ends, and ReportCoverage is kept of each incarnation: no report, further ends, complete. A worker with further ends is unresolved like one that has not answered: restored submissions wait for it, it stays on the roster, and its runs are not listed for a successor. Its active runs are all known, so that its room does not count against limits. hasAnswered is as it was. A silent worker is unresolved until its lease has expired; an end that is listed after that is processed as before (the rule does not count ends with a lapsed lease in between). A new incarnation begins anew, and a late report is never taken for the last page, since it may be older than the page before.

The model does not page the ends of its workers.

--- a/core/src/main/java/org/hickorypier/core/cell/CellState.java
+++ b/core/src/main/java/org/hickorypier/core/cell/CellState.java
@@ -90,6 +90,21 @@
     return worker.runsUnknown && !worker.hasAnswered && now < worker.unknownRunsEnd();
   }
 
+  /**
+   * Tells whether a worker that has answered may list ends on later pages of runs that this owner
+   * does not know. They count for nothing once the lease of the worker has expired.
+   */
+  boolean mayHoldUnknownEnds(WorkerView worker, long now) {
+    return worker.runsUnknown
+        && worker.coverage == ReportCoverage.FURTHER_ENDS
+        && (!worker.silent || now <= worker.leaseEnd());
+  }
+
+  /** Tells whether a worker may have runs, or ends of runs, that this owner does not know. */
+  boolean isUnresolved(WorkerView worker, long now) {
+    return mayHoldUnknownRuns(worker, now) || mayHoldUnknownEnds(worker, now);
+  }
+
   /** Returns what may be done with a task, or a gang by its first member. */
   CrashVerdict crashVerdict(Task unit, long now) {
     return unit.crashes == null ? CrashVerdict.START : CrashPolicy.decide(unit, workerLosses, now);
@@ -125,20 +140,20 @@
   }
 
   /**
-   * Returns the number of the last submission that may have an unknown run on some worker, or -1,
-   * which is below all numbers, if there is none.
+   * Returns the number of the last submission that may have an unknown run, or an unknown end, on
+   * some worker, or -1, which is below all numbers, if there is none.
    */
   long lastUnresolvedNumber(long now) {
     long last = -1;
     for (WorkerView worker : workers.values()) {
-      if (mayHoldUnknownRuns(worker, now)) {
+      if (isUnresolved(worker, now)) {
         last = Math.max(last, worker.isOpen() ? Long.MAX_VALUE : worker.closedAfter);
       }
     }
     return last;
   }
 
-  /** Tells whether a submission must wait, since a worker may hold an unknown run of it. */
+  /** Tells whether a submission must wait, since a worker may hold an unknown run or end of it. */
   boolean waitsForUnheardWorkers(Submission submission, long unresolvedUpTo) {
     return submission.mayHaveUnknownRuns && submission.number() <= unresolvedUpTo;
   }
--- a/core/src/main/java/org/hickorypier/core/cell/Explanation.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Explanation.java
@@ -71,9 +71,15 @@
 
   private String unresolvedWorkers() {
     return cell.workers.values().stream()
-        .filter(worker -> cell.mayHoldUnknownRuns(worker, now))
+        .filter(worker -> cell.isUnresolved(worker, now))
         .limit(MAX_LISTED_WORKERS)
-        .map(worker -> worker.id() + " for " + cell.remainingLeaseMillis(worker, now) + " ms")
+        .map(
+            worker ->
+                worker.id()
+                    + (cell.mayHoldUnknownEnds(worker, now) ? " (ends not all read)" : "")
+                    + " for "
+                    + cell.remainingLeaseMillis(worker, now)
+                    + " ms")
         .collect(Collectors.joining(", "));
   }
 
@@ -86,7 +92,7 @@
       return "its turn: an unfinished dependency, a start time or a pending write";
     }
     if (cell.waitsForUnheardWorkers(submission, cell.lastUnresolvedNumber(now))) {
-      return "workers that may already run it: " + unresolvedWorkers();
+      return "workers that may already run it or list its end: " + unresolvedWorkers();
     }
     if (!cell.usage.isConfigured()) {
       return "the configuration with the customers' limits";
--- a/core/src/main/java/org/hickorypier/core/cell/RosterWriter.java
+++ b/core/src/main/java/org/hickorypier/core/cell/RosterWriter.java
@@ -103,7 +103,7 @@
     for (WorkerView worker : cell.workers.values()) {
       if (!worker.runs.isEmpty()
           || !worker.unsavedEnds.isEmpty()
-          || cell.mayHoldUnknownRuns(worker, now)) {
+          || cell.isUnresolved(worker, now)) {
         entries.add(
             new RosterEntry(
                 worker.rosterEntry(),
@@ -142,7 +142,7 @@
   }
 
   private Optional<List<RunKey>> possibleRuns(WorkerView worker, long now) {
-    if (cell.mayHoldUnknownRuns(worker, now)) {
+    if (cell.isUnresolved(worker, now)) {
       return Optional.empty();
     }
     Set<RunKey> possible = new LinkedHashSet<>(worker.runs.keySet());
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerRegistry.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerRegistry.java
@@ -168,9 +168,7 @@
         }
       }
       boolean empty =
-          worker.runs.isEmpty()
-              && worker.unsavedEnds.isEmpty()
-              && !cell.mayHoldUnknownRuns(worker, now);
+          worker.runs.isEmpty() && worker.unsavedEnds.isEmpty() && !cell.isUnresolved(worker, now);
       if (worker.silent && empty && !worker.listed) {
         goneIds.add(worker.id());
       }
@@ -215,7 +213,7 @@
           !worker.isOpen()
               && worker.isEmpty()
               && worker.formerLeaseMillis(now) == 0
-              && !cell.mayHoldUnknownRuns(worker, now);
+              && !cell.isUnresolved(worker, now);
       if (retired != worker.retired) {
         worker.retired = retired;
         roster.markStale();
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerReportHandler.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerReportHandler.java
@@ -11,18 +11,12 @@
 /**
  * Processes the reports that workers give of their runs when they answer a renewal.
  *
- * <p>Invariant: a report proves that a run is gone only if it comes from the worker's current
- * incarnation and was requested after the order or the stop was answered, or is dated after the
- * order's deadline. Confined to the control thread.
+ * <p>Invariant: a report proves that a run is gone only if it lists all ends, comes from the
+ * worker's current incarnation and was requested after the order or the stop was answered, or is
+ * dated after the order's deadline. Confined to the control thread.
  */
 final class WorkerReportHandler {
 
-  /**
-   * Maximum number of ends in one report. A run that is missing from a full page is not necessarily
-   * gone.
-   */
-  private static final int ENDS_PAGE_SIZE = 500;
-
   private final CellState cell;
   private final RunController runs;
   private final RunEndHandler runEndHandler;
@@ -62,6 +56,7 @@
     }
     crashTracker.handleAnswer(worker, report.bornMillis());
     worker.recordAnswer(report.clockMillis(), cell.timings.longestLeaseMillis(), now);
+    recordCoverage(worker, report);
     handleEnds(worker, report, now);
     Set<RunKey> listed = new HashSet<>();
     for (RunningTask running : report.running()) {
@@ -69,7 +64,7 @@
       handleRunning(worker, running, report.clockMillis(), now);
     }
     stragglerDetector.moveStragglers(worker, now);
-    if (report.ended().size() < ENDS_PAGE_SIZE) {
+    if (report.coverage() == ReportCoverage.COMPLETE) {
       Map<Run, String> missing = new LinkedHashMap<>();
       for (Run run : worker.runs.values()) {
         if (!listed.contains(run.key)) {
@@ -81,9 +76,20 @@
     cell.dirty = true;
   }
 
+  private void recordCoverage(WorkerView worker, RenewalReport report) {
+    ReportCoverage before = worker.coverage;
+    worker.coverage = before.after(report);
+    if (worker.coverage != before && before == ReportCoverage.FURTHER_ENDS) {
+      cell.workerEvent("worker-ends-read", worker);
+    } else if (worker.coverage == ReportCoverage.FURTHER_ENDS && before == ReportCoverage.NONE) {
+      cell.workerEvent("worker-has-further-ends", worker, "unknown", worker.runsUnknown);
+    }
+  }
+
   /**
    * Handles a report that arrived after it had counted as missing. Only its ends are used: they
-   * stand for good, while the worker may have restarted or started other runs since.
+   * stand for good, while the worker may have restarted or started other runs since. It does not
+   * count as the last page, since it may be older than the page before.
    */
   void handleLateReport(WorkerView worker, RenewalReport report, long now) {
     if (worker.bornMillis() == report.bornMillis()) {
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
@@ -57,6 +57,9 @@
   /** Whether the worker has answered a renewal under this owner's token. */
   boolean hasAnswered;
 
+  /** What the present incarnation has told of its runs and ends. */
+  ReportCoverage coverage = ReportCoverage.NONE;
+
   /** Whether the worker is on the durable roster, so that a successor contacts it. */
   boolean onRoster;
 
@@ -327,6 +330,7 @@
     unheardBornMillis = 0;
     expectFormerCalls(timings, now);
     lossRecorded = false;
+    coverage = ReportCoverage.NONE;
     incarnation = WorkerIncarnation.undescribed(newBornMillis).after(entry);
     rating = null;
     placingFactor = 1;
