The worker list counts as read at the end of its topic only

Cause: a read of the log returns at most 1,024 KB. After each such page the owner took its state of the worker list for the present one, and the age of the list began anew, also if further records were there. An owner that had fallen behind placed tasks by an old list for 400 ms a page: on workers that had begun to drain, or whose capacity had shrunk.

Before: WorkerListReaderTest.listIsCompleteOnceTheLastPageIsRead failed on: a worker whose draining entry is on the second page was listed as ready.

Change: the list is passed on only as it is at the end of the topic, with the departures since it was last passed on; the next page is read at once.

Run: WorkerListReaderTest 5 of 5, on this commit. The whole of the daemon's tests was not run.

--- a/daemon/src/main/java/org/hickorypier/daemon/owner/WorkerListReader.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/WorkerListReader.java
@@ -18,7 +18,8 @@
 /**
  * Reads the workers' entries from the store while this instance owns the cell.
  *
- * <p>Confined to the control thread.
+ * <p>Invariant: the listener receives the list only as it is at the end of the topic. A state
+ * before that may be old, and would count as just read. Confined to the control thread.
  */
 final class WorkerListReader {
 
@@ -42,6 +43,9 @@
   /** The errors of the entries that are in the list and not used, so that each is logged once. */
   private final Map<String, String> decodeErrors = new HashMap<>();
 
+  /** The workers that have left since the listener last received the list. */
+  private final Set<String> departed = new HashSet<>();
+
   private boolean stopped;
   private long readSentAt;
 
@@ -59,7 +63,7 @@
      * Handles a new state of the list.
      *
      * @param entries all listed workers, by id
-     * @param departed the workers that have left since the previous read
+     * @param departed the workers that have left since the previous state
      */
     void workersListed(Map<String, WorkerEntry> entries, Set<String> departed);
   }
@@ -89,7 +93,11 @@
     try {
       apply(changes);
     } finally {
-      scheduleRead();
+      if (changes.caughtUp() || changes.records().isEmpty()) {
+        scheduleRead();
+      } else {
+        start();
+      }
     }
   }
 
@@ -98,18 +106,20 @@
       entries.clear();
       decodeErrors.keySet().retainAll(changes.records().stream().map(KeyedRecord::key).toList());
     }
-    Set<String> departed = new HashSet<>();
     for (KeyedRecord record : changes.records()) {
-      applyRecord(record.key(), record.value(), departed);
+      applyRecord(record.key(), record.value());
     }
     if (changes.isSnapshot()) {
       departureDetector.clear();
     }
-    if (changes.caughtUp()) {
-      lastCompleteReadSentAt = readSentAt;
+    if (!changes.caughtUp()) {
+      return;
     }
+    lastCompleteReadSentAt = readSentAt;
+    Set<String> left = Set.copyOf(departed);
+    departed.clear();
     if (!stopped) {
-      listener.workersListed(entries, departed);
+      listener.workersListed(entries, left);
     }
   }
 
@@ -119,7 +129,7 @@
     }
   }
 
-  private void applyRecord(String id, byte[] value, Set<String> departed) {
+  private void applyRecord(String id, byte[] value) {
     departed.remove(id);
     if (value == null) {
       entries.remove(id);
--- a/daemon/src/test/java/org/hickorypier/daemon/owner/WorkerListReaderTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/owner/WorkerListReaderTest.java
@@ -5,6 +5,7 @@
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServer;
 import java.nio.charset.StandardCharsets;
 import java.util.Set;
@@ -78,6 +79,45 @@
     return new WorkerListReader(dependencies, listener);
   }
 
+  /** Guards against a list that counts as read although a worker began to drain on a later page. */
+  @Test
+  void listIsCompleteOnceTheLastPageIsRead() throws Exception {
+    HttpServer server =
+        await(
+            vertx
+                .createHttpServer()
+                .requestHandler(
+                    request -> {
+                      if (request.path().endsWith("/log-newest")) {
+                        request.response().end("{\"items\":[],\"HasMore\":false,\"End\":0}");
+                      } else {
+                        request.response().end(page(Integer.parseInt(request.getParam("From"))));
+                      }
+                    })
+                .listen(0, "127.0.0.1"));
+    client =
+        new StoreClient(
+            new PooledHttpClient(vertx, 2), new ServiceAddress("127.0.0.1", server.actualPort()));
+    BlockingQueue<Boolean> draining = new LinkedBlockingQueue<>();
+    WorkerListReader reader =
+        reader(
+            (entries, departed) ->
+                entries.values().forEach(entry -> draining.add(entry.draining())));
+    control.runOnContext(none -> reader.start());
+    assertThat(draining.poll(TEST_TIMEOUT_SECONDS, TimeUnit.SECONDS)).isTrue();
+  }
+
+  /** Returns a page of one record, of a topic that has two. */
+  private static Buffer page(int from) {
+    Buffer page = Buffer.buffer().appendLong(2).appendLong(0);
+    if (from < 2) {
+      String entry = entry("[]").replace("ready", from == 0 ? "ready" : "draining");
+      byte[] value = entry.getBytes(StandardCharsets.UTF_8);
+      page.appendInt(3 + value.length).appendByte((byte) 2).appendString("w1").appendBytes(value);
+    }
+    return page;
+  }
+
   private void put(String id, String entry) {
     byte[] value = entry == null ? null : entry.getBytes(StandardCharsets.UTF_8);
     store.put(StoreClient.WORKERS_TOPIC, id, value);
