--- a/core/src/main/java/org/hickorypier/core/cell/WorkerRegistry.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerRegistry.java
@@ -170,9 +170,7 @@
         loseRuns(worker, now);
       }
       boolean empty =
-          worker.runs.isEmpty()
-              && worker.unsavedEnds.isEmpty()
-              && !cell.mayHoldUnknownRuns(worker, now);
+          worker.runs.isEmpty() && worker.unsavedEnds.isEmpty() && !cell.isUnresolved(worker, now);
       if (worker.silent && empty && !worker.listed) {
         goneIds.add(worker.id());
         recordRemoved(worker, now);
@@ -249,7 +247,7 @@
           !worker.isOpen()
               && worker.isEmpty()
               && worker.callsToIncarnationsEnd(cell.timings) <= now
-              && !cell.mayHoldUnknownRuns(worker, now);
+              && !cell.isUnresolved(worker, now);
       if (retired != worker.retired) {
         worker.retired = retired;
         roster.markStale();
