Moves of a task and that it is long outlive its owner

Task.migrations, which StragglerDetector holds at two, and the knowledge that a task is long by itself lived in the owner's memory, so each successor moved the same tasks twice again.

Change: SubmissionProgress carries a MoveRecord for each task that was moved or was slow on a second worker (five bytes for the first of them, at most 1,000 of a submission). It goes with the next record of its submission, or together with those of other submissions after 1 s, as often as an owner proves its ownership. A record without it is read as nothing known; moves, positions and amounts out of range are refused with value and range. A task known to be long is moved only if it stalls or slows down.

Run: all tests of wire and core, formatter, linter.

--- a/core/src/main/java/org/hickorypier/core/cell/Cell.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Cell.java
@@ -588,6 +588,7 @@
         () -> state.stepsMayBeReady |= readySteps.hasScheduledSubmissions());
     parts.run("search for upcoming steps", () -> upcomingSteps.addUpcomingSteps(now));
     parts.run("log of long waits", () -> longWaitLogger.logLongWaits(now));
+    parts.run("record of the moves", () -> state.saveOldMoves(now));
     parts.run("record of the speeds", () -> speedRecordWriter.tick(now));
     parts.run("report of the estimates' errors", () -> admission.tick(now));
     state.dirty |= !state.readySteps.isEmpty() || !upcomingSteps.upcoming().isEmpty();
--- a/core/src/main/java/org/hickorypier/core/cell/CellState.java
+++ b/core/src/main/java/org/hickorypier/core/cell/CellState.java
@@ -27,6 +27,12 @@
   /** Exceeds the submissions that an owner accepts, so numbers increase from owner to owner. */
   private static final long MAX_SUBMISSIONS_PER_EPOCH = 1L << 32;
 
+  /**
+   * Time after which moves are written even if their submission has no other change. An owner that
+   * writes nothing else appends a proof of its ownership as often.
+   */
+  private static final long MAX_MOVE_DELAY_MILLIS = 1_000;
+
   final CellTimings timings;
   final CellOutput output;
   final EventLog log;
@@ -50,6 +56,9 @@
   /** Ended submissions in their archived form, by id, until their retention time is over. */
   final Map<String, EndedSubmission> endedSubmissions = new HashMap<>();
 
+  /** Submissions with moves that are not written yet, and since when. */
+  private final Map<Submission, Long> unsavedMoves = new LinkedHashMap<>();
+
   final Map<String, WorkerView> workers = new LinkedHashMap<>();
 
   /** Steps that are due, have no unfinished dependencies, and have waiting tasks. */
@@ -79,9 +88,30 @@
 
   void recordChange(Submission submission) {
     submission.version++;
+    unsavedMoves.remove(submission);
     output.save(submission);
   }
 
+  /** Notes that what is known of the moves of a submission's tasks has changed. */
+  void recordMoveChange(Submission submission, long now) {
+    if (!submission.isLive()) {
+      return;
+    }
+    submission.version++;
+    unsavedMoves.putIfAbsent(submission, now);
+  }
+
+  /** Writes the moves that no other change of their submissions has carried for some time. */
+  void saveOldMoves(long now) {
+    boolean due =
+        unsavedMoves.values().stream().anyMatch(since -> now - since >= MAX_MOVE_DELAY_MILLIS);
+    if (due) {
+      unsavedMoves.keySet().removeIf(submission -> !submission.isLive());
+      unsavedMoves.keySet().forEach(output::save);
+      unsavedMoves.clear();
+    }
+  }
+
   /**
    * Tells whether a worker may hold runs that this owner does not know: it has not answered under
    * this owner's token, and the leases of earlier owners may still be valid.
--- a/core/src/main/java/org/hickorypier/core/cell/StragglerDetector.java
+++ b/core/src/main/java/org/hickorypier/core/cell/StragglerDetector.java
@@ -186,7 +186,7 @@
    * slow on another worker before, or if the queue is known to have such tasks.
    */
   private Sign signOfDisturbance(Run run, long now) {
-    if (now < run.worker.slowBackoffUntil) {
+    if (now < run.worker.slowBackoffUntil && !run.task.longByItself) {
       return Sign.KNOWN_DISTURBED;
     }
     if (isStalled(run)) {
@@ -195,6 +195,11 @@
     if (run.pace.hasSlowedDown(MIN_SLOWDOWN_FACTOR, windowMillis(run))) {
       return Sign.SLOWED_DOWN;
     }
+    double ratio = lengthRatio(run);
+    if (run.task.longByItself) {
+      recordLongTask(run, ratio, now);
+      return Sign.NONE;
+    }
     int slow = 0;
     int usual = 0;
     for (Run other : run.worker.runs.values()) {
@@ -206,9 +211,8 @@
     if (slow >= MIN_SLOW_RUNS && usual == 0) {
       return Sign.ALL_SLOW;
     }
-    double ratio = lengthRatio(run);
     if (usual > 0 || run.task.migrations > 0) {
-      recordLongTask(run, ratio);
+      recordLongTask(run, ratio, now);
       return Sign.NONE;
     }
     double share = cell.durationEstimator.shareFrom(queueName(run), LONG_TASK_RATIO_SHARE * ratio);
@@ -228,7 +232,11 @@
   }
 
   /** Counts a long task before it ends, which takes several times as long as for others. */
-  private void recordLongTask(Run run, double ratio) {
+  private void recordLongTask(Run run, double ratio, long now) {
+    if (!run.task.longByItself && run.task.migrations > 0) {
+      run.task.longByItself = true;
+      cell.recordMoveChange(run.task.step.submission, now);
+    }
     if (!run.longByItself) {
       run.longByItself = true;
       cell.durationEstimator.recordLongTask(queueName(run), ratio);
@@ -281,6 +289,7 @@
   private void move(Run run, Sign sign, long now) {
     Task task = run.task;
     task.migrations++;
+    cell.recordMoveChange(task.step.submission, now);
     task.avoidedWorker = run.worker;
     cell.runEvent(
         "run-too-slow",
--- a/core/src/main/java/org/hickorypier/core/cell/Submission.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Submission.java
@@ -8,6 +8,7 @@
 import org.hickorypier.core.admission.AdmissionDecision;
 import org.hickorypier.core.estimation.RunTimeEstimator;
 import org.hickorypier.core.submission.CrashRecord;
+import org.hickorypier.core.submission.MoveRecord;
 import org.hickorypier.core.submission.StepSpec;
 import org.hickorypier.core.submission.SubmissionProgress;
 import org.hickorypier.core.submission.SubmissionSpec;
@@ -195,6 +196,7 @@
     List<BitSet> done = new ArrayList<>();
     Map<Integer, List<Integer>> failed = new HashMap<>();
     Map<Integer, CrashRecord> crashes = new HashMap<>();
+    Map<Integer, MoveRecord> moves = new HashMap<>();
     for (StepRun[] steps : occurrences) {
       for (StepRun step : steps) {
         BitSet bits = new BitSet(step.tasks.length);
@@ -206,12 +208,21 @@
           if (!task.done && task.crashes != null && !task.crashes.isEmpty()) {
             crashes.put(step.firstTaskOffset + task.index, task.crashes.toRecord());
           }
+          MoveRecord known = task.toMoveRecord();
+          if (known != null && moves.size() < SubmissionProgress.MAX_MOVE_RECORDS) {
+            moves.put(step.firstTaskOffset + task.index, known);
+          }
         }
         done.add(bits);
       }
     }
     return new SubmissionProgress(
-        state, endedAtMillis, done, failed, state.isTerminal() ? Map.of() : crashes);
+        state,
+        endedAtMillis,
+        done,
+        failed,
+        state.isTerminal() ? Map.of() : crashes,
+        state.isTerminal() ? Map.of() : moves);
   }
 
   void restore(SubmissionProgress progress, long now) {
@@ -229,6 +240,10 @@
         for (Task task : step.tasks) {
           CrashRecord crashes = progress.crashes().get(step.firstTaskOffset + task.index);
           task.crashes = crashes == null ? null : CrashHistory.restore(crashes, now);
+          MoveRecord moves = progress.moves().get(step.firstTaskOffset + task.index);
+          if (moves != null) {
+            task.restoreMoves(moves);
+          }
         }
         stepIndex++;
       }
--- a/core/src/main/java/org/hickorypier/core/cell/Task.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Task.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.hickorypier.core.submission.MoveRecord;
 
 /** One task of a step. Confined to the control thread. */
 final class Task {
@@ -47,9 +48,12 @@
    */
   long interruptedAt;
 
-  /** Number of times it was moved away from a slow worker. */
+  /** Number of times it was moved away from a slow worker, over all owners. */
   int migrations;
 
+  /** Whether a run of it was found to be long by itself, not because of its worker. */
+  boolean longByItself;
+
   Task(StepRun step, int index) {
     this.step = step;
     this.index = index;
@@ -64,6 +68,19 @@
     return step.failureRecord(this);
   }
 
+  /** Returns what a successor has to know of its pace; null if there is nothing. */
+  MoveRecord toMoveRecord() {
+    if (done || migrations == 0 && !longByItself) {
+      return null;
+    }
+    return new MoveRecord(Math.min(MoveRecord.MAX_MOVES, migrations), longByItself);
+  }
+
+  void restoreMoves(MoveRecord known) {
+    migrations = known.moves();
+    longByItself = known.longByItself();
+  }
+
   /** Records the newest checkpoint; all members of a gang must resume from the same one. */
   void recordCheckpoint(String value) {
     if (!step.spec.flags().checkpoints()) {
--- a/core/src/main/java/org/hickorypier/core/submission/SubmissionCodec.java
+++ b/core/src/main/java/org/hickorypier/core/submission/SubmissionCodec.java
@@ -157,8 +157,12 @@
         packIntegers(packer, failed.getValue());
       }
       // Left out if empty, and last, since older readers stop before it.
-      if (!progress.crashes().isEmpty()) {
-        packCrashes(packer, progress.crashes());
+      boolean hasMoves = !progress.moves().isEmpty();
+      if (hasMoves || !progress.crashes().isEmpty()) {
+        packCrashes(packer, progress.crashes(), hasMoves);
+      }
+      if (hasMoves) {
+        packMoves(packer, progress.moves());
       }
       return packer.toByteArray();
     } catch (IOException error) {
@@ -171,7 +175,8 @@
    *
    * @param bytes its bytes
    * @return the progress
-   * @throws UndecodableException if the bytes are not valid progress
+   * @throws UndecodableException if the bytes are not valid progress; the message names a number of
+   *     moves, a task position or an amount that is out of range
    */
   public static SubmissionProgress decodeProgress(byte[] bytes) throws UndecodableException {
     try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
@@ -188,13 +193,45 @@
         failed.put(unpacker.unpackInt(), unpackIntegers(unpacker));
       }
       Map<Integer, CrashRecord> crashes = unpacker.hasNext() ? unpackCrashes(unpacker) : Map.of();
-      return new SubmissionProgress(state, endedAt, done, failed, crashes);
+      Map<Integer, MoveRecord> moves = unpacker.hasNext() ? unpackMoves(unpacker) : Map.of();
+      return new SubmissionProgress(state, endedAt, done, failed, crashes, moves);
+    } catch (IllegalArgumentException error) {
+      throw new UndecodableException(
+          bytes.length + " bytes cannot be decoded as progress: " + error.getMessage(), error);
     } catch (IOException | RuntimeException error) {
       throw new UndecodableException(bytes.length + " bytes cannot be decoded as progress", error);
     }
   }
 
-  private static void packCrashes(MessagePacker packer, Map<Integer, CrashRecord> crashes)
+  private static void packMoves(MessagePacker packer, Map<Integer, MoveRecord> moves)
+      throws IOException {
+    packer.packMapHeader(moves.size());
+    for (Map.Entry<Integer, MoveRecord> entry : moves.entrySet()) {
+      packer.packInt(entry.getKey());
+      packer.packInt(entry.getValue().moves()).packBoolean(entry.getValue().longByItself());
+    }
+  }
+
+  private static Map<Integer, MoveRecord> unpackMoves(MessageUnpacker unpacker) throws IOException {
+    int entries = unpacker.unpackMapHeader();
+    checkRange("number of moved tasks", entries, SubmissionProgress.MAX_MOVE_RECORDS);
+    Map<Integer, MoveRecord> moves = new LinkedHashMap<>();
+    for (int index = 0; index < entries; index++) {
+      int position = unpacker.unpackInt();
+      checkRange("position of a moved task", position, Integer.MAX_VALUE);
+      moves.put(position, new MoveRecord(unpacker.unpackInt(), unpacker.unpackBoolean()));
+    }
+    return moves;
+  }
+
+  private static void checkRange(String name, int value, int max) {
+    if (value < 0 || value > max) {
+      throw new IllegalArgumentException(name + " must be from 0 to " + max + ", not " + value);
+    }
+  }
+
+  private static void packCrashes(
+      MessagePacker packer, Map<Integer, CrashRecord> crashes, boolean withDecibans)
       throws IOException {
     packer.packMapHeader(crashes.size());
     for (Map.Entry<Integer, CrashRecord> entry : crashes.entrySet()) {
@@ -206,7 +243,7 @@
       packer.packInt(entry.getValue().lateStarts());
     }
     // Apart from the above, since readers of earlier versions stop before it.
-    if (crashes.values().stream().allMatch(each -> each.decibans().isEmpty())) {
+    if (!withDecibans && crashes.values().stream().allMatch(each -> each.decibans().isEmpty())) {
       return;
     }
     for (CrashRecord each : crashes.values()) {
--- a/core/src/test/java/org/hickorypier/core/cell/FakeFleet.java
+++ b/core/src/test/java/org/hickorypier/core/cell/FakeFleet.java
@@ -71,6 +71,15 @@
   /** How long each task runs. */
   ToLongFunction<TaskName> workMillisOf = task -> workMillis;
 
+  /** Whether workers report how far their runs are; otherwise all seem to be halfway. */
+  boolean reportsProgress;
+
+  /** Total time of the runs that were done, over all workers and owners. */
+  long doneMillis;
+
+  /** Total time of the runs that were stopped before their end, over all workers and owners. */
+  long stoppedMillis;
+
   /** Whether the store accepts writes. */
   boolean storeAvailable = true;
 
@@ -249,12 +258,21 @@
     view.nextDeadline(owner.now, CellFixture.TIMINGS.leaseMillis());
     life.ends.removeIf(end -> end.number() <= view.acknowledgedEnd(owner.now));
     List<RunningTask> running =
-        life.runs.keySet().stream().map(key -> new RunningTask(key, "", 50)).toList();
+        life.runs.values().stream().map(run -> new RunningTask(run.key, "", percent(run))).toList();
     owner.reportNow(view, life.entry.bornMillis(), running, List.copyOf(life.ends));
   }
 
+  private int percent(Present run) {
+    if (!reportsProgress) {
+      return 50;
+    }
+    return (int) (100 * (owner.now - run.startedAt) / workMillisOf.applyAsLong(run.key.task()));
+  }
+
   private void end(Life life, Present run, RunEnd how) {
     life.runs.remove(run.key);
+    doneMillis += how == RunEnd.DONE ? owner.now - run.startedAt : 0;
+    stoppedMillis += how == RunEnd.STOPPED ? owner.now - run.startedAt : 0;
     life.ends.add(new EndedRun(++life.lastEnd, run.key, how, ""));
   }
 
--- a/core/src/test/java/org/hickorypier/core/cell/StragglerDetectorTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/StragglerDetectorTest.java
@@ -55,6 +55,11 @@
     fixture.cell.workers().forEach(fixture::reportFrom);
   }
 
+  private void archiveEarlierTasks() {
+    fixture.cell.tick(fixture.now, fixture.now);
+    fixture.writePending();
+  }
+
   /** Advances the time while the run progresses at a fraction of the expected speed. */
   private void reportProgress(double speed, long millis) {
     Run run = fixture.starts.get(0).run();
@@ -141,6 +146,53 @@
     assertThat(fixture.stops).isEmpty();
   }
 
+  /**
+   * Guards against a task that each new owner moves twice again, and against a write for each move.
+   */
+  @Test
+  void successorKnowsMovesAndLongTaskFromOneWrite() {
+    start(StepFlags.NONE);
+    Run slow = fixture.starts.get(0).run();
+    archiveEarlierTasks();
+    final int writes = fixture.progressWrites;
+    reportProgress(1.0 / 6, 500);
+    fixture.reportFrom(slow.worker(), new EndedRun(2_000, slow.key(), RunEnd.STOPPED, ""));
+    fixture.pass();
+    fixture.writePending();
+    assertThat(fixture.progressWrites).isEqualTo(writes);
+
+    fixture.starts.remove(0);
+    fixture.confirmAll();
+    reportProgress(1.0 / 6, 500);
+    assertThat(fixture.stops).hasSize(1);
+    fixture.advance(1_000);
+    fixture.cell.tick(fixture.now, fixture.now);
+    fixture.writePending();
+    assertThat(fixture.progressWrites).isEqualTo(writes + 1);
+    Task restored = fixture.successorFromStore(2).cell.find("s").task(slow.key().task());
+    assertThat(restored.migrations).isEqualTo(1);
+    assertThat(restored.longByItself).isTrue();
+  }
+
+  /** Guards against moves that no record carries, since their submission does not change. */
+  @Test
+  void movesAreWrittenAfterOneSecondWithoutOtherChanges() {
+    start(StepFlags.NONE);
+    final Run slow = fixture.starts.get(0).run();
+    archiveEarlierTasks();
+    final int writes = fixture.progressWrites;
+    reportProgress(1.0 / 6, 500);
+    fixture.cell.tick(fixture.now, fixture.now);
+    fixture.writePending();
+    assertThat(fixture.progressWrites).isEqualTo(writes);
+    fixture.advance(1_000);
+    fixture.cell.tick(fixture.now, fixture.now);
+    fixture.writePending();
+    assertThat(fixture.progressWrites).isEqualTo(writes + 1);
+    Submission restored = fixture.successorFromStore(2).cell.find("s");
+    assertThat(restored.task(slow.key().task()).migrations).isEqualTo(1);
+  }
+
   /** Tells the cell of a task of the queue that takes six times as long as the others. */
   private void completeLongTask() {
     Submission known = fixture.cell.find("s");
--- a/core/src/test/java/org/hickorypier/core/submission/SubmissionCodecTest.java
+++ b/core/src/test/java/org/hickorypier/core/submission/SubmissionCodecTest.java
@@ -111,6 +111,75 @@
     assertThat(SubmissionCodec.decodeProgress(encoded)).isEqualTo(progress);
   }
 
+  @Test
+  void movesSurviveRoundTripWithAndWithoutLostRuns() throws UndecodableException {
+    CrashRecord crashes = new CrashRecord(List.of(1), List.of(), List.of(), 2, 0);
+    for (Map<Integer, CrashRecord> lost :
+        List.of(Map.<Integer, CrashRecord>of(), Map.of(0, crashes))) {
+      SubmissionProgress progress =
+          new SubmissionProgress(
+              SubmissionState.RUNNING,
+              0,
+              List.of(new BitSet()),
+              Map.of(),
+              lost,
+              Map.of(3, new MoveRecord(2, false), 4, new MoveRecord(1, true)));
+
+      assertThat(SubmissionCodec.decodeProgress(SubmissionCodec.encodeProgress(progress)))
+          .isEqualTo(progress);
+    }
+  }
+
+  /** Guards against a journal that grows by more than a few bytes with each move. */
+  @Test
+  void movesOfTaskTakeFiveBytes() {
+    assertThat(SubmissionCodec.encodeProgress(movedOnce(0))).hasSize(6 + 5);
+  }
+
+  private static SubmissionProgress movedOnce(int position) {
+    return new SubmissionProgress(
+        SubmissionState.RUNNING,
+        0,
+        List.of(new BitSet()),
+        Map.of(),
+        Map.of(),
+        Map.of(position, new MoveRecord(1, true)));
+  }
+
+  @Test
+  void progressOfEarlierVersionKnowsNoMoves() throws UndecodableException {
+    byte[] withMoves = SubmissionCodec.encodeProgress(movedOnce(0));
+
+    assertThat(SubmissionCodec.decodeProgress(Arrays.copyOf(withMoves, 6)).moves()).isEmpty();
+  }
+
+  /** Guards against a task that counts as moved some impossible number of times. */
+  @Test
+  void movesOutOfRangeAreRefusedWithValueAndRange() {
+    byte[] bytes = SubmissionCodec.encodeProgress(movedOnce(0));
+    byte[] tooMany = bytes.clone();
+    tooMany[bytes.length - 2] = 101;
+    byte[] negative = bytes.clone();
+    negative[bytes.length - 2] = -1;
+    byte[] badPosition = bytes.clone();
+    badPosition[bytes.length - 3] = -1;
+    byte[] manyTasks = Arrays.copyOf(bytes, 11);
+    manyTasks[7] = (byte) 0xde;
+    manyTasks[8] = 0x03;
+    manyTasks[9] = (byte) 0xe9;
+
+    assertRefused(tooMany, "moves of a task must be from 0 to 100, not 101");
+    assertRefused(negative, "moves of a task must be from 0 to 100, not -1");
+    assertRefused(badPosition, "position of a moved task must be from 0 to 2147483647, not -1");
+    assertRefused(manyTasks, "number of moved tasks must be from 0 to 1000, not 1001");
+  }
+
+  private static void assertRefused(byte[] progress, String message) {
+    assertThatThrownBy(() -> SubmissionCodec.decodeProgress(progress))
+        .isInstanceOf(UndecodableException.class)
+        .hasMessageContaining(message);
+  }
+
   /**
    * Guards against a takeover that fails because another program corrupted a record in the store:
    * the record must be reported as undecodable, which costs only its own submission.
@@ -138,7 +207,8 @@
             0,
             List.of(BitSet.valueOf(new long[] {5})),
             Map.of(1, List.of(2)),
-            Map.of(0, crashes));
+            Map.of(0, crashes),
+            Map.of(0, new MoveRecord(1, true)));
     byte[] huge = {(byte) 0xc6, 0x7f, -1, -1, -1};
     forEachAlteration(SubmissionCodec.encode(SPEC, 7), huge, SubmissionCodec::decode);
     forEachAlteration(SubmissionCodec.encode(SPEC, 7), huge, SubmissionCodec::decodeNumber);
