A move must pay: long tasks and wrong estimates are told from slow workers

In a queue whose tasks are long by themselves, four long ones on a worker counted as a disturbed worker, and one worker in backoff made all of its slow runs move.

Change, in StragglerDetector: - A task that was slow on another worker stays unless its run stalls or slows down. - A run without checkpoints past half of its work stays unless it stalls. - ALL_SLOW counts only if the runs of the worker are not likely to be long by chance, by the queue's known share of long tasks; KNOWN_DISTURBED only if less than half of the queue's runs at a time are as long. - Where a third of a service's workers, three at least, are in backoff, a further slow run without another sign is taken for a long task, which the queue's distribution learns; one line, estimate-wrong, tells it.

The tests of slow and stalled workers are unchanged and pass. Open: in a queue that is known to have many long tasks a worker that is slow from the start of its runs is found only by their slowing down or stalling; nothing is done for a wave of crashes in particular; a move does not name where the next run starts.

Run: all tests of wire and core, formatter, linter.

--- a/core/src/main/java/org/hickorypier/core/cell/StragglerDetector.java
+++ b/core/src/main/java/org/hickorypier/core/cell/StragglerDetector.java
@@ -77,6 +77,9 @@
    */
   private static final int WORKERS_PER_SLOW_WORKER = 3;
 
+  /** Number of workers in backoff below which the expected run time is not doubted. */
+  private static final int MIN_WORKERS_TO_DOUBT_ESTIMATE = 3;
+
   /** What shows that a run is slow because its worker is disturbed. */
   private enum Sign {
     /** Nothing does: the task is long by itself. */
@@ -93,9 +96,27 @@
     NO_TASK_AS_LONG
   }
 
+  /**
+   * Largest probability that all runs of a worker are long by chance for them to show that the
+   * worker is disturbed.
+   */
+  private static final double MAX_CHANCE_OF_LONG_RUNS = 0.001;
+
+  /**
+   * Share of long runs from which on a slow run counts as long even on a worker that is known to be
+   * disturbed.
+   */
+  private static final double MAX_LONG_SHARE_OF_DISTURBED = 0.5;
+
+  /** Progress from which on a run without checkpoints is not moved, as a remaining fraction. */
+  private static final double MIN_REMAINING_FRACTION = 0.5;
+
   private final CellState cell;
   private final RunController runs;
 
+  /** Until when no further line is logged of expected run times that are wrong. */
+  private long estimateDoubtedUntil;
+
   StragglerDetector(CellState cell, RunController runs) {
     this.cell = cell;
     this.runs = runs;
@@ -123,7 +144,7 @@
     for (Run run : CellState.copy(worker.runs.values())) {
       if (isWatched(run) && isPaceKnown(run) && isSlow(run)) {
         Sign sign = signOfDisturbance(run, now);
-        if (sign != Sign.NONE && mayMove(run, now)) {
+        if (sign != Sign.NONE && isWorthMoving(run, sign) && mayMove(run, now)) {
           move(run, sign, now);
         }
       }
@@ -182,13 +203,11 @@
 
   /**
    * Returns what shows that a slow run is the fault of its worker, not of a long task. Without any
-   * other sign, the run is taken for a long task if another run there has the usual pace, if it was
-   * slow on another worker before, or if the queue is known to have such tasks.
+   * other sign, the run is taken for a long task if another run there has the usual pace, or if the
+   * queue is known to have such tasks. A task that was slow on another worker before is long unless
+   * its run stalls or slows down.
    */
   private Sign signOfDisturbance(Run run, long now) {
-    if (now < run.worker.slowBackoffUntil && !run.task.longByItself) {
-      return Sign.KNOWN_DISTURBED;
-    }
     if (isStalled(run)) {
       return Sign.STALLED;
     }
@@ -196,10 +215,18 @@
       return Sign.SLOWED_DOWN;
     }
     double ratio = lengthRatio(run);
-    if (run.task.longByItself) {
+    if (run.task.migrations > 0 || run.task.longByItself) {
+      recordLongTask(run, ratio, now);
+      return Sign.NONE;
+    }
+    if (isEstimateWrong(run.worker, now)) {
       recordLongTask(run, ratio, now);
       return Sign.NONE;
     }
+    double longRunShare = longRunShare(run, ratio);
+    if (now < run.worker.slowBackoffUntil && longRunShare < MAX_LONG_SHARE_OF_DISTURBED) {
+      return Sign.KNOWN_DISTURBED;
+    }
     int slow = 0;
     int usual = 0;
     for (Run other : run.worker.runs.values()) {
@@ -208,10 +235,12 @@
         usual += isSlow(other) ? 0 : 1;
       }
     }
-    if (slow >= MIN_SLOW_RUNS && usual == 0) {
+    if (slow >= MIN_SLOW_RUNS
+        && usual == 0
+        && Math.pow(longRunShare, slow) < MAX_CHANCE_OF_LONG_RUNS) {
       return Sign.ALL_SLOW;
     }
-    if (usual > 0 || run.task.migrations > 0) {
+    if (usual > 0) {
       recordLongTask(run, ratio, now);
       return Sign.NONE;
     }
@@ -219,6 +248,32 @@
     return share < MIN_LONG_TASK_SHARE ? Sign.NO_TASK_AS_LONG : Sign.NONE;
   }
 
+  /**
+   * Returns the share of the queue's runs at a time that are as long as a run. A long task runs for
+   * longer, so the share exceeds that of the tasks.
+   */
+  private double longRunShare(Run run, double ratio) {
+    double share = cell.durationEstimator.shareFrom(queueName(run), LONG_TASK_RATIO_SHARE * ratio);
+    double longTime = share * ratio;
+    return longTime / (longTime + 1 - share);
+  }
+
+  /**
+   * Returns whether so many workers are in backoff that another slow one shows that the expected
+   * run time is wrong.
+   */
+  private boolean isEstimateWrong(WorkerView worker, long now) {
+    boolean wrong =
+        now >= worker.slowBackoffUntil
+            && countBackedOff(worker.entry().service(), now) >= MIN_WORKERS_TO_DOUBT_ESTIMATE
+            && isBackoffLimitReached(worker.entry().service(), now);
+    if (wrong && now >= estimateDoubtedUntil) {
+      estimateDoubtedUntil = now + SLOW_BACKOFF_MILLIS;
+      cell.workerEvent("estimate-wrong", worker, "service", worker.entry().service());
+    }
+    return wrong;
+  }
+
   private boolean isStalled(Run run) {
     double onePercentMillis = expectedMillis(run) * run.worker.speedFactor() / 100;
     return run.pace.stalledMillis()
@@ -261,6 +316,13 @@
         .orElse(MOVE_MILLIS);
   }
 
+  /** Returns whether little enough work is lost; a run that has stalled has no work to finish. */
+  private static boolean isWorthMoving(Run run, Sign sign) {
+    return sign == Sign.STALLED
+        || run.task.step.spec.flags().checkpoints()
+        || run.pace.remainingFraction() > MIN_REMAINING_FRACTION;
+  }
+
   /**
    * Returns whether the task may be moved, since it would end sooner on another worker. A task that
    * is not urgent stays on its worker unless another worker has room for it: running slowly is
@@ -320,14 +382,19 @@
   }
 
   private boolean isBackoffLimitReached(String service, long now) {
-    int backedOff = 0;
     int all = 0;
     for (WorkerView worker : cell.workers.values()) {
-      if (worker.listed && worker.entry().service().equals(service)) {
-        all++;
-        backedOff += now < worker.slowBackoffUntil ? 1 : 0;
-      }
+      all += worker.listed && worker.entry().service().equals(service) ? 1 : 0;
+    }
+    return (countBackedOff(service, now) + 1) * WORKERS_PER_SLOW_WORKER > all;
+  }
+
+  private int countBackedOff(String service, long now) {
+    int backedOff = 0;
+    for (WorkerView worker : cell.workers.values()) {
+      boolean counts = worker.listed && worker.entry().service().equals(service);
+      backedOff += counts && now < worker.slowBackoffUntil ? 1 : 0;
     }
-    return (backedOff + 1) * WORKERS_PER_SLOW_WORKER > all;
+    return backedOff;
   }
 }
--- a/core/src/test/java/org/hickorypier/core/cell/StragglerDetectorTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/StragglerDetectorTest.java
@@ -146,6 +146,40 @@
     assertThat(fixture.stops).isEmpty();
   }
 
+  /** Guards against moves that throw away more than half of a task's work. */
+  @Test
+  void taskWithoutCheckpointsIsNotMovedPastHalf() {
+    start(StepFlags.NONE);
+    final Run run = fixture.starts.get(0).run();
+    for (int percent : new int[] {13, 26, 39, 52, 53, 54, 55, 56, 57, 58, 59, 60, 61}) {
+      fixture.advance(95);
+      fixture.reportProgress(run.worker(), new RunningTask(run.key(), "", percent));
+    }
+    assertThat(fixture.stops).isEmpty();
+  }
+
+  /** Guards against moves from worker to worker where the expected run time is wrong. */
+  @Test
+  void estimateCountsAsWrongIfThirdOfWorkersSeemSlow() {
+    for (int index = 0; index < 12; index++) {
+      fixture.addWorker("w" + index);
+    }
+    completeEarlierTasks();
+    for (int index = 0; index < 12; index++) {
+      fixture.submit(spec("s" + index, QUEUE, step(StepFlags.NONE)));
+    }
+    fixture.confirmAll();
+    for (int percent = 1; percent <= 6; percent++) {
+      fixture.advance(95);
+      for (CellFixture.StartedRun started : List.copyOf(fixture.starts)) {
+        Run run = started.run();
+        fixture.reportProgress(run.worker(), new RunningTask(run.key(), "", percent));
+      }
+    }
+    assertThat(fixture.stops).hasSizeLessThanOrEqualTo(4);
+    assertThat(fixture.events).filteredOn(each -> each.contains(" estimate-wrong ")).hasSize(1);
+  }
+
   /**
    * Guards against a task that each new owner moves twice again, and against a write for each move.
    */
