Leases at the stand-in's worker expire by a slow clock without a call

Cause: the timer of a lease was set once, in real time. A worker whose clock is 2% slow was asked too early, and nothing asked again until the next call. A worker that was cut off kept its runs beyond the longest lease, until it could be reached again.

Change: the timer is set again until the lease has expired.

--- a/standins/src/main/java/org/hickorypier/standins/executor/InMemoryExecutor.java
+++ b/standins/src/main/java/org/hickorypier/standins/executor/InMemoryExecutor.java
@@ -39,6 +39,7 @@
   private final List<String> history = new ArrayList<>();
   private long token;
   private long lease;
+  private boolean watchesLease;
   private long number;
   private boolean crashed;
   private volatile long processors = MOST_PROCESSORS;
@@ -255,7 +256,23 @@
     long wanted = Math.min(deadline, clock.getAsLong() + LONGEST_LEASE_MILLIS);
     if (wanted > lease) {
       lease = wanted;
-      delays.after(Math.max(1, lease - clock.getAsLong() + 1), this::expire);
+      watchLease();
+    }
+  }
+
+  /** Looks again at the lease's end until it has expired, since the clock may be slow. */
+  private void watchLease() {
+    if (!watchesLease) {
+      watchesLease = true;
+      delays.after(Math.max(1, lease - clock.getAsLong() + 1), this::lookAtLease);
+    }
+  }
+
+  private synchronized void lookAtLease() {
+    watchesLease = false;
+    expire();
+    if (!crashed && clock.getAsLong() <= lease) {
+      watchLease();
     }
   }
 
