Calls that wait for a worker of the stand-ins reach its next incarnation

Change: the server stays, and the worker behind it may be replaced. Calls that arrive while there is none, and renewals that wait, are carried out by the next incarnation, unless their sender is gone. A renewal acknowledges ends as it arrives (or arrives anew at the next incarnation) and not once more as it is answered; within one life that changes nothing, since the ends it names were all listed before.

--- a/standins/src/main/java/org/hickorypier/standins/http/ExecutorServer.java
+++ b/standins/src/main/java/org/hickorypier/standins/http/ExecutorServer.java
@@ -5,11 +5,18 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.json.JsonObject;
 import io.vertx.ext.web.RoutingContext;
-import java.util.function.Function;
+import java.util.function.BiFunction;
+import java.util.function.Consumer;
 import org.hickorypier.standins.executor.InMemoryExecutor;
 import org.hickorypier.standins.fault.FaultGate;
 
-/** Serves a worker in the platform's protocol on loopback, with faults on order. Thread safe. */
+/**
+ * Serves a worker in the platform's protocol on loopback, with faults on order.
+ *
+ * <p>The worker may be replaced by its next incarnation. Calls that arrive in between wait for it,
+ * and it carries them out, as it does renewals that waited at the former one; calls whose sender is
+ * gone are dropped. Thread safe.
+ */
 public final class ExecutorServer {
 
   private static final int MOST_CONNECTIONS = 64;
@@ -17,7 +24,7 @@
   private static final int OTHER_LIFE = 421;
 
   private final Vertx vertx;
-  private final InMemoryExecutor executor;
+  private volatile InMemoryExecutor executor;
   private final StandInServer server;
   private final GatedRoute gated;
 
@@ -32,8 +39,8 @@
     this.executor = executor;
     this.server = new StandInServer(vertx, MOST_CONNECTIONS);
     this.gated = new GatedRoute(server.gate(), (context, error) -> context.fail(error));
-    order("/hickorypier/run-start", "start", executor::start);
-    order("/hickorypier/run-stop", "stop", executor::stop);
+    order("/hickorypier/run-start", "start", InMemoryExecutor::start);
+    order("/hickorypier/run-stop", "stop", InMemoryExecutor::stop);
     server.router().post("/hickorypier/hold").handler(this::hold);
   }
 
@@ -47,6 +54,15 @@
     return server.listen(port);
   }
 
+  /**
+   * Replaces the worker.
+   *
+   * @param next its next incarnation, or null while it is down
+   */
+  public void serve(InMemoryExecutor next) {
+    executor = next;
+  }
+
   /**
    * Returns the gate at which faults strike.
    *
@@ -57,45 +73,67 @@
   }
 
   private void order(
-      String path, String operation, Function<JsonObject, InMemoryExecutor.Answer> action) {
+      String path,
+      String operation,
+      BiFunction<InMemoryExecutor, JsonObject, InMemoryExecutor.Answer> action) {
     server
         .router()
         .post(path)
         .handler(
-            context -> {
-              JsonObject body = context.body().asJsonObject();
-              if (misdirected(context)) {
-                return;
-              }
-              gated.call(
-                  context, operation, () -> action.apply(body), answer -> answer(context, answer));
-            });
+            context ->
+                whenUp(
+                    context,
+                    present ->
+                        gated.call(
+                            context,
+                            operation,
+                            () -> action.apply(present, context.body().asJsonObject()),
+                            answer -> answer(context, answer))));
   }
 
   private void hold(RoutingContext context) {
+    whenUp(context, present -> hold(context, present));
+  }
+
+  private void hold(RoutingContext context, InMemoryExecutor present) {
     JsonObject body = context.body().asJsonObject();
-    if (misdirected(context)) {
-      return;
-    }
-    long seen = body.getLong("SeenUpto", 0L);
+    long until = StandInServer.endOf(body.getLong("WaitMs", 0L));
     gated.call(
-        context,
-        "hold",
-        () -> executor.hold(body),
-        first -> poll(context, body, seen, StandInServer.endOf(body.getLong("WaitMs", 0L))));
+        context, "hold", () -> present.hold(body), first -> poll(context, present, body, until));
   }
 
-  private void poll(RoutingContext context, JsonObject body, long seen, long until) {
-    if (System.nanoTime() < until && !executor.hasEnds(seen)) {
-      vertx.setTimer(POLL_MILLIS, id -> poll(context, body, seen, until));
+  private void poll(RoutingContext context, InMemoryExecutor asked, JsonObject body, long until) {
+    if (executor != asked) {
+      hold(context);
+    } else if (System.nanoTime() < until && !asked.hasEnds(body.getLong("SeenUpto", 0L))) {
+      vertx.setTimer(POLL_MILLIS, id -> poll(context, asked, body, until));
     } else {
-      answer(context, executor.hold(body));
+      answer(context, asked.hold(withoutAcknowledgement(body)));
+    }
+  }
+
+  /** Ends are acknowledged as the renewal arrives, not once more as it is answered. */
+  private static JsonObject withoutAcknowledgement(JsonObject body) {
+    JsonObject rest = body.copy();
+    rest.remove("SeenUpto");
+    return rest;
+  }
+
+  private void whenUp(RoutingContext context, Consumer<InMemoryExecutor> action) {
+    InMemoryExecutor present = executor;
+    if (context.response().closed()) {
+      return;
+    }
+    if (present == null) {
+      vertx.setTimer(POLL_MILLIS, id -> whenUp(context, action));
+    } else if (!misdirected(context, present)) {
+      action.accept(present);
     }
   }
 
-  private boolean misdirected(RoutingContext context) {
+  private static boolean misdirected(RoutingContext context, InMemoryExecutor present) {
     String expected = context.request().getHeader("Hickorypier-Expect-Instance");
-    boolean other = expected != null && !expected.equals(executor.id());
+    boolean other = expected != null && !expected.equals(present.id());
     if (other) {
       context.response().setStatusCode(OTHER_LIFE).end();
     }
