A soak of workers that start again and are cut off soon after

The soak crashed and cut off single workers, each for itself, below tasks shorter than a lease.

Each of three data centres is struck once: its workers crash without a sign, are back 0.2 to 0.9 s later with a clock of their own, and are cut off 0.05 to 3 s after that for 3 to 10 s. Calls that were sent meanwhile reach the next incarnation. One submission in six has tasks of 11 to 16 s. Clocks of workers begin anywhere within 2,000 s in all soaks, and reports of a breach list all starts and ends at the workers.

--- a/measure/src/main/java/org/hickorypier/measure/soak/Disturbance.java
+++ b/measure/src/main/java/org/hickorypier/measure/soak/Disturbance.java
@@ -7,7 +7,7 @@
  *
  * @param atMillis when it begins, from the start of the load
  * @param kind what it is
- * @param target which instance or worker it strikes, from 0; taken modulo their number
+ * @param target which instance, worker or data centre it strikes, from 0; taken modulo their number
  * @param lengthMillis how long it lasts
  */
 record Disturbance(long atMillis, DisturbanceKind kind, int target, long lengthMillis) {
--- a/measure/src/main/java/org/hickorypier/measure/soak/DisturbanceKind.java
+++ b/measure/src/main/java/org/hickorypier/measure/soak/DisturbanceKind.java
@@ -53,11 +53,21 @@
    */
   RELEASE_WORKER,
   /** A worker's capacity shrinks, and grows again after the length. */
-  SHRINK_WORKER;
+  SHRINK_WORKER,
+  /**
+   * All workers of a data centre crash without a sign and come back under their ids, empty; calls
+   * that were sent to them meanwhile reach the next incarnation.
+   */
+  RESTART_DATA_CENTRE,
+  /** No worker of a data centre can be reached, and they run on. */
+  CUT_DATA_CENTRE,
+  /** The owner is killed, and starts again after the length. */
+  KILL_OWNER,
+  /** The owner is stopped and goes on after the length. */
+  PAUSE_OWNER;
 
-  /** What a soak without a release draws from. */
-  static final List<DisturbanceKind> USUAL =
-      List.copyOf(EnumSet.complementOf(EnumSet.of(RELEASE_WORKER, SHRINK_WORKER)));
+  /** What {@link DisturbancePlan} draws from; the kinds from RELEASE_WORKER have own plans. */
+  static final List<DisturbanceKind> USUAL = List.copyOf(EnumSet.range(KILL_INSTANCE, CHANGE_KEY));
 
   private static final EnumSet<DisturbanceKind> PLANNED =
       EnumSet.of(TERMINATE_INSTANCE, CHANGE_KEY, RELEASE_WORKER, SHRINK_WORKER);
--- a/measure/src/main/java/org/hickorypier/measure/soak/Disturber.java
+++ b/measure/src/main/java/org/hickorypier/measure/soak/Disturber.java
@@ -95,6 +95,19 @@
       }
       case RELEASE_WORKER ->
           platform.release(disturbance.target() % platform.workers.size(), length);
+      case RESTART_DATA_CENTRE ->
+          platform.dataCentre(disturbance.target()).forEach(each -> each.crashDark(length));
+      case CUT_DATA_CENTRE -> {
+        for (StandInWorker each : platform.dataCentre(disturbance.target())) {
+          during(length, each.proxy, ProxyMode.SILENT);
+        }
+      }
+      case KILL_OWNER -> killed(List.of(owner(instance)), length);
+      case PAUSE_OWNER -> {
+        InstanceProcess owner = owner(instance);
+        owner.pause();
+        later(length, owner::resume);
+      }
       default -> callers.useWithdrawn(platform.changeKey());
     }
   }
@@ -114,6 +127,17 @@
     }
   }
 
+  private InstanceProcess owner(InstanceProcess otherwise) {
+    String address = platform.ownerAddress();
+    InstanceProcess owner =
+        instances.stream()
+            .filter(each -> each.linkAddress().equals(address))
+            .findFirst()
+            .orElse(otherwise);
+    lasting.note("the owner is " + owner.name());
+    return owner;
+  }
+
   private void killed(List<InstanceProcess> which, long length) throws FleetException {
     for (InstanceProcess instance : which) {
       instance.kill();
--- a/measure/src/main/java/org/hickorypier/measure/soak/InstanceProcess.java
+++ b/measure/src/main/java/org/hickorypier/measure/soak/InstanceProcess.java
@@ -40,6 +40,7 @@
   private final Path settingsFile;
   private final ServiceAddress front;
   private final ServiceAddress ready;
+  private final String linkAddress;
   private final StringBuilder output = new StringBuilder();
   private JavaProcess process;
 
@@ -56,13 +57,14 @@
       ready = new ServiceAddress(LOOPBACK, LoopbackPort.free());
       links.target(new ServiceAddress(LOOPBACK, peerPort));
       callers.target(front);
+      linkAddress = "" + Waiting.forResult(links.listen());
       JsonObject settings =
           new JsonObject()
               .put("name", name)
               .put("dataCentre", "a")
               .put("address", LOOPBACK)
               .put("peerPort", peerPort)
-              .put("advertisedPeer", "" + Waiting.forResult(links.listen()))
+              .put("advertisedPeer", linkAddress)
               .put("metricsPort", 0)
               .put("front", "" + front)
               .put("ready", "" + ready)
@@ -89,6 +91,15 @@
     return ready;
   }
 
+  /** Returns the address at which the other instances reach this one. */
+  String linkAddress() {
+    return linkAddress;
+  }
+
+  String name() {
+    return name;
+  }
+
   /** Starts the process, unless it runs. */
   synchronized void start() throws FleetException {
     if (process == null || !process.isAlive()) {
--- a/measure/src/main/java/org/hickorypier/measure/soak/LastingTaskCheck.java
+++ b/measure/src/main/java/org/hickorypier/measure/soak/LastingTaskCheck.java
@@ -118,7 +118,6 @@
     runsOnWorker.computeIfAbsent(run.worker(), id -> new HashSet<>()).add(run);
     TaskName task = run.key().task();
     if (lasts(task.submission())) {
-      note("started on " + run.worker() + ": " + run.key());
       running.computeIfAbsent(task, name -> new HashSet<>()).add(run);
       Gap gap = gaps.remove(task);
       if (gap != null) {
@@ -133,7 +132,6 @@
     TaskName task = run.key().task();
     Set<ObservedRun> left = running.getOrDefault(task, new HashSet<>());
     if (left.remove(run) && left.isEmpty()) {
-      note("ended on " + run.worker() + ": " + run.key());
       gaps.put(task, new Gap(clock.getAsLong(), run.worker()));
     }
   }
@@ -216,11 +214,12 @@
     return List.copyOf(broken);
   }
 
-  private void note(String what) {
+  /** Keeps a line for the report. */
+  synchronized void note(String what) {
     record.add(clock.getAsLong() + ": " + what);
   }
 
-  /** Returns what workers did with tasks that last, one line each, with the time. */
+  /** Returns what workers did, one line each, with the time. */
   synchronized List<String> record() {
     return List.copyOf(record);
   }
--- a/measure/src/main/java/org/hickorypier/measure/soak/Soak.java
+++ b/measure/src/main/java/org/hickorypier/measure/soak/Soak.java
@@ -3,12 +3,14 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Option;
@@ -29,6 +31,12 @@
   private static final int MOST_INSTANCES = 40;
   private static final int MOST_WORKERS = 400;
 
+  private static final Map<String, Function<Path, SoakSettings>> KINDS =
+      Map.of(
+          "release", SoakSettings::release,
+          "crashing", SoakSettings::crashing,
+          "restarting", SoakSettings::restarting);
+
   private Soak() {}
 
   /**
@@ -69,6 +77,11 @@
                 .longOpt("crashing")
                 .desc("tasks that crash their workers, and capacities that change; 8 workers")
                 .get())
+        .addOption(
+            Option.builder()
+                .longOpt("restarting")
+                .desc("workers start again and are cut off soon after, below long tasks; 9 workers")
+                .get())
         .addOption(flag("reports", "folder for the logs of seeds with a breach"));
   }
 
@@ -82,15 +95,7 @@
     final long minutes = number(line, "minutes", 60, 1, 1_000);
     final int together = (int) number(line, "together", 2, 1, 8);
     Path reports = Path.of(line.getOptionValue("reports", "target/soak"));
-    if (line.hasOption("release") && line.hasOption("crashing")) {
-      throw new ParseException("--release and --crashing are different soaks, wanted is one");
-    }
-    SoakSettings usual =
-        line.hasOption("release")
-            ? SoakSettings.release(reports)
-            : line.hasOption("crashing")
-                ? SoakSettings.crashing(reports)
-                : SoakSettings.usual(reports);
+    SoakSettings usual = kind(line).apply(reports);
     SoakSettings settings =
         new SoakSettings(
             (int) number(line, "instances", usual.instances(), 1, MOST_INSTANCES),
@@ -101,6 +106,7 @@
             usual.calmMillis(),
             usual.release(),
             usual.crashing(),
+            usual.restarting(),
             usual.reports());
     long end = System.nanoTime() + TimeUnit.MINUTES.toNanos(minutes);
     List<Callable<Boolean>> plays = new ArrayList<>();
@@ -111,6 +117,14 @@
     return playAll(plays, together) ? 0 : BROKEN;
   }
 
+  private static Function<Path, SoakSettings> kind(CommandLine line) throws ParseException {
+    List<String> named = KINDS.keySet().stream().filter(line::hasOption).sorted().toList();
+    if (named.size() > 1) {
+      throw new ParseException("--" + String.join(", --", named) + ": wanted is one of these");
+    }
+    return named.isEmpty() ? SoakSettings::usual : KINDS.get(named.get(0));
+  }
+
   private static long number(CommandLine line, String name, long otherwise, long least, long most)
       throws ParseException {
     String text = line.getOptionValue(name);
--- a/measure/src/main/java/org/hickorypier/measure/soak/SoakCallers.java
+++ b/measure/src/main/java/org/hickorypier/measure/soak/SoakCallers.java
@@ -39,6 +39,8 @@
   private static final int MOST_TRIES = 5;
   private static final long ASK_MILLIS = 400;
 
+  private static final long ESTIMATE_MILLIS = 500;
+
   /** One submission in eight is cancelled. */
   private static final int CANCEL_SHARE = 8;
 
@@ -48,6 +50,12 @@
   private static final int MOST_CRASHING = 3;
   private static final String CRASHING_PREFIX = "c";
 
+  /** Of a soak with restarted workers, each sixth submission takes longer than a lease. */
+  private static final int LONG_SHARE = 6;
+
+  private static final String LONG_PREFIX = "d";
+  private static final long LONG_ESTIMATE_MILLIS = 12_000;
+
   private static final int MOST_LASTING = 8;
   private static final int LASTING_SPREAD_MILLIS = 2_000;
 
@@ -79,7 +87,7 @@
   private int accepted;
   private int refused;
   private int lastingHandedIn;
-  private final boolean withCrashingTasks;
+  private final SoakSettings settings;
   private boolean handingIn = true;
   private boolean stopped;
 
@@ -89,9 +97,9 @@
       List<ServiceAddress> fronts,
       GuaranteeChecker checker,
       LastingTaskCheck lasting,
-      boolean withCrashingTasks,
+      SoakSettings settings,
       long seed) {
-    this.withCrashingTasks = withCrashingTasks;
+    this.settings = settings;
     this.vertx = vertx;
     this.calls = new PooledHttpClient(vertx, CONNECTIONS);
     this.platform = platform;
@@ -113,10 +121,20 @@
   private String nextId() {
     int number = ++handedIn;
     boolean crashing =
-        withCrashingTasks
+        settings.crashing()
             && number % CRASHING_SHARE == 0
             && number <= CRASHING_SHARE * MOST_CRASHING;
-    return crashing ? CRASHING_PREFIX + "%015x".formatted(number) : "%016x".formatted(number);
+    if (crashing) {
+      return CRASHING_PREFIX + "%015x".formatted(number);
+    }
+    return settings.restarting() && number % LONG_SHARE == 0
+        ? LONG_PREFIX + "%015x".formatted(number)
+        : "%016x".formatted(number);
+  }
+
+  /** Tells whether a task takes longer than the longest lease. */
+  static boolean takesLong(String task) {
+    return task.startsWith(LONG_PREFIX);
   }
 
   /** Tells whether a task crashes the workers that start it: the first of its submission. */
@@ -160,8 +178,8 @@
   }
 
   private void handIn(String id) {
-    String customer = random.nextBoolean() ? StandInPlatform.SMALL : StandInPlatform.LARGE;
-    handIn(spec(id, customer));
+    boolean small = random.nextBoolean() && !takesLong(id);
+    handIn(spec(id, small ? StandInPlatform.SMALL : StandInPlatform.LARGE));
   }
 
   private void handIn(SubmissionSpec spec) {
@@ -174,9 +192,10 @@
   }
 
   private SubmissionSpec spec(String id, String customer) {
-    StepSpec first = step(List.of());
+    long estimateMillis = takesLong(id) ? LONG_ESTIMATE_MILLIS : ESTIMATE_MILLIS;
+    StepSpec first = step(List.of(), estimateMillis);
     List<StepSpec> steps =
-        random.nextInt(3) == 0 ? List.of(first, step(List.of(0))) : List.of(first);
+        random.nextInt(3) == 0 ? List.of(first, step(List.of(0), estimateMillis)) : List.of(first);
     return new SubmissionSpec(id, customer, StandInPlatform.QUEUE, "text", steps, 0, 0, 0, 0);
   }
 
@@ -189,10 +208,20 @@
         id, StandInPlatform.LARGE, StandInPlatform.QUEUE, "text", List.of(step), 0, 0, 0, 0);
   }
 
-  private StepSpec step(List<Integer> dependsOn) {
+  private StepSpec step(List<Integer> dependsOn, long estimateMillis) {
     Resources each = new Resources(1_000 + 500L * random.nextInt(7), 1_000, 0);
     return new StepSpec(
-        1 + random.nextInt(4), each, 500, dependsOn, StepFlags.NONE, "", "", 0, "", 0, 0);
+        1 + random.nextInt(4),
+        each,
+        estimateMillis,
+        dependsOn,
+        StepFlags.NONE,
+        "",
+        "",
+        0,
+        "",
+        0,
+        0);
   }
 
   private void attempt(SubmissionSpec spec, int triesLeft, boolean allRefused) {
--- a/measure/src/main/java/org/hickorypier/measure/soak/SoakRun.java
+++ b/measure/src/main/java/org/hickorypier/measure/soak/SoakRun.java
@@ -66,7 +66,8 @@
   private SoakResult play(Vertx vertx, Path folder) throws SoakException, FleetException {
     GuaranteeChecker checker = new GuaranteeChecker(this::sinceStart);
     LastingTaskCheck lasting = new LastingTaskCheck(this::sinceStart);
-    StandInPlatform platform = new StandInPlatform(vertx, settings.workers(), checker, lasting);
+    StandInPlatform platform =
+        new StandInPlatform(vertx, settings.workers(), checker, lasting, seed);
     List<ServiceAddress> fronts = new ArrayList<>();
     for (int index = 0; index < settings.instances(); index++) {
       InstanceProcess instance = new InstanceProcess(vertx, index, folder, platform.storeAddress());
@@ -77,7 +78,7 @@
     awaitReady(vertx);
     final List<Disturbance> plan = plan();
     SoakCallers callers =
-        new SoakCallers(vertx, platform, fronts, checker, lasting, settings.crashing(), seed);
+        new SoakCallers(vertx, platform, fronts, checker, lasting, settings, seed);
     Disturber disturber = new Disturber(vertx, platform, instances, callers, lasting);
     vertx.runOnContext(none -> callers.begin(settings.handInSpreadMillis()));
     if (settings.release()) {
@@ -110,6 +111,9 @@
     if (settings.release()) {
       return ReleasePlan.draw(seed, settings);
     }
+    if (settings.restarting()) {
+      return RestartPlan.draw(seed, settings);
+    }
     List<Disturbance> drawn =
         DisturbancePlan.draw(seed, settings.disturbances(), settings.loadMillis());
     if (settings.crashing()) {
--- a/measure/src/main/java/org/hickorypier/measure/soak/StandInPlatform.java
+++ b/measure/src/main/java/org/hickorypier/measure/soak/StandInPlatform.java
@@ -1,10 +1,14 @@
 package org.hickorypier.measure.soak;
 
 import io.vertx.core.Vertx;
+import io.vertx.core.json.JsonArray;
+import java.nio.charset.StandardCharsets;
+import java.util.Base64;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.stream.IntStream;
 import org.hickorypier.core.cell.CustomerLimits;
 import org.hickorypier.core.cluster.CustomerAccess;
 import org.hickorypier.core.model.Resources;
@@ -42,12 +46,17 @@
   private static final int PARTITIONS = 4;
   private static final int WEIGHT = 100;
   private static final long WORK_UNIT_MILLIS = 200;
+  private static final int DATA_CENTRES = 3;
+
+  /** Where instances write which of them owns the cell: epoch, address and strength. */
+  private static final String OWNERS = "keyed.hickorypier-directory";
 
   final InMemoryStore store = new InMemoryStore(PARTITIONS, new MonotonicClock());
   private final StandInOperator operator = new StandInOperator(store, HOST, PREFIX, QUEUE);
   final StoreServer storeServer;
   final GuaranteeChecker checker;
   final LastingTaskCheck lasting;
+  final long seed;
 
   /** The workers that are to stay; those that drain are not here any more. */
   final List<StandInWorker> workers = new CopyOnWriteArrayList<>();
@@ -58,8 +67,10 @@
   private int keysGiven;
   private int workersBegun;
 
-  StandInPlatform(Vertx vertx, int workerCount, GuaranteeChecker checker, LastingTaskCheck lasting)
+  StandInPlatform(
+      Vertx vertx, int workerCount, GuaranteeChecker checker, LastingTaskCheck lasting, long seed)
       throws SoakException {
+    this.seed = seed;
     this.vertx = vertx;
     this.checker = checker;
     this.lasting = lasting;
@@ -91,6 +102,24 @@
     }
   }
 
+  /** Returns the workers of a data centre, which are a third of all. */
+  List<StandInWorker> dataCentre(int index) {
+    return IntStream.range(0, workers.size())
+        .filter(worker -> worker % DATA_CENTRES == index % DATA_CENTRES)
+        .mapToObj(workers::get)
+        .toList();
+  }
+
+  /** Returns the address in the newest record of an owner, or an empty string. */
+  String ownerAddress() {
+    JsonArray records = store.newest(OWNERS, 0, null, 1).getJsonArray("items");
+    if (records.isEmpty()) {
+      return "";
+    }
+    byte[] value = Base64.getDecoder().decode(records.getJsonObject(0).getString("Value"));
+    return new String(value, StandardCharsets.UTF_8).split(" ")[1];
+  }
+
   ServiceAddress storeAddress() {
     return storeAddress;
   }
--- a/measure/src/main/java/org/hickorypier/measure/soak/StandInWorker.java
+++ b/measure/src/main/java/org/hickorypier/measure/soak/StandInWorker.java
@@ -1,10 +1,10 @@
 package org.hickorypier.measure.soak;
 
-import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.json.JsonObject;
 import java.util.Locale;
+import java.util.Random;
 import org.hickorypier.core.cell.RunEnd;
 import org.hickorypier.core.cell.RunKey;
 import org.hickorypier.core.cell.TaskName;
@@ -45,6 +45,14 @@
 
   private static final long CRASHED_MILLIS = 3_000;
 
+  /** Longer than the longest lease. */
+  private static final long SHORTEST_LONG_TASK_MILLIS = 11_000;
+
+  private static final int LONG_TASK_SPREAD_MILLIS = 5_000;
+
+  /** Well above the longest lease, so that the clocks of two lives are apart by many leases. */
+  private static final int LATEST_CLOCK_BASE_MILLIS = 2_000_000;
+
   /** A clock may be 2% slow. */
   private static final double SLOWEST_CLOCK = 0.98;
 
@@ -57,7 +65,8 @@
   private final long workUnitMillis;
   private ServiceAddress address;
   private InMemoryExecutor executor;
-  private ExecutorServer server;
+  private final ExecutorServer server;
+  private final Random clockBases;
   private volatile boolean failsAll;
   private long sequence;
   private long processors = StandInPlatform.WORKER.milliProcessors();
@@ -68,6 +77,8 @@
   private long staysUntil;
 
   StandInWorker(Vertx vertx, String id, StandInPlatform platform, long workUnitMillis) {
+    this.server = new ExecutorServer(vertx, null);
+    this.clockBases = new Random(platform.seed + id.hashCode());
     this.vertx = vertx;
     this.id = id;
     this.store = platform.store;
@@ -79,37 +90,44 @@
 
   void begin() throws SoakException {
     address = Waiting.forResult(proxy.listen());
-    Waiting.forResult(live());
+    HttpServer listening = Waiting.forResult(server.listen(0));
+    proxy.target(new ServiceAddress(LOOPBACK, listening.actualPort()));
+    live();
     vertx.setPeriodic(HEARTBEAT_MILLIS, timer -> heartbeat());
   }
 
-  /** Begins a life: nothing runs, and nothing is known of earlier ones. */
-  private synchronized Future<HttpServer> live() {
+  /** Begins a life: nothing runs, nothing is known of earlier ones, and its clock is its own. */
+  private synchronized void live() {
     long born = System.currentTimeMillis();
     long began = System.nanoTime();
+    long clockBase = clockBases.nextInt(LATEST_CLOCK_BASE_MILLIS);
     executor =
         new InMemoryExecutor(
             id,
             born,
             this::plan,
             new Record(born),
-            () -> (long) ((System.nanoTime() - began) / 1_000_000 * SLOWEST_CLOCK),
+            () -> clockBase + (long) ((System.nanoTime() - began) / 1_000_000 * SLOWEST_CLOCK),
             (millis, task) -> vertx.setTimer(Math.max(1, millis), timer -> task.run()));
     executor.changeProcessors(processors);
-    server = new ExecutorServer(vertx, executor);
-    return server
-        .listen(0)
-        .onSuccess(
-            listening -> {
-              proxy.target(new ServiceAddress(LOOPBACK, listening.actualPort()));
-              proxy.mode(ProxyMode.PASS);
-              up = true;
-              lasting.takesWork(id, StandInPlatform.WORKER);
-              heartbeat();
-            });
+    server.serve(executor);
+    proxy.mode(ProxyMode.PASS);
+    up = true;
+    lasting.takesWork(id, StandInPlatform.WORKER);
+    lasting.note(id + " is born at " + born + ", its clock is at " + clockBase);
+    heartbeat();
   }
 
+  /** Crashes and resets all connections. */
   synchronized void crash(long downMillis) {
+    if (up) {
+      proxy.mode(ProxyMode.REFUSE);
+      crashDark(downMillis);
+    }
+  }
+
+  /** Crashes without a sign; calls that were sent meanwhile reach the next life. */
+  synchronized void crashDark(long downMillis) {
     if (!up) {
       return;
     }
@@ -118,7 +136,7 @@
     checker.recordWorkerCrash(
         executor.runningTasks().stream().map(StandInWorker::taskName).toList());
     executor.crash();
-    proxy.mode(ProxyMode.REFUSE);
+    server.serve(null);
     vertx.setTimer(LAPSE_MILLIS, timer -> dropEntryWhileDown());
     vertx.setTimer(downMillis, timer -> live());
   }
@@ -188,6 +206,10 @@
     if (SoakCallers.crashesItsWorkers(task)) {
       return Workload.Planned.crashing(Math.floorMod(task.hashCode(), LATEST_CRASH_MILLIS));
     }
+    if (SoakCallers.takesLong(task)) {
+      int spread = Math.floorMod(task.hashCode(), LONG_TASK_SPREAD_MILLIS);
+      return new Workload.Planned(SHORTEST_LONG_TASK_MILLIS + spread, failsAll);
+    }
     // Lengths from one to four units, and the same at each try.
     return new Workload.Planned(workUnitMillis * (1 + Math.floorMod(task.hashCode(), 4)), failsAll);
   }
@@ -219,12 +241,14 @@
 
     @Override
     public void started(String task, int run) {
+      lasting.note("started on " + id + ": " + observed(task, run).key());
       checker.recordStart(observed(task, run));
       lasting.started(observed(task, run));
     }
 
     @Override
     public void ended(String task, int run, String how) {
+      lasting.note(how + " on " + id + ": " + observed(task, run).key());
       checker.recordEnd(observed(task, run), RunEnd.valueOf(how.toUpperCase(Locale.ROOT)));
       lasting.ended(observed(task, run));
     }
--- a/measure/src/test/java/org/hickorypier/measure/soak/DisturbancePlanTest.java
+++ b/measure/src/test/java/org/hickorypier/measure/soak/DisturbancePlanTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.nio.file.Path;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -51,6 +52,10 @@
     assertThat(seen).containsExactlyInAnyOrderElementsOf(DisturbanceKind.USUAL);
     seen.add(DisturbanceKind.RELEASE_WORKER);
     DisturbancePlan.drawShrinking(1, SPAN).forEach(next -> seen.add(next.kind()));
+    SoakSettings restarting = SoakSettings.restarting(Path.of("target", "soak"));
+    for (long seed = 1; seed <= 50; seed++) {
+      RestartPlan.draw(seed, restarting).forEach(next -> seen.add(next.kind()));
+    }
     assertThat(seen).containsExactlyInAnyOrder(DisturbanceKind.values());
   }
 }
