--- a/measure/src/main/java/org/hickorypier/measure/soak/SoakCallers.java
+++ b/measure/src/main/java/org/hickorypier/measure/soak/SoakCallers.java
@@ -14,6 +14,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Function;
 import org.hickorypier.core.cell.TaskName;
 import org.hickorypier.core.model.Resources;
 import org.hickorypier.core.submission.StepFlags;
@@ -50,11 +51,15 @@
   private static final int MOST_CRASHING = 3;
   private static final String CRASHING_PREFIX = "c";
 
-  /** Of a soak with restarted workers, each sixth submission takes longer than a lease. */
-  private static final int LONG_SHARE = 6;
+  /**
+   * Of a soak with restarted workers, each third submission has tasks that take longer than a
+   * lease.
+   */
+  private static final int LONG_SHARE = 3;
 
   private static final String LONG_PREFIX = "d";
   private static final long LONG_ESTIMATE_MILLIS = 12_000;
+  private static final Resources LONG_TASK = new Resources(1_000, 1_000, 0);
 
   private static final int MOST_LASTING = 8;
   private static final int LASTING_SPREAD_MILLIS = 2_000;
@@ -192,10 +197,10 @@
   }
 
   private SubmissionSpec spec(String id, String customer) {
-    long estimateMillis = takesLong(id) ? LONG_ESTIMATE_MILLIS : ESTIMATE_MILLIS;
-    StepSpec first = step(List.of(), estimateMillis);
+    Function<List<Integer>, StepSpec> step = takesLong(id) ? this::longStep : this::step;
+    StepSpec first = step.apply(List.of());
     List<StepSpec> steps =
-        random.nextInt(3) == 0 ? List.of(first, step(List.of(0), estimateMillis)) : List.of(first);
+        random.nextInt(3) == 0 ? List.of(first, step.apply(List.of(0))) : List.of(first);
     return new SubmissionSpec(id, customer, StandInPlatform.QUEUE, "text", steps, 0, 0, 0, 0);
   }
 
@@ -208,20 +213,19 @@
         id, StandInPlatform.LARGE, StandInPlatform.QUEUE, "text", List.of(step), 0, 0, 0, 0);
   }
 
-  private StepSpec step(List<Integer> dependsOn, long estimateMillis) {
+  private StepSpec step(List<Integer> dependsOn) {
     Resources each = new Resources(1_000 + 500L * random.nextInt(7), 1_000, 0);
+    return newStep(1 + random.nextInt(4), each, ESTIMATE_MILLIS, dependsOn);
+  }
+
+  private StepSpec longStep(List<Integer> dependsOn) {
+    return newStep(2 + random.nextInt(5), LONG_TASK, LONG_ESTIMATE_MILLIS, dependsOn);
+  }
+
+  private static StepSpec newStep(
+      int count, Resources each, long estimateMillis, List<Integer> dependsOn) {
     return new StepSpec(
-        1 + random.nextInt(4),
-        each,
-        estimateMillis,
-        dependsOn,
-        StepFlags.NONE,
-        "",
-        "",
-        0,
-        "",
-        0,
-        0);
+        count, each, estimateMillis, dependsOn, StepFlags.NONE, "", "", 0, "", 0, 0);
   }
 
   private void attempt(SubmissionSpec spec, int triesLeft, boolean allRefused) {
