Restarted workers of the soak are listed late, and cut off from the store

Cause: a worker that was back wrote its entry at once, and one that was cut off went on writing, so that owners always read the new entry before the cut.

Change: half of the workers that restart without a sign write their first entry with the next heartbeat, up to 1.5 s later; a worker that is cut off with its data centre does not reach the store, which drops its entry after three heartbeats; Sequence starts anew with each life.

--- a/measure/src/main/java/org/hickorypier/measure/soak/DisturbanceKind.java
+++ b/measure/src/main/java/org/hickorypier/measure/soak/DisturbanceKind.java
@@ -59,7 +59,7 @@
    * that were sent to them meanwhile reach the next incarnation.
    */
   RESTART_DATA_CENTRE,
-  /** No worker of a data centre can be reached, and they run on. */
+  /** No worker of a data centre can be reached, nor reach the store; they run on. */
   CUT_DATA_CENTRE,
   /** The owner is killed, and starts again after the length. */
   KILL_OWNER,
--- a/measure/src/main/java/org/hickorypier/measure/soak/Disturber.java
+++ b/measure/src/main/java/org/hickorypier/measure/soak/Disturber.java
@@ -97,11 +97,8 @@
           platform.release(disturbance.target() % platform.workers.size(), length);
       case RESTART_DATA_CENTRE ->
           platform.dataCentre(disturbance.target()).forEach(each -> each.crashDark(length));
-      case CUT_DATA_CENTRE -> {
-        for (StandInWorker each : platform.dataCentre(disturbance.target())) {
-          during(length, each.proxy, ProxyMode.SILENT);
-        }
-      }
+      case CUT_DATA_CENTRE ->
+          platform.dataCentre(disturbance.target()).forEach(each -> each.cutOff(length));
       case KILL_OWNER -> killed(List.of(owner(instance)), length);
       case PAUSE_OWNER -> {
         InstanceProcess owner = owner(instance);
--- a/measure/src/main/java/org/hickorypier/measure/soak/StandInWorker.java
+++ b/measure/src/main/java/org/hickorypier/measure/soak/StandInWorker.java
@@ -66,19 +66,23 @@
   private ServiceAddress address;
   private InMemoryExecutor executor;
   private final ExecutorServer server;
-  private final Random clockBases;
+  private final Random random;
   private volatile boolean failsAll;
   private long sequence;
   private long processors = StandInPlatform.WORKER.milliProcessors();
   private boolean up;
   private boolean draining;
+  private boolean cutOffFromStore;
+
+  /** Whether the present life, or the next one, writes its first entry with a later heartbeat. */
+  private boolean listedLate;
 
   /** Until when it has said that it stays at least, on the steady clock. */
   private long staysUntil;
 
   StandInWorker(Vertx vertx, String id, StandInPlatform platform, long workUnitMillis) {
     this.server = new ExecutorServer(vertx, null);
-    this.clockBases = new Random(platform.seed + id.hashCode());
+    this.random = new Random(platform.seed + id.hashCode());
     this.vertx = vertx;
     this.id = id;
     this.store = platform.store;
@@ -100,7 +104,7 @@
   private synchronized void live() {
     long born = System.currentTimeMillis();
     long began = System.nanoTime();
-    long clockBase = clockBases.nextInt(LATEST_CLOCK_BASE_MILLIS);
+    long clockBase = random.nextInt(LATEST_CLOCK_BASE_MILLIS);
     executor =
         new InMemoryExecutor(
             id,
@@ -112,25 +116,37 @@
     executor.changeProcessors(processors);
     server.serve(executor);
     proxy.mode(ProxyMode.PASS);
+    cutOffFromStore = false;
+    sequence = 0;
     up = true;
     lasting.takesWork(id, StandInPlatform.WORKER);
     lasting.note(id + " is born at " + born + ", its clock is at " + clockBase);
-    heartbeat();
+    if (!listedLate) {
+      heartbeat();
+    }
   }
 
   /** Crashes and resets all connections. */
   synchronized void crash(long downMillis) {
     if (up) {
       proxy.mode(ProxyMode.REFUSE);
-      crashDark(downMillis);
+      listedLate = false;
+      end(downMillis);
     }
   }
 
-  /** Crashes without a sign; calls that were sent meanwhile reach the next life. */
+  /**
+   * Crashes without a sign; calls that were sent meanwhile reach the next life, which writes its
+   * entry at once or with the next heartbeat.
+   */
   synchronized void crashDark(long downMillis) {
-    if (!up) {
-      return;
+    if (up) {
+      listedLate = random.nextBoolean();
+      end(downMillis);
     }
+  }
+
+  private void end(long downMillis) {
     up = false;
     lasting.takesNoWork(id);
     checker.recordWorkerCrash(
@@ -157,8 +173,22 @@
     heartbeat();
   }
 
+  /** Cannot be reached for some time, nor reach the store, and runs on. */
+  synchronized void cutOff(long millis) {
+    cutOffFromStore = true;
+    proxy.mode(ProxyMode.SILENT);
+    vertx.setTimer(LAPSE_MILLIS, timer -> dropEntryWhileDown());
+    vertx.setTimer(millis, timer -> reconnect());
+  }
+
+  private synchronized void reconnect() {
+    cutOffFromStore = false;
+    proxy.mode(ProxyMode.PASS);
+    heartbeat();
+  }
+
   private synchronized void dropEntryWhileDown() {
-    if (!up) {
+    if (!up || cutOffFromStore) {
       store.put(ENTRIES, id, null);
     }
   }
@@ -215,7 +245,7 @@
   }
 
   private synchronized void heartbeat() {
-    if (up) {
+    if (up && !cutOffFromStore) {
       JsonObject entry = executor.entry(StandInPlatform.SERVICE, "" + address);
       entry.put("Sequence", ++sequence);
       if (draining) {
