--- a/measure/src/main/java/org/hickorypier/measure/soak/SoakCallers.java
+++ b/measure/src/main/java/org/hickorypier/measure/soak/SoakCallers.java
@@ -14,6 +14,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Function;
 import org.hickorypier.core.cell.TaskName;
 import org.hickorypier.core.model.Resources;
 import org.hickorypier.core.submission.StepFlags;
@@ -39,6 +40,8 @@
   private static final int MOST_TRIES = 5;
   private static final long ASK_MILLIS = 400;
 
+  private static final long ESTIMATE_MILLIS = 500;
+
   /** One submission in eight is cancelled. */
   private static final int CANCEL_SHARE = 8;
 
@@ -48,6 +51,16 @@
   private static final int MOST_CRASHING = 3;
   private static final String CRASHING_PREFIX = "c";
 
+  /**
+   * Of a soak with restarted workers, each third submission has tasks that take longer than a
+   * lease.
+   */
+  private static final int LONG_SHARE = 3;
+
+  private static final String LONG_PREFIX = "d";
+  private static final long LONG_ESTIMATE_MILLIS = 12_000;
+  private static final Resources LONG_TASK = new Resources(1_000, 1_000, 0);
+
   private static final int MOST_LASTING = 8;
   private static final int LASTING_SPREAD_MILLIS = 2_000;
 
@@ -79,7 +92,7 @@
   private int accepted;
   private int refused;
   private int lastingHandedIn;
-  private final boolean withCrashingTasks;
+  private final SoakSettings settings;
   private boolean handingIn = true;
   private boolean stopped;
 
@@ -89,9 +102,9 @@
       List<ServiceAddress> fronts,
       GuaranteeChecker checker,
       LastingTaskCheck lasting,
-      boolean withCrashingTasks,
+      SoakSettings settings,
       long seed) {
-    this.withCrashingTasks = withCrashingTasks;
+    this.settings = settings;
     this.vertx = vertx;
     this.calls = new PooledHttpClient(vertx, CONNECTIONS);
     this.platform = platform;
@@ -113,10 +126,20 @@
   private String nextId() {
     int number = ++handedIn;
     boolean crashing =
-        withCrashingTasks
+        settings.crashing()
             && number % CRASHING_SHARE == 0
             && number <= CRASHING_SHARE * MOST_CRASHING;
-    return crashing ? CRASHING_PREFIX + "%015x".formatted(number) : "%016x".formatted(number);
+    if (crashing) {
+      return CRASHING_PREFIX + "%015x".formatted(number);
+    }
+    return settings.restarting() && number % LONG_SHARE == 0
+        ? LONG_PREFIX + "%015x".formatted(number)
+        : "%016x".formatted(number);
+  }
+
+  /** Tells whether a task takes longer than the longest lease. */
+  static boolean takesLong(String task) {
+    return task.startsWith(LONG_PREFIX);
   }
 
   /** Tells whether a task crashes the workers that start it: the first of its submission. */
@@ -160,8 +183,8 @@
   }
 
   private void handIn(String id) {
-    String customer = random.nextBoolean() ? StandInPlatform.SMALL : StandInPlatform.LARGE;
-    handIn(spec(id, customer));
+    boolean small = random.nextBoolean() && !takesLong(id);
+    handIn(spec(id, small ? StandInPlatform.SMALL : StandInPlatform.LARGE));
   }
 
   private void handIn(SubmissionSpec spec) {
@@ -174,9 +197,10 @@
   }
 
   private SubmissionSpec spec(String id, String customer) {
-    StepSpec first = step(List.of());
+    Function<List<Integer>, StepSpec> step = takesLong(id) ? this::longStep : this::step;
+    StepSpec first = step.apply(List.of());
     List<StepSpec> steps =
-        random.nextInt(3) == 0 ? List.of(first, step(List.of(0))) : List.of(first);
+        random.nextInt(3) == 0 ? List.of(first, step.apply(List.of(0))) : List.of(first);
     return new SubmissionSpec(id, customer, StandInPlatform.QUEUE, "text", steps, 0, 0, 0, 0);
   }
 
@@ -191,8 +215,17 @@
 
   private StepSpec step(List<Integer> dependsOn) {
     Resources each = new Resources(1_000 + 500L * random.nextInt(7), 1_000, 0);
+    return newStep(1 + random.nextInt(4), each, ESTIMATE_MILLIS, dependsOn);
+  }
+
+  private StepSpec longStep(List<Integer> dependsOn) {
+    return newStep(2 + random.nextInt(5), LONG_TASK, LONG_ESTIMATE_MILLIS, dependsOn);
+  }
+
+  private static StepSpec newStep(
+      int count, Resources each, long estimateMillis, List<Integer> dependsOn) {
     return new StepSpec(
-        1 + random.nextInt(4), each, 500, dependsOn, StepFlags.NONE, "", "", 0, "", 0, 0);
+        count, each, estimateMillis, dependsOn, StepFlags.NONE, "", "", 0, "", 0, 0);
   }
 
   private void attempt(SubmissionSpec spec, int triesLeft, boolean allRefused) {
--- a/measure/src/main/java/org/hickorypier/measure/soak/StandInWorker.java
+++ b/measure/src/main/java/org/hickorypier/measure/soak/StandInWorker.java
@@ -1,10 +1,10 @@
 package org.hickorypier.measure.soak;
 
-import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.json.JsonObject;
 import java.util.Locale;
+import java.util.Random;
 import org.hickorypier.core.cell.RunEnd;
 import org.hickorypier.core.cell.RunKey;
 import org.hickorypier.core.cell.TaskName;
@@ -45,6 +45,14 @@
 
   private static final long CRASHED_MILLIS = 3_000;
 
+  /** Longer than the longest lease. */
+  private static final long SHORTEST_LONG_TASK_MILLIS = 11_000;
+
+  private static final int LONG_TASK_SPREAD_MILLIS = 5_000;
+
+  /** Well above the longest lease, so that the clocks of two lives are apart by many leases. */
+  private static final int LATEST_CLOCK_BASE_MILLIS = 2_000_000;
+
   /** A clock may be 2% slow. */
   private static final double SLOWEST_CLOCK = 0.98;
 
@@ -57,17 +65,24 @@
   private final long workUnitMillis;
   private ServiceAddress address;
   private InMemoryExecutor executor;
-  private ExecutorServer server;
+  private final ExecutorServer server;
+  private final Random random;
   private volatile boolean failsAll;
   private long sequence;
   private long processors = StandInPlatform.WORKER.milliProcessors();
   private boolean up;
   private boolean draining;
+  private boolean cutOffFromStore;
+
+  /** Whether the present life, or the next one, writes its first entry with a later heartbeat. */
+  private boolean listedLate;
 
   /** Until when it has said that it stays at least, on the steady clock. */
   private long staysUntil;
 
   StandInWorker(Vertx vertx, String id, StandInPlatform platform, long workUnitMillis) {
+    this.server = new ExecutorServer(vertx, null);
+    this.random = new Random(platform.seed + id.hashCode());
     this.vertx = vertx;
     this.id = id;
     this.store = platform.store;
@@ -79,46 +94,65 @@
 
   void begin() throws SoakException {
     address = Waiting.forResult(proxy.listen());
-    Waiting.forResult(live());
+    HttpServer listening = Waiting.forResult(server.listen(0));
+    proxy.target(new ServiceAddress(LOOPBACK, listening.actualPort()));
+    live();
     vertx.setPeriodic(HEARTBEAT_MILLIS, timer -> heartbeat());
   }
 
-  /** Begins a life: nothing runs, and nothing is known of earlier ones. */
-  private synchronized Future<HttpServer> live() {
+  /** Begins a life: nothing runs, nothing is known of earlier ones, and its clock is its own. */
+  private synchronized void live() {
     long born = System.currentTimeMillis();
     long began = System.nanoTime();
+    long clockBase = random.nextInt(LATEST_CLOCK_BASE_MILLIS);
     executor =
         new InMemoryExecutor(
             id,
             born,
             this::plan,
             new Record(born),
-            () -> (long) ((System.nanoTime() - began) / 1_000_000 * SLOWEST_CLOCK),
+            () -> clockBase + (long) ((System.nanoTime() - began) / 1_000_000 * SLOWEST_CLOCK),
             (millis, task) -> vertx.setTimer(Math.max(1, millis), timer -> task.run()));
     executor.changeProcessors(processors);
-    server = new ExecutorServer(vertx, executor);
-    return server
-        .listen(0)
-        .onSuccess(
-            listening -> {
-              proxy.target(new ServiceAddress(LOOPBACK, listening.actualPort()));
-              proxy.mode(ProxyMode.PASS);
-              up = true;
-              lasting.takesWork(id, StandInPlatform.WORKER);
-              heartbeat();
-            });
+    server.serve(executor);
+    proxy.mode(ProxyMode.PASS);
+    cutOffFromStore = false;
+    sequence = 0;
+    up = true;
+    lasting.takesWork(id, StandInPlatform.WORKER);
+    lasting.note(id + " is born at " + born + ", its clock is at " + clockBase);
+    if (!listedLate) {
+      heartbeat();
+    }
   }
 
+  /** Crashes and resets all connections. */
   synchronized void crash(long downMillis) {
-    if (!up) {
-      return;
+    if (up) {
+      proxy.mode(ProxyMode.REFUSE);
+      listedLate = false;
+      end(downMillis);
+    }
+  }
+
+  /**
+   * Crashes without a sign; calls that were sent meanwhile reach the next life, which writes its
+   * entry at once or with the next heartbeat.
+   */
+  synchronized void crashDark(long downMillis) {
+    if (up) {
+      listedLate = random.nextBoolean();
+      end(downMillis);
     }
+  }
+
+  private void end(long downMillis) {
     up = false;
     lasting.takesNoWork(id);
     checker.recordWorkerCrash(
         executor.runningTasks().stream().map(StandInWorker::taskName).toList());
     executor.crash();
-    proxy.mode(ProxyMode.REFUSE);
+    server.serve(null);
     vertx.setTimer(LAPSE_MILLIS, timer -> dropEntryWhileDown());
     vertx.setTimer(downMillis, timer -> live());
   }
@@ -139,8 +173,22 @@
     heartbeat();
   }
 
+  /** Cannot be reached for some time, nor reach the store, and runs on. */
+  synchronized void cutOff(long millis) {
+    cutOffFromStore = true;
+    proxy.mode(ProxyMode.SILENT);
+    vertx.setTimer(LAPSE_MILLIS, timer -> dropEntryWhileDown());
+    vertx.setTimer(millis, timer -> reconnect());
+  }
+
+  private synchronized void reconnect() {
+    cutOffFromStore = false;
+    proxy.mode(ProxyMode.PASS);
+    heartbeat();
+  }
+
   private synchronized void dropEntryWhileDown() {
-    if (!up) {
+    if (!up || cutOffFromStore) {
       store.put(ENTRIES, id, null);
     }
   }
@@ -188,12 +236,16 @@
     if (SoakCallers.crashesItsWorkers(task)) {
       return Workload.Planned.crashing(Math.floorMod(task.hashCode(), LATEST_CRASH_MILLIS));
     }
+    if (SoakCallers.takesLong(task)) {
+      int spread = Math.floorMod(task.hashCode(), LONG_TASK_SPREAD_MILLIS);
+      return new Workload.Planned(SHORTEST_LONG_TASK_MILLIS + spread, failsAll);
+    }
     // Lengths from one to four units, and the same at each try.
     return new Workload.Planned(workUnitMillis * (1 + Math.floorMod(task.hashCode(), 4)), failsAll);
   }
 
   private synchronized void heartbeat() {
-    if (up) {
+    if (up && !cutOffFromStore) {
       JsonObject entry = executor.entry(StandInPlatform.SERVICE, "" + address);
       entry.put("Sequence", ++sequence);
       if (draining) {
@@ -219,12 +271,14 @@
 
     @Override
     public void started(String task, int run) {
+      lasting.note("started on " + id + ": " + observed(task, run).key());
       checker.recordStart(observed(task, run));
       lasting.started(observed(task, run));
     }
 
     @Override
     public void ended(String task, int run, String how) {
+      lasting.note(how + " on " + id + ": " + observed(task, run).key());
       checker.recordEnd(observed(task, run), RunEnd.valueOf(how.toUpperCase(Locale.ROOT)));
       lasting.ended(observed(task, run));
     }
