Held runs and grants across several owners; renewals of drained workers

- A drained worker without runs was called without a pause: its renewals ask for no lease, and such calls did not wait.
- A successor forgot a removed worker that its predecessor had granted a lease; it counts those grants from the takeover.
- The roster told a stale time for held runs once the lease was over, so each takeover held them anew.
- One missing answer of a restarted worker without a lease counted as the loss of its runs.
- A successor kept the evidence of a loss against a run that it found active; the next run was announced while the run was held, and counted as unseen after a takeover; a second loss of the same run was not recorded.
- The roster was written each second for 23.5 s after a worker was removed, and kept the last one for ever.

Besides, by reading: the clock in a refusal (409) is used too, and the final roster of the former owner ends the wait for its calls.

--- a/core/src/main/java/org/hickorypier/core/cell/CrashTracker.java
+++ b/core/src/main/java/org/hickorypier/core/cell/CrashTracker.java
@@ -96,7 +96,9 @@
     suspects.addAll(runNumbers.keySet());
     for (Task unit : runNumbers.keySet()) {
       cell.recordChange(unit.step.submission);
-      announceNextRun(unit, now);
+      if (crashed) {
+        announceNextRun(unit, now);
+      }
     }
     if (!seenAgain && !runNumbers.isEmpty()) {
       lostWorkers.add(worker, lostAt, runNumbers);
@@ -199,9 +201,20 @@
     cell.dirty = true;
   }
 
+  /** Announces the next runs of the tasks of lost runs that can no longer be active. */
+  void handleExpiry(Collection<Run> expired, long now) {
+    for (Run run : expired) {
+      if (countsAsLost(run) && run.task.crashUnit().crashes != null) {
+        announceNextRun(run.task.crashUnit(), now);
+      }
+    }
+  }
+
   /** Records that a run whose loss was recorded is active. */
   void withdrawLoss(Run run) {
-    if (run.task != null && run.task.crashUnit().crashes != null) {
+    run.lossCounted = false;
+    CrashHistory crashes = run.task == null ? null : run.task.crashUnit().crashes;
+    if (crashes != null && crashes.has(run.key.number())) {
       withdraw(run.task.crashUnit(), run.key.number());
     }
   }
@@ -277,7 +290,7 @@
                 || unit.crashes.isEmpty());
     for (Task unit : new ArrayList<>(suspects)) {
       Run run = unit.currentRun;
-      boolean mayBeActive = run != null && run.lossRecorded;
+      boolean mayBeActive = run != null && run.lossCounted;
       if (!mayBeActive && cell.crashVerdict(unit, now) == CrashVerdict.GIVE_UP) {
         crashingTasks.giveUp(unit, now);
       } else if (hasRunSoundly(unit, now)) {
--- a/core/src/main/java/org/hickorypier/core/cell/RemovedWorkers.java
+++ b/core/src/main/java/org/hickorypier/core/cell/RemovedWorkers.java
@@ -26,7 +26,7 @@
   private final Map<String, Removed> byId = new HashMap<>();
 
   /**
-   * Adds a worker that may have runs no more.
+   * Adds a worker that can no longer have runs.
    *
    * @param leasesEnd when every lease that a call to it may grant has expired, on the owner's
    *     monotonic clock, in milliseconds
@@ -42,14 +42,9 @@
     return byId.containsKey(id);
   }
 
-  /** Forgets the workers of which every lease has expired. */
-  void expire(long now) {
-    byId.values().removeIf(removed -> removed.leasesEnd() <= now);
-  }
-
-  /** Returns whether there is none. */
-  boolean isEmpty() {
-    return byId.isEmpty();
+  /** Forgets the workers of which every lease has expired, and returns whether there were any. */
+  boolean expire(long now) {
+    return byId.values().removeIf(removed -> removed.leasesEnd() <= now);
   }
 
   /** Returns the entries for the roster, with the time for which such leases may last. */
--- a/core/src/main/java/org/hickorypier/core/cell/RosterEntry.java
+++ b/core/src/main/java/org/hickorypier/core/cell/RosterEntry.java
@@ -13,7 +13,8 @@
  * @param closedAfter the number of the last submission of which the worker may have runs, since it
  *     gets no more orders; {@link #OPEN} while it may get orders
  * @param leaseMillis how long after the writing of this entry a lease of the worker may last, in
- *     milliseconds; {@link #RENEWED} while the writer continues to renew it
+ *     milliseconds, apart from that of the unheard runs; {@link #RENEWED} while the writer
+ *     continues to renew it
  * @param runs all runs that the worker may have; empty if the writer does not list them
  * @param formerLeaseMillis how long after the writing of this entry a lease may last that the
  *     worker has taken from a call to a former incarnation, in milliseconds; 0 if there is none
--- a/core/src/main/java/org/hickorypier/core/cell/RosterWriter.java
+++ b/core/src/main/java/org/hickorypier/core/cell/RosterWriter.java
@@ -123,11 +123,8 @@
   }
 
   private boolean hasExpiringLease(long now) {
-    if (!cell.removedWorkers.isEmpty()) {
-      return true;
-    }
     for (WorkerView worker : cell.workers.values()) {
-      boolean expiring = worker.leaseExpiringOnRoster && worker.leaseEnd() > now;
+      boolean expiring = worker.leaseExpiringOnRoster && cell.remainingLeaseMillis(worker, now) > 0;
       if (!worker.retired && (expiring || worker.formerLeaseMillis(now) > 0)) {
         return true;
       }
--- a/core/src/main/java/org/hickorypier/core/cell/Run.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Run.java
@@ -45,7 +45,10 @@
   /** Whether a report of the worker has listed the run, so that its incarnation is known. */
   boolean reported;
 
-  /** Whether a copy of the start order had no answer from the incarnation it was sent to. */
+  /**
+   * Whether a copy of the start order had no answer from the incarnation that it was sent to, so
+   * that a later one may carry it out.
+   */
   boolean unanswered;
 
   /** When the last such copy was given up; it may be carried out later. */
@@ -63,8 +66,8 @@
    */
   long unheardEnd;
 
-  /** Whether the loss of the run with its worker was recorded; it may be active all the same. */
-  boolean lossRecorded;
+  /** Whether the run counts as lost with its worker; it may be active all the same. */
+  boolean lossCounted;
 
   int percent = -1;
 
--- a/core/src/main/java/org/hickorypier/core/cell/RunController.java
+++ b/core/src/main/java/org/hickorypier/core/cell/RunController.java
@@ -91,7 +91,10 @@
         "start-not-confirmed", run.key, run.worker, "outcome", outcome, "copies", run.orderCopies);
     switch (outcome) {
       case UNKNOWN -> handleMissingAnswer(run, now);
-      case OLD -> run.confirmedAt = now;
+      case OLD -> {
+        attribute(run, answer.clockMillis(), now);
+        run.confirmedAt = now;
+      }
       default -> handleRefusal(run, outcome, now);
     }
     cell.dirty = true;
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerRegistry.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerRegistry.java
@@ -52,6 +52,8 @@
       worker.formerLeaseOnRoster = restored.formerLeaseMillis() > 0;
       worker.mayTakeFormerCalls = worker.formerLeaseOnRoster;
       worker.runsUnknown = restored.runs().isEmpty();
+      worker.expectGrantsUntil(
+          cell.takenOverAt + (restored.renewed() ? cell.timings.ownershipProofMillis() : 0));
       cell.workers.put(entry.id(), worker);
       for (RunKey run : restored.runs().orElse(List.of())) {
         adoption.adoptListed(worker, run, cell.takenOverAt);
@@ -161,7 +163,9 @@
   }
 
   private void removeLostWorkers(long now) {
-    cell.removedWorkers.expire(now);
+    if (cell.removedWorkers.expire(now)) {
+      roster.markStale();
+    }
     Set<String> goneIds = new HashSet<>();
     for (WorkerView worker : cell.workers.values()) {
       if (worker.silent && worker.departed) {
@@ -188,11 +192,11 @@
    * the runs once none of them can be active on a later incarnation either.
    */
   private void loseRuns(WorkerView worker, long now) {
-    if (now > worker.grantedLeaseEnd()) {
-      List<Run> lost = worker.runs.values().stream().filter(run -> !run.lossRecorded).toList();
+    if (now > worker.grantedLeaseEnd() && worker.isSilentForLong(now)) {
+      List<Run> lost = worker.runs.values().stream().filter(run -> !run.lossCounted).toList();
       if (!lost.isEmpty()) {
         crashTracker.handleLoss(worker, lost, "lease-expired", worker.lostAt(now), false, now);
-        lost.forEach(run -> run.lossRecorded = true);
+        lost.forEach(run -> run.lossCounted = true);
       }
     }
     List<Run> expired =
@@ -200,6 +204,7 @@
             .filter(run -> now > worker.runEnd(run, cell.timings, now))
             .toList();
     if (!expired.isEmpty()) {
+      crashTracker.handleExpiry(expired, now);
       runs.handleLeaseExpiry(worker, expired, now);
     }
   }
@@ -281,6 +286,7 @@
     entries.forEach(entry -> byWorker.put(entry.worker().id(), entry));
     for (WorkerView worker : cell.workers.values()) {
       if (!worker.hasAnswered) {
+        worker.limitUnheardLeases(now + cell.timings.longestFormerLeaseMillis());
         RosterEntry entry = byWorker.get(worker.id());
         if (entry == null) {
           // A worker without runs may still hold a lease.
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerReportHandler.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerReportHandler.java
@@ -43,6 +43,7 @@
     if (worker.bornMillis() != report.bornMillis()) {
       handleNewIncarnation(worker, report, now);
     } else {
+      worker.runs.values().forEach(run -> run.lossCounted = false);
       worker.recordAnsweredToken(sentAt, cell.timings, now);
     }
     if (!worker.hasAnswered) {
@@ -132,10 +133,7 @@
       runs.confirm(run, now);
     }
     run.reported = true;
-    if (run.lossRecorded) {
-      run.lossRecorded = false;
-      crashTracker.withdrawLoss(run);
-    }
+    crashTracker.withdrawLoss(run);
     run.percent = running.percent();
     stragglerDetector.recordProgress(run, running.percent(), clock, now);
     if (run.task != null && !running.checkpoint().isEmpty()) {
@@ -160,7 +158,7 @@
   private void handleMissing(WorkerView worker, Map<Run, String> missing, long now) {
     List<Run> lost =
         missing.keySet().stream()
-            .filter(run -> run.workerBornMillis < worker.bornMillis() && !run.lossRecorded)
+            .filter(run -> run.workerBornMillis < worker.bornMillis() && !run.lossCounted)
             .toList();
     if (!lost.isEmpty()) {
       crashTracker.handleLoss(worker, lost, "worker-reborn", worker.previousLostAt, true, now);
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
@@ -397,6 +397,11 @@
     }
   }
 
+  /** Records that no former owner sends calls any more, so that such leases end by then. */
+  void limitUnheardLeases(long end) {
+    unheardLeasesEnd = Math.min(unheardLeasesEnd, end);
+  }
+
   /**
    * Returns when every lease has expired that an incarnation which nobody has heard of may have
    * taken from calls that were in transit when the worker fell silent.
@@ -441,6 +446,11 @@
     lastGrantAt = now;
   }
 
+  /** Records that a former owner may have sent such calls until then. */
+  void expectGrantsUntil(long time) {
+    lastGrantAt = Math.max(lastGrantAt, time);
+  }
+
   /**
    * Returns when every lease has expired that a later incarnation may take from a call to this one,
    * or this one from a call to a former one.
@@ -522,8 +532,11 @@
    *     a report only
    */
   public long nextDeadline(long now, long leaseMillis) {
-    boolean unneeded = !isOpen() && isEmpty();
-    if (clockReading == NO_READING || !answeredRecently(now) || silent || !renewable || unneeded) {
+    if (clockReading == NO_READING
+        || !answeredRecently(now)
+        || silent
+        || !renewable
+        || needsNoLease()) {
       lastRenewalDeadline = -1;
       return -1;
     }
@@ -541,7 +554,10 @@
     return Math.max(grantedLeaseEnd(), formerLeasesEnd);
   }
 
-  /** Returns the same without leases that it may have taken from calls to former incarnations. */
+  /**
+   * Returns when every lease that was granted to that incarnation has expired, apart from those
+   * that it may have taken from calls to former incarnations.
+   */
   long grantedLeaseEnd() {
     if (clockReading == NO_READING || highestDeadline <= clockReading) {
       return Math.max(clockReadAt, earlierLeasesEnd);
@@ -645,6 +661,15 @@
     return hasAnswered && !silent && !renewable;
   }
 
+  /**
+   * Returns whether the worker has no runs and gets no orders.
+   *
+   * @return true if its renewals request a report only
+   */
+  public boolean needsNoLease() {
+    return hasAnswered && !silent && !isOpen() && isEmpty();
+  }
+
   /** Returns whether nothing runs on the worker and no order to it is in transit. */
   boolean isEmpty() {
     return runs.isEmpty()
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/LeaseRenewer.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/LeaseRenewer.java
@@ -167,7 +167,7 @@
     }
     // No lease can be requested without a reading of the worker's clock, so the first answer is
     // wanted at once.
-    return deadline < 0
+    return deadline < 0 && !worker.needsNoLease()
         ? 0
         : RenewalInterval.waitMillis(cell.workerCount(), dependencies.linkBytesPerSecond());
   }
--- a/daemon/src/test/java/org/hickorypier/daemon/owner/LeaseRenewerTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/owner/LeaseRenewerTest.java
@@ -140,11 +140,17 @@
 
   private LeaseRenewer renewer(String address, EventLog log) {
     CellTimings timings = CellTimings.of(10_000, 3_000, 60_000);
-    Cell cell = new Cell(timings, new NoOutput(), log, 1, timers.nowMillis());
     WorkerEntry entry =
         new WorkerEntry("w", "service", address, false, 0, Resources.NONE, List.of("k", "r"), 1);
-    cell.restoreRoster(
-        List.of(new RosterEntry(entry, RosterEntry.OPEN, RosterEntry.RENEWED, Optional.empty())));
+    return renewer(
+        new RosterEntry(entry, RosterEntry.OPEN, RosterEntry.RENEWED, Optional.empty()),
+        timings,
+        log);
+  }
+
+  private LeaseRenewer renewer(RosterEntry restored, CellTimings timings, EventLog log) {
+    Cell cell = new Cell(timings, new NoOutput(), log, 1, timers.nowMillis());
+    cell.restoreRoster(List.of(restored));
     OwnerDependencies dependencies =
         new OwnerDependencies(
             null,
@@ -168,6 +174,51 @@
         new NoEvents());
   }
 
+  /** Guards against calls without a pause to a drained worker, which gets no lease. */
+  @Test
+  void renewalOfDrainedWorkerWaitsForEnds() throws Exception {
+    Context control = vertx.getOrCreateContext();
+    Promise<Long> waitOfSecondCall = Promise.promise();
+    HttpServer worker =
+        vertx
+            .createHttpServer()
+            .requestHandler(
+                request ->
+                    request
+                        .body()
+                        .onSuccess(
+                            body -> {
+                              calls++;
+                              if (calls == 2) {
+                                waitOfSecondCall.complete(body.toJsonObject().getLong("WaitMs"));
+                              }
+                              request.response().end("{\"ClockMs\":1,\"born\":1}");
+                            }))
+            .listen(0, LOOPBACK)
+            .toCompletionStage()
+            .toCompletableFuture()
+            .get(TEST_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    String address = LOOPBACK + ":" + worker.actualPort();
+    WorkerEntry drained =
+        new WorkerEntry("w", "service", address, true, 0, Resources.NONE, List.of("k", "r"), 1);
+    control.runOnContext(
+        none -> {
+          renewer(
+                  new RosterEntry(drained, 0, RosterEntry.RENEWED, Optional.of(List.of())),
+                  CellTimings.of(10_000, 3_000, 60_000),
+                  (part, event, fields) -> {})
+              .renew();
+          vertx.setPeriodic(5, id -> control.runOnContext(tick -> timers.advance(RETRY_DELAY)));
+        });
+    assertThat(
+            waitOfSecondCall
+                .future()
+                .toCompletionStage()
+                .toCompletableFuture()
+                .get(TEST_TIMEOUT_SECONDS, TimeUnit.SECONDS))
+        .isPositive();
+  }
+
   /** Guards against a worker whose lease expires since one of its reports could not be applied. */
   @Test
   void renewalFollowsReportThatCannotBeApplied() throws Exception {
