--- a/core/src/test/java/org/hickorypier/core/cell/UnheardIncarnationTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/UnheardIncarnationTest.java
@@ -163,7 +163,7 @@
   @Test
   void removedWorkerDoesNotCauseRosterWriteEachSecond() {
     WorkerView worker = fixture.addWorker("w");
-    WorkerView staying = fixture.addWorker("staying");
+    final WorkerView staying = fixture.addWorker("staying");
     fixture.unlistWorker("w");
     fixture.cell.renewalUnanswered(worker, fixture.now);
     fixture.cell.workersDeparted(List.of("w"), fixture.now);
@@ -190,7 +190,7 @@
   @Test
   void forgottenWorkerLeavesRoster() {
     WorkerView worker = fixture.addWorker("w");
-    WorkerView staying = fixture.addWorker("staying");
+    final WorkerView staying = fixture.addWorker("staying");
     fixture.unlistWorker("w");
     fixture.cell.renewalUnanswered(worker, fixture.now);
     fixture.cell.workersDeparted(List.of("w"), fixture.now);
