A run whose order is in transit outlasts the departure of its worker

Cause: when a worker had left as announced, all its runs were removed at once, with the orders that had no answer.

Change: such runs are held as those of any silent worker.

--- a/core/src/main/java/org/hickorypier/core/cell/RunController.java
+++ b/core/src/main/java/org/hickorypier/core/cell/RunController.java
@@ -348,15 +348,20 @@
     expired.forEach(run -> removeRun(run, now));
   }
 
-  /** Removes all runs of a worker that has left, including start orders without an answer. */
+  /**
+   * Removes the runs of a worker that has left, but not those whose orders are in transit: a later
+   * incarnation under the same id may carry them out.
+   */
   void handleDeparture(WorkerView worker, long now) {
     cell.workerEvent("worker-left", worker, "runs", worker.runs.size());
     worker.departed = false;
     worker.runsUnknown = false;
-    worker.unansweredOrders.clear();
-    worker.runsToRefuse.clear();
     for (Run run : CellState.copy(worker.runs.values())) {
-      removeRun(run, now);
+      if (!run.hasOrderInTransit()) {
+        removeRun(run, now);
+      }
     }
+    worker.unansweredOrders.keySet().retainAll(worker.runs.keySet());
+    worker.runsToRefuse.clear();
   }
 }
--- a/core/src/test/java/org/hickorypier/core/cell/UnheardIncarnationTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/UnheardIncarnationTest.java
@@ -251,4 +251,19 @@
     assertThat(entry.unheardRuns().runs()).hasSize(1);
     assertThat(entry.unheardRuns().leaseMillis()).isLessThan(3_000);
   }
+
+  /** Guards against a second run beside an order in transit to a worker that has left. */
+  @Test
+  void departedWorkerKeepsRunWithOrderInTransit() {
+    Run run = orderOnWorker(fixture.addWorker("w"));
+    WorkerView worker = run.worker();
+    final WorkerView staying = fixture.addWorker("staying");
+    fixture.cell.startAnswered(run, StartAnswer.MISSING, fixture.now);
+    fixture.unlistWorker("w");
+    fixture.cell.renewalUnanswered(worker, fixture.now);
+    fixture.cell.workersDeparted(List.of("w"), fixture.now);
+    int starts = fixture.starts.size();
+    advance(fixture, staying, 1_000);
+    assertThat(fixture.starts).hasSize(starts);
+  }
 }
