A younger incarnation's clock is told from that of the former one

Cause: the clock in an answer to a start order passed as that of the incarnation addressed if it was up to 300 ms behind.

Change: the clock may lag by the documented 2% over the 3 s for which a reading counts, 60 ms, and no more.

--- a/core/src/main/java/org/hickorypier/core/cell/CellTimings.java
+++ b/core/src/main/java/org/hickorypier/core/cell/CellTimings.java
@@ -75,6 +75,15 @@
   /** An order that has no answer after this time has been given up. */
   static final long MAX_ANSWER_WAIT_MILLIS = 2_000;
 
+  /** Upper bound of the delay with which a reading of a worker's clock arrives. */
+  static final long MAX_READING_DELAY_MILLIS = 2_000;
+
+  /**
+   * Most that a worker's clock may lag behind its last reading and the time since, for 3 s at the
+   * lowest rate. A later incarnation's clock may begin anew, so it is behind by its age.
+   */
+  static final long MAX_CLOCK_LAG_MILLIS = 60;
+
   /** Covers rounding and network delay when the end of a lease is calculated. */
   static final long LEASE_MARGIN_MILLIS = 300;
 
--- a/core/src/main/java/org/hickorypier/core/cell/RunController.java
+++ b/core/src/main/java/org/hickorypier/core/cell/RunController.java
@@ -109,8 +109,8 @@
       return;
     }
     long expectedMillis = run.orderDeadline - cell.timings.startOrderMillis();
-    long earliest = expectedMillis - CellTimings.LEASE_MARGIN_MILLIS;
-    long latest = expectedMillis + now - run.lastOrderAt + CellTimings.MAX_ANSWER_WAIT_MILLIS;
+    long earliest = expectedMillis - CellTimings.MAX_CLOCK_LAG_MILLIS;
+    long latest = expectedMillis + now - run.lastOrderAt + CellTimings.MAX_READING_DELAY_MILLIS;
     if (earliest <= clockMillis && clockMillis <= latest) {
       run.clockConfirmed = true;
       return;
--- a/core/src/test/java/org/hickorypier/core/cell/UnheardIncarnationTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/UnheardIncarnationTest.java
@@ -266,4 +266,14 @@
     advance(fixture, staying, 1_000);
     assertThat(fixture.starts).hasSize(starts);
   }
+
+  /** Guards against the clock of an incarnation that is hardly younger than the former one was. */
+  @Test
+  void clockOfYoungIncarnationIsNoProof() {
+    WorkerView worker = fixture.addWorker("w");
+    Run run = orderOnWorker(worker);
+    long sent = run.orderDeadline - TIMINGS.startOrderMillis();
+    fixture.cell.startAnswered(run, new StartAnswer(StartOutcome.STARTED, sent - 200), fixture.now);
+    assertThat(run.clockConfirmed).isFalse();
+  }
 }
