A task whose order was never sent starts elsewhere at once

Cause: an order to a worker that refuses connections, or accepts none in time, counted as one without an answer.

Where none was, the outcome is NOT_SENT, and the run is removed as after a refusal, unless an earlier copy may be in transit.

--- a/core/src/main/java/org/hickorypier/core/cell/RunController.java
+++ b/core/src/main/java/org/hickorypier/core/cell/RunController.java
@@ -173,7 +173,8 @@
     WorkerView worker = run.worker;
     switch (outcome) {
       case NO_TICKET -> run.task.step.advice.invalidateTicket(worker);
-      case UNHEALTHY, REJECTED -> worker.quarantinedUntil = now + UNHEALTHY_BACKOFF_MILLIS;
+      case UNHEALTHY, REJECTED, NOT_SENT ->
+          worker.quarantinedUntil = now + UNHEALTHY_BACKOFF_MILLIS;
       default -> worker.fullUntil = now + NO_ROOM_BACKOFF_MILLIS;
     }
     if (run.orderCopies > 1) {
--- a/core/src/main/java/org/hickorypier/core/cell/StartOutcome.java
+++ b/core/src/main/java/org/hickorypier/core/cell/StartOutcome.java
@@ -21,5 +21,7 @@
   /** Another worker, or another incarnation, answers at the address; the run was not started. */
   OTHER_LIFE,
   /** No answer arrived; the order may have been, or may still be, carried out. */
-  UNKNOWN
+  UNKNOWN,
+  /** The worker could not be connected to, so this copy of the order was not sent. */
+  NOT_SENT
 }
--- a/core/src/test/java/org/hickorypier/core/cell/UnheardIncarnationTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/UnheardIncarnationTest.java
@@ -276,4 +276,29 @@
     fixture.cell.startAnswered(run, new StartAnswer(StartOutcome.STARTED, sent - 200), fixture.now);
     assertThat(run.clockConfirmed).isFalse();
   }
+
+  /** Guards against a task that waits for a lease although its order was never sent. */
+  @Test
+  void taskWhoseOrderWasNotSentStartsElsewhereAtOnce() {
+    Run run = orderOnWorker(fixture.addWorker("w"));
+    fixture.addWorker("other");
+    fixture.cell.startAnswered(run, StartAnswer.of(StartOutcome.NOT_SENT), fixture.now);
+    fixture.pass();
+    assertThat(fixture.starts).hasSize(2);
+    assertThat(fixture.starts.get(1).run().worker().id()).isEqualTo("other");
+  }
+
+  /** Guards against a second run beside an earlier copy of the order that may be carried out. */
+  @Test
+  void earlierCopyOfOrderThatWasNotSentAgainMayBeCarriedOut() {
+    WorkerView worker = fixture.addWorker("w");
+    Run run = orderOnWorker(worker);
+    fixture.addWorker("other");
+    fixture.cell.startAnswered(run, StartAnswer.MISSING, fixture.now);
+    assertThat(fixture.starts).hasSize(2);
+    fixture.cell.startAnswered(run, StartAnswer.of(StartOutcome.NOT_SENT), fixture.now);
+    fixture.pass();
+    assertThat(worker.runs).containsKey(run.key());
+    assertThat(fixture.starts).hasSize(2);
+  }
 }
