Chains of dependent steps are calculated once in linear time

Cause: a scheduling pass asked for a submission's objective several times a step, and each time the longest chain was calculated from every step without a dependency over all later steps, n^3 / 2 for n steps. Stack samples of all instances show the control thread there.

Change: StepChains calculates all chains in one go; a submission keeps them until the estimates of its queue change. Admission, backlog, speed preference and preemption use them too. Two counts of tasks that were repeated for each waiting task or each following step are made once.

--- a/core/src/main/java/org/hickorypier/core/cell/AdmissionControl.java
+++ b/core/src/main/java/org/hickorypier/core/cell/AdmissionControl.java
@@ -85,11 +85,11 @@
   private AdmissionRequest request(
       SubmissionSpec spec, boolean exceedsShare, long acceptedAt, long now) {
     QueueTerms queue = spec.queue();
-    long objective = runTimes.objectiveMillis(spec);
+    StepChains chains = runTimes.chains(spec);
+    long objective = Submission.objectiveMillis(spec, chains);
     long deadline = acceptedAt + objective;
-    Place place =
-        new Place(
-            exceedsShare ? 1 : 0, queue.priority(), runTimes.isLate(spec, deadline, now), deadline);
+    boolean late = now + chains.longestMillis() > deadline;
+    Place place = new Place(exceedsShare ? 1 : 0, queue.priority(), late, deadline);
     long limit = UrgencyOrder.USEFUL_OBJECTIVE_FACTOR * objective - (now - acceptedAt);
     return new AdmissionRequest(
         spec.id(),
--- a/core/src/main/java/org/hickorypier/core/cell/BacklogReader.java
+++ b/core/src/main/java/org/hickorypier/core/cell/BacklogReader.java
@@ -138,7 +138,7 @@
     Submission submission = step.submission;
     QueueTerms queue = submission.spec().queue();
     Place place = runTimes.place(step, now);
-    long objective = runTimes.objectiveMillis(submission.spec());
+    long objective = runTimes.objectiveMillis(submission);
     Place group = groupPlace(place, Math.max(1, objective / DEADLINE_PERIODS));
     long useful = submission.acceptedAt + UrgencyOrder.USEFUL_OBJECTIVE_FACTOR * objective;
     Resources size = step.spec.reservedResources();
--- a/core/src/main/java/org/hickorypier/core/cell/Dispatcher.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Dispatcher.java
@@ -333,12 +333,13 @@
     String customer = step.submission.spec().customer();
     Resources each = step.spec.taskResources();
     long free = unreservedMilliProcessors(step, now);
+    LimitHeadroom.Held held = cell.headroom.holdingBack(step, now).orElse(null);
     for (Task task : step.tasks) {
       int count = waiting.size() + 1;
       if (task.isWaiting()
           && (count * each.milliProcessors() <= free || startsAlone(task, now))
           && cell.usage.allows(customer, each, count)
-          && cell.headroom.blockerOf(step, count, now) == null
+          && (held == null || !held.blocks(count))
           && crashTracker.mayStart(task, now)) {
         waiting.add(task);
       }
--- a/core/src/main/java/org/hickorypier/core/cell/LearnedRunTimes.java
+++ b/core/src/main/java/org/hickorypier/core/cell/LearnedRunTimes.java
@@ -36,13 +36,13 @@
   }
 
   /** Returns the time within which a submission meets its objective, in milliseconds. */
-  long objectiveMillis(SubmissionSpec spec) {
-    return Submission.objectiveMillis(spec, cell.durationEstimator);
+  long objectiveMillis(Submission submission) {
+    return submission.objectiveMillis(cell.durationEstimator);
   }
 
-  /** Returns whether a submission whose tasks start now is expected to miss a deadline. */
-  boolean isLate(SubmissionSpec spec, long deadline, long now) {
-    return now + Submission.longestPathMillis(spec, cell.durationEstimator) > deadline;
+  /** Returns the chains of the steps of a submission that may not be accepted yet. */
+  StepChains chains(SubmissionSpec spec) {
+    return StepChains.of(spec, cell.durationEstimator);
   }
 
   /** Returns the place of a step in the order of placing. */
--- a/core/src/main/java/org/hickorypier/core/cell/LimitHeadroom.java
+++ b/core/src/main/java/org/hickorypier/core/cell/LimitHeadroom.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import org.hickorypier.core.model.Resources;
 
 /**
@@ -108,19 +109,45 @@
 
   /** Returns the step whose headroom keeps so many tasks of a step from starting, or null. */
   StepRun blockerOf(StepRun step, int count, long now) {
-    String customer = step.submission.spec().customer();
-    StepRun holder = holders.get(customer);
-    if (holder == null
-        || holder == step
-        || !holdsBack(holder, step)
-        || !holder.hasWaitingTasks()
-        || mayStartRegardless(step, count, now)) {
-      return null;
+    return holdingBack(step, now).filter(held -> held.blocks(count)).map(Held::holder).orElse(null);
+  }
+
+  /**
+   * Returns the headroom that may keep tasks of a step from starting. It is valid until a task
+   * starts; reading it takes time linear in the tasks of both steps.
+   */
+  Optional<Held> holdingBack(StepRun step, long now) {
+    StepRun holder = holders.get(step.submission.spec().customer());
+    if (holder == null || holder == step || !holdsBack(holder, step)) {
+      return Optional.empty();
+    }
+    int waiting = holder.waitingCount();
+    if (waiting == 0) {
+      return Optional.empty();
+    }
+    Resources held = holder.spec.reservedResources().times(waiting);
+    return Optional.of(new Held(cell.usage, holder, held, step, isStarved(step, now)));
+  }
+
+  /**
+   * Room that one step holds against another. Confined to the control thread.
+   *
+   * @param usage what the customers use
+   * @param holder the step that holds the room
+   * @param room the room
+   * @param step the step that may be blocked
+   * @param starved whether that step may start one task, or as a gang, all the same
+   */
+  record Held(CustomerUsage usage, StepRun holder, Resources room, StepRun step, boolean starved) {
+
+    /** Tells whether so many tasks of the step may not start. */
+    boolean blocks(int count) {
+      if (starved && (step.isGang() || count <= 1)) {
+        return false;
+      }
+      Resources wanted = step.spec.reservedResources().times(count);
+      return !usage.allows(step.submission.spec().customer(), room.plus(wanted), 1);
     }
-    Resources each = holder.spec.reservedResources();
-    Resources held = each.times(holder.waitingCount());
-    Resources wanted = step.spec.reservedResources().times(count);
-    return cell.usage.allows(customer, held.plus(wanted), 1) ? null : holder;
   }
 
   private static boolean holdsBack(StepRun holder, StepRun step) {
@@ -130,10 +157,9 @@
             && step.preemption == null;
   }
 
-  private boolean mayStartRegardless(StepRun step, int count, long now) {
-    boolean starved =
-        now - step.waitingSince() > step.submission.objectiveMillis(cell.durationEstimator);
-    if (!starved || !step.isGang() && count > 1) {
+  /** Tells whether a step has waited for longer than its objective and has no run. */
+  private boolean isStarved(StepRun step, long now) {
+    if (now - step.waitingSince() <= step.submission.objectiveMillis(cell.durationEstimator)) {
       return false;
     }
     for (Task task : step.tasks) {
--- a/core/src/main/java/org/hickorypier/core/cell/PreemptionController.java
+++ b/core/src/main/java/org/hickorypier/core/cell/PreemptionController.java
@@ -18,7 +18,6 @@
 import org.hickorypier.core.preemption.WorkerRoom;
 import org.hickorypier.core.submission.QueueTerms;
 import org.hickorypier.core.submission.StepFlags;
-import org.hickorypier.core.submission.StepSpec;
 
 /**
  * Turns the state of the cell into the inputs of {@link PreemptionPlanner} and carries its plans
@@ -151,20 +150,12 @@
 
   /** Returns the expected duration of a step and of the longest chain of steps after it. */
   private long remainingChainMillis(StepRun step) {
-    List<StepSpec> steps = step.submission.spec().steps();
-    long[] chains = new long[steps.size()];
-    for (int index = chains.length - 1; index >= step.index; index--) {
-      chains[index] += expectedMillis(step, steps.get(index));
-      for (int earlier : steps.get(index).dependsOn()) {
-        chains[earlier] = Math.max(chains[earlier], chains[index]);
-      }
-    }
-    return chains[step.index];
+    return step.submission.pathMillisFrom(step, cell.durationEstimator);
   }
 
-  private long expectedMillis(StepRun step, StepSpec spec) {
+  private long expectedMillis(StepRun step) {
     String queue = step.submission.spec().queue().name();
-    return cell.durationEstimator.expectedMillis(queue, spec.estimateMillis());
+    return cell.durationEstimator.expectedMillis(queue, step.spec.estimateMillis());
   }
 
   /**
@@ -252,7 +243,7 @@
             step.submission.spec().queue().priority(),
             waiting,
             each,
-            expectedMillis(step, step.spec),
+            expectedMillis(step),
             rooms,
             unreservedMilliProcessors,
             cell.usage.room(customer),
@@ -344,7 +335,7 @@
     long age = now - run.confirmedAt;
     long remaining = Math.max(0, remainingChainMillis(step) - age);
     // In a full cell the room comes back when the preempting step is done.
-    long wait = expectedMillis(preempting, preempting.spec);
+    long wait = expectedMillis(preempting);
     long end = now + remaining;
     long interruptedEnd = end + cost.longestLossMillis() + wait;
     long objective = step.submission.objectiveMillis(cell.durationEstimator);
--- a/core/src/main/java/org/hickorypier/core/cell/Submission.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Submission.java
@@ -9,7 +9,6 @@
 import org.hickorypier.core.estimation.RunTimeEstimator;
 import org.hickorypier.core.submission.CrashRecord;
 import org.hickorypier.core.submission.MoveRecord;
-import org.hickorypier.core.submission.StepSpec;
 import org.hickorypier.core.submission.SubmissionProgress;
 import org.hickorypier.core.submission.SubmissionSpec;
 import org.hickorypier.core.submission.SubmissionState;
@@ -53,6 +52,9 @@
   /** Counts changes; an end state becomes visible once its version is written. */
   long version;
 
+  /** The chains of its steps as last calculated, or null. */
+  private StepChains chains;
+
   Submission(SubmissionSpec spec, long number, long acceptedAt, int firstRunNumber) {
     this.spec = spec;
     this.number = number;
@@ -126,48 +128,26 @@
 
   /** Returns the time within which it meets its objective, in milliseconds. */
   long objectiveMillis(RunTimeEstimator durationEstimator) {
-    return objectiveMillis(spec, durationEstimator);
-  }
-
-  static long objectiveMillis(SubmissionSpec spec, RunTimeEstimator durationEstimator) {
-    long longest = longestPathMillis(spec, durationEstimator);
-    return Math.round(spec.queue().stretch() * longest) + spec.queue().objectiveMillis();
+    return objectiveMillis(spec, chains(durationEstimator));
   }
 
-  /** Returns the expected duration of the longest chain of a submission, in milliseconds. */
-  static long longestPathMillis(SubmissionSpec spec, RunTimeEstimator durationEstimator) {
-    long longest = 0;
-    for (int index = 0; index < spec.steps().size(); index++) {
-      if (spec.steps().get(index).dependsOn().isEmpty()) {
-        longest = Math.max(longest, pathMillisFrom(spec, index, durationEstimator));
-      }
-    }
-    return longest;
+  static long objectiveMillis(SubmissionSpec spec, StepChains chains) {
+    return Math.round(spec.queue().stretch() * chains.longestMillis())
+        + spec.queue().objectiveMillis();
   }
 
   /**
    * Returns the expected duration of the longest chain that begins with a step, in milliseconds.
    */
   long pathMillisFrom(StepRun step, RunTimeEstimator durationEstimator) {
-    return pathMillisFrom(spec, step.index, durationEstimator);
+    return chains(durationEstimator).millisFrom(step.index);
   }
 
-  private static long pathMillisFrom(
-      SubmissionSpec spec, int first, RunTimeEstimator durationEstimator) {
-    String queue = spec.queue().name();
-    List<StepSpec> steps = spec.steps();
-    long[] ends = new long[steps.size()];
-    long longest = 0;
-    for (int index = first; index < ends.length; index++) {
-      long begin = index == first ? 0 : -1;
-      for (int earlier : steps.get(index).dependsOn()) {
-        begin = Math.max(begin, earlier < first ? -1 : ends[earlier]);
-      }
-      long estimate = steps.get(index).estimateMillis();
-      ends[index] = begin < 0 ? -1 : begin + durationEstimator.expectedMillis(queue, estimate);
-      longest = Math.max(longest, ends[index]);
+  private StepChains chains(RunTimeEstimator durationEstimator) {
+    if (chains == null || !chains.isCurrent(durationEstimator)) {
+      chains = StepChains.of(spec, durationEstimator);
     }
-    return longest;
+    return chains;
   }
 
   int firstRunNumber() {
--- a/core/src/main/java/org/hickorypier/core/cell/UpcomingSteps.java
+++ b/core/src/main/java/org/hickorypier/core/cell/UpcomingSteps.java
@@ -1,8 +1,10 @@
 package org.hickorypier.core.cell;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 /**
@@ -77,6 +79,7 @@
   }
 
   private void addUpcomingSteps(StepRun[] steps, long now) {
+    Map<StepRun, Boolean> nearlyDone = new HashMap<>();
     for (StepRun step : steps) {
       boolean awaitsDependencies =
           !step.spec.dependsOn().isEmpty() && !cell.readySteps.contains(step);
@@ -84,7 +87,7 @@
           && !step.isDone()
           && step.allTasksWaiting()
           && needsAdviceAhead(step)
-          && isNearlyReady(step, steps, now)) {
+          && isNearlyReady(step, steps, nearlyDone, now)) {
         upcoming.add(step);
       }
       if (step.advice != null && mayLoseRun(step)) {
@@ -101,11 +104,19 @@
     return step.advice != null && !step.submission.exceedsShare && cell.isUrgent(step);
   }
 
-  private boolean isNearlyReady(StepRun step, StepRun[] steps, long now) {
+  /**
+   * Tells whether the dependencies of a step are nearly done.
+   *
+   * @param nearlyDone what is known of the steps, since many steps may depend on a large one
+   */
+  private boolean isNearlyReady(
+      StepRun step, StepRun[] steps, Map<StepRun, Boolean> nearlyDone, long now) {
     boolean running = false;
     for (int dependency : step.spec.dependsOn()) {
-      running |= !steps[dependency].isDone();
-      if (!steps[dependency].isDone() && !isNearlyDone(steps[dependency], now)) {
+      StepRun earlier = steps[dependency];
+      running |= !earlier.isDone();
+      if (!earlier.isDone()
+          && !nearlyDone.computeIfAbsent(earlier, each -> isNearlyDone(each, now))) {
         return false;
       }
     }
--- a/core/src/main/java/org/hickorypier/core/estimation/QueueRunTimes.java
+++ b/core/src/main/java/org/hickorypier/core/estimation/QueueRunTimes.java
@@ -79,6 +79,10 @@
     }
   }
 
+  int runs() {
+    return runs;
+  }
+
   boolean isKnown() {
     return runs >= MIN_RUNS;
   }
--- a/core/src/main/java/org/hickorypier/core/estimation/RunTimeEstimator.java
+++ b/core/src/main/java/org/hickorypier/core/estimation/RunTimeEstimator.java
@@ -49,6 +49,18 @@
     queues.computeIfAbsent(queue, name -> new QueueRunTimes()).addToDistribution(ratio);
   }
 
+  /**
+   * Returns the number of completed runs of a queue. The expected run times of its tasks change
+   * only with this number.
+   *
+   * @param queue the queue
+   * @return the number, 0 if no run is known
+   */
+  public int knownRuns(String queue) {
+    QueueRunTimes times = queues.get(queue);
+    return times == null ? 0 : times.runs();
+  }
+
   /**
    * Returns whether enough runs of a queue have completed to predict the run time of its tasks.
    *
