Start orders in transit are bounded in bytes and a worker

Cause: a pass ordered all tasks that had room. Each order was encoded with the text at once and waited for one of five connections to its worker: 87 MB for a heap of 72 MB. Heap histograms show 41 to 49 MB of byte arrays before each end.

Change: OrderWindow bounds the orders in transit to an eighth of the heap and 64 a worker, part of it for urgent work. Tasks without room stay in the order of urgency. EndsOnSeveralPagesTest answers the orders of its large workers in turn, since not all are sent at once; its checks are as they were.

--- a/core/src/main/java/org/hickorypier/core/cell/Cell.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Cell.java
@@ -99,6 +99,15 @@
     state.dirty = true;
   }
 
+  /**
+   * Sets the memory that the start orders in transit may take.
+   *
+   * @param bytes the limit, in bytes
+   */
+  public void limitOrders(long bytes) {
+    state.orderWindow.setLimitBytes(bytes);
+  }
+
   /**
    * Accepts a submission unless it surely cannot be done while it is of use. One that the cell
    * knows is never refused.
--- a/core/src/main/java/org/hickorypier/core/cell/CellState.java
+++ b/core/src/main/java/org/hickorypier/core/cell/CellState.java
@@ -45,6 +45,7 @@
   final WorkerSpeedEstimator speedEstimator;
   final SuitabilityEstimator suitabilityEstimator = new SuitabilityEstimator();
   final Reservations reservations = new Reservations();
+  final OrderWindow orderWindow = new OrderWindow();
   final LimitHeadroom headroom = new LimitHeadroom(this);
   final UrgentReserve reserve = new UrgentReserve();
   final ShareSampler shares = new ShareSampler(this);
--- a/core/src/main/java/org/hickorypier/core/cell/Dispatcher.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Dispatcher.java
@@ -71,6 +71,7 @@
     }
     trialWorkers.releaseUnneeded(now);
     usableWorkers.clear();
+    cell.orderWindow.beginPass();
     final long unresolvedUpTo = cell.lastUnresolvedNumber(now);
     cell.usage.setUnresolvedCapacity(cell.unresolvedCapacity(now));
     Map<String, List<WorkerView>> workersByService = new HashMap<>();
@@ -165,9 +166,45 @@
     if (!alone.isEmpty()) {
       workers.removeIf(worker -> worker.trialUnit != null);
     }
+    if (waitsForOrders(step, workers, now)) {
+      cell.orderWindow.awaitRoom();
+      keepReservation(step, reservation, now);
+      return;
+    }
     makeRoom(step, workers, reservation, now);
   }
 
+  /**
+   * Tells whether waiting tasks of a step have room on a worker but their start orders have not:
+   * the orders in transit have to be answered first.
+   */
+  private boolean waitsForOrders(StepRun step, List<WorkerView> workers, long now) {
+    if (step.isGang()) {
+      return cell.orderWindow.isWaiting(step);
+    }
+    if (!step.hasWaitingTasks()) {
+      return false;
+    }
+    if (cell.orderWindow.room(step) == 0) {
+      return true;
+    }
+    for (WorkerView worker : workers) {
+      if (cell.orderWindow.roomAt(worker, step) == 0
+          && Placer.matches(step.spec, worker)
+          && Placer.freeSlots(step, worker) > 0
+          && (step.advice == null || step.advice.validTicket(worker, now) != null)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private void keepReservation(StepRun step, StepReservation reservation, long now) {
+    if (step.reservation == null && reservation != null && now < reservation.until()) {
+      cell.reservations.reserve(step, reservation);
+    }
+  }
+
   /**
    * Begins to make room for a step that could not be placed, or keeps the room that is reserved for
    * it while the advisor is asked.
@@ -310,9 +347,13 @@
                 tasks,
                 workers,
                 worker -> advice == null || advice.validTicket(worker, now) != null,
+                worker -> step.isGang() ? tasks.size() : cell.orderWindow.roomAt(worker, step),
                 now);
+    if (step.isGang() && !chosen.isEmpty() && !cell.orderWindow.admitsGang(step, chosen.size())) {
+      return;
+    }
     startTasks(step, chosen, now);
-    if (advice == null || chosen.size() == tasks.size()) {
+    if (advice == null || chosen.size() == tasks.size() || waitsForOrders(step, workers, now)) {
       return;
     }
     if (isRequestPending(advice, now)) {
@@ -324,7 +365,10 @@
     }
   }
 
-  /** Returns the waiting tasks that fit the customer's limit and leave the urgent reserve free. */
+  /**
+   * Returns the waiting tasks that fit the customer's limit, leave the urgent reserve free and may
+   * be ordered now.
+   */
   private List<Task> startableTasks(StepRun step, long now) {
     List<Task> waiting = new ArrayList<>();
     if (step.isGang() && !step.allTasksWaiting()) {
@@ -334,7 +378,11 @@
     Resources each = step.spec.taskResources();
     long free = unreservedMilliProcessors(step, now);
     LimitHeadroom.Held held = cell.headroom.holdingBack(step, now).orElse(null);
+    int most = step.isGang() ? step.tasks.length : cell.orderWindow.room(step);
     for (Task task : step.tasks) {
+      if (waiting.size() >= most) {
+        break;
+      }
       int count = waiting.size() + 1;
       if (task.isWaiting()
           && (count * each.milliProcessors() <= free || startsAlone(task, now))
--- a/core/src/main/java/org/hickorypier/core/cell/Placer.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Placer.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Predicate;
+import java.util.function.ToIntFunction;
 import org.hickorypier.core.estimation.WorkerSpeedEstimator;
 import org.hickorypier.core.model.Resources;
 import org.hickorypier.core.submission.StepSpec;
@@ -79,6 +80,21 @@
       Collection<WorkerView> workers,
       Predicate<WorkerView> suitable,
       long now) {
+    return choose(step, tasks, workers, suitable, worker -> Integer.MAX_VALUE, now);
+  }
+
+  /**
+   * Chooses workers for tasks, of which each worker takes a limited number.
+   *
+   * @param maxTasks the most tasks that a worker takes
+   */
+  static Map<Task, WorkerView> choose(
+      StepRun step,
+      List<Task> tasks,
+      Collection<WorkerView> workers,
+      Predicate<WorkerView> suitable,
+      ToIntFunction<WorkerView> maxTasks,
+      long now) {
     List<WorkerView> candidates = new ArrayList<>();
     for (WorkerView worker : workers) {
       if (matches(step.spec, worker) && suitable.test(worker)) {
@@ -86,9 +102,9 @@
       }
     }
     if (step.isGang() && step.spec.flags().sameRack()) {
-      return chooseOneRack(step, tasks, candidates, now);
+      return chooseOneRack(step, tasks, candidates, maxTasks, now);
     }
-    return assignTasks(step, tasks, candidates);
+    return assignTasks(step, tasks, candidates, maxTasks);
   }
 
   /** Returns how many more tasks of the step a worker has room for. */
@@ -134,14 +150,18 @@
   }
 
   private static Map<Task, WorkerView> chooseOneRack(
-      StepRun step, List<Task> tasks, List<WorkerView> candidates, long now) {
+      StepRun step,
+      List<Task> tasks,
+      List<WorkerView> candidates,
+      ToIntFunction<WorkerView> maxTasks,
+      long now) {
     Map<String, List<WorkerView>> racks = new LinkedHashMap<>();
     for (WorkerView worker : candidates) {
       racks.computeIfAbsent(worker.incarnation().rack(), rack -> new ArrayList<>()).add(worker);
     }
     Map<Task, WorkerView> best = Map.of();
     for (List<WorkerView> rack : racks.values()) {
-      Map<Task, WorkerView> chosen = assignTasks(step, tasks, rack);
+      Map<Task, WorkerView> chosen = assignTasks(step, tasks, rack, maxTasks);
       if (!chosen.isEmpty() && (best.isEmpty() || slowest(chosen) < slowest(best))) {
         best = chosen;
       }
@@ -152,7 +172,7 @@
     if (!best.isEmpty()) {
       return best;
     }
-    return mayLeaveRack(step, now) ? assignTasks(step, tasks, candidates) : Map.of();
+    return mayLeaveRack(step, now) ? assignTasks(step, tasks, candidates, maxTasks) : Map.of();
   }
 
   /** Tells whether a gang has waited so long for a single rack that it may use several. */
@@ -170,12 +190,16 @@
   }
 
   private static Map<Task, WorkerView> assignTasks(
-      StepRun step, List<Task> tasks, List<WorkerView> candidates) {
+      StepRun step,
+      List<Task> tasks,
+      List<WorkerView> candidates,
+      ToIntFunction<WorkerView> maxTasks) {
     int count = candidates.size();
     int[] slots = new int[count];
     int total = 0;
     for (int index = 0; index < count; index++) {
-      slots[index] = freeSlots(step, candidates.get(index));
+      WorkerView worker = candidates.get(index);
+      slots[index] = Math.min(freeSlots(step, worker), maxTasks.applyAsInt(worker));
       total = (int) Math.min(Integer.MAX_VALUE, (long) total + slots[index]);
     }
     if (total == 0 || step.isGang() && total < tasks.size()) {
--- a/core/src/main/java/org/hickorypier/core/cell/Run.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Run.java
@@ -34,6 +34,9 @@
   /** Number of copies of the start order that were sent. */
   int orderCopies;
 
+  /** Number of these copies that are neither answered nor given up. */
+  int ordersInTransit;
+
   String ticket;
   boolean stopping;
   long stopOrderedAt;
--- a/core/src/main/java/org/hickorypier/core/cell/RunController.java
+++ b/core/src/main/java/org/hickorypier/core/cell/RunController.java
@@ -69,10 +69,17 @@
     run.ticket = ticket;
     run.orderDeadline = run.worker.clockAt(now) + cell.timings.startOrderMillis();
     run.worker.recordGrant(run.orderDeadline, now);
-    cell.output.start(run, run.orderDeadline, ticket);
+    cell.orderWindow.recordOrder(run);
+    try {
+      cell.output.start(run, run.orderDeadline, ticket);
+    } catch (RuntimeException error) {
+      cell.orderWindow.recordAnswer(run);
+      throw error;
+    }
   }
 
   void handleStartAnswer(Run run, StartAnswer answer, long now) {
+    cell.dirty |= cell.orderWindow.recordAnswer(run);
     if (run.worker.runs.get(run.key) != run) {
       return;
     }
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerView.java
@@ -53,6 +53,9 @@
 
   final Map<RunKey, Run> runs = new LinkedHashMap<>();
 
+  /** Number of start orders to the worker that are neither answered nor given up. */
+  int ordersInTransit;
+
   private WorkerEntry entry;
   boolean listed;
   private WorkerIncarnation incarnation;
--- a/core/src/test/java/org/hickorypier/core/cell/CellFixture.java
+++ b/core/src/test/java/org/hickorypier/core/cell/CellFixture.java
@@ -281,6 +281,16 @@
     }
   }
 
+  /** Confirms all start orders, and those that follow once there is room for them. */
+  void confirmAllInTurn() {
+    int confirmed;
+    do {
+      confirmed = starts.size();
+      confirmAll();
+      pass();
+    } while (starts.size() > confirmed);
+  }
+
   @Override
   public void start(Run run, long deadline, String ticket) {
     failIfWanted(run.key());
--- a/core/src/test/java/org/hickorypier/core/cell/FakeFleet.java
+++ b/core/src/test/java/org/hickorypier/core/cell/FakeFleet.java
@@ -55,6 +55,10 @@
   CellFixture owner;
   private final Map<String, Life> lives = new LinkedHashMap<>();
   private int deliveredStarts;
+
+  /** The largest number of start orders that were in transit at the same time. */
+  int mostOrdersInTransit;
+
   private int nextId;
 
   /** Tells which tasks crash the workers that start them. */
@@ -210,6 +214,7 @@
   }
 
   private void deliverStarts() {
+    mostOrdersInTransit = Math.max(mostOrdersInTransit, owner.starts.size() - deliveredStarts);
     while (deliveredStarts < owner.starts.size()) {
       Run run = owner.starts.get(deliveredStarts++).run();
       Life life = lives.get(run.worker().id());
--- a/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
@@ -51,6 +51,9 @@
 
   private static final String PART = "node";
 
+  /** Part of the heap that start orders in transit may take. */
+  private static final int ORDER_PART = 8;
+
   /** Connections to one worker: one waiting lease renewal, and the orders of a gang beside it. */
   private static final int WORKER_CONNECTIONS = 5;
 
@@ -152,7 +155,8 @@
             settings.cellTimings(),
             settings.workerHeartbeatMillis(),
             settings.linkMegabits() * BYTES_PER_MEGABIT,
-            settings.processors());
+            settings.processors(),
+            Runtime.getRuntime().maxMemory() / ORDER_PART);
     String peerAddress = "" + settings.advertisedPeer();
     directory = new OwnerDirectory(store, timers, log, this::handleOwnerChange);
     Candidate self = new Candidate(peerAddress, settings.strength());
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
@@ -108,6 +108,7 @@
             workerTimeout,
             workerEvents);
     this.cell = new Cell(dependencies.timings(), orders, dependencies.log(), taken.epoch(), now);
+    cell.limitOrders(dependencies.orderBytes());
     this.journal =
         new JournalWriter(
             dependencies.store()::append,
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerDependencies.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerDependencies.java
@@ -27,6 +27,7 @@
  *     workers
  * @param linkBytesPerSecond the bandwidth of this machine's link, in bytes per second
  * @param processors the cores of this machine, of which a part counts too
+ * @param orderBytes the memory that start orders in transit may take, in bytes
  */
 public record OwnerDependencies(
     StoreClient store,
@@ -39,7 +40,8 @@
     CellTimings timings,
     long workerHeartbeatMillis,
     double linkBytesPerSecond,
-    double processors) {
+    double processors,
+    long orderBytes) {
 
   /**
    * Returns how long a message may wait behind a burst of work on a machine. The other machines are
