A scheduling pass leaves the control thread after 10 ms

An owner finished each pass however long it took, also one whose result nobody needed since the ownership had been lost meanwhile. Proofs of ownership, lease renewals and replies wait for the control thread.

Change: a pass asks between steps whether it may go on, and stops after 10 ms or once its ownership is not proven. The next part follows after 1 ms and visits the steps that are left, after urgent ones that have become ready. The parts of a pass count as one for the pacing. A pass of 100 ms or more is logged as long-pass, once in 10 s.

--- a/core/src/main/java/org/hickorypier/core/cell/Cell.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Cell.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import org.hickorypier.core.admission.AdmissionDecision;
 import org.hickorypier.core.estimation.RunTimeEstimator;
 import org.hickorypier.core.estimation.WorkerSpeed;
@@ -541,21 +542,35 @@
   }
 
   /**
-   * Runs a scheduling pass: places the waiting tasks that can start.
+   * Runs a scheduling pass: places the waiting tasks that can start. A pass that is told to stop is
+   * continued by the next one.
    *
    * @param now the time
    * @param wallMillis the wall-clock time, milliseconds since 1970
+   * @param mayContinue asked between steps whether the pass may go on
+   * @return whether the pass is complete
    */
-  public void pass(long now, long wallMillis) {
+  public boolean pass(long now, long wallMillis, BooleanSupplier mayContinue) {
     if (state.stepsMayBeReady) {
       state.stepsMayBeReady = false;
       readySteps.addReadySteps(wallMillis);
     }
     if (isListOutOfDate(now) || !state.evacuations.isUpToDate(now)) {
-      return;
+      return true;
     }
     state.dirty = false;
-    dispatcher.pass(now);
+    boolean complete = dispatcher.pass(now, mayContinue);
+    state.dirty |= !complete;
+    return complete;
+  }
+
+  /**
+   * Returns the number of steps that are ready and have waiting tasks.
+   *
+   * @return the number, as of the last pass
+   */
+  public int readySteps() {
+    return state.readySteps.size();
   }
 
   /** Returns what is known of the run times of tasks, for tests. */
--- a/core/src/main/java/org/hickorypier/core/cell/Dispatcher.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Dispatcher.java
@@ -1,13 +1,16 @@
 package org.hickorypier.core.cell;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import java.util.function.ToIntFunction;
 import org.hickorypier.core.model.Resources;
@@ -35,6 +38,9 @@
    */
   private static final double ROOM_PER_TASK = 3;
 
+  /** Steps that each pass visits, so that passes go on where each has little time. */
+  private static final int MIN_STEPS_PER_PASS = 16;
+
   /** Timeout of an advice request. */
   private static final long ADVICE_TIMEOUT_MILLIS = 4_000;
 
@@ -48,6 +54,12 @@
   private final TrialWorkers trialWorkers;
   private final PreemptionController preemptions;
 
+  /** The steps that the last pass has not visited, in their order. */
+  private List<StepRun> unvisited = List.of();
+
+  /** The steps that the present passes visit, which together go once over all steps. */
+  private final Set<StepRun> known = new HashSet<>();
+
   /** The workers that may get orders in the present pass, by service. */
   private final Map<String, List<WorkerView>> usableWorkers = new HashMap<>();
 
@@ -61,7 +73,14 @@
     this.upcomingSteps = upcoming;
   }
 
-  void pass(long now) {
+  /**
+   * Places the steps that are ready. If the pass has to stop before it has visited all of them, the
+   * next one visits the others, after urgent steps that have become ready meanwhile.
+   *
+   * @param mayContinue asked between steps whether the pass may go on
+   * @return whether all steps were visited
+   */
+  boolean pass(long now, BooleanSupplier mayContinue) {
     // Rated before the refresh too, which forgets workers that were not rated for a while.
     cell.workers.values().forEach(worker -> worker.rate(cell.speedEstimator, now));
     cell.speedEstimator.refresh(now);
@@ -75,15 +94,14 @@
     final long unresolvedUpTo = cell.lastUnresolvedNumber(now);
     cell.usage.setUnresolvedCapacity(cell.unresolvedCapacity(now));
     Map<String, List<WorkerView>> workersByService = new HashMap<>();
-    List<StepRun> sorted =
-        UrgencyOrder.sorted(
-            cell.readySteps,
-            cell.durationEstimator,
-            step -> cell.shares.isHeldBack(step, now),
-            now);
-    cell.headroom.update(sorted, now);
+    List<StepRun> steps = unvisited.isEmpty() ? allSteps(now) : remainingSteps(now);
     IndependentActions placements = new IndependentActions();
-    for (StepRun step : sorted) {
+    int visited = 0;
+    for (StepRun step : steps) {
+      if (visited >= MIN_STEPS_PER_PASS && !mayContinue.getAsBoolean()) {
+        break;
+      }
+      visited++;
       if (!step.submission.isLive() || !step.hasWaitingTasks()) {
         cell.reservations.release(step);
         cell.readySteps.remove(step);
@@ -103,7 +121,41 @@
         placements.addFailure("advice for " + step.submission.spec().id(), error);
       }
     }
+    unvisited = List.copyOf(steps.subList(visited, steps.size()));
+    if (unvisited.isEmpty()) {
+      known.clear();
+    }
     placements.throwIfFailed();
+    return unvisited.isEmpty();
+  }
+
+  private List<StepRun> allSteps(long now) {
+    List<StepRun> sorted = sorted(cell.readySteps, now);
+    cell.headroom.update(sorted, now);
+    known.addAll(sorted);
+    return sorted;
+  }
+
+  /** Returns the steps that the last pass has not visited, and new urgent ones before them. */
+  private List<StepRun> remainingSteps(long now) {
+    List<StepRun> urgent = new ArrayList<>();
+    for (StepRun step : cell.readySteps) {
+      if (cell.isUrgent(step) && known.add(step)) {
+        urgent.add(step);
+      }
+    }
+    List<StepRun> remaining = sorted(urgent, now);
+    for (StepRun step : unvisited) {
+      if (cell.readySteps.contains(step)) {
+        remaining.add(step);
+      }
+    }
+    return remaining;
+  }
+
+  private List<StepRun> sorted(Collection<StepRun> steps, long now) {
+    return UrgencyOrder.sorted(
+        steps, cell.durationEstimator, step -> cell.shares.isHeldBack(step, now), now);
   }
 
   private List<WorkerView> workersFor(
--- a/core/src/main/java/org/hickorypier/core/cell/PassPacing.java
+++ b/core/src/main/java/org/hickorypier/core/cell/PassPacing.java
@@ -27,26 +27,42 @@
 
   private static final double NANOS_PER_MILLI = 1e6;
 
+  /** Pause within a pass, in which calls, proofs and renewals are handled. */
+  private static final double PART_DELAY_MILLIS = 1;
+
   private double passMillis;
 
+  /** Duration of the parts of a pass that is not complete; 0 between passes. */
+  private double partMillis;
+
   /** Creates the pacing of an owner that has made no pass yet. */
   public PassPacing() {}
 
   /**
-   * Records the duration of a pass.
+   * Records the duration of a pass, or of a part of it.
    *
    * @param nanos the duration, in nanoseconds
+   * @param complete whether the pass is complete
+   * @return the duration of all parts, in milliseconds
    */
-  public void recordPass(long nanos) {
-    passMillis += SAMPLE_WEIGHT * (nanos / NANOS_PER_MILLI - passMillis);
+  public double recordPass(long nanos, boolean complete) {
+    double millis = partMillis + nanos / NANOS_PER_MILLI;
+    partMillis = complete ? 0 : millis;
+    if (complete) {
+      passMillis += SAMPLE_WEIGHT * (millis - passMillis);
+    }
+    return millis;
   }
 
   /**
-   * Returns the time from an event to the pass that handles it.
+   * Returns the time from an event to the pass that handles it, or to the next part of a pass.
    *
    * @return the delay
    */
   public Duration delay() {
+    if (partMillis > 0) {
+      return Duration.ofMillis(Math.round(PART_DELAY_MILLIS));
+    }
     double millis = Math.min(MAX_DELAY_MILLIS, PAUSE_PER_PASS * passMillis);
     return Duration.ofMillis(Math.round(Math.max(MIN_DELAY_MILLIS, millis)));
   }
--- a/core/src/test/java/org/hickorypier/core/cell/CellFixture.java
+++ b/core/src/test/java/org/hickorypier/core/cell/CellFixture.java
@@ -257,7 +257,17 @@
     if (listReadable) {
       cell.workersListed(entries, now);
     }
-    cell.pass(now, now);
+    cell.pass(now, now, () -> true);
+  }
+
+  /**
+   * Runs a pass that has to stop early.
+   *
+   * @return whether it is complete
+   */
+  boolean passInPart() {
+    cell.workersListed(entries, now);
+    return cell.pass(now, now, () -> false);
   }
 
   /** Makes everything that was saved so far durable. */
--- a/core/src/test/java/org/hickorypier/core/cell/PassPacingTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/PassPacingTest.java
@@ -12,7 +12,7 @@
 
   private void pass(int count, long nanos) {
     for (int index = 0; index < count; index++) {
-      pacing.recordPass(nanos);
+      pacing.recordPass(nanos, true);
     }
   }
 
@@ -31,6 +31,17 @@
     assertThat(pacing.delay()).hasMillis(4);
   }
 
+  /** Guards against long passes that take more of the processor since they are done in parts. */
+  @Test
+  void partsOfPassFollowEachOtherAtOnceAndCountTogether() {
+    for (int pass = 0; pass < 100; pass++) {
+      assertThat(pacing.recordPass(3 * NANOS_PER_MILLI, false)).isEqualTo(3);
+      assertThat(pacing.delay()).hasMillis(1);
+      assertThat(pacing.recordPass(3 * NANOS_PER_MILLI, true)).isEqualTo(6);
+    }
+    assertThat(pacing.delay()).hasMillis(24);
+  }
+
   @Test
   void singleInterruptedPassHardlyDelaysTheNext() {
     pass(100, NANOS_PER_MILLI);
--- a/core/src/test/java/org/hickorypier/core/cell/model/ModelOwner.java
+++ b/core/src/test/java/org/hickorypier/core/cell/model/ModelOwner.java
@@ -126,7 +126,7 @@
     if (mayIssueOrders()) {
       cell.tick(time.nowMillis(), time.nowMillis());
       if (cell.needsPass()) {
-        cell.pass(time.nowMillis(), time.nowMillis());
+        cell.pass(time.nowMillis(), time.nowMillis(), () -> true);
       }
     }
     if (!writeInProgress
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
@@ -44,6 +44,15 @@
 
   private static final Duration TICK_PERIOD = Duration.ofMillis(100);
 
+  /**
+   * Longest stay of a scheduling pass on the control thread, which also sends the proofs of
+   * ownership, lease renewals and replies.
+   */
+  private static final long MAX_PASS_NANOS = Duration.ofMillis(10).toNanos();
+
+  private static final long LONG_PASS_MILLIS = 100;
+  private static final long LONG_PASS_LOG_MILLIS = 10_000;
+
   /**
    * Limit of the waiting submissions. Each takes some 2 KB in this process; beyond the limit the
    * oldest would wait longer than any caller's objective.
@@ -82,6 +91,7 @@
   private final TimerSubscription tickTimer;
   private boolean passScheduled;
   private boolean ended;
+  private long longPassLoggedAt = -LONG_PASS_LOG_MILLIS;
   private long startsSuspendedUntil;
   private long evacuationsReadAt;
 
@@ -522,10 +532,37 @@
    */
   private void pass() {
     passScheduled = false;
-    if (now() >= startsSuspendedUntil && maySendOrders() && isEvacuationReadAgeKnown()) {
-      long startNanos = System.nanoTime();
-      cell.pass(now(), dependencies.wallClock().getAsLong());
-      passPacing.recordPass(System.nanoTime() - startNanos);
+    if (now() < startsSuspendedUntil || !maySendOrders() || !isEvacuationReadAgeKnown()) {
+      return;
+    }
+    long startNanos = System.nanoTime();
+    boolean complete =
+        cell.pass(
+            now(),
+            dependencies.wallClock().getAsLong(),
+            () -> System.nanoTime() - startNanos < MAX_PASS_NANOS && maySendOrders());
+    double millis = passPacing.recordPass(System.nanoTime() - startNanos, complete);
+    if (complete) {
+      logLongPass(millis);
+    } else {
+      requestPass();
+    }
+  }
+
+  private void logLongPass(double millis) {
+    if (millis >= LONG_PASS_MILLIS && now() - longPassLoggedAt >= LONG_PASS_LOG_MILLIS) {
+      longPassLoggedAt = now();
+      dependencies
+          .log()
+          .event(
+              PART,
+              "long-pass",
+              "epoch",
+              epoch,
+              "took_ms",
+              Math.round(millis),
+              "ready_steps",
+              cell.readySteps());
     }
   }
 
