Final rosters and explanations fit into one frame of a link

The receiver closes a link on a frame of more than 1 MiB. An explanation of 60,000 runs takes 3.4 MB, one of 20,000 steps 3.8 MB, a final roster of 60,000 runs 1.4 MB: the question of an operator closed the link of the owner, and a former owner could not tell its successor what it had left.

Change: an explanation lists 50 runs a step and ends after 200,000 characters with the number of steps left out. A final roster lists 12,000 runs; a worker whose runs would exceed this is listed without them, so that the successor waits for its answer. An explanation names start orders in transit as a reason to wait.

--- a/core/src/main/java/org/hickorypier/core/cell/Explanation.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Explanation.java
@@ -10,6 +10,10 @@
 final class Explanation {
 
   private static final int MAX_LISTED_WORKERS = 3;
+  private static final int MAX_LISTED_RUNS = 50;
+
+  /** An explanation crosses a link between instances in one frame of 1 MiB at most. */
+  private static final int MAX_CHARACTERS = 200_000;
 
   private final CellState cell;
   private final Submission submission;
@@ -39,9 +43,18 @@
             + ", since "
             + (now - submission.acceptedAt)
             + " ms");
+    int characters = 0;
+    int left = submission.occurrences.length * submission.spec().steps().size();
     for (StepRun[] steps : submission.occurrences) {
       for (StepRun step : steps) {
-        lines.add(id + ": " + line(step));
+        if (characters > MAX_CHARACTERS) {
+          lines.add(id + ": and " + left + " more steps");
+          return lines;
+        }
+        String line = id + ": " + line(step);
+        lines.add(line);
+        characters += line.length();
+        left--;
       }
     }
     return lines;
@@ -51,9 +64,10 @@
     StringBuilder line = new StringBuilder("step ");
     line.append(step.occurrence).append('.').append(step.index).append(": ");
     line.append(step.doneCount).append(" of ").append(step.tasks.length).append(" done");
+    int runs = 0;
     for (Task task : step.tasks) {
       Run run = task.currentRun;
-      if (run != null) {
+      if (run != null && ++runs <= MAX_LISTED_RUNS) {
         line.append("; ").append(task.index).append(" run ").append(run.key.number());
         line.append(" on ").append(run.worker.id());
         line.append(" of speed ").append(run.worker.placingFactor);
@@ -62,6 +76,9 @@
         line.append(" ms, ").append(run.percent).append('%');
       }
     }
+    if (runs > MAX_LISTED_RUNS) {
+      line.append("; and ").append(runs - MAX_LISTED_RUNS).append(" more runs");
+    }
     if (!step.isDone() && step.hasWaitingTasks()) {
       line.append("; waits for ").append(waitReason(step));
       line.append("; in time on workers up to speed ").append(step.allowedFactor);
@@ -106,6 +123,9 @@
           + (step.preemption.until() - now)
           + " ms at most";
     }
+    if (!step.isGang() && cell.orderWindow.room(step) == 0) {
+      return "answers to the start orders in transit";
+    }
     int together = step.isGang() ? step.tasks.length : 1;
     String customer = submission.spec().customer();
     if (!cell.usage.allows(customer, step.spec.taskResources(), together)) {
--- a/core/src/main/java/org/hickorypier/core/cell/RosterWriter.java
+++ b/core/src/main/java/org/hickorypier/core/cell/RosterWriter.java
@@ -30,6 +30,12 @@
    */
   private static final int MAX_LISTED_RUNS = 4_000;
 
+  /**
+   * The same for a final roster, which crosses a link between instances in one frame of 1 MiB at
+   * most. Each entry of a worker takes some 150 bytes beside its runs.
+   */
+  private static final int MAX_FINAL_RUNS = 12_000;
+
   private final CellState cell;
   private boolean stale;
   private boolean writing;
@@ -102,20 +108,26 @@
 
   /**
    * Returns every worker that may still have runs, for an owner that sends no more orders or
-   * renewals.
+   * renewals. The runs of a worker that would exceed the limit are left out, so that the successor
+   * waits for its answer.
    */
   List<RosterEntry> finalRoster(long now) {
     List<RosterEntry> entries = new ArrayList<>();
+    int listedRuns = 0;
     for (WorkerView worker : cell.workers.values()) {
       if (!worker.runs.isEmpty()
           || !worker.unsavedEnds.isEmpty()
           || cell.isUnresolved(worker, now)) {
+        int listedBefore = listedRuns;
+        Optional<List<RunKey>> listed =
+            possibleRuns(worker, now).filter(each -> listedBefore + each.size() <= MAX_FINAL_RUNS);
+        listedRuns += listed.map(List::size).orElse(0);
         entries.add(
             expiringEntry(
                 worker,
                 worker.rosterEntry(),
                 worker.isOpen() ? cell.lastSubmissionNumber() : worker.closedAfter,
-                possibleRuns(worker, now),
+                listed,
                 now));
       }
     }
--- a/core/src/main/java/org/hickorypier/core/cell/WorkerRegistry.java
+++ b/core/src/main/java/org/hickorypier/core/cell/WorkerRegistry.java
@@ -305,8 +305,9 @@
 
   private void replaceRuns(WorkerView worker, List<RunKey> listed, long now) {
     worker.runsUnknown = false;
+    Set<RunKey> kept = new HashSet<>(listed);
     for (Run run : CellState.copy(worker.runs.values())) {
-      if (!listed.contains(run.key)) {
+      if (!kept.contains(run.key)) {
         runs.removeRun(run, now);
       }
     }
