Failed runs of persistent tasks are kept in a bounded number

Cause: the numbers of all failed runs of a task go into the progress record of its submission. A persistent task has no limit of attempts, so the record outgrows the largest record of the store; the refused append is repeated for ever, and all later ones wait for it.

Change: of a persistent task the eight highest numbers are kept, and a lower one counts as recorded. A worker repeats an end only until it is durable, so that few can be repeated.

--- a/core/src/main/java/org/hickorypier/core/cell/RunEndHandler.java
+++ b/core/src/main/java/org/hickorypier/core/cell/RunEndHandler.java
@@ -192,12 +192,10 @@
       recordWorkerFailure(worker, now);
     }
     Submission submission = task.step.submission;
-    if (!submission.isLive()
-        || task.done
-        || record.failedRunNumbers.contains(ended.run().number())) {
+    if (!submission.isLive() || task.done || record.hasRecordedFailure(ended.run().number())) {
       return;
     }
-    record.failedRunNumbers.add(ended.run().number());
+    record.recordFailure(ended.run().number());
     record.avoidedWorker = worker;
     cell.recordChange(submission);
     boolean exhausted = record.failedRunNumbers.size() >= submission.spec().queue().maxAttempts();
--- a/core/src/main/java/org/hickorypier/core/cell/Submission.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Submission.java
@@ -236,8 +236,10 @@
         task.done = true;
         step.doneCount++;
       }
-      task.failedRunNumbers.addAll(
-          progress.failedRuns().getOrDefault(step.firstTaskOffset + task.index, List.of()));
+      progress
+          .failedRuns()
+          .getOrDefault(step.firstTaskOffset + task.index, List.of())
+          .forEach(task::recordFailure);
     }
     if (step.isDone()) {
       unfinishedSteps--;
--- a/core/src/main/java/org/hickorypier/core/cell/Task.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Task.java
@@ -1,12 +1,19 @@
 package org.hickorypier.core.cell;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import org.hickorypier.core.submission.MoveRecord;
 
 /** One task of a step. Confined to the control thread. */
 final class Task {
 
+  /**
+   * Failed runs that are kept of a persistent task. Its attempts are not limited, and a worker
+   * repeats an end only until it is durable, so that few can be repeated.
+   */
+  private static final int MAX_FAILED_RUNS_OF_PERSISTENT = 8;
+
   final StepRun step;
   final int index;
 
@@ -30,7 +37,10 @@
   /** The highest run number used so far. */
   int lastRunNumber;
 
-  /** Numbers of the failed runs, without duplicates: a new owner receives the same end again. */
+  /**
+   * Numbers of the failed runs, without duplicates: a new owner receives the same end again. Of a
+   * persistent task, which may fail at any time for as long as it lives, the highest ones only.
+   */
   final List<Integer> failedRunNumbers = new ArrayList<>(0);
 
   /** Worker where it last failed or made no progress, which the next run avoids; or null. */
@@ -59,6 +69,22 @@
     this.index = index;
   }
 
+  /** Tells whether the failure of a run is recorded, or was recorded and is no longer kept. */
+  boolean hasRecordedFailure(int number) {
+    boolean dropped =
+        step.isPersistent()
+            && failedRunNumbers.size() >= MAX_FAILED_RUNS_OF_PERSISTENT
+            && number < Collections.min(failedRunNumbers);
+    return dropped || failedRunNumbers.contains(number);
+  }
+
+  void recordFailure(int number) {
+    failedRunNumbers.add(number);
+    while (step.isPersistent() && failedRunNumbers.size() > MAX_FAILED_RUNS_OF_PERSISTENT) {
+      failedRunNumbers.remove(Collections.min(failedRunNumbers));
+    }
+  }
+
   TaskName name() {
     return new TaskName(step.submission.spec().id(), step.occurrence, step.index, index);
   }
