Ends on several pages: a silent store and a cut between two owners

Two further cases that could still show it are played: the store accepts nothing between two pages, and the worker is cut off between the pages of two owners.

--- a/core/src/test/java/org/hickorypier/core/cell/EndsOnSeveralPagesTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/EndsOnSeveralPagesTest.java
@@ -222,6 +222,41 @@
     assertThat(third.starts).isEmpty();
   }
 
+  /** Guards against a second start while the store accepts nothing, so that no page follows. */
+  @Test
+  void noEndedTaskStartsAgainWhileStoreIsSilentBetweenPages() {
+    endAllTasks(3);
+    CellFixture owner = takeOver(first, 2);
+    readPages(owner, 1);
+    for (int repeated = 0; repeated < 5; repeated++) {
+      owner.reportFrom(owner.findWorker("ended"), nextPage(owner));
+      owner.cell.tick(owner.now, owner.now);
+      owner.pass();
+      assertThat(owner.starts).isEmpty();
+    }
+    readToLastPage(owner);
+    assertThat(stateOf(owner)).isEqualTo(SubmissionState.COMPLETED);
+  }
+
+  /**
+   * Guards against a second start by an owner that the worker does not answer between two pages.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {2, 5})
+  void noEndedTaskStartsAgainWhileWorkerIsCutOffBetweenPagesOfTwoOwners(int pages) {
+    endAllTasks(pages);
+    CellFixture second = takeOver(first, 2);
+    readPages(second, 1);
+    second.findWorker("ended").nextDeadline(second.now, TIMINGS.leaseMillis());
+    advanceInSilence(second, 500);
+    CellFixture third = takeOver(second, 3);
+    advanceInSilence(third, 500);
+    assertThat(third.starts).isEmpty();
+    readToLastPage(third);
+    assertThat(stateOf(third)).isEqualTo(SubmissionState.COMPLETED);
+    assertThat(third.starts).isEmpty();
+  }
+
   /** Guards against a final roster that leaves out a worker whose ends are not all read. */
   @Test
   void finalRosterTellsOfUnreadEnds() {
