Gangs that wait for start orders: one at a time, none for ever

Found by reading the order window again. A second gang that did not fit was not counted as waiting, so that runs could be stopped for it although it had room. The room kept for a gang was given to others in the next part of a pass. A gang larger than the window was ordered only when nothing was in transit, which beside steady urgent work may never be.

Change: the window keeps all gangs that wait, and its room for the first, until a new pass begins; urgent steps that become ready meanwhile are let through. A gang larger than the window is ordered once the orders in transit take no more than the part that is kept for urgent work.

--- a/core/src/main/java/org/hickorypier/core/cell/Dispatcher.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Dispatcher.java
@@ -90,7 +90,6 @@
     }
     trialWorkers.releaseUnneeded(now);
     usableWorkers.clear();
-    cell.orderWindow.beginPass();
     final long unresolvedUpTo = cell.lastUnresolvedNumber(now);
     cell.usage.setUnresolvedCapacity(cell.unresolvedCapacity(now));
     Map<String, List<WorkerView>> workersByService = new HashMap<>();
@@ -132,6 +131,7 @@
   private List<StepRun> allSteps(long now) {
     List<StepRun> sorted = sorted(cell.readySteps, now);
     cell.headroom.update(sorted, now);
+    cell.orderWindow.beginPass();
     known.addAll(sorted);
     return sorted;
   }
--- a/core/src/main/java/org/hickorypier/core/cell/OrderWindow.java
+++ b/core/src/main/java/org/hickorypier/core/cell/OrderWindow.java
@@ -1,5 +1,8 @@
 package org.hickorypier.core.cell;
 
+import java.util.LinkedHashSet;
+import java.util.Set;
+
 /**
  * Bounds the start orders in transit, those that are sent and not answered yet.
  *
@@ -28,8 +31,8 @@
   private long limitBytes = DEFAULT_LIMIT_BYTES;
   private long bytesInTransit;
 
-  /** The gang that waits in the present pass until all of it fits, or null. */
-  private StepRun waitingGang;
+  /** The gangs that wait in the present pass until all of each fits, the first one first. */
+  private final Set<StepRun> waitingGangs = new LinkedHashSet<>();
 
   /** Whether a task waits for room in the window. */
   private boolean awaited;
@@ -40,7 +43,7 @@
   }
 
   void beginPass() {
-    waitingGang = null;
+    waitingGangs.clear();
   }
 
   /**
@@ -48,7 +51,7 @@
    * that a task with an order larger than the window is started as well.
    */
   int room(StepRun step) {
-    if (waitingGang != null && waitingGang != step) {
+    if (isKeptFromOthers(step)) {
       return 0;
     }
     long left = Math.round(share(step) * limitBytes) - bytesInTransit;
@@ -62,27 +65,39 @@
     return (int) Math.max(0, most - worker.ordersInTransit);
   }
 
+  /**
+   * Returns whether the room is kept for a gang. A step that is more urgent may be placed after it,
+   * if it becomes ready during the pass.
+   */
+  private boolean isKeptFromOthers(StepRun step) {
+    if (waitingGangs.isEmpty()) {
+      return false;
+    }
+    StepRun first = waitingGangs.iterator().next();
+    return first != step && (first.urgent || !step.urgent);
+  }
+
   private static double share(StepRun step) {
     return step.urgent ? 1 : COMMON_SHARE;
   }
 
   /**
    * Returns whether the members of a gang, which start together, may be ordered now. If not, no
-   * later step of the pass gets room, or a large gang would wait for as long as others come.
+   * later step of the pass gets room, or a large gang would wait for as long as others come. One
+   * that is larger than the window is ordered when little else than urgent work is in transit.
    */
   boolean admitsGang(StepRun gang, int members) {
-    if (bytesInTransit == 0 || members <= room(gang)) {
+    boolean mostlyFree = bytesInTransit <= (1 - COMMON_SHARE) * limitBytes;
+    if (members <= room(gang) || mostlyFree && !isKeptFromOthers(gang)) {
       return true;
     }
-    if (waitingGang == null) {
-      waitingGang = gang;
-    }
+    waitingGangs.add(gang);
     return false;
   }
 
   /** Returns whether a gang waits in the present pass until all of it fits. */
   boolean isWaiting(StepRun gang) {
-    return waitingGang == gang;
+    return waitingGangs.contains(gang);
   }
 
   /** Records that a task waits for room, so that a pass follows the next answer. */
--- a/core/src/test/java/org/hickorypier/core/cell/OrderWindowLoadTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/OrderWindowLoadTest.java
@@ -126,6 +126,33 @@
     assertCompletedBesideChecks(List.of("other", "gang"));
   }
 
+  /** Guards against a large gang that never starts since some urgent order is always in transit. */
+  @Test
+  void gangLargerThanTheWindowStartsBesideUrgentOrders() {
+    fleet.owner.cell.limitOrders(1 << 20);
+    submitCheck();
+    int starts = fleet.owner.starts.size();
+    assertThat(starts).isPositive();
+    fleet.submit(large("gang", 2_000, true));
+    assertThat(fleet.owner.starts).hasSize(starts + 2_000);
+  }
+
+  /** Guards against runs that are stopped to make room for a gang that waits for orders only. */
+  @Test
+  void laterGangsWaitForTheirOrdersAsWell() {
+    fleet.owner.cell.limitOrders(1 << 20);
+    fleet.submit(large("other", 10_000, false));
+    List<String> gangs = List.of("gang-1", "gang-2");
+    for (String gang : gangs) {
+      fleet.owner.cell.accept(large(gang, 1_000, true), fleet.owner.now);
+      fleet.states.put(gang, SubmissionState.QUEUED);
+    }
+    fleet.owner.writePending();
+    fleet.owner.pass();
+    assertThat(fleet.owner.stops).isEmpty();
+    assertCompletedBesideChecks(gangs);
+  }
+
   /** Guards against room that is never given back by orders that could not be sent. */
   @Test
   void ordersThatCannotBeSentLeaveTheWindow() {
