--- a/core/src/main/java/org/hickorypier/core/cell/OrderWindow.java
+++ b/core/src/main/java/org/hickorypier/core/cell/OrderWindow.java
@@ -16,10 +16,10 @@
  */
 final class OrderWindow {
 
-  /** A worker answers so many orders over its connections within some 50 ms. */
+  /** Bounds how long a lease renewal waits behind orders for a connection to its worker. */
   private static final int MAX_ORDERS_PER_WORKER = 64;
 
-  /** Memory that an order takes beside the text: the request, its timers and its callbacks. */
+  /** Allowance for an order beside its text: the request, its timers and its callbacks. */
   private static final int ORDER_BYTES = 4_096;
 
   /** Share of the window that work may take which is not urgent. */
