Waiting submissions leave room for a takeover

Cause: a successor needs more memory than the owner. The owner holds each submission with an object for each of its 50 tasks, some 10 KB. The limit of 20,000 submissions did not look at their size.

Change: the tasks of a step are created when one of them may start.

--- a/core/src/main/java/org/hickorypier/core/cell/Cell.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Cell.java
@@ -109,6 +109,25 @@
     state.orderWindow.setLimitBytes(bytes);
   }
 
+  /**
+   * Sets the memory that submissions may take, those that wait and those that have ended.
+   *
+   * @param bytes the limit, in bytes
+   */
+  public void limitSubmissions(long bytes) {
+    state.memory.setLimitBytes(bytes);
+  }
+
+  /**
+   * Tells whether a successor could still take the cell over with a further submission.
+   *
+   * @param spec the specification from the caller
+   * @return false if the memory for submissions is used up
+   */
+  public boolean hasMemoryFor(SubmissionSpec spec) {
+    return state.memory.hasRoomFor(spec);
+  }
+
   /**
    * Accepts a submission unless it surely cannot be done while it is of use. One that the cell
    * knows is never refused.
@@ -159,6 +178,7 @@
                 .computeIfAbsent(spec.customer(), name -> new ShareTokenBucket(now))
                 .tryTake(customer.weight(), now);
     state.submissions.put(spec.id(), submission);
+    state.memory.add(submission);
     state.reserve.recordPriority(spec.queue().service(), spec.queue().priority());
     state.recordChange(submission);
     upcomingSteps.addFirstSteps(submission);
@@ -203,6 +223,7 @@
     submission.restore(progress, now);
     crashTracker.restore(submission);
     state.submissions.put(spec.id(), submission);
+    state.memory.add(submission);
     state.reserve.recordPriority(spec.queue().service(), spec.queue().priority());
     state.stepsMayBeReady = true;
   }
@@ -215,6 +236,7 @@
    */
   public void restoreEnded(String id, EndedSubmission past) {
     state.endedSubmissions.put(id, past);
+    state.memory.add(past);
   }
 
   /**
@@ -603,6 +625,7 @@
     parts.run("check of the workers", () -> workers.tick(now));
     parts.run("check of lost runs", () -> crashTracker.tick(now));
     parts.run("sample of the urgent work", state.reserve::sample);
+    parts.run("sample of the memory", () -> state.memory.sample(now));
     parts.run("sample of the shares", () -> state.shares.sample(now));
     parts.run("resending of stops", () -> runs.resendStops(now));
     parts.run("stop of unconfirmed gangs", () -> runs.stopUnconfirmedGangs(now));
--- a/core/src/main/java/org/hickorypier/core/cell/CellState.java
+++ b/core/src/main/java/org/hickorypier/core/cell/CellState.java
@@ -46,6 +46,7 @@
   final SuitabilityEstimator suitabilityEstimator = new SuitabilityEstimator();
   final Reservations reservations = new Reservations();
   final OrderWindow orderWindow = new OrderWindow();
+  final SubmissionMemory memory;
   final LimitHeadroom headroom = new LimitHeadroom(this);
   final UrgentReserve reserve = new UrgentReserve();
   final ShareSampler shares = new ShareSampler(this);
@@ -86,6 +87,7 @@
     this.lastSubmissionNumber = epoch * MAX_SUBMISSIONS_PER_EPOCH;
     this.takenOverAt = now;
     this.listedAt = now;
+    this.memory = new SubmissionMemory(this);
     this.evacuations = new Evacuations(timings.evacuationReadAgeMillis(), log);
   }
 
@@ -145,7 +147,10 @@
 
   /** Returns whether a step has waiting tasks that were not given up. */
   boolean hasTasksToStart(StepRun step, long now) {
-    for (Task task : step.tasks) {
+    if (!step.hasCreatedTasks()) {
+      return true;
+    }
+    for (Task task : step.createdTasks()) {
       if (task.isWaiting() && crashVerdict(task.crashUnit(), now) != CrashVerdict.GIVE_UP) {
         return true;
       }
--- a/core/src/main/java/org/hickorypier/core/cell/StepRun.java
+++ b/core/src/main/java/org/hickorypier/core/cell/StepRun.java
@@ -1,5 +1,6 @@
 package org.hickorypier.core.cell;
 
+import java.util.Arrays;
 import java.util.HashSet;
 import java.util.Set;
 import org.hickorypier.core.estimation.StepSamples;
@@ -8,13 +9,20 @@
 /** One occurrence of a step with its tasks. Confined to the control thread. */
 public final class StepRun {
 
+  private static final Task[] NO_TASKS = {};
+
   final Submission submission;
   final int occurrence;
   final int index;
   final StepSpec spec;
-  final Task[] tasks;
   final StepAdvice advice;
 
+  /**
+   * The tasks, or null while all of them wait for their first run. Submissions that are due later,
+   * of which there are thousands, thus cost their specification only.
+   */
+  private Task[] tasks;
+
   /** Index of the step's first task among all tasks of the submission. */
   final int firstTaskOffset;
 
@@ -54,10 +62,25 @@
     this.spec = spec;
     this.firstTaskOffset = firstTaskOffset;
     this.advice = submission.spec().queue().advice().map(StepAdvice::new).orElse(null);
-    this.tasks = new Task[spec.count()];
-    for (int taskIndex = 0; taskIndex < tasks.length; taskIndex++) {
-      tasks[taskIndex] = new Task(this, taskIndex);
+  }
+
+  /** Returns the tasks by their index; creates them if there are none yet. */
+  Task[] tasks() {
+    if (tasks == null) {
+      tasks = new Task[spec.count()];
+      Arrays.setAll(tasks, taskIndex -> new Task(this, taskIndex));
     }
+    return tasks;
+  }
+
+  /** Returns the tasks by their index, or none if all of them wait for their first run. */
+  Task[] createdTasks() {
+    return tasks == null ? NO_TASKS : tasks;
+  }
+
+  /** Returns whether the tasks exist; if not, all of them wait for their first run. */
+  boolean hasCreatedTasks() {
+    return tasks != null;
   }
 
   /**
@@ -92,7 +115,7 @@
   }
 
   boolean isDone() {
-    return doneCount == tasks.length;
+    return doneCount == spec.count();
   }
 
   /**
@@ -100,16 +123,16 @@
    * member records its failures.
    */
   Task failureRecord(Task task) {
-    return isGang() ? tasks[0] : task;
+    return isGang() ? tasks()[0] : task;
   }
 
   boolean hasWaitingTasks() {
-    for (Task task : tasks) {
+    for (Task task : createdTasks()) {
       if (task.isWaiting()) {
         return true;
       }
     }
-    return false;
+    return !hasCreatedTasks();
   }
 
   boolean isPersistent() {
@@ -122,7 +145,7 @@
    */
   long waitingSince() {
     long since = Long.MAX_VALUE;
-    for (Task task : tasks) {
+    for (Task task : createdTasks()) {
       if (task.isWaiting() && task.waitingSince > 0) {
         since = Math.min(since, task.waitingSince);
       }
@@ -131,8 +154,11 @@
   }
 
   int waitingCount() {
+    if (!hasCreatedTasks()) {
+      return spec.count();
+    }
     int waiting = 0;
-    for (Task task : tasks) {
+    for (Task task : createdTasks()) {
       waiting += task.isWaiting() ? 1 : 0;
     }
     return waiting;
@@ -140,7 +166,7 @@
 
   /** Tells whether all tasks wait. A gang restarts only when no worker holds its last run. */
   boolean allTasksWaiting() {
-    for (Task task : tasks) {
+    for (Task task : createdTasks()) {
       if (!task.isWaiting()) {
         return false;
       }
@@ -157,7 +183,7 @@
 
   private int nextGangRunNumber() {
     int highest = submission.firstRunNumber() - 1;
-    for (Task task : tasks) {
+    for (Task task : createdTasks()) {
       highest = Math.max(highest, task.lastRunNumber);
     }
     return highest + 1;
@@ -169,7 +195,7 @@
       return 1;
     }
     Set<WorkerView> workers = new HashSet<>();
-    for (Task member : tasks) {
+    for (Task member : createdTasks()) {
       if (member.currentRun != null) {
         workers.add(member.currentRun.worker);
       }
@@ -179,7 +205,7 @@
 
   int countRunsOn(WorkerView worker) {
     int count = 0;
-    for (Task task : tasks) {
+    for (Task task : createdTasks()) {
       if (task.currentRun != null && task.currentRun.worker == worker) {
         count++;
       }
--- a/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/Node.java
@@ -54,6 +54,9 @@
   /** Part of the heap that start orders in transit may take. */
   private static final int ORDER_PART = 8;
 
+  /** Part of the heap that submissions may take, which a takeover and all else must fit beside. */
+  private static final int SUBMISSION_PART = 2;
+
   /** Connections to one worker: one waiting lease renewal, and the orders of a gang beside it. */
   private static final int WORKER_CONNECTIONS = 5;
 
@@ -156,7 +159,8 @@
             settings.workerHeartbeatMillis(),
             settings.linkMegabits() * BYTES_PER_MEGABIT,
             settings.processors(),
-            Runtime.getRuntime().maxMemory() / ORDER_PART);
+            Runtime.getRuntime().maxMemory() / ORDER_PART,
+            Runtime.getRuntime().maxMemory() / SUBMISSION_PART);
     String peerAddress = "" + settings.advertisedPeer();
     directory = new OwnerDirectory(store, timers, log, this::handleOwnerChange);
     Candidate self = new Candidate(peerAddress, settings.strength());
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/JournalContents.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/JournalContents.java
@@ -15,8 +15,10 @@
 import org.hickorypier.wire.UndecodableException;
 
 /**
- * The decoded contents of the journal, from which a new owner restores its cell. Confined to the
- * control thread.
+ * The contents of the journal, from which a new owner restores its cell. The records of submissions
+ * are released one by one as they are decoded: both forms of all of them do not fit into the heap.
+ *
+ * <p>Confined to the control thread.
  */
 final class JournalContents {
 
@@ -26,6 +28,11 @@
   private final Map<String, byte[]> values;
   private final EventLog log;
 
+  /**
+   * Creates the contents.
+   *
+   * @param values the newest value of each key; must be modifiable if submissions are restored
+   */
   JournalContents(Map<String, byte[]> values, EventLog log) {
     this.values = values;
     this.log = log;
@@ -65,7 +72,8 @@
   }
 
   /**
-   * Restores the submissions in a cell. A submission that cannot be decoded is logged and left out.
+   * Restores the submissions in a cell, and removes them from these contents. A submission that
+   * cannot be decoded is logged and left out.
    *
    * @param now the present time of the monotonic clock, in milliseconds
    * @param wallMillis the present time of the wall clock, in milliseconds
@@ -73,15 +81,15 @@
    */
   int restore(Cell cell, long now, long wallMillis) {
     int count = 0;
-    for (Map.Entry<String, byte[]> entry : values.entrySet()) {
-      if (JournalKeys.isSpecKey(entry.getKey()) && entry.getValue() != null) {
+    List<String> keys = values.keySet().stream().filter(JournalKeys::isSpecKey).toList();
+    for (String key : keys) {
+      byte[] spec = values.remove(key);
+      if (spec != null) {
         count++;
         try {
-          restore(
-              cell, JournalKeys.submissionId(entry.getKey()), entry.getValue(), now, wallMillis);
+          restore(cell, JournalKeys.submissionId(key), spec, now, wallMillis);
         } catch (UndecodableException error) {
-          log.event(
-              "journal", "unreadable-record", "key", entry.getKey(), "error", error.getMessage());
+          log.event("journal", "unreadable-record", "key", key, "error", error.getMessage());
         }
       }
     }
@@ -90,7 +98,7 @@
 
   private void restore(Cell cell, String id, byte[] spec, long now, long wallMillis)
       throws UndecodableException {
-    byte[] value = values.get(JournalKeys.progressKey(id));
+    byte[] value = values.remove(JournalKeys.progressKey(id));
     SubmissionProgress progress =
         value == null ? NO_PROGRESS : SubmissionCodec.decodeProgress(value);
     if (progress.state().isTerminal() && progress.endedAtMillis() > 0) {
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
@@ -55,8 +55,8 @@
   private static final long LONG_PASS_LOG_MILLIS = 10_000;
 
   /**
-   * Limit of the waiting submissions. Each takes some 2 KB in this process; beyond the limit the
-   * oldest would wait longer than any caller's objective.
+   * Limit of the waiting submissions. Beyond it the oldest would wait longer than any caller's
+   * objective.
    */
   private static final int MAX_WAITING_SUBMISSIONS = 20_000;
 
@@ -120,6 +120,7 @@
             workerEvents);
     this.cell = new Cell(dependencies.timings(), orders, dependencies.log(), taken.epoch(), now);
     cell.limitOrders(dependencies.orderBytes());
+    cell.limitSubmissions(dependencies.submissionBytes());
     this.journal =
         new JournalWriter(
             dependencies.store()::append,
@@ -202,6 +203,13 @@
     if (status == null && cell.size() >= MAX_WAITING_SUBMISSIONS) {
       return refuseOnceProven(spec, waitMillis, "the queue is full", QUEUE_FULL_RETRY_AFTER_MILLIS);
     }
+    if (status == null && !cell.hasMemoryFor(spec)) {
+      return refuseOnceProven(
+          spec,
+          waitMillis,
+          "the memory for waiting submissions is used up",
+          QUEUE_FULL_RETRY_AFTER_MILLIS);
+    }
     if (status == null && journal.unavailableMillis() > WithdrawalPolicy.TAKEOVER_MILLIS) {
       // Most likely the store is unavailable to all instances by now, and an immediate refusal
       // serves the caller better than a wait. Before that, the request waits, since a successor can
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerDependencies.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/OwnerDependencies.java
@@ -28,6 +28,7 @@
  * @param linkBytesPerSecond the bandwidth of this machine's link, in bytes per second
  * @param processors the cores of this machine, of which a part counts too
  * @param orderBytes the memory that start orders in transit may take, in bytes
+ * @param submissionBytes the memory that submissions may take at the owner, in bytes
  */
 public record OwnerDependencies(
     StoreClient store,
@@ -41,7 +42,8 @@
     long workerHeartbeatMillis,
     double linkBytesPerSecond,
     double processors,
-    long orderBytes) {
+    long orderBytes,
+    long submissionBytes) {
 
   /**
    * Returns how long a message may wait behind a burst of work on a machine. The other machines are
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Ownership.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Ownership.java
@@ -19,6 +19,7 @@
 import org.hickorypier.platform.store.Append;
 import org.hickorypier.platform.store.GroupMembership;
 import org.hickorypier.platform.store.KeyedRecord;
+import org.hickorypier.platform.store.Snapshot;
 
 /**
  * Decides whether this instance owns the cell.
@@ -428,6 +429,11 @@
       return Future.succeededFuture(false);
     }
     takingOver = true;
+    Optional<Snapshot> known = journalFollower.snapshot();
+    if (known.isEmpty()) {
+      // The takeover reads all of the journal, which does not fit into the heap twice.
+      journalFollower.stop();
+    }
     dependencies
         .log()
         .event(
@@ -438,7 +444,7 @@
             "generation",
             generation,
             "standby",
-            journalFollower.isReady());
+            known.isPresent());
     return new Takeover(
             dependencies.store(),
             dependencies.log(),
@@ -447,7 +453,7 @@
             directory.owner().epoch(),
             wanted,
             livenessDelay,
-            journalFollower.snapshot())
+            known)
         .run()
         .transform(
             (taken, error) -> {
@@ -464,6 +470,7 @@
               // An instance that was told to leave during the takeover has fenced its predecessor
               // nevertheless, and the cell would have no owner if this one gave it up. It becomes
               // the owner and hands over in its turn.
+              journalFollower.stop();
               owner =
                   new Owner(
                       dependencies,
@@ -475,7 +482,6 @@
                       this::endOwnership);
               dependencies.delayMonitor().sampleOften(true);
               onGained.run();
-              journalFollower.stop();
               announceOwner(self.toOwnerRecord(taken.epoch()));
               return Future.succeededFuture(true);
             });
--- a/daemon/src/test/java/org/hickorypier/daemon/owner/JournalContentsTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/owner/JournalContentsTest.java
@@ -3,9 +3,12 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.hickorypier.core.cell.Cell;
+import org.hickorypier.core.cell.CellTimings;
 import org.hickorypier.core.cell.RosterCodec;
 import org.hickorypier.core.cell.RosterEntry;
 import org.hickorypier.core.cell.RunKey;
@@ -14,10 +17,20 @@
 import org.hickorypier.core.estimation.WorkerSpeed;
 import org.hickorypier.core.estimation.WorkerSpeedCodec;
 import org.hickorypier.core.model.Resources;
+import org.hickorypier.core.submission.QueueTerms;
+import org.hickorypier.core.submission.StepFlags;
+import org.hickorypier.core.submission.StepSpec;
+import org.hickorypier.core.submission.SubmissionCodec;
+import org.hickorypier.core.submission.SubmissionProgress;
+import org.hickorypier.core.submission.SubmissionSpec;
+import org.hickorypier.core.submission.SubmissionState;
 import org.junit.jupiter.api.Test;
 
 class JournalContentsTest {
 
+  private static final StepSpec STEP =
+      new StepSpec(1, new Resources(1, 1, 0), 500, List.of(), StepFlags.NONE, "", "", 0, "", 0, 0);
+
   private final List<String> events = new ArrayList<>();
 
   private JournalContents contents(Map<String, byte[]> values) {
@@ -50,6 +63,33 @@
     assertThat(events).contains("unreadable-record");
   }
 
+  /**
+   * Guards against a takeover that holds the records and the decoded submissions of all at once.
+   */
+  @Test
+  void recordsAreReleasedAsTheyAreDecoded() {
+    Map<String, byte[]> values = new HashMap<>();
+    QueueTerms queue = new QueueTerms("queue", "service", 0, 2, 2, 1_000, Optional.empty());
+    byte[] progress =
+        SubmissionCodec.encodeProgress(
+            new SubmissionProgress(SubmissionState.RUNNING, 0, List.of(), Map.of()));
+    for (int index = 0; index < 100; index++) {
+      SubmissionSpec spec =
+          new SubmissionSpec("id" + index, "c", queue, "text", List.of(STEP), 0, 0, 0, 0);
+      values.put(JournalKeys.specKey(spec.id()), SubmissionCodec.encode(spec, index));
+      values.put(JournalKeys.progressKey(spec.id()), progress);
+    }
+    values.put(JournalKeys.specKey("dropped"), null);
+    values.put(JournalKeys.specKey("unreadable"), new byte[] {9, 9});
+    Cell cell =
+        new Cell(CellTimings.of(10_000, 3_000, 60_000), null, (part, event, more) -> {}, 2, 0);
+    assertThat(contents(values).restore(cell, 0, 0)).isEqualTo(101);
+    assertThat(cell.size()).isEqualTo(100);
+    assertThat(cell.find("id7").number()).isEqualTo(7);
+    assertThat(events).containsExactly("unreadable-record");
+    assertThat(values).isEmpty();
+  }
+
   /** Guards against a takeover that fails on a record which the successor can do without. */
   @Test
   void missingAndUnreadableSpeedsAreLearnedAnew() {
--- a/daemon/src/test/java/org/hickorypier/daemon/owner/LeaseRenewerTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/owner/LeaseRenewerTest.java
@@ -164,6 +164,7 @@
             1_500,
             250_000,
             0.12,
+            1 << 20,
             1 << 20);
     return new LeaseRenewer(
         dependencies,
--- a/daemon/src/test/java/org/hickorypier/daemon/owner/WorkerListReaderTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/owner/WorkerListReaderTest.java
@@ -76,6 +76,7 @@
             1_500,
             250_000,
             1,
+            1 << 20,
             1 << 20);
     return new WorkerListReader(dependencies, listener);
   }
