bin/measure memory: heap of submissions that wait

Prints the bytes that a waiting submission takes at a standby, at the owner and at the peak of a takeover that releases each record as it is decoded.

--- a/measure/src/main/java/org/hickorypier/measure/CommandRegistry.java
+++ b/measure/src/main/java/org/hickorypier/measure/CommandRegistry.java
@@ -20,6 +20,7 @@
           new WaitingCommand(),
           new PackingCommand(),
           new FairnessCommand(),
+          new MemoryCommand(),
           new DeliveryCommand(),
           new TakeoverCommand(),
           new ControlCommand(),
--- a/measure/src/test/java/org/hickorypier/measure/MeasureTest.java
+++ b/measure/src/test/java/org/hickorypier/measure/MeasureTest.java
@@ -35,6 +35,7 @@
         "packing --seeds 101            | '--seeds is '101', allowed is 1 to 100'",
         "fairness --workers 7           | '--workers is '7', allowed is 8 to 5000'",
         "control --workers 601          | '--workers is '601', allowed is 1 to 600'",
+        "memory --text 4001             | '--text is '4001', allowed is 0 to 4000'",
         "start --runs 0                 | '--runs is '0', allowed is 1 to 100'",
         "fairness here                  | 'here' is not an option",
         "nothing                        | 'nothing' is not a command"
@@ -63,6 +64,13 @@
     assertThat(Files.size(directory.resolve(plot))).isPositive();
   }
 
+  /** Guards against a takeover that needs much more memory than the owner. */
+  @Test
+  void takeoverNeedsLittleMoreThanTheOwner() {
+    assertThat(run("memory", "--submissions", "2000")).isEqualTo(Measure.EXIT_MEASURED);
+    assertThat(out.toString(StandardCharsets.UTF_8)).contains("aim.memory.peak met");
+  }
+
   @Test
   void helpNamesEachCommandAndTheExitCodes() {
     assertThat(run("--help")).isEqualTo(Measure.EXIT_MEASURED);
