--- a/measure/src/main/java/org/hickorypier/measure/soak/Soak.java
+++ b/measure/src/main/java/org/hickorypier/measure/soak/Soak.java
@@ -35,7 +35,8 @@
       Map.of(
           "release", SoakSettings::release,
           "crashing", SoakSettings::crashing,
-          "restarting", SoakSettings::restarting);
+          "restarting", SoakSettings::restarting,
+          "large", SoakSettings::large);
 
   private Soak() {}
 
@@ -82,6 +83,11 @@
                 .longOpt("restarting")
                 .desc("workers start again and are cut off soon after, below long tasks; 9 workers")
                 .get())
+        .addOption(
+            Option.builder()
+                .longOpt("large")
+                .desc("submissions of many tasks, of many steps and due later, a failing service")
+                .get())
         .addOption(flag("reports", "folder for the logs of seeds with a breach"));
   }
 
@@ -107,6 +113,7 @@
             usual.release(),
             usual.crashing(),
             usual.restarting(),
+            usual.large(),
             usual.reports());
     long end = System.nanoTime() + TimeUnit.MINUTES.toNanos(minutes);
     List<Callable<Boolean>> plays = new ArrayList<>();
--- a/measure/src/main/java/org/hickorypier/measure/soak/SoakCallers.java
+++ b/measure/src/main/java/org/hickorypier/measure/soak/SoakCallers.java
@@ -8,6 +8,7 @@
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -69,6 +70,27 @@
 
   private static final int LASTING_CANCEL_MILLIS = 20_000;
 
+  /** Of a soak with large submissions, each fourth submission is due later. */
+  private static final int SCHEDULED_SHARE = 4;
+
+  private static final String SCHEDULED_PREFIX = "b";
+  private static final int SHORTEST_DELAY_MILLIS = 1_000;
+  private static final int DELAY_SPREAD_MILLIS = 20_000;
+
+  /** Each twentieth submission of such a soak has many tasks and many steps in turn. */
+  private static final int MANY_SHARE = 20;
+
+  private static final String MANY_PREFIX = "a";
+  private static final int MANY_TASKS = 2_000;
+  private static final int MANY_STEPS = 300;
+  private static final Resources MANY_TASK = new Resources(25, 10, 0);
+  private static final String LONG_TEXT = "t".repeat(4_000);
+
+  private static final String FAILING_PREFIX = "e";
+  private static final int FAILING_TASKS = 20;
+  private static final Resources FAILING_TASK = new Resources(100, 10, 0);
+  private static final int FAILING_CANCEL_MILLIS = 15_000;
+
   /** An accepted submission must be known everywhere after this time. */
   private static final long VISIBLE_MILLIS = 3_000;
 
@@ -132,11 +154,28 @@
     if (crashing) {
       return CRASHING_PREFIX + "%015x".formatted(number);
     }
+    if (settings.large()) {
+      return largePrefix(number) + "%015x".formatted(number);
+    }
     return settings.restarting() && number % LONG_SHARE == 0
         ? LONG_PREFIX + "%015x".formatted(number)
         : "%016x".formatted(number);
   }
 
+  private static String largePrefix(int number) {
+    if (number == 1) {
+      return FAILING_PREFIX;
+    } else if (number % MANY_SHARE == 0) {
+      return MANY_PREFIX;
+    }
+    return number % SCHEDULED_SHARE == 0 ? SCHEDULED_PREFIX : "0";
+  }
+
+  /** Tells whether a task fails at each start. */
+  static boolean fails(String task) {
+    return task.startsWith(FAILING_PREFIX);
+  }
+
   /** Tells whether a task takes longer than the longest lease. */
   static boolean takesLong(String task) {
     return task.startsWith(LONG_PREFIX);
@@ -183,6 +222,10 @@
   }
 
   private void handIn(String id) {
+    if (settings.large() && !id.startsWith("0")) {
+      handIn(largeSpec(id));
+      return;
+    }
     boolean small = random.nextBoolean() && !takesLong(id);
     handIn(spec(id, small ? StandInPlatform.SMALL : StandInPlatform.LARGE));
   }
@@ -192,7 +235,9 @@
     if (spec.id().startsWith(CRASHING_PREFIX)) {
       checker.declareCrashing(new TaskName(spec.id(), 0, 0, 0));
     }
-    lasting.handedIn(spec);
+    if (!fails(spec.id())) {
+      lasting.handedIn(spec);
+    }
     attempt(spec, MOST_TRIES, true);
   }
 
@@ -204,6 +249,38 @@
     return new SubmissionSpec(id, customer, StandInPlatform.QUEUE, "text", steps, 0, 0, 0, 0);
   }
 
+  private SubmissionSpec largeSpec(String id) {
+    List<StepSpec> steps;
+    int times = 0;
+    long startAtMillis = 0;
+    if (id.startsWith(SCHEDULED_PREFIX)) {
+      steps = List.of(step(List.of()), step(List.of(0)));
+      times = 1 + random.nextInt(2);
+      startAtMillis =
+          System.currentTimeMillis() + SHORTEST_DELAY_MILLIS + random.nextInt(DELAY_SPREAD_MILLIS);
+    } else if (id.startsWith(FAILING_PREFIX)) {
+      StepFlags flags = new StepFlags(false, false, false, false, true, false);
+      steps =
+          List.of(
+              new StepSpec(
+                  FAILING_TASKS, FAILING_TASK, 500, List.of(), flags, "", "", 0, "", 0, 1));
+    } else if (random.nextBoolean()) {
+      steps = List.of(newStep(MANY_TASKS, MANY_TASK, ESTIMATE_MILLIS, List.of()));
+    } else {
+      steps = Collections.nCopies(MANY_STEPS, newStep(1, MANY_TASK, ESTIMATE_MILLIS, List.of()));
+    }
+    return new SubmissionSpec(
+        id,
+        StandInPlatform.LARGE,
+        StandInPlatform.QUEUE,
+        LONG_TEXT,
+        steps,
+        times,
+        startAtMillis,
+        times > 0 ? SHORTEST_DELAY_MILLIS : 0,
+        0);
+  }
+
   private SubmissionSpec lastingSpec(String id) {
     Resources each = new Resources(1_000 + 500L * randomOfLasting.nextInt(5), 1_000, 0);
     StepFlags flags = new StepFlags(false, false, false, false, true, false);
@@ -252,7 +329,9 @@
       lastingAccepted(spec);
     } else {
       open.add(spec.id());
-      if (random.nextInt(CANCEL_SHARE) == 0) {
+      if (fails(spec.id())) {
+        vertx.setTimer(FAILING_CANCEL_MILLIS, timer -> cancel(spec));
+      } else if (random.nextInt(CANCEL_SHARE) == 0) {
         vertx.setTimer(1 + random.nextInt(2_000), timer -> cancel(spec));
       }
     }
@@ -367,7 +446,13 @@
       }
       steps.add(each);
     }
-    return new JsonObject().put("Spec", "text").put("Phases", steps).toBuffer();
+    JsonObject body = new JsonObject().put("Spec", spec.text()).put("Phases", steps);
+    if (spec.isScheduled()) {
+      body.put("Times", spec.times())
+          .put("StartAtMs", spec.startAtMillis())
+          .put("IntervalMs", spec.intervalMillis());
+    }
+    return body.toBuffer();
   }
 
   private static long now() {
--- a/measure/src/main/java/org/hickorypier/measure/soak/StandInWorker.java
+++ b/measure/src/main/java/org/hickorypier/measure/soak/StandInWorker.java
@@ -48,6 +48,8 @@
   /** Longer than the longest lease. */
   private static final long SHORTEST_LONG_TASK_MILLIS = 11_000;
 
+  private static final long FAILING_MILLIS = 20;
+
   private static final int LONG_TASK_SPREAD_MILLIS = 5_000;
 
   /** Well above the longest lease, so that the clocks of two lives are apart by many leases. */
@@ -236,6 +238,9 @@
     if (SoakCallers.crashesItsWorkers(task)) {
       return Workload.Planned.crashing(Math.floorMod(task.hashCode(), LATEST_CRASH_MILLIS));
     }
+    if (SoakCallers.fails(task)) {
+      return new Workload.Planned(FAILING_MILLIS, true);
+    }
     if (SoakCallers.takesLong(task)) {
       int spread = Math.floorMod(task.hashCode(), LONG_TASK_SPREAD_MILLIS);
       return new Workload.Planned(SHORTEST_LONG_TASK_MILLIS + spread, failsAll);
--- a/measure/src/test/java/org/hickorypier/measure/soak/SoakTest.java
+++ b/measure/src/test/java/org/hickorypier/measure/soak/SoakTest.java
@@ -28,6 +28,14 @@
     assertThat(result.broken()).as("%s", result.disturbances()).isEmpty();
   }
 
+  /** Guards against large and scheduled submissions, or a failing service, that stop other work. */
+  @ParameterizedTest
+  @ValueSource(longs = {2})
+  void promisesHoldBesideLargeSubmissions(long seed) throws Exception {
+    SoakResult result = new SoakRun(seed, SoakSettings.large(Path.of("target", "soak"))).play();
+    assertThat(result.broken()).as("%s", result.disturbances()).isEmpty();
+  }
+
   /** A successor waited 9.87 s for each worker that had left; one started again what was done. */
   @ParameterizedTest
   @ValueSource(longs = {9000, 9105})
