--- a/core/src/test/java/org/hickorypier/core/cell/ManyStepsLoadTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/ManyStepsLoadTest.java
@@ -13,6 +13,7 @@
 import org.hickorypier.core.submission.StepFlags;
 import org.hickorypier.core.submission.StepSpec;
 import org.hickorypier.core.submission.SubmissionState;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -38,7 +39,8 @@
   enum Shape {
     INDEPENDENT,
     ROOTS_THAT_JOIN,
-    DENSE
+    DENSE,
+    CHAIN
   }
 
   private static QueueTerms queue(String name, int priority) {
@@ -54,6 +56,7 @@
           IntStream.range(Math.max(0, index - 200 - MAX_DEPENDENCIES), index - 200)
               .boxed()
               .toList();
+      case CHAIN -> index == 0 ? List.of() : List.of(index - 1);
     };
   }
 
@@ -79,7 +82,9 @@
 
   /** Guards against passes whose time grows with a power of the steps, so that nothing starts. */
   @ParameterizedTest
-  @EnumSource(Shape.class)
+  @EnumSource(
+      value = Shape.class,
+      names = {"INDEPENDENT", "ROOTS_THAT_JOIN", "DENSE"})
   @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
   void checksAreServedBesideSubmissionOfThousandsOfSteps(Shape shape) {
     fleet.submit(spec("large", BATCHES, steps(shape)));
@@ -96,4 +101,22 @@
     assertThat(fleet.states).containsEntry("large", SubmissionState.COMPLETED);
     assertThat(checks).allMatch(id -> fleet.states.get(id) == SubmissionState.COMPLETED);
   }
+
+  /** Guards against passes whose time grows with a power of the length of a chain. */
+  @Test
+  @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+  void checksAreServedBesideLongChain() {
+    fleet.reportsProgress = true;
+    fleet.submit(spec("chain", BATCHES, steps(Shape.CHAIN)));
+    int checks = 30;
+    for (int index = 0; index < checks; index++) {
+      fleet.submit(spec("check-" + index, CHECKS, CHECK));
+      fleet.advance(CHECK_INTERVAL_MILLIS);
+    }
+    fleet.advance(CHECK_INTERVAL_MILLIS);
+    assertThat(fleet.states.values().stream().filter(SubmissionState.COMPLETED::equals))
+        .hasSize(checks);
+    assertThat(fleet.starts.keySet().stream().filter(task -> task.submission().equals("chain")))
+        .hasSizeGreaterThan(checks);
+  }
 }
