--- a/core/src/main/java/org/hickorypier/core/cell/BacklogReader.java
+++ b/core/src/main/java/org/hickorypier/core/cell/BacklogReader.java
@@ -120,9 +120,9 @@
     long runMillis =
         runTimes.taskMillis(step.submission.spec().queue().name(), step.spec.estimateMillis());
     // A task that resumes has less left to do; how much is not known.
-    int counted = waiting;
-    for (Task task : step.createdTasks()) {
-      counted -= task.isWaiting() && !task.checkpoint.isEmpty() ? 1 : 0;
+    int counted = 0;
+    for (Task task : step.tasks) {
+      counted += task.isWaiting() && task.checkpoint.isEmpty() ? 1 : 0;
     }
     add(sums, step, false, runMillis, counted, runMillis, now);
   }
--- a/core/src/main/java/org/hickorypier/core/cell/CellState.java
+++ b/core/src/main/java/org/hickorypier/core/cell/CellState.java
@@ -147,10 +147,7 @@
 
   /** Returns whether a step has waiting tasks that were not given up. */
   boolean hasTasksToStart(StepRun step, long now) {
-    if (!step.hasCreatedTasks()) {
-      return true;
-    }
-    for (Task task : step.createdTasks()) {
+    for (Task task : step.tasks) {
       if (task.isWaiting() && crashVerdict(task.crashUnit(), now) != CrashVerdict.GIVE_UP) {
         return true;
       }
--- a/core/src/main/java/org/hickorypier/core/cell/CrashTracker.java
+++ b/core/src/main/java/org/hickorypier/core/cell/CrashTracker.java
@@ -44,7 +44,7 @@
   void restore(Submission submission) {
     for (StepRun[] steps : submission.occurrences) {
       for (StepRun step : steps) {
-        for (Task task : step.createdTasks()) {
+        for (Task task : step.tasks) {
           if (task.crashes != null) {
             suspects.add(task);
           }
--- a/core/src/main/java/org/hickorypier/core/cell/CrashingTaskHandler.java
+++ b/core/src/main/java/org/hickorypier/core/cell/CrashingTaskHandler.java
@@ -31,7 +31,7 @@
     if (!unit.step.isPersistent() || unit.step.isGang()) {
       return false;
     }
-    for (Task task : unit.step.tasks()) {
+    for (Task task : unit.step.tasks) {
       if (cell.crashVerdict(task, now) != CrashVerdict.GIVE_UP) {
         return true;
       }
--- a/core/src/main/java/org/hickorypier/core/cell/Dispatcher.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Dispatcher.java
@@ -1,7 +1,6 @@
 package org.hickorypier.core.cell;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -182,7 +181,7 @@
       return;
     }
     step.urgent = true;
-    List<WorkerView> named = unratedWorkersWithRoom(step, step.spec.count(), workers, now);
+    List<WorkerView> named = unratedWorkersWithRoom(step, step.tasks.length, workers, now);
     if (!named.isEmpty() && cell.output.advise(step, named)) {
       advice.requestedAt = now;
     }
@@ -203,7 +202,7 @@
     }
     List<Task> besideOthers = new ArrayList<>();
     Map<Task, List<Task>> alone = new LinkedHashMap<>();
-    for (Task task : startableTasks(step, workers, now)) {
+    for (Task task : startableTasks(step, now)) {
       if (startsAlone(task, now)) {
         alone.computeIfAbsent(task.crashUnit(), first -> new ArrayList<>()).add(task);
       } else {
@@ -336,7 +335,7 @@
   private boolean continuePreemption(StepRun step, List<WorkerView> workers, long now) {
     final StepPreemption preemption = step.preemption;
     step.preemption = null;
-    List<Task> waiting = Arrays.stream(step.tasks()).filter(Task::isWaiting).toList();
+    List<Task> waiting = List.of(step.tasks).stream().filter(Task::isWaiting).toList();
     if (now > preemption.until() || step.isGang() && !step.allTasksWaiting()) {
       return false;
     }
@@ -422,7 +421,7 @@
    * Returns the waiting tasks that fit the customer's limit, leave the urgent reserve free and may
    * be ordered now.
    */
-  private List<Task> startableTasks(StepRun step, List<WorkerView> workers, long now) {
+  private List<Task> startableTasks(StepRun step, long now) {
     List<Task> waiting = new ArrayList<>();
     if (step.isGang() && !step.allTasksWaiting()) {
       return waiting;
@@ -431,15 +430,8 @@
     Resources each = step.spec.taskResources();
     long free = unreservedMilliProcessors(step, now);
     LimitHeadroom.Held held = cell.headroom.holdingBack(step, now).orElse(null);
-    if (!step.hasCreatedTasks()
-        && (each.milliProcessors() > free
-            || !cell.usage.allows(customer, each, 1)
-            || held != null && held.blocks(1)
-            || step.advice == null && !hasRoom(step, workers))) {
-      return waiting;
-    }
-    int most = step.isGang() ? step.spec.count() : cell.orderWindow.room(step);
-    for (Task task : step.tasks()) {
+    int most = step.isGang() ? step.tasks.length : cell.orderWindow.room(step);
+    for (Task task : step.tasks) {
       if (waiting.size() >= most) {
         break;
       }
@@ -452,21 +444,12 @@
         waiting.add(task);
       }
     }
-    if (step.isGang() && waiting.size() < step.spec.count()) {
+    if (step.isGang() && waiting.size() < step.tasks.length) {
       return new ArrayList<>();
     }
     return waiting;
   }
 
-  private static boolean hasRoom(StepRun step, List<WorkerView> workers) {
-    for (WorkerView worker : workers) {
-      if (Placer.matches(step.spec, worker) && Placer.freeSlots(step, worker) > 0) {
-        return true;
-      }
-    }
-    return false;
-  }
-
   private long unreservedMilliProcessors(StepRun step, long now) {
     String service = step.submission.spec().queue().service();
     return unreservedMilliProcessors(
@@ -494,7 +477,7 @@
   }
 
   private void startTasks(StepRun step, Map<Task, WorkerView> chosen, long now) {
-    int gangRun = step.isGang() ? step.nextRunNumber(step.tasks()[0]) : 0;
+    int gangRun = step.isGang() ? step.nextRunNumber(step.tasks[0]) : 0;
     for (Map.Entry<Task, WorkerView> entry : chosen.entrySet()) {
       Task task = entry.getKey();
       int number = step.isGang() ? gangRun : step.nextRunNumber(task);
--- a/core/src/main/java/org/hickorypier/core/cell/Explanation.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Explanation.java
@@ -63,9 +63,9 @@
   private String line(StepRun step) {
     StringBuilder line = new StringBuilder("step ");
     line.append(step.occurrence).append('.').append(step.index).append(": ");
-    line.append(step.doneCount).append(" of ").append(step.spec.count()).append(" done");
+    line.append(step.doneCount).append(" of ").append(step.tasks.length).append(" done");
     int runs = 0;
-    for (Task task : step.createdTasks()) {
+    for (Task task : step.tasks) {
       Run run = task.currentRun;
       if (run != null && ++runs <= MAX_LISTED_RUNS) {
         line.append("; ").append(task.index).append(" run ").append(run.key.number());
@@ -126,7 +126,7 @@
     if (!step.isGang() && cell.orderWindow.room(step) == 0) {
       return "answers to the start orders in transit";
     }
-    int together = step.isGang() ? step.spec.count() : 1;
+    int together = step.isGang() ? step.tasks.length : 1;
     String customer = submission.spec().customer();
     if (!cell.usage.allows(customer, step.spec.taskResources(), together)) {
       return "its customer's resource limit"
@@ -144,7 +144,7 @@
     if (!cell.evacuations.isUpToDate(now)) {
       return "a read of the operator's evacuations";
     }
-    for (Task task : step.createdTasks()) {
+    for (Task task : step.tasks) {
       CrashVerdict verdict = cell.crashVerdict(task.crashUnit(), now);
       if (task.isWaiting() && verdict != CrashVerdict.START) {
         return waitReason(task, verdict);
--- a/core/src/main/java/org/hickorypier/core/cell/LimitHeadroom.java
+++ b/core/src/main/java/org/hickorypier/core/cell/LimitHeadroom.java
@@ -162,7 +162,7 @@
     if (now - step.waitingSince() <= step.submission.objectiveMillis(cell.durationEstimator)) {
       return false;
     }
-    for (Task task : step.createdTasks()) {
+    for (Task task : step.tasks) {
       if (task.runsOnWorkers > 0) {
         return false;
       }
--- a/core/src/main/java/org/hickorypier/core/cell/Placer.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Placer.java
@@ -235,7 +235,7 @@
    */
   private static void keepWorkersOfLikeSpeed(
       StepRun step, int wanted, List<WorkerView> candidates, int[] slots) {
-    Task record = step.tasks()[0];
+    Task record = step.tasks[0];
     boolean retried = !record.failedRunNumbers.isEmpty();
     int[] slotsByClass = new int[2 * FACTOR_CLASSES + 1];
     for (int index = 0; index < slots.length; index++) {
--- a/core/src/main/java/org/hickorypier/core/cell/PreemptionController.java
+++ b/core/src/main/java/org/hickorypier/core/cell/PreemptionController.java
@@ -125,7 +125,7 @@
     }
     long chain = remainingChainMillis(step);
     long call =
-        step.advice == null ? 0 : Math.round(step.advice.terms.callMillis(step.spec.count()));
+        step.advice == null ? 0 : Math.round(step.advice.terms.callMillis(step.tasks.length));
     long earliestEnd = now + call + stopMillis() + chain;
     long objective = step.submission.objectiveMillis(cell.durationEstimator);
     long deadline = step.submission.acceptedAt + objective;
@@ -139,7 +139,7 @@
     if (step.isGang() ? !step.allTasksWaiting() : !step.hasWaitingTasks()) {
       return false;
     }
-    for (Task task : step.createdTasks()) {
+    for (Task task : step.tasks) {
       CrashHistory crashes = task.crashUnit().crashes;
       if (task.isWaiting() && crashes != null && !crashes.isEmpty()) {
         return false;
--- a/core/src/main/java/org/hickorypier/core/cell/RunAdoption.java
+++ b/core/src/main/java/org/hickorypier/core/cell/RunAdoption.java
@@ -70,13 +70,13 @@
     if (!task.step.isGang()) {
       return true;
     }
-    for (Task member : task.step.tasks()) {
+    for (Task member : task.step.tasks) {
       Run other = member.currentRun;
       if (other != null && other.key.number() > key.number()) {
         return false;
       }
     }
-    for (Task member : task.step.tasks()) {
+    for (Task member : task.step.tasks) {
       Run other = member.currentRun;
       if (other != null && other.key.number() < key.number()) {
         runs.stop(other, now);
--- a/core/src/main/java/org/hickorypier/core/cell/RunController.java
+++ b/core/src/main/java/org/hickorypier/core/cell/RunController.java
@@ -271,7 +271,7 @@
 
   /** Stops all runs of a step; a gang with a missing member cannot make progress. */
   private void stopStep(StepRun step, long now) {
-    for (Task task : step.createdTasks()) {
+    for (Task task : step.tasks) {
       if (task.currentRun != null) {
         stop(task.currentRun, now);
       }
--- a/core/src/main/java/org/hickorypier/core/cell/RunEndHandler.java
+++ b/core/src/main/java/org/hickorypier/core/cell/RunEndHandler.java
@@ -106,7 +106,7 @@
   /** Returns the factor of the slowest worker of a gang, which determines its run time. */
   private static double slowestFactor(StepRun gang) {
     double slowest = 0;
-    for (Task member : gang.tasks()) {
+    for (Task member : gang.tasks) {
       if (member.currentRun != null) {
         slowest = Math.max(slowest, member.currentRun.worker.speedFactor());
       }
@@ -140,7 +140,7 @@
       markDone(task, now);
     } else {
       // The members of a gang end together, so one end completes all of them.
-      for (Task member : step.tasks()) {
+      for (Task member : step.tasks) {
         markDone(member, now);
       }
     }
--- a/core/src/main/java/org/hickorypier/core/cell/StepRun.java
+++ b/core/src/main/java/org/hickorypier/core/cell/StepRun.java
@@ -1,6 +1,5 @@
 package org.hickorypier.core.cell;
 
-import java.util.Arrays;
 import java.util.HashSet;
 import java.util.Set;
 import org.hickorypier.core.estimation.StepSamples;
@@ -9,20 +8,13 @@
 /** One occurrence of a step with its tasks. Confined to the control thread. */
 public final class StepRun {
 
-  private static final Task[] NO_TASKS = {};
-
   final Submission submission;
   final int occurrence;
   final int index;
   final StepSpec spec;
+  final Task[] tasks;
   final StepAdvice advice;
 
-  /**
-   * The tasks, or null while all of them wait for their first run. Submissions that are due later,
-   * of which there are thousands, thus cost their specification only.
-   */
-  private Task[] tasks;
-
   /** Index of the step's first task among all tasks of the submission. */
   final int firstTaskOffset;
 
@@ -62,25 +54,10 @@
     this.spec = spec;
     this.firstTaskOffset = firstTaskOffset;
     this.advice = submission.spec().queue().advice().map(StepAdvice::new).orElse(null);
-  }
-
-  /** Returns the tasks by their index; creates them if there are none yet. */
-  Task[] tasks() {
-    if (tasks == null) {
-      tasks = new Task[spec.count()];
-      Arrays.setAll(tasks, taskIndex -> new Task(this, taskIndex));
+    this.tasks = new Task[spec.count()];
+    for (int taskIndex = 0; taskIndex < tasks.length; taskIndex++) {
+      tasks[taskIndex] = new Task(this, taskIndex);
     }
-    return tasks;
-  }
-
-  /** Returns the tasks by their index, or none if all of them wait for their first run. */
-  Task[] createdTasks() {
-    return tasks == null ? NO_TASKS : tasks;
-  }
-
-  /** Returns whether the tasks exist; if not, all of them wait for their first run. */
-  boolean hasCreatedTasks() {
-    return tasks != null;
   }
 
   /**
@@ -115,7 +92,7 @@
   }
 
   boolean isDone() {
-    return doneCount == spec.count();
+    return doneCount == tasks.length;
   }
 
   /**
@@ -123,16 +100,16 @@
    * member records its failures.
    */
   Task failureRecord(Task task) {
-    return isGang() ? tasks()[0] : task;
+    return isGang() ? tasks[0] : task;
   }
 
   boolean hasWaitingTasks() {
-    for (Task task : createdTasks()) {
+    for (Task task : tasks) {
       if (task.isWaiting()) {
         return true;
       }
     }
-    return !hasCreatedTasks();
+    return false;
   }
 
   boolean isPersistent() {
@@ -145,7 +122,7 @@
    */
   long waitingSince() {
     long since = Long.MAX_VALUE;
-    for (Task task : createdTasks()) {
+    for (Task task : tasks) {
       if (task.isWaiting() && task.waitingSince > 0) {
         since = Math.min(since, task.waitingSince);
       }
@@ -154,11 +131,8 @@
   }
 
   int waitingCount() {
-    if (!hasCreatedTasks()) {
-      return spec.count();
-    }
     int waiting = 0;
-    for (Task task : createdTasks()) {
+    for (Task task : tasks) {
       waiting += task.isWaiting() ? 1 : 0;
     }
     return waiting;
@@ -166,7 +140,7 @@
 
   /** Tells whether all tasks wait. A gang restarts only when no worker holds its last run. */
   boolean allTasksWaiting() {
-    for (Task task : createdTasks()) {
+    for (Task task : tasks) {
       if (!task.isWaiting()) {
         return false;
       }
@@ -183,7 +157,7 @@
 
   private int nextGangRunNumber() {
     int highest = submission.firstRunNumber() - 1;
-    for (Task task : createdTasks()) {
+    for (Task task : tasks) {
       highest = Math.max(highest, task.lastRunNumber);
     }
     return highest + 1;
@@ -195,7 +169,7 @@
       return 1;
     }
     Set<WorkerView> workers = new HashSet<>();
-    for (Task member : createdTasks()) {
+    for (Task member : tasks) {
       if (member.currentRun != null) {
         workers.add(member.currentRun.worker);
       }
@@ -205,7 +179,7 @@
 
   int countRunsOn(WorkerView worker) {
     int count = 0;
-    for (Task task : createdTasks()) {
+    for (Task task : tasks) {
       if (task.currentRun != null && task.currentRun.worker == worker) {
         count++;
       }
--- a/core/src/main/java/org/hickorypier/core/cell/Submission.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Submission.java
@@ -3,11 +3,8 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
-import java.util.NavigableSet;
-import java.util.TreeSet;
 import org.hickorypier.core.admission.AdmissionDecision;
 import org.hickorypier.core.estimation.RunTimeEstimator;
 import org.hickorypier.core.submission.CrashRecord;
@@ -33,8 +30,8 @@
   /** Time of acceptance on the owner's monotonic clock, in milliseconds. */
   final long acceptedAt;
 
-  /** Memory that it takes while none of its tasks has started, in bytes. */
-  final long specBytes;
+  /** Memory that it takes, in bytes, by an estimate. */
+  final long estimatedBytes;
 
   /** Number of the first run; above the numbers of earlier owners, which are not known. */
   private final int firstRunNumber;
@@ -66,14 +63,14 @@
     this.number = number;
     this.acceptedAt = acceptedAt;
     this.firstRunNumber = firstRunNumber;
-    this.specBytes = SubmissionMemory.bytesOf(spec);
+    this.estimatedBytes = SubmissionMemory.bytesOf(spec);
     this.occurrences = new StepRun[spec.occurrenceCount()][spec.steps().size()];
     int taskOffset = 0;
     for (int occurrence = 0; occurrence < occurrences.length; occurrence++) {
       for (int index = 0; index < spec.steps().size(); index++) {
         StepRun step = new StepRun(this, occurrence, index, spec.steps().get(index), taskOffset);
         occurrences[occurrence][index] = step;
-        taskOffset += step.spec.count();
+        taskOffset += step.tasks.length;
         unfinishedSteps++;
       }
     }
@@ -168,10 +165,10 @@
   Task task(TaskName name) {
     if (name.occurrence() >= occurrences.length
         || name.step() >= spec.steps().size()
-        || name.index() >= occurrences[name.occurrence()][name.step()].spec.count()) {
+        || name.index() >= occurrences[name.occurrence()][name.step()].tasks.length) {
       return null;
     }
-    return occurrences[name.occurrence()][name.step()].tasks()[name.index()];
+    return occurrences[name.occurrence()][name.step()].tasks[name.index()];
   }
 
   /**
@@ -186,8 +183,8 @@
     Map<Integer, MoveRecord> moves = new HashMap<>();
     for (StepRun[] steps : occurrences) {
       for (StepRun step : steps) {
-        BitSet bits = new BitSet(step.spec.count());
-        for (Task task : step.createdTasks()) {
+        BitSet bits = new BitSet(step.tasks.length);
+        for (Task task : step.tasks) {
           bits.set(task.index, task.done);
           if (!task.failedRunNumbers.isEmpty()) {
             failed.put(step.firstTaskOffset + task.index, List.copyOf(task.failedRunNumbers));
@@ -220,36 +217,33 @@
     mayHaveUnknownRuns = true;
     // Version 1 is already written; the next change must exceed it, or it would not be written.
     version = 1;
-    NavigableSet<Integer> positions = new TreeSet<>(progress.failedRuns().keySet());
-    positions.addAll(progress.crashes().keySet());
-    positions.addAll(progress.moves().keySet());
-    Iterator<BitSet> completed = progress.completedTasks().iterator();
+    int stepIndex = 0;
     for (StepRun[] steps : occurrences) {
       for (StepRun step : steps) {
-        BitSet done = completed.hasNext() ? completed.next() : new BitSet();
-        Integer position = positions.ceiling(step.firstTaskOffset);
-        boolean listed = position != null && position < step.firstTaskOffset + step.spec.count();
-        if (listed || !done.isEmpty()) {
-          restoreStep(step, progress, done, now);
+        restoreStep(step, progress, stepIndex < progress.completedTasks().size() ? stepIndex : -1);
+        for (Task task : step.tasks) {
+          CrashRecord crashes = progress.crashes().get(step.firstTaskOffset + task.index);
+          task.crashes = crashes == null ? null : CrashHistory.restore(crashes, now);
+          MoveRecord moves = progress.moves().get(step.firstTaskOffset + task.index);
+          if (moves != null) {
+            task.restoreMoves(moves);
+          }
         }
+        stepIndex++;
       }
     }
   }
 
-  private void restoreStep(StepRun step, SubmissionProgress progress, BitSet done, long now) {
-    for (Task task : step.tasks()) {
-      int position = step.firstTaskOffset + task.index;
-      if (done.get(task.index)) {
+  private void restoreStep(StepRun step, SubmissionProgress progress, int stepIndex) {
+    for (Task task : step.tasks) {
+      if (stepIndex >= 0 && progress.completedTasks().get(stepIndex).get(task.index)) {
         task.done = true;
         step.doneCount++;
       }
-      progress.failedRuns().getOrDefault(position, List.of()).forEach(task::recordFailure);
-      CrashRecord crashes = progress.crashes().get(position);
-      task.crashes = crashes == null ? null : CrashHistory.restore(crashes, now);
-      MoveRecord moves = progress.moves().get(position);
-      if (moves != null) {
-        task.restoreMoves(moves);
-      }
+      progress
+          .failedRuns()
+          .getOrDefault(step.firstTaskOffset + task.index, List.of())
+          .forEach(task::recordFailure);
     }
     if (step.isDone()) {
       unfinishedSteps--;
--- a/core/src/main/java/org/hickorypier/core/cell/SubmissionMemory.java
+++ b/core/src/main/java/org/hickorypier/core/cell/SubmissionMemory.java
@@ -1,5 +1,6 @@
 package org.hickorypier.core.cell;
 
+import org.hickorypier.core.submission.StepSpec;
 import org.hickorypier.core.submission.SubmissionSpec;
 
 /**
@@ -67,44 +68,40 @@
 
   /** Counts a submission that was added since the last sample. */
   void add(Submission submission) {
-    usedBytes += submission.specBytes;
+    usedBytes += submission.estimatedBytes;
   }
 
   /** Counts an ended submission that was added since the last sample. */
   void add(EndedSubmission ended) {
-    usedBytes += bytesOf(ended);
+    usedBytes += ENDED_BYTES + ended.spec().length;
   }
 
-  /** Counts all anew, at most once a second: submissions that ended, and tasks that started. */
+  /** Counts all anew, at most once a second, since submissions end and are dropped. */
   void sample(long now) {
     if (now - sampledAt < SAMPLE_PERIOD_MILLIS) {
       return;
     }
     sampledAt = now;
     usedBytes = 0;
-    for (Submission submission : cell.submissions.values()) {
-      usedBytes += submission.specBytes;
-      for (StepRun[] steps : submission.occurrences) {
-        for (StepRun step : steps) {
-          usedBytes += (long) TASK_BYTES * step.createdTasks().length;
-        }
-      }
-    }
+    cell.submissions.values().forEach(this::add);
     cell.endedSubmissions.values().forEach(this::add);
   }
 
-  /** Returns the memory that a submission takes while none of its tasks has started, in bytes. */
+  /** Returns the memory that a submission takes, in bytes, by an estimate. */
   static long bytesOf(SubmissionSpec spec) {
-    long text = spec.text().length();
-    text += FURTHER_BYTES * spec.text().chars().filter(each -> each > LAST_ASCII).count();
-    long steps = spec.steps().size();
-    return SUBMISSION_BYTES
-        + text
-        + steps * STEP_BYTES
-        + steps * spec.occurrenceCount() * STEP_RUN_BYTES;
+    long bytes = SUBMISSION_BYTES + textBytes(spec.text());
+    for (StepSpec step : spec.steps()) {
+      long occurrence = STEP_RUN_BYTES + (long) TASK_BYTES * step.count();
+      bytes += STEP_BYTES + spec.occurrenceCount() * occurrence;
+    }
+    return bytes;
   }
 
-  private static long bytesOf(EndedSubmission ended) {
-    return ENDED_BYTES + ended.spec().length;
+  private static long textBytes(String text) {
+    int wide = 0;
+    for (int index = 0; index < text.length(); index++) {
+      wide += text.charAt(index) > LAST_ASCII ? 1 : 0;
+    }
+    return text.length() + (long) FURTHER_BYTES * wide;
   }
 }
--- a/core/src/main/java/org/hickorypier/core/cell/Task.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Task.java
@@ -116,7 +116,7 @@
       checkpoint = value;
       return;
     }
-    for (Task member : step.tasks()) {
+    for (Task member : step.tasks) {
       member.checkpoint = value;
     }
   }
--- a/core/src/main/java/org/hickorypier/core/cell/UpcomingSteps.java
+++ b/core/src/main/java/org/hickorypier/core/cell/UpcomingSteps.java
@@ -47,7 +47,7 @@
     if (!step.isPersistent()) {
       return false;
     }
-    for (Task task : step.createdTasks()) {
+    for (Task task : step.tasks) {
       if (task.currentRun != null && task.currentRun.worker.silent) {
         return true;
       }
@@ -126,10 +126,7 @@
   private boolean isNearlyDone(StepRun step, long now) {
     String queue = step.submission.spec().queue().name();
     long estimateMillis = step.spec.estimateMillis();
-    if (!step.hasCreatedTasks()) {
-      return false;
-    }
-    for (Task task : step.createdTasks()) {
+    for (Task task : step.tasks) {
       if (!task.done && !endsSoon(task.currentRun, queue, estimateMillis, now)) {
         return false;
       }
