--- a/review/standins-3/Case13.java
+++ b/review/standins-3/Case13.java
@@ -1,17 +1,12 @@
 import io.vertx.core.json.JsonObject;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** A task that lasts has used more run numbers than an epoch has when its owner is replaced. */
+/** A wide submission of small tasks whose runs take more memory than an owner has. */
 final class Case13 {
 
-  private static final String LASTING = "00000000000000a5";
-  private static final String OTHER = "00000000000000b5";
-
-  /** Rule LOST: 6 s after its last run, for 3 s with room for it, without a disruption near. */
-  private static final long MOST_WAIT_MILLIS = 9_000;
-
-  private static final int RUNS = 1_150;
+  private static final String WIDE = "00000000000000b2";
+  private static final int INSTANCES = Integer.getInteger("instances", 3);
+  private static final int TASKS = Integer.getInteger("tasks", 60_000);
 
   private Case13() {}
 
@@ -20,78 +15,61 @@
   }
 
   private static boolean holds(Rig rig) throws Exception {
-    Case.Watch watch = new Case.Watch(LASTING + ".0.0.0");
-    int[] last = {0};
-    AtomicInteger refused = new AtomicInteger();
-    AtomicInteger others = new AtomicInteger();
-    AtomicBoolean sound = new AtomicBoolean();
-    Worker.LASTING.add(LASTING);
+    AtomicInteger started = new AtomicInteger();
+    AtomicInteger lapsed = new AtomicInteger();
     Case.begin(
         rig,
-        7,
-        // The task fails at once, as one with a wrong setting does, and is sound in the end.
-        (task, run) ->
-            task.startsWith(OTHER) ? 12_000 : sound.get() ? 300_000 : -5,
+        INSTANCES,
+        (task, run) -> task.startsWith(WIDE) ? 300_000 : 300,
         (what, worker, task, run) -> {
-          watch.event(rig, what, worker, task, run);
-          if (task.startsWith(OTHER)) {
-            others.addAndGet(what.equals("started") ? 1 : what.equals("done") ? -1 : 0);
-          } else if (what.equals("started")) {
-            last[0] = Math.max(last[0], run);
-          } else if (what.equals("refused as old")) {
-            refused.incrementAndGet();
-          }
-          if (task.startsWith(OTHER) || run < 5 || run % 100 < 2 || run > RUNS) {
+          if (!task.startsWith(WIDE)) {
             rig.note("%s: %s %s run %d", worker.id, what, task, run);
+          } else if (what.equals("started")) {
+            started.incrementAndGet();
+          } else if (what.equals("lapsed")) {
+            lapsed.incrementAndGet();
           }
         });
-    JsonObject lasting =
-        Case.submission(
-            "watch", Case.step(1, 500, 256, 1_000).put("Persistent", true).put("Requires", "b"));
-    if (!Case.submit(rig, 0, "key-a", LASTING, lasting)) {
+    JsonObject wide =
+        Case.submission("work", Case.step(Case.trouble() ? TASKS : 2_000, 5, 16, 300_000));
+    if (!Case.submit(rig, 0, "key-b", WIDE, wide)) {
       throw new IllegalStateException("not accepted in calm");
     }
-    while (last[0] < RUNS) {
-      if (rig.millis() > 75_000) {
-        throw new IllegalStateException("only " + last[0] + " runs");
-      }
-      Thread.sleep(5);
+    int ended = 0;
+    for (int second = 0; rig.millis() < 108_000 && !isBroken(rig); second++) {
+      Thread.sleep(1_000);
+      ended += rig.restartEnded();
+      String id = String.format("%016x", 0x100 + second);
+      int status =
+          rig.call(
+                  rig.instances.get(second % INSTANCES),
+                  "POST",
+                  Rig.PREFIX + id,
+                  "key-a",
+                  Case.submission("check", Case.step(1, 100, 16, 300)),
+                  3_000)
+              .status();
+      rig.note(
+          "started %d, running %d, lapsed %d; POST of a small submission -> %d; ends so far %d",
+          started.get(),
+          rig.workers.stream().mapToInt(Worker::runningCount).sum(),
+          lapsed.get(),
+          status,
+          ended);
     }
-    // More urgent work of another tenant takes the only worker of that kind for 12 s.
-    JsonObject other =
-        Case.submission("work", Case.step(1, 16_000, 256, 12_000).put("Requires", "b"));
-    if (!Case.submit(rig, 1, Rig.URGENT_PREFIX, "key-b", OTHER, other)) {
-      throw new IllegalStateException("not accepted in calm");
-    }
-    while (others.get() < 1) {
-      if (rig.millis() > 85_000) {
-        throw new IllegalStateException("the other work has not begun");
+    for (Rig.Instance instance : rig.instances) {
+      if (instance.starts > 1) {
+        rig.note(
+            "instance %d: %d ends; it wrote: %s",
+            instance.index, instance.starts - 1, rig.tail(instance, "OutOfMemory", 1));
       }
-      Thread.sleep(5);
-    }
-    sound.set(true);
-    rig.note("the other work runs; the last run of the lasting task was %d", last[0]);
-    Thread.sleep(1_500);
-    if (Case.trouble()) {
-      rig.signal(rig.instances.get(rig.store.lastConditionalWriter), "KILL");
-      Thread.sleep(2_000);
-      rig.restartEnded();
-    }
-    while (others.get() > 0) {
-      Thread.sleep(20);
     }
-    long roomSince = rig.millis();
-    rig.note("the other work is done; there is room");
-    boolean held = true;
-    while (held && rig.millis() < 116_000 && watch.awayMillis(rig) > 0) {
-      Thread.sleep(500);
-      held = watch.awayMillis(rig) == 0 || rig.millis() - roomSince <= MOST_WAIT_MILLIS;
-    }
-    rig.note(
-        "%d ms after there was room the lasting task %s; starts refused as old: %d",
-        rig.millis() - roomSince,
-        watch.awayMillis(rig) == 0 ? "runs" : "has no run",
-        refused.get());
-    return held;
+    rig.note("processes that ended by themselves: %d", ended);
+    return !isBroken(rig);
+  }
+
+  /** Returns whether on two machines processes have ended by themselves three times. */
+  private static boolean isBroken(Rig rig) {
+    return rig.instances.stream().filter(instance -> instance.starts > 3).count() >= 2;
   }
 }
--- a/review/standins-3/Rig.java
+++ b/review/standins-3/Rig.java
@@ -17,7 +17,9 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
+import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** Store, workers, operator and instances of a small deployment on loopback addresses. */
 final class Rig implements AutoCloseable {
@@ -29,6 +31,9 @@
   /** The queue of more urgent work. */
   static final String URGENT_PREFIX = "/pule252/";
 
+  private static final AtomicInteger NEXT_PORT =
+      new AtomicInteger(12_000 + new Random().nextInt(18_000));
+
   final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(4));
   final Store store = new Store(vertx);
   final List<Worker> workers = new ArrayList<>();
@@ -71,11 +76,21 @@
     record.println(line);
   }
 
+  /**
+   * Returns a port that is free, below those that the system gives to connections, so that none of
+   * these takes it before the process listens.
+   */
   static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket()) {
-      socket.bind(new InetSocketAddress("127.0.0.1", 0));
-      return socket.getLocalPort();
+    for (int tries = 0; tries < 1_000; tries++) {
+      int port = NEXT_PORT.getAndIncrement();
+      try (ServerSocket socket = new ServerSocket()) {
+        socket.bind(new InetSocketAddress("127.0.0.1", port));
+        return port;
+      } catch (IOException error) {
+        // Another process has it; the next one may be free.
+      }
     }
+    throw new IOException("no free port");
   }
 
   /** Writes the configuration as the operator does. */
