--- a/review/standins-3/Rig.java
+++ b/review/standins-3/Rig.java
@@ -243,7 +243,8 @@
     while (System.nanoTime() < until) {
       int ready = 0;
       for (Instance instance : instances) {
-        ready += call(instance.ready, "GET", "/hickorypier/ready", "x", null, null, 500).status == 200 ? 1 : 0;
+        Answer answer = call(instance.ready, "GET", "/hickorypier/ready", HOST, null, null, 500);
+        ready += answer.status == 200 ? 1 : 0;
       }
       if (ready == instances.size()) {
         note("all instances are ready");
@@ -251,6 +252,10 @@
       }
       Thread.sleep(100);
     }
+    for (Instance instance : instances) {
+      note("instance %d, alive: %s", instance.index, instance.process.isAlive());
+      Files.readAllLines(instance.output).forEach(line -> note("  %s", line));
+    }
     return false;
   }
 
