A cancellation holds for a submission that is not durable yet

The append succeeds, the submission is accepted, its tasks start 0.2 s after the acknowledgement, and GET says "running".

Cause: Owner.cancel looked at submissions that are durable and visible only. For any other id it replied "not known" and kept nothing, whether the submission was in an append, waited for one, or was still on its way to the owner (another instance, a slow body, a request sent again after a change of owner). 410 counts as an acknowledgement, so what arrived afterwards had been cancelled.

Change: EarlyCancellations in core keeps such a cancellation by customer and id. A submission in an append is cancelled at once in the cell. The reply is 200 with "cancelled" if the submission is known by then, 410 otherwise; the append proves the ownership in place of the earlier age check. A POST that comes after its DELETE is answered 200 and shown as "cancelled". They count as memory of submissions.

JournalWriter now writes the progress of a cancelled submission together with its specification. Since callers choose the number of the new records, records beside submissions are spread over several appends as submissions are: all of them went into one, without a limit, and an append above 2 MB is refused for ever.

--- a/core/src/main/java/org/hickorypier/core/cell/Archive.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Archive.java
@@ -7,7 +7,8 @@
 import org.hickorypier.core.submission.SubmissionCodec;
 
 /**
- * Converts ended submissions to their archived form, and deletes that after the retention time.
+ * Converts ended submissions to their archived form, and deletes that, and the cancellations of
+ * submissions that never came, after the retention time.
  *
  * <p>The archived form lacks the text that workers get, nine tenths of a specification. The store
  * keeps it too, so that a takeover reads the texts of open submissions only: with those of the last
@@ -36,6 +37,9 @@
     }
     archivable.forEach(this::archive);
     removeExpired(wallMillis);
+    cell.earlyCancellations
+        .removeExpired(wallMillis, cell.timings.endStateRetentionMillis())
+        .forEach(cell::saveEarlyCancellations);
   }
 
   private void archive(Submission submission) {
--- a/core/src/main/java/org/hickorypier/core/cell/Cell.java
+++ b/core/src/main/java/org/hickorypier/core/cell/Cell.java
@@ -19,8 +19,9 @@
  *
  * <p>Invariants: no run starts before its submission is durable; no run starts on a worker that has
  * not answered under this owner's fencing token; the end of a run is acknowledged to its worker
- * only once its effect is durable; an end state is visible only once it is durable. Confined to the
- * control thread.
+ * only once its effect is durable; an end state is visible only once it is durable; a cancellation
+ * also holds for a submission that becomes durable or known after it. Confined to the control
+ * thread.
  */
 public final class Cell {
 
@@ -130,7 +131,7 @@
 
   /**
    * Accepts a submission unless it surely cannot be done while it is of use. One that the cell
-   * knows is never refused.
+   * knows, or that is cancelled already, is never refused.
    *
    * @param spec the specification from the caller
    * @param mayRefuse whether the cell knows all accepted submissions, so that a refusal is true
@@ -139,7 +140,7 @@
    *     ended
    */
   public AdmissionDecision admit(SubmissionSpec spec, boolean mayRefuse, long now) {
-    boolean known = status(spec.id()) != null;
+    boolean known = status(spec.id()) != null || isCancelledEarly(spec);
     boolean decides = mayRefuse && !known && state.timings.decisions().admission();
     AdmissionDecision decision =
         decides ? admission.decide(spec, wouldExceedShare(spec, now), now) : UNDECIDED;
@@ -159,7 +160,8 @@
   }
 
   /**
-   * Accepts a submission, or returns the existing one with its id.
+   * Accepts a submission, or returns the existing one with its id. One that is cancelled already is
+   * accepted as cancelled.
    *
    * @param spec the specification from the caller
    * @param now the time
@@ -171,6 +173,13 @@
       return known;
     }
     Submission submission = new Submission(spec, state.nextSubmissionNumber(), now, 1);
+    if (isCancelledEarly(spec)) {
+      submission.state = SubmissionState.CANCELLED;
+      state.submissions.put(spec.id(), submission);
+      state.memory.add(submission);
+      state.recordChange(submission);
+      return submission;
+    }
     CustomerLimits customer = state.usage.limits(spec.customer());
     submission.exceedsShare =
         customer != null
@@ -224,10 +233,23 @@
     crashTracker.restore(submission);
     state.submissions.put(spec.id(), submission);
     state.memory.add(submission);
+    if (isCancelledEarly(spec)) {
+      cancel(submission, now);
+    }
     state.reserve.recordPriority(spec.queue().service(), spec.queue().priority());
     state.stepsMayBeReady = true;
   }
 
+  /**
+   * Restores the early cancellations of an earlier owner, before its submissions.
+   *
+   * @param id the id that was cancelled
+   * @param cancelledAtMillis their wall-clock times, milliseconds since 1970, by customer
+   */
+  public void restoreEarlyCancellations(String id, Map<String, Long> cancelledAtMillis) {
+    state.earlyCancellations.restore(id, cancelledAtMillis);
+  }
+
   /**
    * Restores an ended submission of an earlier owner.
    *
@@ -342,6 +364,34 @@
     }
   }
 
+  /**
+   * Cancels a submission that is not durable, or not known to this owner: its request may still be
+   * on its way. The caller acknowledges it once all that was saved is written.
+   *
+   * @param id the submission's id
+   * @param customer the customer that cancels it
+   * @param now the time
+   * @param wallMillis the wall-clock time, milliseconds since 1970
+   * @return false if too many such cancellations are kept, and nothing is cancelled
+   */
+  public boolean cancelEarly(String id, String customer, long now, long wallMillis) {
+    if (!state.earlyCancellations.add(id, customer, wallMillis)) {
+      return false;
+    }
+    state.saveEarlyCancellations(id);
+    Submission submission = state.submissions.get(id);
+    boolean known = submission != null && submission.spec().customer().equals(customer);
+    state.log.event(PART, "cancelled-early", "id", id, "customer", customer, "known", known);
+    if (known) {
+      cancel(submission, now);
+    }
+    return true;
+  }
+
+  private boolean isCancelledEarly(SubmissionSpec spec) {
+    return state.earlyCancellations.contains(spec.id(), spec.customer());
+  }
+
   /**
    * Counts the durable submissions of a queue of which no task has started.
    *
--- a/core/src/main/java/org/hickorypier/core/cell/CellOutput.java
+++ b/core/src/main/java/org/hickorypier/core/cell/CellOutput.java
@@ -1,6 +1,7 @@
 package org.hickorypier.core.cell;
 
 import java.util.List;
+import java.util.Map;
 
 /** Receives the orders and writes of a {@link Cell}. Called on the control thread only. */
 public interface CellOutput {
@@ -53,6 +54,15 @@
    */
   void drop(String id);
 
+  /**
+   * Stores the early cancellations of a submission's id in place of those stored before.
+   *
+   * @param id the submission's id
+   * @param cancelledAtMillis their wall-clock times, milliseconds since 1970, by customer; empty to
+   *     delete the stored ones
+   */
+  void saveEarlyCancellations(String id, Map<String, Long> cancelledAtMillis);
+
   /**
    * Runs an action once all submissions passed to {@link #save} before are durable.
    *
--- a/core/src/main/java/org/hickorypier/core/cell/CellState.java
+++ b/core/src/main/java/org/hickorypier/core/cell/CellState.java
@@ -58,6 +58,8 @@
   /** Ended submissions in their archived form, by id, until their retention time is over. */
   final Map<String, EndedSubmission> endedSubmissions = new HashMap<>();
 
+  final EarlyCancellations earlyCancellations = new EarlyCancellations();
+
   /** Submissions with moves that are not written yet, and since when. */
   private final Map<Submission, Long> unsavedMoves = new LinkedHashMap<>();
 
@@ -97,6 +99,10 @@
     output.save(submission);
   }
 
+  void saveEarlyCancellations(String id) {
+    output.saveEarlyCancellations(id, earlyCancellations.of(id));
+  }
+
   /** Notes that what is known of the moves of a submission's tasks has changed. */
   void recordMoveChange(Submission submission, long now) {
     if (!submission.isLive()) {
--- a/core/src/main/java/org/hickorypier/core/cell/SubmissionMemory.java
+++ b/core/src/main/java/org/hickorypier/core/cell/SubmissionMemory.java
@@ -5,7 +5,7 @@
 
 /**
  * Bounds the memory that submissions take at the owner: those that have not ended, and those whose
- * end state callers may still query.
+ * end state callers may still query, with the early cancellations.
  *
  * <p>Load: thousands of submissions with long texts that are due in an hour. Each instance that
  * stands by holds the records of all of them, and a successor decodes these in a heap of the same
@@ -30,6 +30,9 @@
   /** Allowance for an ended submission beside its encoded specification. */
   private static final int ENDED_BYTES = 256;
 
+  /** Allowance for an early cancellation, at the owner or in the records that a standby holds. */
+  private static final int EARLY_CANCELLATION_BYTES = 256;
+
   /** A character that is not ASCII takes up to three bytes in the journal. */
   private static final int FURTHER_BYTES = 2;
 
@@ -82,7 +85,7 @@
       return;
     }
     sampledAt = now;
-    usedBytes = 0;
+    usedBytes = (long) EARLY_CANCELLATION_BYTES * cell.earlyCancellations.size();
     cell.submissions.values().forEach(this::add);
     cell.endedSubmissions.values().forEach(this::add);
   }
--- a/core/src/test/java/org/hickorypier/core/cell/CellFixture.java
+++ b/core/src/test/java/org/hickorypier/core/cell/CellFixture.java
@@ -38,6 +38,7 @@
   final List<AdviceRequest> adviceRequests = new ArrayList<>();
   final List<Submission> saved = new ArrayList<>();
   final Map<String, byte[]> savedEnds = new HashMap<>();
+  final Map<String, Map<String, Long>> savedEarlyCancellations = new HashMap<>();
   List<RosterEntry> roster = List.of();
   private List<RosterEntry> unwrittenRoster = List.of();
   private final List<Runnable> afterSave = new ArrayList<>();
@@ -342,6 +343,11 @@
     // The tests of the journal check deletions; the tests of the cell do not.
   }
 
+  @Override
+  public void saveEarlyCancellations(String id, Map<String, Long> cancelledAtMillis) {
+    savedEarlyCancellations.put(id, cancelledAtMillis);
+  }
+
   @Override
   public void afterSave(Runnable action) {
     if (saved.isEmpty()) {
--- a/core/src/test/java/org/hickorypier/core/cell/model/CellModelTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/model/CellModelTest.java
@@ -78,6 +78,15 @@
     runScenarios(ScenarioKind.RESTARTED_DATA_CENTRES);
   }
 
+  /**
+   * Guards against tasks that start after their submission was acknowledged as cancelled while it
+   * was being written, or before it arrived, also under a later owner.
+   */
+  @Test
+  void cancellationHoldsForSubmissionThatIsNotDurableYet() {
+    runScenarios(ScenarioKind.EARLY_CANCELLATIONS);
+  }
+
   /** Returns the number of steps for which other runs were stopped. */
   private static long runScenarios(ScenarioKind kind) {
     List<String> failures = new ArrayList<>();
--- a/core/src/test/java/org/hickorypier/core/cell/model/ModelCluster.java
+++ b/core/src/test/java/org/hickorypier/core/cell/model/ModelCluster.java
@@ -78,6 +78,9 @@
   private static final double LOST_FINAL_ROSTER_SHARE = 0.15;
   private static final long CHECK_INTERVAL_MILLIS = 50;
 
+  /** Longest time by which a cancellation comes before its submission, or after it. */
+  private static final int MAX_EARLY_MILLIS = 600;
+
   /** Not of priority 0, for which no run is interrupted. */
   private static final QueueTerms QUEUE =
       new QueueTerms("queue", "service", 1, 3, 2, 1_000, Optional.empty());
@@ -119,6 +122,11 @@
   private final Set<String> accepted = new HashSet<>();
   private final Set<String> cancelled = new HashSet<>();
 
+  /** Ids whose cancellation was acknowledged by an owner that did not know them as durable. */
+  private final Set<String> cancelledEarly = new HashSet<>();
+
+  private final List<String> startsAfterEarlyCancellation = new ArrayList<>();
+
   /** The data centres that are being evacuated. */
   final Set<String> evacuated = new HashSet<>();
 
@@ -152,7 +160,12 @@
     takeOver();
     for (int index = 0; index < 40; index++) {
       String id = "%016x".formatted(index);
-      time.schedule(time.randomBetween(500, FAULTS_END_MILLIS), () -> submit(id, 0));
+      long submittedAt = time.randomBetween(500, FAULTS_END_MILLIS);
+      time.schedule(submittedAt, () -> submit(id, 0));
+      if (kind == ScenarioKind.EARLY_CANCELLATIONS && index % 3 == 0) {
+        long delayMillis = time.randomBetween(-MAX_EARLY_MILLIS, MAX_EARLY_MILLIS);
+        time.schedule(Math.max(1, submittedAt + delayMillis), () -> cancelWhenever(id));
+      }
     }
     for (int index = 0; index < faultCount(); index++) {
       time.schedule(time.randomBetween(1_000, FAULTS_END_MILLIS - 8_000), this::injectFault);
@@ -240,7 +253,7 @@
 
   private int workerCount() {
     return switch (kind) {
-      case UNIFORM_WORK, MIXED_PRIORITIES -> WORKERS;
+      case UNIFORM_WORK, MIXED_PRIORITIES, EARLY_CANCELLATIONS -> WORKERS;
       case ROLLING_UPDATE -> ROLLING_UPDATE_WORKERS;
       case CRASHING_TASKS, EVACUATIONS, RESTARTED_WORKERS, RESTARTED_DATA_CENTRES -> 2 * WORKERS;
     };
@@ -308,7 +321,8 @@
               MIXED_PRIORITIES,
               EVACUATIONS,
               RESTARTED_WORKERS,
-              RESTARTED_DATA_CENTRES ->
+              RESTARTED_DATA_CENTRES,
+              EARLY_CANCELLATIONS ->
               SCENARIO_END_MILLIS;
           case ROLLING_UPDATE -> ROLLING_UPDATE_END_MILLIS;
           case CRASHING_TASKS -> CRASHING_TASKS_END_MILLIS;
@@ -325,7 +339,9 @@
       }
     }
     promises.checkPersistentTasksRunning();
-    return promises.violations();
+    List<String> violations = new ArrayList<>(promises.violations());
+    violations.addAll(startsAfterEarlyCancellation);
+    return violations;
   }
 
   void note(int epoch, String event, Object[] fields) {
@@ -473,6 +489,41 @@
     }
   }
 
+  /** Cancels a submission whether it is known or not, until the cancellation is acknowledged. */
+  private void cancelWhenever(String id) {
+    ModelOwner asked = owner;
+    SubmissionStatus status = asked.cell.status(id);
+    boolean durable = status != null && status.durable();
+    if (!asked.ended && durable) {
+      cancel(id);
+      return;
+    }
+    if (!asked.ended) {
+      promises.recordCancelRequested(id);
+      asked.cell.cancelEarly(id, customer(id), time.nowMillis(), time.nowMillis());
+      asked.afterSave(
+          () -> {
+            cancelled.add(id);
+            cancelledEarly.add(id);
+            promises.recordCancelAcknowledged(id);
+          });
+    }
+    time.schedule(
+        500,
+        () -> {
+          if (!cancelledEarly.contains(id) && (asked.ended || asked != owner)) {
+            cancelWhenever(id);
+          }
+        });
+  }
+
+  void checkNotCancelledEarly(String id) {
+    if (cancelledEarly.contains(id)) {
+      startsAfterEarlyCancellation.add(
+          "start of " + id + " at " + time.nowMillis() + ", which was cancelled before");
+    }
+  }
+
   private SubmissionSpec spec(String id) {
     if (isPersistent(id)) {
       return persistentSpec(id);
@@ -485,7 +536,7 @@
     StepSpec first = step(count, 1_500 + 500L * (digit % 5), batch ? 3_000 : 600, List.of(), flags);
     StepSpec second = step(1 + digit % 2, 2_000, 400, List.of(0), StepFlags.NONE);
     List<StepSpec> steps = digit % 3 == 0 ? List.of(first, second) : List.of(first);
-    return submission(id, digit, batch ? BATCH_QUEUE : QUEUE, steps);
+    return submission(id, batch ? BATCH_QUEUE : QUEUE, steps);
   }
 
   private static int lastDigit(String id) {
@@ -495,7 +546,12 @@
   /** Tells whether a submission consists of persistent tasks. */
   private boolean isPersistent(String id) {
     return switch (kind) {
-      case UNIFORM_WORK, MIXED_PRIORITIES, EVACUATIONS, RESTARTED_WORKERS, RESTARTED_DATA_CENTRES ->
+      case UNIFORM_WORK,
+          MIXED_PRIORITIES,
+          EVACUATIONS,
+          RESTARTED_WORKERS,
+          RESTARTED_DATA_CENTRES,
+          EARLY_CANCELLATIONS ->
           false;
       case ROLLING_UPDATE -> PERSISTENT_ID_DIGITS.contains(lastDigit(id));
       case CRASHING_TASKS -> PERSISTENT_DIGITS_BESIDE_CRASHES.contains(lastDigit(id));
@@ -506,12 +562,15 @@
     int count = 1 + Math.floorMod(seed + id.hashCode(), 4);
     StepFlags flags = new StepFlags(false, false, false, false, true, false);
     StepSpec step = step(count, PERSISTENT_MILLI_PROCESSORS, 2_000, List.of(), flags);
-    return submission(id, lastDigit(id), QUEUE, List.of(step));
+    return submission(id, QUEUE, List.of(step));
+  }
+
+  private SubmissionSpec submission(String id, QueueTerms queue, List<StepSpec> steps) {
+    return new SubmissionSpec(id, customer(id), queue, "text", steps, 0, 0, 0, time.nowMillis());
   }
 
-  private SubmissionSpec submission(String id, int digit, QueueTerms queue, List<StepSpec> steps) {
-    String customer = digit % 2 == 0 ? "small" : "large";
-    return new SubmissionSpec(id, customer, queue, "text", steps, 0, 0, 0, time.nowMillis());
+  private static String customer(String id) {
+    return lastDigit(id) % 2 == 0 ? "small" : "large";
   }
 
   private static StepSpec step(
--- a/core/src/test/java/org/hickorypier/core/cell/model/ModelJournal.java
+++ b/core/src/test/java/org/hickorypier/core/cell/model/ModelJournal.java
@@ -13,6 +13,7 @@
   final Map<String, SubmissionSpec> specs = new HashMap<>();
   final Map<String, SubmissionProgress> progress = new HashMap<>();
   final Map<String, Long> submissionNumbers = new HashMap<>();
+  final Map<String, Map<String, Long>> earlyCancellations = new HashMap<>();
   List<RosterEntry> roster = List.of();
   int epoch;
 
--- a/core/src/test/java/org/hickorypier/core/cell/model/ModelOwner.java
+++ b/core/src/test/java/org/hickorypier/core/cell/model/ModelOwner.java
@@ -57,6 +57,7 @@
   private final ModelCluster cluster;
   private final VirtualTime time;
   private final Set<Submission> unsavedSubmissions = new LinkedHashSet<>();
+  private final Map<String, Map<String, Long>> unsavedEarlyCancellations = new HashMap<>();
   private List<Runnable> afterSaveActions = new ArrayList<>();
   private List<RosterEntry> rosterToWrite;
   private boolean writeInProgress;
@@ -84,6 +85,7 @@
             epoch,
             time.nowMillis());
     cell.configure(cluster.customers());
+    cluster.journal.earlyCancellations.forEach(cell::restoreEarlyCancellations);
     for (SubmissionSpec spec : cluster.journal.specs.values()) {
       SubmissionProgress progress = cluster.journal.progress.get(spec.id());
       if (progress != null) {
@@ -132,6 +134,7 @@
     if (!writeInProgress
         && (time.nowMillis() - ownershipProvenAtMillis > 1_000
             || !unsavedSubmissions.isEmpty()
+            || !unsavedEarlyCancellations.isEmpty()
             || !afterSaveActions.isEmpty())) {
       startWrite();
     }
@@ -255,6 +258,7 @@
 
   @Override
   public void start(Run run, long deadline, String ticket) {
+    cluster.checkNotCancelledEarly(run.submission().spec().id());
     boolean[] answered = {false};
     StepSpec step = run.submission().spec().steps().get(run.key().task().step());
     long token = run.worker().fencingToken();
@@ -339,9 +343,17 @@
     // A scenario is shorter than the retention time of terminal states.
   }
 
+  @Override
+  public void saveEarlyCancellations(String id, Map<String, Long> cancelledAtMillis) {
+    unsavedEarlyCancellations.put(id, cancelledAtMillis);
+  }
+
   @Override
   public void afterSave(Runnable action) {
-    if (!writeInProgress && unsavedSubmissions.isEmpty() && rosterToWrite == null) {
+    if (!writeInProgress
+        && unsavedSubmissions.isEmpty()
+        && unsavedEarlyCancellations.isEmpty()
+        && rosterToWrite == null) {
       action.run();
     } else {
       afterSaveActions.add(action);
@@ -366,12 +378,14 @@
         progress.put(submission.spec().id(), submission.progress());
       }
     }
+    final Map<String, Map<String, Long>> earlyCancellations = Map.copyOf(unsavedEarlyCancellations);
     final List<RosterEntry> roster = rosterToWrite;
     final List<Runnable> actions = afterSaveActions;
     unsavedSubmissions.clear();
+    unsavedEarlyCancellations.clear();
     rosterToWrite = null;
     afterSaveActions = new ArrayList<>();
-    writeToStore(time.nowMillis(), versions, specs, progress, roster, actions);
+    writeToStore(time.nowMillis(), versions, specs, progress, earlyCancellations, roster, actions);
   }
 
   private void writeToStore(
@@ -379,6 +393,7 @@
       Map<Submission, Long> versions,
       Map<String, SubmissionSpec> specs,
       Map<String, SubmissionProgress> progress,
+      Map<String, Map<String, Long>> earlyCancellations,
       List<RosterEntry> roster,
       List<Runnable> actions) {
     if (ended) {
@@ -386,7 +401,16 @@
     }
     if (storeUnreachable || cluster.faults.storeDown) {
       time.schedule(
-          80, () -> writeToStore(time.nowMillis(), versions, specs, progress, roster, actions));
+          80,
+          () ->
+              writeToStore(
+                  time.nowMillis(),
+                  versions,
+                  specs,
+                  progress,
+                  earlyCancellations,
+                  roster,
+                  actions));
       return;
     }
     time.schedule(
@@ -402,6 +426,7 @@
                           submission.spec().id(), submission.number());
                     }
                     cluster.journal.progress.putAll(progress);
+                    cluster.journal.earlyCancellations.putAll(earlyCancellations);
                     if (roster != null) {
                       cluster.journal.roster = roster;
                     }
--- a/core/src/test/java/org/hickorypier/core/cell/model/ScenarioKind.java
+++ b/core/src/test/java/org/hickorypier/core/cell/model/ScenarioKind.java
@@ -25,5 +25,8 @@
    * The same for all workers of a data centre at once, with the owner lost between the restart and
    * the cut.
    */
-  RESTARTED_DATA_CENTRES
+  RESTARTED_DATA_CENTRES,
+
+  /** Cancellations that arrive before their submissions, or while these are being written. */
+  EARLY_CANCELLATIONS
 }
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/JournalContents.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/JournalContents.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import org.hickorypier.core.cell.Cell;
+import org.hickorypier.core.cell.EarlyCancellationCodec;
 import org.hickorypier.core.cell.EndedSubmission;
 import org.hickorypier.core.cell.EventLog;
 import org.hickorypier.core.cell.RosterCodec;
@@ -72,14 +73,15 @@
   }
 
   /**
-   * Restores the submissions in a cell, and removes them from these contents. A submission that
-   * cannot be decoded is logged and left out.
+   * Restores the submissions and early cancellations in a cell, and removes them from these
+   * contents. What cannot be decoded is logged and left out.
    *
    * @param now the present time of the monotonic clock, in milliseconds
    * @param wallMillis the present time of the wall clock, in milliseconds
    * @return the number of submissions in the journal
    */
   int restore(Cell cell, long now, long wallMillis) {
+    restoreEarlyCancellations(cell);
     int count = 0;
     List<String> keys = values.keySet().stream().filter(JournalKeys::isSpecKey).toList();
     for (String key : keys) {
@@ -114,4 +116,20 @@
           wallMillis);
     }
   }
+
+  private void restoreEarlyCancellations(Cell cell) {
+    List<String> keys =
+        values.keySet().stream().filter(JournalKeys::isEarlyCancellationKey).toList();
+    for (String key : keys) {
+      byte[] value = values.remove(key);
+      if (value != null) {
+        try {
+          cell.restoreEarlyCancellations(
+              JournalKeys.earlyCancellationId(key), EarlyCancellationCodec.decode(value));
+        } catch (UndecodableException error) {
+          log.event("journal", "unreadable-record", "key", key, "error", error.getMessage());
+        }
+      }
+    }
+  }
 }
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/JournalKeys.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/JournalKeys.java
@@ -31,6 +31,9 @@
   private static final String SPEC_PREFIX = "s.";
   private static final String PROGRESS_PREFIX = "p.";
 
+  /** Begins the keys of cancellations of submissions that were not durable. */
+  private static final String EARLY_CANCELLATION_PREFIX = "c.";
+
   private JournalKeys() {}
 
   static String specKey(String id) {
@@ -48,4 +51,16 @@
   static String submissionId(String key) {
     return key.substring(SPEC_PREFIX.length());
   }
+
+  static String earlyCancellationKey(String id) {
+    return EARLY_CANCELLATION_PREFIX + id;
+  }
+
+  static boolean isEarlyCancellationKey(String key) {
+    return key.startsWith(EARLY_CANCELLATION_PREFIX);
+  }
+
+  static String earlyCancellationId(String key) {
+    return key.substring(EARLY_CANCELLATION_PREFIX.length());
+  }
 }
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/JournalWriter.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/JournalWriter.java
@@ -59,7 +59,7 @@
    */
   private static final int MAX_IN_FLIGHT_APPENDS = 3;
 
-  /** Well below the largest call that the store accepts, 2 MB. */
+  /** With one more record well below the largest call that the store accepts, 2 MB. */
   private static final int BATCH_BYTES = 1 << 20;
 
   private final Store store;
@@ -136,12 +136,16 @@
   }
 
   void save(Submission submission) {
+    addToWrite(submission);
+    scheduleIfNeeded();
+  }
+
+  private void addToWrite(Submission submission) {
     if (submission.durable()) {
       changedSubmissions.add(submission);
     } else {
       newSubmissions.add(submission);
     }
-    scheduleIfNeeded();
   }
 
   @Override
@@ -249,10 +253,13 @@
       return;
     }
     List<KeyedRecord> records = new ArrayList<>();
-    otherRecords.forEach((key, value) -> records.add(new KeyedRecord(key, value)));
-    otherRecords.clear();
-    Map<Submission, KeyedRecord> newSpecs = new HashMap<>();
-    final Map<Submission, Long> versions = drainChanges(records, newSpecs);
+    int bytes = drainOtherRecords(records);
+    Map<Submission, List<KeyedRecord>> newSubmissionRecords = new HashMap<>();
+    // A deletion that is left over must not follow a submission that is written anew.
+    final Map<Submission, Long> versions =
+        otherRecords.isEmpty()
+            ? drainChanges(records, bytes, newSubmissionRecords)
+            : new HashMap<>();
     if (records.isEmpty()) {
       releaseWaitingActions();
       return;
@@ -260,12 +267,12 @@
     // Actions wait for all that was saved before them, so they stay queued while some of it is
     // left over.
     List<Runnable> actions = new ArrayList<>();
-    if (changedSubmissions.isEmpty() && !hasNewSubmissionsToWrite()) {
+    if (otherRecords.isEmpty() && changedSubmissions.isEmpty() && !hasNewSubmissionsToWrite()) {
       actions.addAll(waitingActions);
       waitingActions.clear();
     }
     sequence++;
-    Batch batch = new Batch(toAppend(records, sequence), versions, newSpecs, actions);
+    Batch batch = new Batch(toAppend(records, sequence), versions, newSubmissionRecords, actions);
     inFlight.add(batch);
     send(batch);
     scheduleIfNeeded();
@@ -284,18 +291,18 @@
 
   /** Takes the new submissions out of an append of which no attempt had an effect. */
   private void takeBackNewSubmissions(Batch batch) {
-    if (batch.newSpecs.isEmpty()) {
+    if (batch.newSubmissionRecords.isEmpty()) {
       return;
     }
     List<KeyedRecord> records = new ArrayList<>(batch.append.records());
-    records.removeAll(batch.newSpecs.values());
+    batch.newSubmissionRecords.values().forEach(records::removeAll);
     if (records.isEmpty()) {
       records.add(new KeyedRecord(JournalKeys.PROOF, new byte[] {1}));
     }
     batch.append = toAppend(records, batch.append.sequence());
-    batch.versions.keySet().removeAll(batch.newSpecs.keySet());
-    newSubmissions.addAll(batch.newSpecs.keySet());
-    batch.newSpecs.clear();
+    batch.versions.keySet().removeAll(batch.newSubmissionRecords.keySet());
+    batch.newSubmissionRecords.keySet().forEach(this::addToWrite);
+    batch.newSubmissionRecords.clear();
   }
 
   /**
@@ -312,10 +319,24 @@
     }
   }
 
+  private int drainOtherRecords(List<KeyedRecord> records) {
+    int bytes = 0;
+    var others = otherRecords.entrySet().iterator();
+    while (others.hasNext() && bytes < BATCH_BYTES) {
+      Map.Entry<String, byte[]> next = others.next();
+      records.add(new KeyedRecord(next.getKey(), next.getValue()));
+      bytes += next.getKey().length() + (next.getValue() == null ? 0 : next.getValue().length);
+      others.remove();
+    }
+    return bytes;
+  }
+
   private Map<Submission, Long> drainChanges(
-      List<KeyedRecord> records, Map<Submission, KeyedRecord> newSpecs) {
+      List<KeyedRecord> records,
+      int bytesBefore,
+      Map<Submission, List<KeyedRecord>> newSubmissionRecords) {
     Map<Submission, Long> versions = new HashMap<>();
-    int bytes = 0;
+    int bytes = bytesBefore;
     var changed = changedSubmissions.iterator();
     while (changed.hasNext() && bytes < BATCH_BYTES) {
       Submission submission = changed.next();
@@ -330,9 +351,13 @@
       versions.put(submission, submission.version());
       byte[] spec = SubmissionCodec.encode(submission.spec(), submission.number());
       bytes += spec.length;
-      KeyedRecord record = new KeyedRecord(JournalKeys.specKey(submission.spec().id()), spec);
-      newSpecs.put(submission, record);
-      records.add(record);
+      List<KeyedRecord> own = new ArrayList<>();
+      own.add(new KeyedRecord(JournalKeys.specKey(submission.spec().id()), spec));
+      if (submission.needsSaving()) {
+        bytes += addProgress(submission, own);
+      }
+      newSubmissionRecords.put(submission, own);
+      records.addAll(own);
     }
     return versions;
   }
@@ -378,12 +403,21 @@
     // append implies that the earlier ones are written. The callbacks run in order all the same.
     while (!stopped && !inFlight.isEmpty() && inFlight.get(0).done) {
       Batch written = inFlight.remove(0);
-      written.versions.forEach(callbacks::written);
+      written.versions.forEach(this::reportWritten);
       written.actions.forEach(Runnable::run);
     }
     scheduleIfNeeded();
   }
 
+  private void reportWritten(Submission submission, long version) {
+    callbacks.written(submission, version);
+    // A submission that was cancelled while it was written for the first time is held back no
+    // longer, and only its progress is left to write.
+    if (newSubmissions.remove(submission)) {
+      changedSubmissions.add(submission);
+    }
+  }
+
   private void handleFailure(Batch batch, StoreException error) {
     boolean early =
         error.error() == StoreError.OUT_OF_SEQUENCE && error.offset() < batch.append.sequence();
@@ -432,8 +466,8 @@
     private Append append;
     private final Map<Submission, Long> versions;
 
-    /** The records of submissions that this append writes for the first time. */
-    private final Map<Submission, KeyedRecord> newSpecs;
+    /** The records of submissions that were not durable when this append was made. */
+    private final Map<Submission, List<KeyedRecord>> newSubmissionRecords;
 
     private final List<Runnable> actions;
 
@@ -453,11 +487,11 @@
     Batch(
         Append append,
         Map<Submission, Long> versions,
-        Map<Submission, KeyedRecord> newSpecs,
+        Map<Submission, List<KeyedRecord>> newSubmissionRecords,
         List<Runnable> actions) {
       this.append = append;
       this.versions = versions;
-      this.newSpecs = newSpecs;
+      this.newSubmissionRecords = newSubmissionRecords;
       this.actions = actions;
     }
   }
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/OrderSender.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/OrderSender.java
@@ -2,9 +2,11 @@
 
 import io.vertx.core.Future;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.hickorypier.core.cell.Cell;
 import org.hickorypier.core.cell.CellOutput;
+import org.hickorypier.core.cell.EarlyCancellationCodec;
 import org.hickorypier.core.cell.OrderRelayPolicy;
 import org.hickorypier.core.cell.RosterCodec;
 import org.hickorypier.core.cell.RosterEntry;
@@ -251,6 +253,13 @@
     journal.put(JournalKeys.progressKey(id), null);
   }
 
+  @Override
+  public void saveEarlyCancellations(String id, Map<String, Long> cancelledAtMillis) {
+    journal.put(
+        JournalKeys.earlyCancellationKey(id),
+        cancelledAtMillis.isEmpty() ? null : EarlyCancellationCodec.encode(cancelledAtMillis));
+  }
+
   @Override
   public void afterSave(Runnable action) {
     journal.afterSave(action);
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/Owner.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.hickorypier.core.admission.AdmissionDecision;
 import org.hickorypier.core.admission.WithdrawalPolicy;
 import org.hickorypier.core.cell.Cell;
@@ -29,6 +30,7 @@
 import org.hickorypier.core.cell.WorkerTimeout;
 import org.hickorypier.core.cell.WorkerView;
 import org.hickorypier.core.submission.SubmissionSpec;
+import org.hickorypier.core.submission.SubmissionState;
 import org.hickorypier.daemon.link.LinkReply;
 import org.hickorypier.daemon.time.TimerSubscription;
 
@@ -60,6 +62,9 @@
    */
   private static final int MAX_WAITING_SUBMISSIONS = 20_000;
 
+  /** The oldest of the cancellations that are kept expire meanwhile, if they come steadily. */
+  private static final long CANCELLATIONS_FULL_RETRY_AFTER_MILLIS = 10_000;
+
   /** A full queue shrinks by some thousand submissions in this time. */
   private static final long QUEUE_FULL_RETRY_AFTER_MILLIS = 2_000;
 
@@ -330,15 +335,40 @@
 
   Future<LinkReply> cancel(String id, String customer) {
     if (visibleStatus(id, customer) == null) {
-      return Future.succeededFuture(
-          knowsAllAccepted() ? new LinkReply.NotKnown() : new LinkReply.NotOwner());
+      return cancelEarly(id, customer);
     }
     Submission submission = cell.find(id);
     if (submission != null) {
       cell.cancel(submission, now());
     }
+    return onceWritten(() -> new LinkReply.State(cell.status(id).state()));
+  }
+
+  /**
+   * Cancels a submission that is not durable here. The reply waits until the journal holds the
+   * cancellation, since the submission may become durable later, at this owner or the next. The
+   * append also proves that no successor had accepted the submission.
+   */
+  private Future<LinkReply> cancelEarly(String id, String customer) {
+    if (!cell.cancelEarly(id, customer, now(), dependencies.wallClock().getAsLong())) {
+      String reason = "too many submissions are cancelled that are not known";
+      dependencies
+          .log()
+          .event(PART, "cancellation-refused", "id", id, "customer", customer, "reason", reason);
+      return Future.succeededFuture(
+          new LinkReply.Refused(reason, CANCELLATIONS_FULL_RETRY_AFTER_MILLIS, epoch));
+    }
+    return onceWritten(
+        () ->
+            visibleStatus(id, customer) == null
+                ? new LinkReply.NotKnown()
+                : new LinkReply.State(SubmissionState.CANCELLED));
+  }
+
+  /** Replies to a cancellation once all that was saved is written. */
+  private Future<LinkReply> onceWritten(Supplier<LinkReply> reply) {
     Promise<LinkReply> promise = Promise.promise();
-    journal.afterSave(() -> promise.tryComplete(new LinkReply.State(cell.status(id).state())));
+    journal.afterSave(() -> promise.tryComplete(reply.get()));
     pendingCancellations.add(promise);
     promise.future().onComplete(done -> pendingCancellations.remove(promise));
     return promise.future();
--- a/daemon/src/test/java/org/hickorypier/daemon/node/NodeTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/NodeTest.java
@@ -3,6 +3,7 @@
 import static java.nio.charset.StandardCharsets.ISO_8859_1;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.json.JsonArray;
@@ -15,6 +16,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.hickorypier.daemon.owner.Strength;
+import org.hickorypier.platform.http.HttpReply;
 import org.hickorypier.standins.fault.Fault;
 import org.hickorypier.standins.fault.FaultPlan;
 import org.hickorypier.standins.http.StoreServer;
@@ -25,6 +27,8 @@
 
   private static final String ID_FORMAT = "5c0e7a21d94b36f%x";
 
+  private static final Set<String> ENDED = Set.of("completed", "failed", "cancelled");
+
   /** Longest time from the last run of a persistent task to its next run. */
   private static final long MAX_PERSISTENT_RESTART_MILLIS = 9_000;
 
@@ -482,6 +486,52 @@
     }
   }
 
+  /**
+   * Guards against an acknowledged cancellation of a submission that lies in an append, and is
+   * accepted and started when the append succeeds.
+   */
+  @Test
+  void cancellationHoldsForSubmissionThatIsBeingWritten() throws Exception {
+    try (SmallCluster cluster = new SmallCluster(1, 50)) {
+      SmallCluster.Instance instance = cluster.start();
+      String id = ID_FORMAT.formatted(1);
+      cluster.storeServer.gate().plan(new FaultPlan("append", Fault.NONE, -1, 500));
+      final Future<HttpReply> submitted = cluster.submitAsync(instance, id, 1);
+      cluster.waitUntil(() -> cluster.explain(instance, id).contains("in an append"));
+      assertThat(cluster.cancel(instance, id).status()).isIn(200, 410);
+      cluster.storeServer.gate().plan(FaultPlan.NONE);
+      assertThat(SmallCluster.await(submitted).status()).isEqualTo(200);
+      cluster.waitUntil(() -> ENDED.contains(cluster.state(instance, id)));
+      assertThat(cluster.state(instance, id)).isEqualTo("cancelled");
+      assertThat(cluster.starts()).isEmpty();
+    }
+  }
+
+  /**
+   * Guards against a submission that starts although its cancellation was acknowledged before it
+   * reached the owner, also when that owner is lost in between.
+   */
+  @Test
+  void cancellationHoldsForSubmissionThatArrivesLater() throws Exception {
+    try (SmallCluster cluster = new SmallCluster(1, 50)) {
+      SmallCluster.Instance owner = cluster.start();
+      final SmallCluster.Instance other = cluster.start();
+      String first = ID_FORMAT.formatted(1);
+      String second = ID_FORMAT.formatted(2);
+      assertThat(cluster.cancel(owner, first).status()).isEqualTo(410);
+      assertThat(cluster.cancel(other, second).status()).isEqualTo(410);
+      assertThat(cluster.state(owner, first)).isEqualTo("410");
+      assertThat(cluster.submit(other, first, 1).status()).isEqualTo(200);
+      cluster.kill(owner);
+      cluster.waitUntil(() -> cluster.submit(other, second, 1).status() == 200);
+      for (String id : List.of(first, second)) {
+        cluster.waitUntil(() -> ENDED.contains(cluster.state(other, id)));
+        assertThat(cluster.state(other, id)).isEqualTo("cancelled");
+      }
+      assertThat(cluster.starts()).isEmpty();
+    }
+  }
+
   /**
    * The owner shuts down, as on SIGTERM, while callers are connected. It tells them with its
    * responses to reconnect elsewhere and hands the cell over at once, and the other instance
--- a/daemon/src/test/java/org/hickorypier/daemon/node/SmallCluster.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/SmallCluster.java
@@ -385,6 +385,26 @@
         new JsonObject().put("Spec", "text").put("Phases", new JsonArray().add(step)));
   }
 
+  /** Submits without waiting for the answer. */
+  Future<HttpReply> submitAsync(Instance instance, String id, int tasks) {
+    JsonObject body =
+        new JsonObject().put("Spec", "text").put("Phases", new JsonArray().add(step(tasks)));
+    return callAsync(instance.settings().front(), HttpMethod.POST, PREFIX + id, body.toBuffer());
+  }
+
+  HttpReply cancel(Instance instance, String id) {
+    return call(instance.settings().front(), HttpMethod.DELETE, PREFIX + id, null);
+  }
+
+  /** Returns what an instance tells the operator about a submission. */
+  String explain(Instance instance, String id) {
+    try {
+      return await(instance.node().explain(id));
+    } catch (InterruptedException | ExecutionException | TimeoutException error) {
+      throw new IllegalStateException(error);
+    }
+  }
+
   private HttpReply submitBody(Instance instance, String id, JsonObject body) {
     return call(instance.settings().front(), HttpMethod.POST, PREFIX + id, body.toBuffer());
   }
@@ -439,17 +459,21 @@
   }
 
   HttpReply call(ServiceAddress address, HttpMethod method, String path, Buffer body) {
-    Map<String, String> headers = Map.of("Host", HOST, "Authorization", "Bearer " + KEY);
     try {
-      return await(
-          httpCalls
-              .call(address, method, path, headers, body, 5_000)
-              .otherwise(new HttpReply(0, Buffer.buffer())));
+      return await(callAsync(address, method, path, body));
     } catch (InterruptedException | ExecutionException | TimeoutException error) {
       throw new IllegalStateException(error);
     }
   }
 
+  private Future<HttpReply> callAsync(
+      ServiceAddress address, HttpMethod method, String path, Buffer body) {
+    Map<String, String> headers = Map.of("Host", HOST, "Authorization", "Bearer " + KEY);
+    return httpCalls
+        .call(address, method, path, headers, body, 5_000)
+        .otherwise(new HttpReply(0, Buffer.buffer()));
+  }
+
   /** Opens a connection without sending anything. */
   NetSocket connect(ServiceAddress address) throws Exception {
     return await(vertx.createNetClient().connect(address.port(), address.host()));
--- a/daemon/src/test/java/org/hickorypier/daemon/owner/JournalContentsTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/owner/JournalContentsTest.java
@@ -9,9 +9,11 @@
 import java.util.Optional;
 import org.hickorypier.core.cell.Cell;
 import org.hickorypier.core.cell.CellTimings;
+import org.hickorypier.core.cell.EarlyCancellationCodec;
 import org.hickorypier.core.cell.RosterCodec;
 import org.hickorypier.core.cell.RosterEntry;
 import org.hickorypier.core.cell.RunKey;
+import org.hickorypier.core.cell.Submission;
 import org.hickorypier.core.cell.TaskName;
 import org.hickorypier.core.cell.WorkerEntry;
 import org.hickorypier.core.estimation.WorkerSpeed;
@@ -90,6 +92,36 @@
     assertThat(values).isEmpty();
   }
 
+  /** Guards against a submission that starts since its owner was lost as it was cancelled. */
+  @Test
+  void submissionThatWasCancelledEarlyIsRestoredAsCancelled() {
+    QueueTerms queue = new QueueTerms("queue", "service", 0, 2, 2, 1_000, Optional.empty());
+    SubmissionSpec spec = new SubmissionSpec("id", "c", queue, "text", List.of(STEP), 0, 0, 0, 0);
+    Map<String, byte[]> values = new HashMap<>();
+    values.put(JournalKeys.specKey("id"), SubmissionCodec.encode(spec, 1));
+    values.put(
+        JournalKeys.earlyCancellationKey("id"), EarlyCancellationCodec.encode(Map.of("c", 5L)));
+    values.put(JournalKeys.earlyCancellationKey("unreadable"), new byte[] {9, 9});
+    List<Submission> saved = new ArrayList<>();
+    Cell cell =
+        new Cell(
+            CellTimings.of(10_000, 3_000, 60_000),
+            new NoOutput() {
+              @Override
+              public void save(Submission submission) {
+                saved.add(submission);
+              }
+            },
+            (part, event, more) -> {},
+            2,
+            0);
+    contents(values).restore(cell, 0, 0);
+    assertThat(saved).containsExactly(cell.find("id"));
+    assertThat(saved.get(0).progress().state()).isEqualTo(SubmissionState.CANCELLED);
+    assertThat(events).containsExactly("unreadable-record");
+    assertThat(values).isEmpty();
+  }
+
   /** Guards against a takeover that fails on a record which the successor can do without. */
   @Test
   void missingAndUnreadableSpeedsAreLearnedAnew() {
--- a/daemon/src/test/java/org/hickorypier/daemon/owner/JournalWriterTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/owner/JournalWriterTest.java
@@ -13,19 +13,15 @@
 import java.util.Random;
 import java.util.stream.LongStream;
 import org.hickorypier.core.cell.Cell;
-import org.hickorypier.core.cell.CellOutput;
 import org.hickorypier.core.cell.CellTimings;
-import org.hickorypier.core.cell.RosterEntry;
-import org.hickorypier.core.cell.Run;
-import org.hickorypier.core.cell.RunKey;
-import org.hickorypier.core.cell.StepRun;
+import org.hickorypier.core.cell.EarlyCancellationCodec;
 import org.hickorypier.core.cell.Submission;
-import org.hickorypier.core.cell.WorkerView;
 import org.hickorypier.core.model.Resources;
 import org.hickorypier.core.submission.QueueTerms;
 import org.hickorypier.core.submission.StepFlags;
 import org.hickorypier.core.submission.StepSpec;
 import org.hickorypier.core.submission.SubmissionSpec;
+import org.hickorypier.core.submission.SubmissionState;
 import org.hickorypier.daemon.link.LinkReply;
 import org.hickorypier.daemon.time.DelayMonitor;
 import org.hickorypier.daemon.time.ManualTimerService;
@@ -121,6 +117,16 @@
       return append.records().stream().map(KeyedRecord::key).toList();
     }
 
+    /** Returns the index of the first written append with a key, or -1. */
+    private int firstAppendOf(String key) {
+      for (int index = 0; index < written.size(); index++) {
+        if (keys(written.get(index)).contains(key)) {
+          return index;
+        }
+      }
+      return -1;
+    }
+
     private boolean holds(String id) {
       return written.stream()
           .flatMap(append -> append.records().stream())
@@ -133,8 +139,9 @@
 
     @Override
     public void written(Submission submission, long version) {
-      if (!submission.durable()) {
-        cell.markDurable(submission, version);
+      boolean first = !submission.durable();
+      cell.markDurable(submission, version);
+      if (first) {
         acceptedAt.put(submission.spec().id(), timers.nowMillis());
         pending.accepted(submission);
       }
@@ -146,18 +153,7 @@
     }
   }
 
-  private final class JournalOnly implements CellOutput {
-
-    @Override
-    public void start(Run run, long deadline, String ticket) {}
-
-    @Override
-    public void stop(WorkerView worker, RunKey run) {}
-
-    @Override
-    public boolean advise(StepRun step, List<WorkerView> workers) {
-      return false;
-    }
+  private final class JournalOnly extends NoOutput {
 
     @Override
     public void save(Submission submission) {
@@ -165,16 +161,10 @@
     }
 
     @Override
-    public void saveEnded(String id, byte[] spec) {}
-
-    @Override
-    public void drop(String id) {}
-
-    @Override
-    public void afterSave(Runnable action) {}
-
-    @Override
-    public void saveRoster(List<RosterEntry> entries, Runnable written) {}
+    public void saveEarlyCancellations(String id, Map<String, Long> cancelledAtMillis) {
+      journal.put(
+          JournalKeys.earlyCancellationKey(id), EarlyCancellationCodec.encode(cancelledAtMillis));
+    }
   }
 
   private void submit(String id, long waitMillis) {
@@ -364,6 +354,69 @@
     assertThat(cell.size()).isEqualTo(withReply(LinkReply.Accepted.class).size());
   }
 
+  /** Guards against an acknowledged cancellation that a successor does not find, or not in time. */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void acknowledgedCancellationsAreWrittenWhateverTheStoreDoes(long seed) {
+    store.faults = new Random(seed);
+    Random callers = new Random(seed);
+    Map<String, Integer> appendsWhenAcknowledged = new LinkedHashMap<>();
+    for (int index = 0; index < 100; index++) {
+      String id = "s" + index;
+      boolean early = callers.nextBoolean();
+      if (early) {
+        cancelUnlessDurable(id, appendsWhenAcknowledged);
+      }
+      submit(id, 200 + callers.nextInt(4_000));
+      run(10L * callers.nextInt(8));
+      if (!early) {
+        cancelUnlessDurable(id, appendsWhenAcknowledged);
+      }
+    }
+    store.faults = null;
+    store.refusing = false;
+    store.silent = false;
+    store.delayMillis = 5;
+    run(8_000);
+    assertThat(appendsWhenAcknowledged).isNotEmpty();
+    appendsWhenAcknowledged.forEach(
+        (id, appends) -> {
+          assertThat(store.firstAppendOf(JournalKeys.earlyCancellationKey(id)))
+              .isBetween(0, appends - 1);
+          if (store.holds(id)) {
+            assertThat(cell.status(id).state()).isEqualTo(SubmissionState.CANCELLED);
+            assertThat(store.firstAppendOf(JournalKeys.progressKey(id))).isNotNegative();
+          }
+        });
+  }
+
+  private void cancelUnlessDurable(String id, Map<String, Integer> appendsWhenAcknowledged) {
+    Submission known = cell.find(id);
+    if (known == null || !known.durable()) {
+      assertThat(cell.cancelEarly(id, "customer", timers.nowMillis(), 0)).isTrue();
+      journal.afterSave(() -> appendsWhenAcknowledged.put(id, store.written.size()));
+    }
+  }
+
+  /** Guards against an append that the store refuses for its size, so that none follows it. */
+  @Test
+  void manyOtherRecordsAreWrittenInSeveralAppends() {
+    List<String> done = new ArrayList<>();
+    for (int index = 0; index < 20; index++) {
+      journal.put("record" + index, new byte[200_000]);
+    }
+    submit("after", 0);
+    journal.afterSave(() -> done.add("saved at " + store.written.size()));
+    run(500);
+    assertThat(done).containsExactly("saved at 4");
+    assertThat(store.written).hasSize(4).allMatch(append -> bytes(append) <= 1_250_000);
+    assertThat(store.firstAppendOf(JournalKeys.specKey("after"))).isEqualTo(3);
+  }
+
+  private static long bytes(Append append) {
+    return append.records().stream().mapToLong(each -> each.value().length).sum();
+  }
+
   static LongStream seeds() {
     return LongStream.range(0, 200);
   }
--- a/daemon/src/test/java/org/hickorypier/daemon/owner/LeaseRenewerTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/owner/LeaseRenewerTest.java
@@ -12,18 +12,12 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.hickorypier.core.cell.Cell;
-import org.hickorypier.core.cell.CellOutput;
 import org.hickorypier.core.cell.CellTimings;
 import org.hickorypier.core.cell.ContactWindow;
 import org.hickorypier.core.cell.EventLog;
 import org.hickorypier.core.cell.RosterEntry;
-import org.hickorypier.core.cell.Run;
-import org.hickorypier.core.cell.RunKey;
-import org.hickorypier.core.cell.StepRun;
-import org.hickorypier.core.cell.Submission;
 import org.hickorypier.core.cell.WorkerEntry;
 import org.hickorypier.core.cell.WorkerTimeout;
-import org.hickorypier.core.cell.WorkerView;
 import org.hickorypier.core.model.Resources;
 import org.hickorypier.daemon.time.DelayMonitor;
 import org.hickorypier.daemon.time.ManualTimerService;
@@ -49,36 +43,6 @@
     vertx.close();
   }
 
-  /** Sends nothing; only renewals reach the worker. */
-  private static final class NoOutput implements CellOutput {
-
-    @Override
-    public void start(Run run, long deadline, String ticket) {}
-
-    @Override
-    public void stop(WorkerView worker, RunKey run) {}
-
-    @Override
-    public boolean advise(StepRun step, List<WorkerView> workers) {
-      return false;
-    }
-
-    @Override
-    public void save(Submission submission) {}
-
-    @Override
-    public void saveEnded(String id, byte[] spec) {}
-
-    @Override
-    public void drop(String id) {}
-
-    @Override
-    public void afterSave(Runnable action) {}
-
-    @Override
-    public void saveRoster(List<RosterEntry> entries, Runnable written) {}
-  }
-
   /** The events that the renewer reports have no effect here. */
   private static final class NoEvents implements LeaseRenewer.Events {
 
