--- a/daemon/src/main/java/org/hickorypier/daemon/node/NodeMain.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/node/NodeMain.java
@@ -13,6 +13,8 @@
 import java.nio.file.Path;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Option;
@@ -33,6 +35,10 @@
 public final class NodeMain {
 
   private static final String PART = "node";
+
+  /** Shows which call of this program has failed in a library. */
+  private static final int MAX_LOGGED_FRAMES = 12;
+
   private static final String EXPLAIN_PATH = "/explain/";
   private static final int EXIT_START_FAILED = 1;
   private static final int EXIT_INVALID_USAGE = 2;
@@ -210,8 +216,10 @@
     while (root.getCause() != null) {
       root = root.getCause();
     }
-    StackTraceElement[] trace = root.getStackTrace();
-    return error + (trace.length == 0 ? "" : " at " + trace[0]);
+    return Stream.concat(
+            Stream.of(error.toString()),
+            Stream.of(root.getStackTrace()).limit(MAX_LOGGED_FRAMES).map(Object::toString))
+        .collect(Collectors.joining(" at "));
   }
 
   /**
