The soak cancels submissions before they are answered

One submission in ten is cancelled 1 to 150 ms after its POST is sent, through an instance of its own. The soak notes a breach if it ends otherwise than cancelled after the cancelling was acknowledged, beside the check of starts after an acknowledgement.

--- a/measure/src/main/java/org/hickorypier/measure/soak/SoakCallers.java
+++ b/measure/src/main/java/org/hickorypier/measure/soak/SoakCallers.java
@@ -91,6 +91,11 @@
   private static final Resources FAILING_TASK = new Resources(100, 10, 0);
   private static final int FAILING_CANCEL_MILLIS = 15_000;
 
+  /** One submission in ten is cancelled while its callers still wait for the answer. */
+  private static final int EARLY_CANCEL_SHARE = 10;
+
+  private static final int EARLY_CANCEL_SPREAD_MILLIS = 150;
+
   /** An accepted submission must be known everywhere after this time. */
   private static final long VISIBLE_MILLIS = 3_000;
 
@@ -108,6 +113,14 @@
   /** Draws what concerns submissions that last, so that the others do not depend on them. */
   private final Random randomOfLasting;
 
+  /** Draws what concerns early cancellations, so that all else does not depend on them. */
+  private final Random randomOfEarlyCancels;
+
+  /**
+   * Submissions whose cancellation was acknowledged before any answer said that they have ended.
+   */
+  private final Set<String> cancelledEarly = new TreeSet<>();
+
   private final Set<String> open = new TreeSet<>();
   private final List<String> unlawful = new ArrayList<>();
   private int handedIn;
@@ -135,6 +148,7 @@
     this.lasting = lasting;
     this.random = new Random(seed);
     this.randomOfLasting = new Random(~seed);
+    this.randomOfEarlyCancels = new Random(~seed * 31);
   }
 
   /** Hands in one submission after another, at most so far apart, until {@link #rest}. */
@@ -239,6 +253,10 @@
       lasting.handedIn(spec);
     }
     attempt(spec, MOST_TRIES, true);
+    if (!lasting.lasts(spec.id()) && randomOfEarlyCancels.nextInt(EARLY_CANCEL_SHARE) == 0) {
+      int delay = 1 + randomOfEarlyCancels.nextInt(EARLY_CANCEL_SPREAD_MILLIS);
+      vertx.setTimer(delay, timer -> cancelEarly(spec));
+    }
   }
 
   private SubmissionSpec spec(String id, String customer) {
@@ -365,6 +383,13 @@
               if (state != null) {
                 checker.checkShownState(spec.id(), state);
               }
+              if (state != null
+                  && state.isTerminal()
+                  && state != SubmissionState.CANCELLED
+                  && cancelledEarly.contains(spec.id())) {
+                unlawful.add(
+                    spec.id() + " is " + state + ", after its cancelling was acknowledged");
+              }
               if (state != null && state.isTerminal()) {
                 open.remove(spec.id());
               } else {
@@ -390,6 +415,22 @@
             });
   }
 
+  private void cancelEarly(SubmissionSpec spec) {
+    ServiceAddress front = fronts.get(randomOfEarlyCancels.nextInt(fronts.size()));
+    String path = StandInPlatform.PREFIX + spec.id();
+    send(front, HttpMethod.DELETE, path, platform.key(spec.customer()), null)
+        .onSuccess(
+            reply -> {
+              boolean ended = reply.status() == 200 && state(reply) != SubmissionState.CANCELLED;
+              if (reply.status() == 410 || reply.status() == 200 && !ended) {
+                cancelledEarly.add(spec.id());
+                checker.recordCancelAcknowledged(spec.id());
+              } else if (!ended) {
+                vertx.setTimer(TRY_AGAIN_MILLIS, timer -> cancelEarly(spec));
+              }
+            });
+  }
+
   /** Goes on using a key that was withdrawn; late uses must all be turned away. */
   void useWithdrawn(String key) {
     vertx.setTimer(
