Further tests of early cancellations, and plainer comments

NodeTest.cancellationHoldsOverRestartOfAllInstances: a submission whose append is under way, and one whose request comes later, are cancelled; all instances are lost right after the answer and start again. EarlyCancellationsTest has the other id of the same customer.

Comments of EarlyCancellations and JournalWriter say the reason in plainer words, and a local variable has a longer name.

--- a/core/src/main/java/org/hickorypier/core/cell/EarlyCancellations.java
+++ b/core/src/main/java/org/hickorypier/core/cell/EarlyCancellations.java
@@ -12,8 +12,8 @@
  *
  * <p>Load: callers that leave before they are answered and cancel what they have left, thousands a
  * minute while the cell refuses work, or a client that cancels ids which it makes up. The records
- * are kept by the owner, by each standby and in the store, so their number is limited, also for
- * each customer, lest one of them uses up the room of the others.
+ * are kept by the owner, by each standby and in the store, so their number is limited, in total and
+ * for each customer, so that one customer does not use up the room of the others.
  *
  * <p>Confined to the control thread.
  */
--- a/core/src/test/java/org/hickorypier/core/cell/EarlyCancellationsTest.java
+++ b/core/src/test/java/org/hickorypier/core/cell/EarlyCancellationsTest.java
@@ -63,6 +63,15 @@
     assertThat(fixture.starts).hasSize(2);
   }
 
+  @Test
+  void otherSubmissionsOfTheCustomerAreNotCancelled() {
+    fixture.addWorker("w");
+    fixture.cell.accept(spec, fixture.now);
+    assertThat(cancelEarly("other", CUSTOMER)).isTrue();
+    settle();
+    assertThat(fixture.starts).hasSize(2);
+  }
+
   /** The append of the submission takes effect after its owner and its progress are lost. */
   @Test
   void submissionFoundByNextOwnerIsCancelled() {
--- a/daemon/src/main/java/org/hickorypier/daemon/owner/JournalWriter.java
+++ b/daemon/src/main/java/org/hickorypier/daemon/owner/JournalWriter.java
@@ -351,13 +351,13 @@
       versions.put(submission, submission.version());
       byte[] spec = SubmissionCodec.encode(submission.spec(), submission.number());
       bytes += spec.length;
-      List<KeyedRecord> own = new ArrayList<>();
-      own.add(new KeyedRecord(JournalKeys.specKey(submission.spec().id()), spec));
+      List<KeyedRecord> ownRecords = new ArrayList<>();
+      ownRecords.add(new KeyedRecord(JournalKeys.specKey(submission.spec().id()), spec));
       if (submission.needsSaving()) {
-        bytes += addProgress(submission, own);
+        bytes += addProgress(submission, ownRecords);
       }
-      newSubmissionRecords.put(submission, own);
-      records.addAll(own);
+      newSubmissionRecords.put(submission, ownRecords);
+      records.addAll(ownRecords);
     }
     return versions;
   }
@@ -411,8 +411,8 @@
 
   private void reportWritten(Submission submission, long version) {
     callbacks.written(submission, version);
-    // A submission that was cancelled while it was written for the first time is held back no
-    // longer, and only its progress is left to write.
+    // A submission that was cancelled while its specification was being written waits as a new one.
+    // Only its progress is left to write, which is not held back while the store is unavailable.
     if (newSubmissions.remove(submission)) {
       changedSubmissions.add(submission);
     }
--- a/daemon/src/test/java/org/hickorypier/daemon/node/NodeTest.java
+++ b/daemon/src/test/java/org/hickorypier/daemon/node/NodeTest.java
@@ -507,6 +507,34 @@
     }
   }
 
+  /**
+   * Guards against a submission that starts after a restart of all instances, though its
+   * cancellation was acknowledged just before: one whose append the store carries out late, and one
+   * whose request comes after the restart.
+   */
+  @Test
+  void cancellationHoldsOverRestartOfAllInstances() throws Exception {
+    try (SmallCluster cluster = new SmallCluster(1, 50)) {
+      SmallCluster.Instance owner = cluster.start();
+      String late = ID_FORMAT.formatted(1);
+      String written = ID_FORMAT.formatted(2);
+      assertThat(cluster.cancel(owner, late).status()).isEqualTo(410);
+      cluster.storeServer.gate().plan(new FaultPlan("append", Fault.NONE, -1, 500));
+      cluster.submitAsync(owner, written, 1);
+      cluster.waitUntil(() -> cluster.explain(owner, written).contains("in an append"));
+      assertThat(cluster.cancel(owner, written).status()).isIn(200, 410);
+      cluster.kill(owner);
+      cluster.storeServer.gate().plan(FaultPlan.NONE);
+      SmallCluster.Instance restarted = cluster.startWithoutOwner(Strength.UNKNOWN);
+      for (String id : List.of(late, written)) {
+        cluster.waitUntil(() -> cluster.submit(restarted, id, 1).status() == 200);
+        cluster.waitUntil(() -> ENDED.contains(cluster.state(restarted, id)));
+        assertThat(cluster.state(restarted, id)).isEqualTo("cancelled");
+      }
+      assertThat(cluster.starts()).isEmpty();
+    }
+  }
+
   /**
    * Guards against a submission that starts although its cancellation was acknowledged before it
    * reached the owner, also when that owner is lost in between.
